Set down the design, the workspace and the shared state

Cause: a new repository; the shape has to be fixed before the parts.

Change: docs/design.md with the requirements, the ways weighed and the interfaces; a CMake workspace of packages with one test program a module; base (error table, events, counters, pipe, hashes, clock), conf (fleet and settings files, checked whole), state (records and their fold), and the headers of wire, platform, admit and route.

Conclusion: the packages can be built in parallel from here on.

--- /dev/null
+++ b/admit/admit.h
@@ -0,0 +1,176 @@
+/* admit - who may run work now: keys, freshness of the view, permits, queues
+
+   NAME
+     key, fresh, escrow, queue
+
+   DESCRIPTION
+     key     finds the team of a key
+     fresh   judges whether this daemon may have missed a change
+     escrow  permits of one resource (a team's limit, an upstream's slots) held
+             by this daemon; taking one is an atomic operation
+     queue   weighted fair queueing between the teams of one service
+             (start-time fair queueing, Goyal, Vin and Cheng 1996)
+
+     None of these reads a clock, a socket or a file.  All times named now_us
+     are monotonic.  */
+
+#ifndef CUMINPIN_ADMIT_H
+#define CUMINPIN_ADMIT_H
+
+#include "state.h"
+
+/* An immutable index of the keys in a state.  */
+typedef struct key_index key_index_t;
+
+key_index_t *key_index_new (const state_t *state);
+void key_index_free (key_index_t *index);
+
+/* key_index_find - the interned name of the team that KEY (LEN bytes as the
+   client sent them) belongs to; NULL when it is unknown or withdrawn.
+   Compares digests in constant time.  */
+const char *key_index_find (const key_index_t *index, const char *key,
+                            size_t len);
+
+typedef enum freshness
+{
+  FRESH, /* the log was read to its end in time, here or at a live peer */
+  BLIND, /* nobody reads the log, and all other data centres are heard */
+  STALE  /* somebody may have appended a record that is not seen here */
+} freshness_t;
+
+const char *freshness_name (freshness_t freshness);
+
+/* What the last heartbeat of a peer said.  */
+typedef struct peer_view
+{
+  const char *data_centre;
+  int64_t heard_us;    /* when it came; 0: never */
+  int64_t log_read_us; /* when that peer last read the log to its end, by this
+                          daemon's clock; 0: never */
+  uint64_t offset;     /* up to which that peer has folded */
+} peer_view_t;
+
+/* What this daemon knows of the log, itself and through its peers.  */
+typedef struct fresh_view
+{
+  int64_t log_read_us; /* last read to the end; 0: never */
+  uint64_t offset;     /* folded up to here */
+  const char *data_centre;
+  const char *const *data_centres; /* those with entry hosts, from the fleet */
+  uint32_t data_centres_count;
+  const peer_view_t *peers;
+  uint32_t peers_count;
+} fresh_view_t;
+
+#define FRESH_MAX_US 3000000
+
+/* fresh_judge - how fresh VIEW is at NOW_US, with GRACE_US added to
+   FRESH_MAX_US.  A peer that read the log counts only up to the offset that
+   this daemon has folded too.  */
+freshness_t fresh_judge (const fresh_view_t *view, int64_t now_us,
+                         int64_t grace_us);
+
+/* Permits of one resource at this daemon: its own share, less what is lent,
+   plus what was borrowed.  */
+typedef struct escrow escrow_t;
+
+/* Where a permit came from, so that it goes back there.  */
+typedef struct permit
+{
+  uint32_t source;     /* 0: none; 1: own share; else a loan */
+  uint32_t generation; /* of that loan */
+} permit_t;
+
+escrow_t *escrow_new (void);
+void escrow_free (escrow_t *escrow);
+
+/* escrow_set_share - this daemon's own share is SHARE from now on.  A lower
+   one counts at once: nothing is granted until enough permits came back.  */
+void escrow_set_share (escrow_t *escrow, uint32_t share);
+
+uint32_t escrow_share (const escrow_t *escrow);
+
+/* escrow_take - take a permit for work that has surely ended at END_US; a lent
+   one only if its loan lasts so long.  False when there is none.  Lock-free;
+   any thread.  */
+bool escrow_take (escrow_t *escrow, int64_t now_us, int64_t end_us,
+                  permit_t *permit);
+
+/* escrow_give - give PERMIT back; any thread.  */
+void escrow_give (escrow_t *escrow, permit_t permit);
+
+/* escrow_in_use - permits taken and not given back.  */
+uint32_t escrow_in_use (const escrow_t *escrow);
+
+/* escrow_free_count - own permits that could be taken now; negative after the
+   share was lowered below what is in use.  */
+int64_t escrow_free_count (const escrow_t *escrow);
+
+/* escrow_lend - subtract up to COUNT free permits of the own share until
+   EXPIRY_US; the number subtracted.  They are back after escrow_tick at a time
+   past EXPIRY_US plus the clock error.  One thread.  */
+uint32_t escrow_lend (escrow_t *escrow, uint32_t count, int64_t expiry_us);
+
+/* escrow_borrow - add COUNT permits, good until EXPIRY_US.  False when too
+   many loans are open: the permits stay unused.  One thread.  */
+bool escrow_borrow (escrow_t *escrow, uint32_t count, int64_t expiry_us);
+
+/* escrow_tick - drop expired loans and take back expired lendings.  The same
+   thread as escrow_lend and escrow_borrow.  */
+void escrow_tick (escrow_t *escrow, int64_t now_us);
+
+/* A waiting request; embedded in the daemon's request.  */
+typedef struct queue_entry
+{
+  struct queue_entry *next;
+  struct queue_entry *prev;
+  struct queue_team *team;
+  int64_t expires_us; /* latest time at which sending it makes sense */
+  uint64_t start_tag; /* virtual time */
+} queue_entry_t;
+
+/* The queue of one team at one service.  */
+typedef struct queue_team queue_team_t;
+
+typedef struct fair_queue fair_queue_t;
+
+/* queue_new - a queue that holds at most MAX_PER_TEAM entries of a team.  Not
+   safe for several threads at once: the owner holds a lock.  */
+fair_queue_t *queue_new (uint32_t max_per_team);
+void queue_free (fair_queue_t *queue);
+void queue_set_max (fair_queue_t *queue, uint32_t max_per_team);
+
+/* queue_team - the queue of team NAME with weight SHARE, made if need be.
+   It lives as long as the queue.  */
+queue_team_t *queue_team (fair_queue_t *queue, const char *name,
+                          uint32_t share);
+
+const char *queue_team_name (const queue_team_t *team);
+
+/* queue_put - append ENTRY to TEAM's queue.  ERR_QUEUE_FULL when it is full;
+   ERR_WOULD_BE_LATE when, at the rate at which the queue was served lately,
+   its turn would come after EXPIRES_US.  */
+err_kind_t queue_put (fair_queue_t *queue, queue_team_t *team,
+                      queue_entry_t *entry, int64_t now_us,
+                      int64_t expires_us);
+
+/* queue_take - remove and return the next entry in fair order among the teams
+   for which MAY_RUN (CTX, entry) is true; NULL when there is none.  */
+queue_entry_t *queue_take (fair_queue_t *queue, int64_t now_us,
+                           bool (*may_run) (void *ctx, queue_entry_t *entry),
+                           void *ctx);
+
+/* queue_charge - count work of TEAM that ran without waiting (the queue was
+   empty), so that it takes its turn later.  */
+void queue_charge (fair_queue_t *queue, queue_team_t *team);
+
+/* queue_remove - take out ENTRY, whose client is gone.  */
+void queue_remove (fair_queue_t *queue, queue_entry_t *entry);
+
+/* queue_take_expired - remove and return an entry whose expires_us has passed;
+   NULL when there is none.  */
+queue_entry_t *queue_take_expired (fair_queue_t *queue, int64_t now_us);
+
+uint32_t queue_length (const fair_queue_t *queue);
+
+#endif
--- /dev/null
+++ b/base/base.h
@@ -0,0 +1,255 @@
+/* base - types and services that every package uses
+
+   NAME
+     err, event, counter, pipe, hash, clock
+
+   DESCRIPTION
+     err      the closed list of error kinds on the path of a request, and the
+              one table from kind to answer
+     event    the log: numbered events, listed in docs/events.md
+     counter  process-wide counters, striped over threads
+     pipe     bounded queue between two stages on different threads
+     hash     placement hashes
+     clock    the only place where the present time is read; functions that
+              decide take it as an argument  */
+
+#ifndef CUMINPIN_BASE_H
+#define CUMINPIN_BASE_H
+
+#include <glib.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <urcu/wfcqueue.h>
+
+/* What is known about a request that was not answered.  */
+typedef enum outcome
+{
+  OUTCOME_NOT_RUN, /* no upstream can have run it */
+  OUTCOME_UNKNOWN, /* an upstream may have run it */
+  OUTCOME_RAN      /* an upstream ran it */
+} outcome_t;
+
+/* Error kinds on the path of a request.  The list is closed: err_answer has a
+   row for each.  */
+typedef enum err_kind
+{
+  ERR_NONE,
+  ERR_BAD_REQUEST,       /* malformed header, id or deadline */
+  ERR_HEADER_TOO_LARGE,  /* header block exceeds the limit */
+  ERR_BODY_TOO_LARGE,    /* body exceeds the limit */
+  ERR_KEY_MISSING,       /* service needs a key, none came */
+  ERR_KEY_REJECTED,      /* key unknown or withdrawn */
+  ERR_NO_SERVICE,        /* no such service in the configuration */
+  ERR_STALE_VIEW,        /* keys and rules may be out of date here */
+  ERR_ID_INVALID,        /* non-idempotent without a usable request id */
+  ERR_ID_REPEATED,       /* id was already granted: it may have run */
+  ERR_ID_OWNER_AWAY,     /* the owner of the id can't be reached */
+  ERR_QUEUE_FULL,        /* the team's queue is full */
+  ERR_WOULD_BE_LATE,     /* can't be answered before its deadline */
+  ERR_EXPIRED_QUEUED,    /* deadline passed while queued */
+  ERR_NO_UPSTREAM,       /* no upstream can take it */
+  ERR_UPSTREAM_REFUSED,  /* upstream refused before running it */
+  ERR_CONNECT_FAILED,    /* no connection to an upstream */
+  ERR_UPSTREAM_TIMEOUT,  /* deadline passed after sending */
+  ERR_UPSTREAM_CUT,      /* connection lost after sending */
+  ERR_ANSWER_MISMATCHED, /* answer carries another request's id */
+  ERR_ANSWER_TRUNCATED,  /* answer shorter than announced */
+  ERR_STOPPING,          /* this daemon is shutting down */
+  ERR_INTERNAL,          /* fault of this daemon before sending */
+  ERR_KIND_COUNT
+} err_kind_t;
+
+/* How an error kind is answered.  */
+typedef struct err_answer
+{
+  err_kind_t kind;
+  uint16_t status;        /* HTTP status */
+  outcome_t outcome;      /* stated to the client */
+  uint16_t retry_after_s; /* 0: no Retry-After header */
+  const char *name;       /* stable, for scripts: "team-limit" */
+  const char *text;       /* one sentence for a person */
+} err_answer_t;
+
+/* err_answer - the row of KIND; never NULL.  */
+const err_answer_t *err_answer (err_kind_t kind);
+
+/* err_is_not_run - whether KIND may be answered "not run".  */
+bool err_is_not_run (err_kind_t kind);
+
+/* outcome_name - "not-run", "unknown" or "ran".  */
+const char *outcome_name (outcome_t outcome);
+
+typedef enum event_level
+{
+  LEVEL_DEBUG,
+  LEVEL_INFO,
+  LEVEL_WARN,
+  LEVEL_ERROR
+} event_level_t;
+
+/* Event numbers never change meaning and are never used again.
+   1000 process, 1100 requests, 1200 configuration and log, 1300 peers,
+   1400 upstreams, 1500 fleet.  */
+typedef enum event_id
+{
+  EV_STARTED = 1000,
+  EV_STOPPING = 1001,
+  EV_STOPPED = 1002,
+  EV_SETTINGS_REJECTED = 1003,
+  EV_LISTEN_FAILED = 1004,
+  EV_STOP_FORCED = 1005,
+  EV_REQUEST_REFUSED = 1100,
+  EV_REQUEST_UNKNOWN = 1101,
+  EV_CONFIG_IN_FORCE = 1200,
+  EV_RECORD_REJECTED = 1201,
+  EV_LOG_UNREACHABLE = 1202,
+  EV_LOG_REACHED = 1203,
+  EV_VIEW_BEHIND = 1204,
+  EV_RECORD_MALFORMED = 1205,
+  EV_SNAPSHOT_WRITTEN = 1206,
+  EV_SNAPSHOT_LOADED = 1207,
+  EV_SNAPSHOT_REJECTED = 1208,
+  EV_LOG_GAP = 1209,
+  EV_VIEW_STALE = 1210,
+  EV_VIEW_FRESH = 1211,
+  EV_APPEND_UNCERTAIN = 1212,
+  EV_PEER_UP = 1300,
+  EV_PEER_DOWN = 1301,
+  EV_PEER_REFUSED = 1302,
+  EV_PEER_SUSPECT = 1303,
+  EV_LOAN_GIVEN = 1304,
+  EV_QUARANTINE_BEGAN = 1305,
+  EV_QUARANTINE_ENDED = 1306,
+  EV_UPSTREAM_EJECTED = 1400,
+  EV_UPSTREAM_RETURNED = 1401,
+  EV_UPSTREAM_LEAVING = 1402,
+  EV_ANSWER_DROPPED = 1403,
+  EV_LIVE_LIST_FAILED = 1404,
+  EV_HOST_DRAINING = 1500,
+  EV_HOST_MOVED = 1501,
+  EV_HOST_FAILED = 1502,
+  EV_HOST_RETURNED = 1503,
+  EV_WAVE_STARTED = 1504,
+  EV_WAVE_WAITING = 1505,
+  EV_WAVE_DONE = 1506,
+  EV_WAVE_ABANDONED = 1507
+} event_id_t;
+
+/* A row of the event catalogue.  */
+typedef struct event_row
+{
+  event_id_t id;
+  event_level_t level;
+  const char *name;
+} event_row_t;
+
+/* event_table - the whole catalogue, ordered by number; *COUNT rows.  */
+const event_row_t *event_table (size_t *count);
+
+/* event_open - name this process in its log lines; lines below LEVEL are not
+   written.  NAME must outlive the process's last event.  */
+void event_open (const char *name, event_level_t level);
+
+/* event_log - write one line to standard error:
+   TIME PROCESS NUMBER LEVEL NAME text
+   FORMAT gives the text as KEY=VALUE pairs.  Safe from any thread.  */
+void event_log (event_id_t id, const char *format, ...) G_GNUC_PRINTF (2, 3);
+
+typedef enum counter_id
+{
+  COUNT_REQUESTS,
+  COUNT_ANSWERED,
+  COUNT_REFUSED_NOT_RUN,
+  COUNT_REFUSED_UNKNOWN,
+  COUNT_CLIENT_GONE,
+  COUNT_SENT,
+  COUNT_RETRIES,
+  COUNT_RETRY_BUDGET_SPENT,
+  COUNT_QUEUED,
+  COUNT_QUEUE_CONTENDED,
+  COUNT_KEY_REJECTED,
+  COUNT_ANSWER_MISMATCHED,
+  COUNT_ANSWER_TRUNCATED,
+  COUNT_UPSTREAM_EJECTED,
+  COUNT_RECORDS_APPLIED,
+  COUNT_RECORDS_REJECTED,
+  COUNT_VIEWS_PUBLISHED,
+  COUNT_LOG_READS,
+  COUNT_LOG_READ_FAILURES,
+  COUNT_LOG_APPENDS,
+  COUNT_PEER_MESSAGES_IN,
+  COUNT_PEER_MESSAGES_OUT,
+  COUNT_PEER_BYTES_IN,
+  COUNT_PEER_BYTES_OUT,
+  COUNT_LOANS_GIVEN,
+  COUNT_LOANS_TAKEN,
+  COUNT_CLAIMS_GRANTED,
+  COUNT_CLAIMS_REFUSED,
+  COUNTER_COUNT
+} counter_id_t;
+
+/* counter_add - add N to counter ID; one relaxed atomic addition.  */
+void counter_add (counter_id_t id, uint64_t n);
+
+/* counter_read - the sum of counter ID over all threads.  */
+uint64_t counter_read (counter_id_t id);
+
+/* counter_name - name of counter ID as in the admin server's /counters.  */
+const char *counter_name (counter_id_t id);
+
+/* A bounded queue with many writers and one reader.  The reader sleeps on
+   event_fd.  Entries embed a pipe_node_t.  */
+typedef struct pipe_node
+{
+  struct cds_wfcq_node link;
+} pipe_node_t;
+
+typedef struct pipe
+{
+  struct cds_wfcq_head head;
+  struct cds_wfcq_tail tail;
+  atomic_uint_fast32_t count;
+  atomic_bool awake; /* a wake-up is pending; saves writes to event_fd */
+  uint32_t max;
+  int event_fd;
+} pipe_t;
+
+/* pipe_open - an empty pipe of at most MAX entries.  False when the system
+   has no event descriptor left.  */
+bool pipe_open (pipe_t *pipe, uint32_t max);
+
+/* pipe_close - release an empty pipe that has no more writers.  */
+void pipe_close (pipe_t *pipe);
+
+/* pipe_put - append NODE and wake the reader.  False when full: the client
+   keeps NODE.  */
+bool pipe_put (pipe_t *pipe, pipe_node_t *node);
+
+/* pipe_rest - to be called by the reader before it takes entries: clears the
+   wake-up, so that entries put from then on wake it again.  */
+void pipe_rest (pipe_t *pipe);
+
+/* pipe_get - the oldest entry, or NULL when there is none.  Reader only.  */
+pipe_node_t *pipe_get (pipe_t *pipe);
+
+/* hash_bytes - xxHash64 of LEN bytes.  */
+uint64_t hash_bytes (const void *data, size_t len, uint64_t seed);
+
+/* hash_score - rendezvous score of OWNER for KEY; the owner of a key is the
+   one with the highest score (Thaler and Ravishankar 1998).  */
+uint64_t hash_score (const void *key, size_t key_len, const char *owner);
+
+/* clock_mono_us - monotonic time; never set back, has no fixed origin.  */
+int64_t clock_mono_us (void);
+
+/* clock_wall_ms - milliseconds since 1970, for times that two processes
+   compare.  */
+int64_t clock_wall_ms (void);
+
+/* CLOCK_ERROR_MS - largest difference assumed between the wall clocks of two
+   hosts.  */
+#define CLOCK_ERROR_MS 500
+
+#endif
--- /dev/null
+++ b/base/counter.c
@@ -0,0 +1,70 @@
+#include "base.h"
+
+/* One stripe for each of the first threads, so that threads don't share cache
+   lines; later threads share stripes.  */
+#define STRIPES 32
+#define LINE_BYTES 64
+
+typedef struct stripe
+{
+  _Alignas(LINE_BYTES) atomic_uint_fast64_t value[COUNTER_COUNT];
+} stripe_t;
+
+static stripe_t stripes[STRIPES];
+static atomic_uint next_stripe;
+static _Thread_local stripe_t *own_stripe;
+
+static const char *const names[COUNTER_COUNT] = {
+  [COUNT_REQUESTS] = "requests",
+  [COUNT_ANSWERED] = "answered",
+  [COUNT_REFUSED_NOT_RUN] = "refused_not_run",
+  [COUNT_REFUSED_UNKNOWN] = "refused_unknown",
+  [COUNT_CLIENT_GONE] = "client_gone",
+  [COUNT_SENT] = "sent",
+  [COUNT_RETRIES] = "retries",
+  [COUNT_RETRY_BUDGET_SPENT] = "retry_budget_spent",
+  [COUNT_QUEUED] = "queued",
+  [COUNT_QUEUE_CONTENDED] = "queue_contended",
+  [COUNT_KEY_REJECTED] = "key_rejected",
+  [COUNT_ANSWER_MISMATCHED] = "answer_mismatched",
+  [COUNT_ANSWER_TRUNCATED] = "answer_truncated",
+  [COUNT_UPSTREAM_EJECTED] = "upstream_ejected",
+  [COUNT_RECORDS_APPLIED] = "records_applied",
+  [COUNT_RECORDS_REJECTED] = "records_rejected",
+  [COUNT_VIEWS_PUBLISHED] = "views_published",
+  [COUNT_LOG_READS] = "log_reads",
+  [COUNT_LOG_READ_FAILURES] = "log_read_failures",
+  [COUNT_LOG_APPENDS] = "log_appends",
+  [COUNT_PEER_MESSAGES_IN] = "peer_messages_in",
+  [COUNT_PEER_MESSAGES_OUT] = "peer_messages_out",
+  [COUNT_PEER_BYTES_IN] = "peer_bytes_in",
+  [COUNT_PEER_BYTES_OUT] = "peer_bytes_out",
+  [COUNT_LOANS_GIVEN] = "loans_given",
+  [COUNT_LOANS_TAKEN] = "loans_taken",
+  [COUNT_CLAIMS_GRANTED] = "claims_granted",
+  [COUNT_CLAIMS_REFUSED] = "claims_refused",
+};
+
+void
+counter_add (counter_id_t id, uint64_t n)
+{
+  if (!own_stripe)
+    own_stripe = &stripes[atomic_fetch_add (&next_stripe, 1) % STRIPES];
+  atomic_fetch_add_explicit (&own_stripe->value[id], n, memory_order_relaxed);
+}
+
+uint64_t
+counter_read (counter_id_t id)
+{
+  uint64_t sum = 0;
+
+  for (size_t i = 0; i < STRIPES; i++)
+    sum += atomic_load_explicit (&stripes[i].value[id], memory_order_relaxed);
+  return sum;
+}
+
+const char *
+counter_name (counter_id_t id)
+{
+  return names[id];
+}
--- /dev/null
+++ b/base/event.c
@@ -0,0 +1,110 @@
+#include "base.h"
+#include <stdio.h>
+#include <time.h>
+#include <unistd.h>
+
+#define LINE_BYTES 2048
+
+static const event_row_t rows[] = {
+  { EV_STARTED, LEVEL_INFO, "started" },
+  { EV_STOPPING, LEVEL_INFO, "stopping" },
+  { EV_STOPPED, LEVEL_INFO, "stopped" },
+  { EV_SETTINGS_REJECTED, LEVEL_ERROR, "settings-rejected" },
+  { EV_LISTEN_FAILED, LEVEL_ERROR, "listen-failed" },
+  { EV_STOP_FORCED, LEVEL_WARN, "stop-forced" },
+  { EV_REQUEST_REFUSED, LEVEL_DEBUG, "request-refused" },
+  { EV_REQUEST_UNKNOWN, LEVEL_WARN, "request-unknown" },
+  { EV_CONFIG_IN_FORCE, LEVEL_INFO, "config-in-force" },
+  { EV_RECORD_REJECTED, LEVEL_WARN, "record-rejected" },
+  { EV_LOG_UNREACHABLE, LEVEL_WARN, "log-unreachable" },
+  { EV_LOG_REACHED, LEVEL_INFO, "log-reached" },
+  { EV_VIEW_BEHIND, LEVEL_ERROR, "view-behind" },
+  { EV_RECORD_MALFORMED, LEVEL_ERROR, "record-malformed" },
+  { EV_SNAPSHOT_WRITTEN, LEVEL_INFO, "snapshot-written" },
+  { EV_SNAPSHOT_LOADED, LEVEL_INFO, "snapshot-loaded" },
+  { EV_SNAPSHOT_REJECTED, LEVEL_ERROR, "snapshot-rejected" },
+  { EV_LOG_GAP, LEVEL_ERROR, "log-gap" },
+  { EV_VIEW_STALE, LEVEL_WARN, "view-stale" },
+  { EV_VIEW_FRESH, LEVEL_INFO, "view-fresh" },
+  { EV_APPEND_UNCERTAIN, LEVEL_WARN, "append-uncertain" },
+  { EV_PEER_UP, LEVEL_INFO, "peer-up" },
+  { EV_PEER_DOWN, LEVEL_WARN, "peer-down" },
+  { EV_PEER_REFUSED, LEVEL_ERROR, "peer-refused" },
+  { EV_PEER_SUSPECT, LEVEL_WARN, "peer-suspect" },
+  { EV_LOAN_GIVEN, LEVEL_DEBUG, "loan-given" },
+  { EV_QUARANTINE_BEGAN, LEVEL_INFO, "quarantine-began" },
+  { EV_QUARANTINE_ENDED, LEVEL_INFO, "quarantine-ended" },
+  { EV_UPSTREAM_EJECTED, LEVEL_WARN, "upstream-ejected" },
+  { EV_UPSTREAM_RETURNED, LEVEL_INFO, "upstream-returned" },
+  { EV_UPSTREAM_LEAVING, LEVEL_INFO, "upstream-leaving" },
+  { EV_ANSWER_DROPPED, LEVEL_WARN, "answer-dropped" },
+  { EV_LIVE_LIST_FAILED, LEVEL_WARN, "live-list-failed" },
+  { EV_HOST_DRAINING, LEVEL_INFO, "host-draining" },
+  { EV_HOST_MOVED, LEVEL_INFO, "host-moved" },
+  { EV_HOST_FAILED, LEVEL_WARN, "host-failed" },
+  { EV_HOST_RETURNED, LEVEL_INFO, "host-returned" },
+  { EV_WAVE_STARTED, LEVEL_INFO, "wave-started" },
+  { EV_WAVE_WAITING, LEVEL_WARN, "wave-waiting" },
+  { EV_WAVE_DONE, LEVEL_INFO, "wave-done" },
+  { EV_WAVE_ABANDONED, LEVEL_WARN, "wave-abandoned" },
+};
+
+static const char *const level_names[] = { "debug", "info", "warn", "error" };
+
+static const char *process_name = "cuminpin";
+static event_level_t lowest = LEVEL_INFO;
+
+const event_row_t *
+event_table (size_t *count)
+{
+  *count = sizeof rows / sizeof rows[0];
+  return rows;
+}
+
+void
+event_open (const char *name, event_level_t level)
+{
+  process_name = name;
+  lowest = level;
+}
+
+static const event_row_t *
+find_row (event_id_t id)
+{
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    if (rows[i].id == id)
+      return &rows[i];
+  return NULL;
+}
+
+void
+event_log (event_id_t id, const char *format, ...)
+{
+  const event_row_t *row = find_row (id);
+  char line[LINE_BYTES];
+  char stamp[32];
+  struct tm parts;
+  int64_t now_ms;
+  time_t now_s;
+  va_list args;
+  int len;
+
+  if (!row || row->level < lowest)
+    return;
+  now_ms = clock_wall_ms ();
+  now_s = (time_t)(now_ms / 1000);
+  gmtime_r (&now_s, &parts);
+  strftime (stamp, sizeof stamp, "%Y-%m-%dT%H:%M:%S", &parts);
+  len = snprintf (line, sizeof line, "%s.%03dZ %s %d %s %s ", stamp,
+                  (int)(now_ms % 1000), process_name, (int)id,
+                  level_names[row->level], row->name);
+  va_start (args, format);
+  len += vsnprintf (line + len, sizeof line - (size_t)len, format, args);
+  va_end (args);
+  if (len > (int)sizeof line - 2)
+    len = (int)sizeof line - 2;
+  line[len++] = '\n';
+  /* One write for each line keeps lines of several threads whole.  */
+  if (write (STDERR_FILENO, line, (size_t)len) < 0)
+    return;
+}
--- /dev/null
+++ b/conf/settings.c
@@ -0,0 +1,113 @@
+#include "yamlload.h"
+#include <arpa/inet.h>
+#include <string.h>
+
+#define THREADS_DEFAULT 2
+#define BODY_MAX_DEFAULT_KIB 1024
+#define CONNECTIONS_MAX_DEFAULT 10000
+#define DRAIN_DEFAULT_MS 0
+#define STOP_DEFAULT_MS 35000
+#define SECRET_BYTES_MIN 16
+#define SECRET_BYTES_MAX 256
+#define PATH_BYTES_MAX 1024
+
+#define TEXT_FIELD(field, flags, low, high)                                   \
+  CYAML_FIELD_STRING_PTR (#field, CYAML_FLAG_POINTER | (flags), settings_t,   \
+                          field, low, high)
+#define UINT_FIELD(field)                                                     \
+  CYAML_FIELD_UINT (#field, CYAML_FLAG_OPTIONAL, settings_t, field)
+
+static const cyaml_schema_value_t seed_schema
+    = { CYAML_VALUE_STRING (CYAML_FLAG_POINTER, char, 1, NAME_BYTES_MAX) };
+
+static const cyaml_schema_field_t fields[] = {
+  TEXT_FIELD (name, 0, 1, NAME_BYTES_MAX),
+  TEXT_FIELD (data_centre, 0, 1, NAME_BYTES_MAX),
+  TEXT_FIELD (address, 0, 1, NAME_BYTES_MAX),
+  UINT_FIELD (port),
+  UINT_FIELD (admin_port),
+  UINT_FIELD (peer_port),
+  TEXT_FIELD (platform, 0, 1, PATH_BYTES_MAX),
+  TEXT_FIELD (secret, 0, SECRET_BYTES_MIN, SECRET_BYTES_MAX),
+  TEXT_FIELD (ready_file, CYAML_FLAG_OPTIONAL, 1, PATH_BYTES_MAX),
+  UINT_FIELD (threads),
+  UINT_FIELD (body_max_kib),
+  UINT_FIELD (connections_max),
+  UINT_FIELD (drain_ms),
+  UINT_FIELD (stop_ms),
+  CYAML_FIELD_SEQUENCE ("seed_peers", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+                        settings_t, seed_peers, &seed_schema, 0, 64),
+  CYAML_FIELD_END,
+};
+
+static const cyaml_schema_value_t settings_schema
+    = { CYAML_VALUE_MAPPING (CYAML_FLAG_POINTER, settings_t, fields) };
+
+static void
+set_default (uint32_t *value, uint32_t fallback)
+{
+  if (*value == 0)
+    *value = fallback;
+}
+
+static bool
+check_settings (const settings_t *s, const char *file, const char *text,
+                size_t len, GError **error)
+{
+  struct in6_addr addr;
+  const char *field = NULL;
+  const char *expected = NULL;
+
+  if (inet_pton (AF_INET, s->address, &addr) != 1)
+    field = "address", expected = "an IPv4 number";
+  else if (s->threads > 64)
+    field = "threads", expected = "a number from 1 to 64";
+  else if (s->body_max_kib > 65536)
+    field = "body_max_kib", expected = "a number from 1 to 65536";
+  else if (!g_str_has_prefix (s->platform, "http://")
+           && !g_str_has_prefix (s->platform, "https://"))
+    field = "platform", expected = "an http or https URL";
+  if (!field)
+    return true;
+  g_set_error (error, CONF_ERROR, CONF_ERROR_CHECK, "%s:%u: %s: expected %s",
+               file, yaml_line (text, len, field, 0, NULL), field, expected);
+  return false;
+}
+
+settings_t *
+settings_load (const char *file, const char *text, size_t len, GError **error)
+{
+  settings_t *settings = yaml_load (&settings_schema, file, text, len, error);
+
+  if (!settings)
+    return NULL;
+  set_default (&settings->threads, THREADS_DEFAULT);
+  set_default (&settings->body_max_kib, BODY_MAX_DEFAULT_KIB);
+  set_default (&settings->connections_max, CONNECTIONS_MAX_DEFAULT);
+  set_default (&settings->drain_ms, DRAIN_DEFAULT_MS);
+  set_default (&settings->stop_ms, STOP_DEFAULT_MS);
+  if (check_settings (settings, file, text, len, error))
+    return settings;
+  settings_free (settings);
+  return NULL;
+}
+
+settings_t *
+settings_read (const char *path, GError **error)
+{
+  g_autofree char *text = NULL;
+  g_autoptr (GError) cause = NULL;
+  gsize len = 0;
+
+  if (g_file_get_contents (path, &text, &len, &cause))
+    return settings_load (path, text, len, error);
+  g_set_error (error, CONF_ERROR, CONF_ERROR_READ, "%s", cause->message);
+  return NULL;
+}
+
+void
+settings_free (settings_t *settings)
+{
+  if (settings)
+    yaml_free (&settings_schema, settings);
+}
--- /dev/null
+++ b/conf/yamlload.h
@@ -0,0 +1,22 @@
+/* yamlload - loading YAML through libcyaml, with errors that name the line
+
+   Private to the package.  */
+
+#ifndef CUMINPIN_YAMLLOAD_H
+#define CUMINPIN_YAMLLOAD_H
+
+#include "conf.h"
+#include <cyaml/cyaml.h>
+
+/* yaml_load - TEXT as SCHEMA's data, or NULL and *ERROR.  */
+void *yaml_load (const cyaml_schema_value_t *schema, const char *file,
+                 const char *text, size_t len, GError **error);
+
+void yaml_free (const cyaml_schema_value_t *schema, void *data);
+
+/* yaml_line - the line of entry INDEX of the top-level list LIST, or of its
+   FIELD; of what is there of these.  1 when nothing is.  */
+uint32_t yaml_line (const char *text, size_t len, const char *list,
+                    uint32_t index, const char *field);
+
+#endif
--- /dev/null
+++ b/route/route.h
@@ -0,0 +1,159 @@
+/* route - which upstream a request goes to, and whether it goes a second time
+
+   NAME
+     choice, health, retry, once
+
+   DESCRIPTION
+     choice  the less loaded of two random upstreams (Mitzenmacher 2001), own
+             data centre first
+     health  ejection of failing, slow and leaving upstreams, and probes
+     retry   retry budget and backoff with full jitter
+     once    ids of non-idempotent requests and the claims that their owner
+             grants
+
+     Pure decisions: the present time and random numbers are arguments.  */
+
+#ifndef CUMINPIN_ROUTE_H
+#define CUMINPIN_ROUTE_H
+
+#include "base.h"
+
+/* How a try at an upstream ended.  */
+typedef enum try_result
+{
+  TRY_ANSWERED,       /* whole answer to this request */
+  TRY_FAILED,         /* answered with a 5xx status */
+  TRY_REFUSED,        /* refused before running: X-Not-Run */
+  TRY_CONNECT_FAILED, /* no connection */
+  TRY_TIMED_OUT,
+  TRY_CUT,        /* connection lost after sending */
+  TRY_BAD_ANSWER, /* truncated, or another request's */
+  TRY_CANCELLED   /* the client is gone; says nothing of the upstream */
+} try_result_t;
+
+/* try_error - the error kind for a try that ended in RESULT.  */
+err_kind_t try_error (try_result_t result);
+
+/* Health of one upstream as this daemon saw it.  All members are private.
+   Any thread; decisions of several threads may interleave.  */
+typedef struct health
+{
+  atomic_uint failures;         /* in a row */
+  atomic_uint ejections;        /* in a row */
+  atomic_int_fast64_t until_us; /* ejected until then */
+  atomic_bool probing;          /* a probe is under way */
+  atomic_bool leaving;
+  atomic_uint_fast32_t latency_us; /* moving average */
+} health_t;
+
+typedef enum health_verdict
+{
+  HEALTH_OK,
+  HEALTH_PROBE, /* may take one request, to see whether it has recovered */
+  HEALTH_EJECTED,
+  HEALTH_LEAVING
+} health_verdict_t;
+
+#define EJECT_FAILURES 5     /* in a row */
+#define EJECT_MIN_US 1000000 /* first ejection; doubles with each */
+#define EJECT_MAX_US 30000000
+
+/* health_judge - whether the upstream may be sent a request at NOW_US.  */
+health_verdict_t health_judge (health_t *health, int64_t now_us);
+
+/* health_begin_probe - claim the probe that HEALTH_PROBE allows; false when
+   another thread was faster.  */
+bool health_begin_probe (health_t *health);
+
+/* health_note - take in the RESULT of a try that took LATENCY_US.  True when
+   this ejected the upstream or, after a probe, brought it back.  */
+bool health_note (health_t *health, try_result_t result, int64_t latency_us,
+                  int64_t now_us);
+
+/* health_set_leaving - by the platform's list or the upstream's own sign.  */
+void health_set_leaving (health_t *health, bool leaving);
+
+/* An upstream as the choice sees it.  */
+typedef struct candidate
+{
+  uint32_t slots;
+  uint32_t in_use;
+  bool local; /* in this daemon's data centre */
+  bool tried; /* by this request already */
+  health_verdict_t verdict;
+} candidate_t;
+
+#define CHOICE_NONE UINT32_MAX
+
+/* choice_pick - index of the upstream to try, or CHOICE_NONE.  Prefers local
+   ones with a free slot, then remote ones; never one that is full, ejected,
+   leaving or tried before.  A due probe goes first.  */
+uint32_t choice_pick (const candidate_t *candidates, uint32_t count,
+                      uint64_t random);
+
+/* Tokens for retries: each first try earns a tenth of one.  Any thread.  */
+typedef struct retry_budget
+{
+  atomic_int_fast64_t tenths;
+} retry_budget_t;
+
+#define RETRY_TENTHS_MAX 1000 /* 100 retries saved up at most */
+#define RETRY_MAX 3           /* for one request */
+#define RETRY_BASE_US 5000
+#define RETRY_CAP_US 250000
+
+/* retry_earn - count a first try.  */
+void retry_earn (retry_budget_t *budget);
+
+typedef struct retry_case
+{
+  try_result_t result;
+  bool idempotent;
+  uint32_t tries; /* made so far */
+  int64_t deadline_us;
+} retry_case_t;
+
+/* retry_judge - whether to try again, and after how long (*DELAY_US, full
+   jitter from RANDOM).  Takes a token from BUDGET when it says yes.  */
+bool retry_judge (retry_budget_t *budget, const retry_case_t *c,
+                  int64_t now_us, uint64_t random, int64_t *delay_us);
+
+#define ONCE_ID_BYTES 16
+#define ONCE_WINDOW_MS 600000
+
+typedef struct once_id
+{
+  uint8_t bytes[ONCE_ID_BYTES];
+} once_id_t;
+
+/* once_parse - the id in TEXT, a UUIDv7 in its usual form.  */
+bool once_parse (const char *text, once_id_t *id);
+
+/* once_time_ms - the time of issue that ID carries.  */
+int64_t once_time_ms (const once_id_t *id);
+
+/* once_owner - index of the owner of ID among COUNT entry hosts.  */
+uint32_t once_owner (const once_id_t *id, const char *const *entry_hosts,
+                     uint32_t count);
+
+/* The claims that this daemon has granted.  One thread, or a lock.  */
+typedef struct once_table once_table_t;
+
+/* once_new - no claims; ids issued before START_MS plus the clock error are
+   refused, because a predecessor may have granted them.  */
+once_table_t *once_new (int64_t start_ms);
+void once_free (once_table_t *table);
+
+/* once_set_start - ids become this daemon's from START_MS on, after a change
+   of the list of entry hosts.  Never moves back.  */
+void once_set_start (once_table_t *table, int64_t start_ms);
+
+/* once_claim - grant ID, once.  ERR_NONE: granted.  ERR_ID_REPEATED: granted
+   before, or perhaps by a predecessor.  ERR_ID_INVALID: issued outside the
+   window.  Forgets ids older than the window.  */
+err_kind_t once_claim (once_table_t *table, const once_id_t *id,
+                       int64_t now_ms);
+
+uint32_t once_count (const once_table_t *table);
+
+#endif
