Add the escrow of permits

Cause: a fleet-wide limit is held as permits at each daemon (design 2.4), and the path of a request must take and give them from several threads without a lock.

Change: module escrow of package admit. Own permits are one signed counter; each loan is one word of generation and free permits, so that a permit can't be taken from, or given back to, a loan that ended in between.

--- /dev/null
+++ b/admit/escrow.c
@@ -0,0 +1,262 @@
+#include "admit.h"
+#include <stdlib.h>
+#include <string.h>
+
+#define LINE_BYTES 64
+#define LOANS_MAX 16
+#define LENDINGS_MAX 64
+#define SOURCE_NONE 0
+#define SOURCE_OWN 1
+#define SOURCE_LOAN 2 /* plus the index of the loan */
+
+/* Permits borrowed from one peer.  The word holds the generation in its upper
+   half and the free permits in the lower, so that one compare-and-swap fails
+   when the loan ended in between.  The expiry is written only while no permit
+   of the slot is free.  */
+typedef struct loan
+{
+  atomic_uint_fast64_t word;
+  atomic_int_fast64_t expiry_us;
+  bool open; /* read by the borrowing thread only */
+} loan_t;
+
+/* Permits subtracted for one peer; count 0: unused.  */
+typedef struct lending
+{
+  uint32_t count;
+  int64_t expiry_us;
+} lending_t;
+
+struct escrow
+{
+  /* Written with each permit; on a line apart from what is mostly read.  */
+  _Alignas(LINE_BYTES) atomic_int_fast64_t free;
+  atomic_uint_fast32_t in_use;
+  _Alignas(LINE_BYTES) atomic_uint_fast32_t share;
+  atomic_uint_fast32_t open_loans;
+  loan_t loans[LOANS_MAX];
+  lending_t lendings[LENDINGS_MAX];
+};
+
+static uint32_t
+word_generation (uint64_t word)
+{
+  return (uint32_t)(word >> 32);
+}
+
+static uint32_t
+word_free (uint64_t word)
+{
+  return (uint32_t)word;
+}
+
+static uint64_t
+word_make (uint32_t generation, uint32_t count)
+{
+  return (uint64_t)generation << 32 | count;
+}
+
+escrow_t *
+escrow_new (void)
+{
+  escrow_t *escrow = aligned_alloc (LINE_BYTES, sizeof *escrow);
+
+  if (!escrow)
+    g_error ("out of memory");
+  memset (escrow, 0, sizeof *escrow);
+  return escrow;
+}
+
+void
+escrow_free (escrow_t *escrow)
+{
+  free (escrow);
+}
+
+void
+escrow_set_share (escrow_t *escrow, uint32_t share)
+{
+  uint32_t old = (uint32_t)atomic_exchange (&escrow->share, share);
+
+  atomic_fetch_add (&escrow->free, (int64_t)share - (int64_t)old);
+}
+
+uint32_t
+escrow_share (const escrow_t *escrow)
+{
+  return (uint32_t)atomic_load (&escrow->share);
+}
+
+/* Subtracts up to COUNT from the free own permits.  */
+static uint32_t
+take_own (escrow_t *escrow, uint32_t count)
+{
+  int_fast64_t have = atomic_load (&escrow->free);
+  uint32_t taken;
+
+  do
+    {
+      if (have <= 0)
+        return 0;
+      taken = have < (int_fast64_t)count ? (uint32_t)have : count;
+    }
+  while (!atomic_compare_exchange_weak (&escrow->free, &have,
+                                        have - (int_fast64_t)taken));
+  return taken;
+}
+
+static bool
+take_from_loan (loan_t *loan, int64_t now_us, int64_t end_us,
+                uint32_t *generation)
+{
+  uint_fast64_t word = atomic_load (&loan->word);
+  int64_t expiry_us;
+
+  do
+    {
+      if (word_free (word) == 0)
+        return false;
+      expiry_us = atomic_load (&loan->expiry_us);
+      if (end_us > expiry_us || now_us >= expiry_us)
+        return false;
+    }
+  while (!atomic_compare_exchange_weak (&loan->word, &word, word - 1));
+  *generation = word_generation (word);
+  return true;
+}
+
+static bool
+take_borrowed (escrow_t *escrow, int64_t now_us, int64_t end_us,
+               permit_t *permit)
+{
+  if (atomic_load (&escrow->open_loans) == 0)
+    return false;
+  for (uint32_t i = 0; i < LOANS_MAX; i++)
+    if (take_from_loan (&escrow->loans[i], now_us, end_us,
+                        &permit->generation))
+      {
+        permit->source = SOURCE_LOAN + i;
+        return true;
+      }
+  return false;
+}
+
+bool
+escrow_take (escrow_t *escrow, int64_t now_us, int64_t end_us,
+             permit_t *permit)
+{
+  *permit = (permit_t){ SOURCE_NONE, 0 };
+  if (take_own (escrow, 1))
+    permit->source = SOURCE_OWN;
+  else if (!take_borrowed (escrow, now_us, end_us, permit))
+    return false;
+  atomic_fetch_add (&escrow->in_use, 1);
+  return true;
+}
+
+/* A permit of a loan that has ended is dropped: its lender has it again.  */
+static void
+give_to_loan (loan_t *loan, uint32_t generation)
+{
+  uint_fast64_t word = atomic_load (&loan->word);
+
+  do
+    {
+      if (word_generation (word) != generation)
+        return;
+    }
+  while (!atomic_compare_exchange_weak (&loan->word, &word, word + 1));
+}
+
+void
+escrow_give (escrow_t *escrow, permit_t permit)
+{
+  if (permit.source == SOURCE_NONE)
+    return;
+  atomic_fetch_sub (&escrow->in_use, 1);
+  if (permit.source == SOURCE_OWN)
+    atomic_fetch_add (&escrow->free, 1);
+  else
+    give_to_loan (&escrow->loans[permit.source - SOURCE_LOAN],
+                  permit.generation);
+}
+
+uint32_t
+escrow_in_use (const escrow_t *escrow)
+{
+  return (uint32_t)atomic_load (&escrow->in_use);
+}
+
+int64_t
+escrow_free_count (const escrow_t *escrow)
+{
+  return atomic_load (&escrow->free);
+}
+
+uint32_t
+escrow_lend (escrow_t *escrow, uint32_t count, int64_t expiry_us)
+{
+  for (uint32_t i = 0; i < LENDINGS_MAX; i++)
+    if (escrow->lendings[i].count == 0)
+      {
+        uint32_t lent = take_own (escrow, count);
+
+        escrow->lendings[i] = (lending_t){ lent, expiry_us };
+        return lent;
+      }
+  return 0;
+}
+
+bool
+escrow_borrow (escrow_t *escrow, uint32_t count, int64_t expiry_us)
+{
+  for (uint32_t i = 0; i < LOANS_MAX; i++)
+    {
+      loan_t *loan = &escrow->loans[i];
+      uint32_t generation;
+
+      if (loan->open)
+        continue;
+      generation = word_generation (atomic_load (&loan->word));
+      atomic_store (&loan->expiry_us, expiry_us);
+      atomic_store (&loan->word, word_make (generation, count));
+      loan->open = true;
+      atomic_fetch_add (&escrow->open_loans, 1);
+      return true;
+    }
+  return false;
+}
+
+/* The next generation begins when a loan ends, not when the slot is used
+   again, so that permits given back in between are dropped too.  */
+static void
+end_loan (escrow_t *escrow, loan_t *loan)
+{
+  uint32_t generation = word_generation (atomic_load (&loan->word));
+
+  atomic_store (&loan->word, word_make (generation + 1, 0));
+  loan->open = false;
+  atomic_fetch_sub (&escrow->open_loans, 1);
+}
+
+void
+escrow_tick (escrow_t *escrow, int64_t now_us)
+{
+  for (uint32_t i = 0; i < LOANS_MAX; i++)
+    {
+      loan_t *loan = &escrow->loans[i];
+
+      if (loan->open && now_us >= atomic_load (&loan->expiry_us))
+        end_loan (escrow, loan);
+    }
+  for (uint32_t i = 0; i < LENDINGS_MAX; i++)
+    {
+      lending_t *lending = &escrow->lendings[i];
+
+      if (lending->count == 0
+          || now_us <= lending->expiry_us + CLOCK_ERROR_MS * INT64_C (1000))
+        continue;
+      atomic_fetch_add (&escrow->free, lending->count);
+      lending->count = 0;
+    }
+}
