Split limits into shares and judge when a share may be raised

Change: module share of package admit: the split, the quarantine of a new incarnation, the gate before a raised share, and when a LEAVE may be written. A daemon reports the version at which it is settled, so that a raise waits for the longest run time only where a host is not. Loans count in the quarantine, because a predecessor may have lent permits.

Conclusion: with these rules the work that runs never exceeds the limit in the model. Judging BLIND is not part of the model.

--- a/admit/admit.h
+++ b/admit/admit.h
@@ -1,13 +1,15 @@
 /* admit - who may run work now: keys, freshness of the view, permits, queues
 
    NAME
-     key, fresh, escrow, queue
+     key, fresh, escrow, share, queue
 
    DESCRIPTION
      key     finds the team of a key
      fresh   judges whether this daemon may have missed a change
      escrow  permits of one resource (a team's limit, an upstream's slots) held
              by this daemon; taking one is an atomic operation
+     share   splits a limit over the entry hosts and decides when a daemon may
+             hold its part
      queue   weighted fair queueing between the teams of one service
              (start-time fair queueing, Goyal, Vin and Cheng 1996)
 
@@ -115,10 +117,80 @@
    many loans are open: the permits stay unused.  One thread.  */
 bool escrow_borrow (escrow_t *escrow, uint32_t count, int64_t expiry_us);
 
+/* escrow_lent - permits lent and not yet back.  The same thread.  */
+uint32_t escrow_lent (const escrow_t *escrow);
+
 /* escrow_tick - drop expired loans and take back expired lendings.  The same
    thread as escrow_lend and escrow_borrow.  */
 void escrow_tick (escrow_t *escrow, int64_t now_us);
 
+/* share_split - the part of LIMIT of RESOURCE that belongs to SELF among COUNT
+   entry HOSTS; 0 when SELF is not one of them.  The parts add up to LIMIT;
+   the remainder goes to the first by rendezvous rank.  */
+uint32_t share_split (const char *resource, uint32_t limit,
+                      const char *const *hosts, uint32_t count,
+                      const char *self);
+
+/* share_held - the share to hold now by a daemon that holds HELD and whose
+   part is PART: a lower one at once, a higher one when the gate is open.  */
+uint32_t share_held (uint32_t held, uint32_t part, bool gate_open);
+
+#define LOAN_US 10000000 /* length of a loan */
+
+/* share_wait_us - after a host lowered its share or stopped, how long its
+   permits may still be in use by work that runs for at most RUN_US (longest
+   deadline plus longest overrun) or be lent.  */
+int64_t share_wait_us (int64_t run_us);
+
+/* share_quarantine_us - how long after its start a daemon may hold no share.
+   BEFORE is this host's entry in the state just before the daemon's own JOIN
+   was folded: none after a predecessor that never joined or that left.  While
+   that JOIN is not in the log, pass the present entry; if it is NULL or left,
+   the daemon must wait for its JOIN, because its successor would not know of
+   it: the result is then INT64_MAX.  */
+int64_t share_quarantine_us (const entry_state_t *before, bool join_folded,
+                             int64_t run_us);
+
+/* What is known of another host that may hold shares: one that is listed in
+   the configuration, or one that joined and has not left.  All is reported by
+   its present incarnation and 0 until that has reported.  */
+typedef struct share_report
+{
+  uint64_t version; /* its configuration, to which it lowered its shares */
+  uint64_t settled; /* the version when nothing in use or lent exceeded its
+                       shares, and its quarantine was over */
+  bool listed;
+} share_report_t;
+
+/* Decides when raised shares may be held; one for each daemon.  */
+typedef struct share_gate
+{
+  uint64_t version;     /* of the configuration in effect here */
+  int64_t hold_from_us; /* end of the quarantine */
+  int64_t since_us;     /* all listed hosts are at this version; 0: not yet */
+} share_gate_t;
+
+/* share_gate_set - the configuration VERSION is in effect from now on, and no
+   share is held before HOLD_FROM_US.  */
+void share_gate_set (share_gate_t *gate, uint64_t version,
+                     int64_t hold_from_us);
+
+/* share_gate_judge - whether raised shares may be held at NOW_US (above 0):
+   every other listed host has reported this version, none a later one, and
+   each is settled, or WAIT_US (share_wait_us) has passed.  A host that is no
+   longer listed and has not reported counts as stale, hence as admitting
+   nothing, FRESH_MAX_US plus GRACE_US after the listed hosts.  To be called
+   regularly.  */
+bool share_gate_judge (share_gate_t *gate, const share_report_t *reports,
+                       uint32_t count, int64_t now_us, int64_t wait_us,
+                       int64_t grace_us);
+
+/* share_may_leave - whether a daemon that stops may write its LEAVE, after
+   which its successor and others reckon with nothing of it: none of its
+   permits is IN_USE or LENT, and the work of its own predecessor has ended. */
+bool share_may_leave (const share_gate_t *gate, uint32_t in_use, uint32_t lent,
+                      int64_t now_us);
+
 /* A waiting request; embedded in the daemon's request.  */
 typedef struct queue_entry
 {
--- a/admit/escrow.c
+++ b/admit/escrow.c
@@ -239,6 +239,16 @@
   atomic_fetch_sub (&escrow->open_loans, 1);
 }
 
+uint32_t
+escrow_lent (const escrow_t *escrow)
+{
+  uint32_t lent = 0;
+
+  for (uint32_t i = 0; i < LENDINGS_MAX; i++)
+    lent += escrow->lendings[i].count;
+  return lent;
+}
+
 void
 escrow_tick (escrow_t *escrow, int64_t now_us)
 {
--- /dev/null
+++ b/admit/share.c
@@ -0,0 +1,109 @@
+#include "admit.h"
+#include <string.h>
+
+/* Whether A comes before B in the rendezvous order for RESOURCE.  */
+static bool
+ranks_before (const char *resource, const char *a, const char *b)
+{
+  size_t len = strlen (resource);
+  uint64_t score_a = hash_score (resource, len, a);
+  uint64_t score_b = hash_score (resource, len, b);
+
+  if (score_a != score_b)
+    return score_a > score_b;
+  return strcmp (a, b) < 0;
+}
+
+uint32_t
+share_split (const char *resource, uint32_t limit, const char *const *hosts,
+             uint32_t count, const char *self)
+{
+  uint32_t rank = 0;
+  bool listed = false;
+
+  for (uint32_t i = 0; i < count; i++)
+    if (strcmp (hosts[i], self) == 0)
+      listed = true;
+    else if (ranks_before (resource, hosts[i], self))
+      rank++;
+  if (!listed)
+    return 0;
+  return limit / count + (rank < limit % count ? 1 : 0);
+}
+
+uint32_t
+share_held (uint32_t held, uint32_t part, bool gate_open)
+{
+  return part < held || gate_open ? part : held;
+}
+
+int64_t
+share_wait_us (int64_t run_us)
+{
+  return MAX (run_us, LOAN_US) + CLOCK_ERROR_MS * INT64_C (1000);
+}
+
+int64_t
+share_quarantine_us (const entry_state_t *before, bool join_folded,
+                     int64_t run_us)
+{
+  if (before && !before->left)
+    return share_wait_us (run_us);
+  return join_folded ? 0 : INT64_MAX;
+}
+
+void
+share_gate_set (share_gate_t *gate, uint64_t version, int64_t hold_from_us)
+{
+  if (version != gate->version)
+    gate->since_us = 0;
+  gate->version = version;
+  gate->hold_from_us = hold_from_us;
+}
+
+/* How long the permits that REPORT's host held under earlier
+   versions may still be in use.  */
+static int64_t
+share_need_us (const share_report_t *report, uint64_t version, int64_t wait_us,
+               int64_t grace_us)
+{
+  if (report->settled >= version)
+    return 0;
+  if (report->version >= version)
+    return wait_us;
+  return FRESH_MAX_US + grace_us + wait_us;
+}
+
+bool
+share_gate_judge (share_gate_t *gate, const share_report_t *reports,
+                  uint32_t count, int64_t now_us, int64_t wait_us,
+                  int64_t grace_us)
+{
+  int64_t need_us = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const share_report_t *report = &reports[i];
+
+      /* A daemon that started from old state and is behind a later version
+         must not hold a share that others may have raised theirs by.  */
+      if (report->version > gate->version
+          || (report->version < gate->version && report->listed))
+        {
+          gate->since_us = 0;
+          return false;
+        }
+      need_us = MAX (need_us,
+                     share_need_us (report, gate->version, wait_us, grace_us));
+    }
+  if (gate->since_us == 0)
+    gate->since_us = now_us;
+  return now_us >= gate->hold_from_us && now_us - gate->since_us >= need_us;
+}
+
+bool
+share_may_leave (const share_gate_t *gate, uint32_t in_use, uint32_t lent,
+                 int64_t now_us)
+{
+  return in_use == 0 && lent == 0 && now_us >= gate->hold_from_us;
+}
--- /dev/null
+++ b/admit/test/share_test.c
@@ -0,0 +1,148 @@
+/* Guards against shares that add up to more than a limit: by their split, by
+   a raise that comes before others have lowered theirs, and in the model of
+   several daemons (model.h).  */
+
+#include "model.h"
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define HOSTS 4
+#define RUNS 150
+#define ERROR_US (CLOCK_ERROR_MS * INT64_C (1000))
+
+static const char *const names[HOSTS] = { "e1", "e2", "e3", "e4" };
+
+START_TEST (parts_add_up_and_differ_by_one)
+{
+  for (uint32_t limit = 0; limit < 40; limit++)
+    for (uint32_t count = 1; count <= HOSTS; count++)
+      {
+        uint32_t sum = 0;
+
+        for (uint32_t i = 0; i < HOSTS; i++)
+          {
+            uint32_t part
+                = share_split ("team", limit, names, count, names[i]);
+
+            sum += part;
+            ck_assert_uint_le (part, limit / count + 1);
+            ck_assert (i >= count ? part == 0 : part >= limit / count);
+          }
+        ck_assert_uint_eq (sum, limit);
+      }
+}
+END_TEST
+
+START_TEST (raise_waits_for_the_other_hosts)
+{
+  static const struct
+  {
+    share_report_t a, b;
+    int64_t open_after_us; /* -1: never */
+  } rows[] = {
+    { { 5, 5, true }, { 5, 5, true }, 0 },
+    { { 5, 5, true }, { 5, 4, true }, 10 },
+    { { 5, 5, true }, { 4, 4, true }, -1 },
+    { { 5, 5, true }, { 6, 5, true }, -1 },
+    { { 5, 5, true }, { 0, 0, true }, -1 },
+    { { 5, 5, true }, { 5, 5, false }, 0 },
+    { { 5, 5, true }, { 4, 4, false }, FRESH_MAX_US + 7 + 10 },
+    { { 5, 5, true }, { 6, 6, false }, -1 },
+    { { 4, 4, true }, { 4, 4, false }, -1 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      share_report_t reports[] = { rows[i].a, rows[i].b };
+      int64_t open_us = rows[i].open_after_us;
+      share_gate_t gate = { 0 };
+
+      share_gate_set (&gate, 5, 0);
+      for (int64_t now_us = 1; now_us < 5 * FRESH_MAX_US; now_us *= 2)
+        {
+          bool open = share_gate_judge (&gate, reports, 2, now_us, 10, 7);
+
+          ck_assert_msg (open == (open_us >= 0 && now_us - 1 >= open_us),
+                         "row %zu, time %d", i, (int)now_us);
+        }
+    }
+}
+END_TEST
+
+START_TEST (new_incarnation_waits_for_its_predecessor)
+{
+  static const entry_state_t running = { .left = false };
+  static const entry_state_t left = { .left = true };
+  static const struct
+  {
+    const entry_state_t *before;
+    bool join_folded;
+    int64_t run_us, wait_us;
+  } rows[] = {
+    { NULL, true, 1, 0 },
+    { &left, true, 1, 0 },
+    { NULL, false, 1, INT64_MAX },
+    { &left, false, 1, INT64_MAX },
+    { &running, true, 1, LOAN_US + ERROR_US },
+    { &running, false, 3 * LOAN_US, 3 * LOAN_US + ERROR_US },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    ck_assert_msg (share_quarantine_us (rows[i].before, rows[i].join_folded,
+                                        rows[i].run_us)
+                       == rows[i].wait_us,
+                   "row %zu", i);
+}
+END_TEST
+
+/* Seed 2449 of the model showed it: a LEAVE during the quarantine hid work of
+   the predecessor from others, which raised their shares.  */
+START_TEST (leave_waits_for_the_quarantine)
+{
+  share_gate_t gate = { .hold_from_us = 100 };
+
+  ck_assert (!share_may_leave (&gate, 0, 0, 99));
+  ck_assert (!share_may_leave (&gate, 1, 0, 100));
+  ck_assert (!share_may_leave (&gate, 0, 1, 100));
+  ck_assert (share_may_leave (&gate, 0, 0, 100));
+}
+END_TEST
+
+START_TEST (running_work_never_exceeds_the_limit)
+{
+  const char *text = g_getenv ("SEED");
+  int seed = text ? atoi (text) : 1;
+  int runs = text ? 1 : RUNS;
+  model_total_t total = { 0 };
+
+  printf ("model: seeds %d to %d (SEED=N runs one)\n", seed, seed + runs - 1);
+  for (int i = 0; i < runs; i++)
+    model_run (seed + i, &total);
+  printf ("model: granted %u, lent %u, borrowed %u, restarts %u\n",
+          total.granted, total.lent, total.borrowed, total.restarts);
+  ck_assert_uint_gt (total.borrowed, 0);
+  ck_assert_uint_gt (total.restarts, (uint32_t)runs);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("share");
+  TCase *tests = tcase_create ("share");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_test (tests, parts_add_up_and_differ_by_one);
+  tcase_add_test (tests, raise_waits_for_the_other_hosts);
+  tcase_add_test (tests, new_incarnation_waits_for_its_predecessor);
+  tcase_add_test (tests, leave_waits_for_the_quarantine);
+  tcase_add_test (tests, running_work_never_exceeds_the_limit);
+  suite_add_tcase (suite, tests);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
