--- a/state/fold.c
+++ b/state/fold.c
@@ -1,4 +1,4 @@
-#include "state.h"
+#include "disrupt.h"
 #include <sodium.h>
 #include <string.h>
 
@@ -164,8 +164,10 @@
     }
 }
 
-/* A host's pool changes here only if the fleet file gives it another one than
-   the file before did: pools changed by HOST_MOVE records stay.  */
+/* A host stays in its pool when the fleet file gives it another one: it may be
+   in use, so it is drained and moved.  Only a pool that no longer exists is
+   left at once.  A host that is listed again gets a version that it never had
+   before, so that old records stay stale.  */
 static void
 fold_hosts (state_t *state, const fleet_t *fleet)
 {
@@ -181,20 +183,23 @@
 
       if (known)
         *host = *known;
+      else
+        host->version = state->offset;
       host->name = name;
       host->rack = g_intern_string (listed->rack);
-      if (!known || strcmp (known->home_pool, listed->pool) != 0
-          || !fleet_find_pool (fleet, known->pool))
-        {
-          host->home_pool = g_intern_string (listed->pool);
-          host->pool = host->home_pool;
-          host->version++;
-        }
+      host->home_pool = g_intern_string (listed->pool);
+      if (known && fleet_find_pool (fleet, known->pool))
+        continue;
+      host->pool = host->home_pool;
+      if (known)
+        host->version++;
     }
   table_clear (&state->hosts);
   state->hosts = hosts;
 }
 
+/* A wave that is listed again starts from a version and a run that it never
+   had before: hosts remember the run that drained them.  */
 static void
 fold_waves (state_t *state, const fleet_t *fleet)
 {
@@ -209,6 +214,8 @@
 
       if (known)
         *wave = *known;
+      else
+        wave->version = wave->run = state->offset - 1;
     }
   table_clear (&state->waves);
   state->waves = waves;
@@ -287,137 +294,6 @@
   return VERDICT_APPLIED;
 }
 
-uint32_t
-state_budget_left (const state_t *state, const char *pool, const char *rack)
-{
-  const pool_t *rule
-      = state->config ? fleet_find_pool (state->config->fleet, pool) : NULL;
-  uint32_t out = 0;
-  uint32_t out_rack = 0;
-  uint32_t left;
-
-  if (!rule)
-    return 0;
-  for (uint32_t i = 0; i < state->hosts.count; i++)
-    {
-      const host_state_t *host = table_at (&state->hosts, i);
-
-      if (host->phase == HOST_IN_SERVICE || strcmp (host->pool, pool) != 0)
-        continue;
-      out++;
-      if (strcmp (host->rack, rack) == 0)
-        out_rack++;
-    }
-  left = rule->budget_hosts > out ? rule->budget_hosts - out : 0;
-  if (rule->budget_rack_hosts == 0)
-    return left;
-  if (out_rack >= rule->budget_rack_hosts)
-    return 0;
-  return MIN (left, rule->budget_rack_hosts - out_rack);
-}
-
-static verdict_t
-fold_drain (state_t *state, const rec_drain_t *rec)
-{
-  host_state_t *host = table_find (&state->hosts, rec->host);
-  const wave_state_t *wave;
-
-  if (!host)
-    return VERDICT_INVALID;
-  if (host->version != rec->host_version || host->phase != HOST_IN_SERVICE)
-    return VERDICT_STALE;
-  if (rec->wave[0])
-    {
-      wave = table_find (&state->waves, rec->wave);
-      if (!wave)
-        return VERDICT_INVALID;
-      if (wave->phase != WAVE_RUNNING || wave->run != rec->wave_run)
-        return VERDICT_STALE;
-      if (host->done_wave == wave->name && host->done_run == wave->run)
-        return VERDICT_STALE;
-    }
-  if (state_budget_left (state, host->pool, host->rack) == 0)
-    return VERDICT_STALE;
-  host->phase = HOST_DRAINING;
-  host->version++;
-  host->wave = rec->wave[0] ? g_intern_string (rec->wave) : NULL;
-  if (host->wave)
-    {
-      host->done_wave = host->wave;
-      host->done_run = rec->wave_run;
-    }
-  return VERDICT_APPLIED;
-}
-
-static bool
-phase_may_follow (host_phase_t from, host_phase_t to)
-{
-  switch (to)
-    {
-    case HOST_IN_SERVICE:
-      return from != HOST_IN_SERVICE;
-    case HOST_DRAINING:
-      return false; /* by DRAIN only, which checks the budget */
-    case HOST_DRAINED:
-      return from == HOST_DRAINING;
-    case HOST_MAINTENANCE:
-      return from == HOST_DRAINED;
-    case HOST_FAILED:
-      return from != HOST_FAILED;
-    }
-  return false;
-}
-
-static verdict_t
-fold_host_state (state_t *state, const rec_host_state_t *rec)
-{
-  host_state_t *host = table_find (&state->hosts, rec->host);
-
-  if (!host)
-    return VERDICT_INVALID;
-  if (host->version != rec->host_version)
-    return VERDICT_STALE;
-  if (!phase_may_follow (host->phase, rec->phase))
-    return VERDICT_INVALID;
-  host->phase = rec->phase;
-  host->version++;
-  if (rec->phase == HOST_IN_SERVICE)
-    host->wave = NULL;
-  return VERDICT_APPLIED;
-}
-
-static verdict_t
-fold_host_move (state_t *state, const rec_host_move_t *rec)
-{
-  host_state_t *host = table_find (&state->hosts, rec->host);
-
-  if (!host || !fleet_find_pool (state->config->fleet, rec->pool))
-    return VERDICT_INVALID;
-  if (host->version != rec->host_version || host->phase != HOST_DRAINED)
-    return VERDICT_STALE;
-  host->pool = g_intern_string (rec->pool);
-  host->phase = HOST_IN_SERVICE;
-  host->wave = NULL;
-  host->version++;
-  return VERDICT_APPLIED;
-}
-
-static verdict_t
-fold_wave (state_t *state, const rec_wave_t *rec)
-{
-  wave_state_t *wave = table_find (&state->waves, rec->wave);
-
-  if (!wave)
-    return VERDICT_INVALID;
-  if (wave->version != rec->wave_version || wave->phase == rec->phase)
-    return VERDICT_STALE;
-  if (rec->phase == WAVE_RUNNING && wave->phase != WAVE_PAUSED)
-    wave->run++;
-  wave->phase = rec->phase;
-  wave->version++;
-  return VERDICT_APPLIED;
-}
-
 static verdict_t
 fold_payload (state_t *state, rec_t *rec)
 {
@@ -434,13 +310,13 @@
     case REC_LEAVE:
       return fold_leave (state, &rec->u.entry);
     case REC_HOST_MOVE:
-      return fold_host_move (state, &rec->u.host_move);
+      return disrupt_host_move (state, &rec->u.host_move);
     case REC_DRAIN:
-      return fold_drain (state, &rec->u.drain);
+      return disrupt_drain (state, &rec->u.drain);
     case REC_HOST_STATE:
-      return fold_host_state (state, &rec->u.host_state);
+      return disrupt_host_state (state, &rec->u.host_state);
     case REC_WAVE:
-      return fold_wave (state, &rec->u.wave);
+      return disrupt_wave (state, &rec->u.wave);
     case REC_UNKNOWN:
       return VERDICT_UNKNOWN;
     }
--- a/state/state.h
+++ b/state/state.h
@@ -1,7 +1,7 @@
 /* state - the state that all daemons share, as a fold over the platform's log
 
    NAME
-     record, fold, table
+     record, fold, disrupt, table
 
    DESCRIPTION
      A record is a conditional change: it applies only if the object that it
@@ -198,7 +198,9 @@
 {
   const char *name;
   const char *pool;      /* the one pool it belongs to now */
-  const char *home_pool; /* the pool that the fleet file gives */
+  const char *home_pool; /* the pool that the fleet file gives; a host in
+                            another one is there by HOST_MOVE or until it has
+                            been drained and moved */
   const char *rack;
   const char *wave;      /* of the drain under way, or NULL */
   const char *done_wave; /* last wave that drained it, or NULL */
@@ -264,9 +266,22 @@
 /* state_config_version - 0 before the first configuration.  */
 uint64_t state_config_version (const state_t *state);
 
+/* Planned disruption obeys these rules in the fold, so that they hold whatever
+   writers race:
+   - A DRAIN stays within the budgets of the host's pool and, for a wave,
+     within at_once; a host is drained once in a run of a wave.
+   - A HOST_MOVE needs a host that was drained for a move, not for a wave.
+   - A wave starts a new run from IDLE, DONE or ABANDONED, and not while
+     another unfinished wave shares a pool with it.  */
+
 /* state_budget_left - how many more hosts of POOL, and of them in RACK, may
    be taken out of service now.  */
 uint32_t state_budget_left (const state_t *state, const char *pool,
                             const char *rack);
 
+/* state_wave_took - whether the current run of WAVE needs no drain of HOST: it
+   has drained it, or another wave that is still unfinished has.  */
+bool state_wave_took (const state_t *state, const wave_state_t *wave,
+                      const host_state_t *host);
+
 #endif
