conf: stop replacing libyaml's yaml_free

Cause: libyaml exports a function yaml_free. The package's function of that name took its place in the process, so libyaml called it with its own memory and the first fleet text that was loaded crashed.

Change: The package's function is now yamlload_free.

Measured: wire_wiresnap_test crashed in the first fleet_load before the change, in both builds; it passes with it (ctest, both builds).

Conclusion: Loading fleet files works; names in the yaml_ namespace that libyaml may export are to be avoided.

--- a/conf/fleet.c
+++ b/conf/fleet.c
@@ -216,7 +216,7 @@
 fleet_free (fleet_t *fleet)
 {
   if (fleet)
-    yaml_free (&fleet_schema, fleet);
+    yamlload_free (&fleet_schema, fleet);
 }
 
 #define FIND_BY_NAME(type, list)                                              \
--- a/conf/settings.c
+++ b/conf/settings.c
@@ -109,5 +109,5 @@
 settings_free (settings_t *settings)
 {
   if (settings)
-    yaml_free (&settings_schema, settings);
+    yamlload_free (&settings_schema, settings);
 }
--- a/conf/yamlload.c
+++ b/conf/yamlload.c
@@ -85,7 +85,7 @@
 }
 
 void
-yaml_free (const cyaml_schema_value_t *schema, void *data)
+yamlload_free (const cyaml_schema_value_t *schema, void *data)
 {
   cyaml_config_t config = { .mem_fn = cyaml_mem };
 
--- a/conf/yamlload.h
+++ b/conf/yamlload.h
@@ -12,7 +12,9 @@
 void *yaml_load (const cyaml_schema_value_t *schema, const char *file,
                  const char *text, size_t len, GError **error);
 
-void yaml_free (const cyaml_schema_value_t *schema, void *data);
+/* yamlload_free - release what yaml_load returned.  libyaml exports a
+   yaml_free, which a function of that name would replace.  */
+void yamlload_free (const cyaml_schema_value_t *schema, void *data);
 
 /* yaml_line - the line of entry INDEX of the top-level list LIST, or of its
    FIELD; of what is there of these.  1 when nothing is.  */
