--- a/base/base.h
+++ b/base/base.h
@@ -1,7 +1,7 @@
 /* base - types and services that every package uses
 
    NAME
-     err, event, counter, pipe, hash, clock
+     err, event, counter, pipe, hash, clock, pack
 
    DESCRIPTION
      err      the closed list of error kinds on the path of a request, and the
@@ -10,6 +10,7 @@
      counter  process-wide counters, striped over threads
      pipe     bounded queue between two stages on different threads
      hash     placement hashes
+     pack     check of msgpack bytes before a decoder allocates for them
      clock    the only place where the present time is read; functions that
               decide take it as an argument  */
 
@@ -241,6 +242,15 @@
    one with the highest score (Thaler and Ravishankar 1998).  */
 uint64_t hash_score (const void *key, size_t key_len, const char *owner);
 
+/* Deepest nesting that pack_is_bounded accepts.  */
+#define PACK_DEPTH_MAX 8
+
+/* pack_is_bounded - whether the LEN bytes of DATA are exactly one complete
+   msgpack value.  msgpack-c allocates for the counts that the input claims;
+   for a value that passes this check it needs less than 32 bytes for each
+   byte of input.  */
+bool pack_is_bounded (const void *data, size_t len);
+
 /* clock_mono_us - monotonic time; never set back, has no fixed origin.  */
 int64_t clock_mono_us (void);
 
--- /dev/null
+++ b/base/test/pack_test.c
@@ -0,0 +1,70 @@
+/* Guards against msgpack input whose claimed counts exceed what is there: a
+   decoder would allocate for the claim.  */
+
+#include "base.h"
+#include <check.h>
+#include <stdlib.h>
+
+#define CASE(good, ...)                                                       \
+  {                                                                           \
+    good, sizeof ((uint8_t[]){ __VA_ARGS__ }), { __VA_ARGS__ }                \
+  }
+
+static const struct
+{
+  bool good;
+  size_t len;
+  uint8_t bytes[24];
+} cases[] = {
+  CASE (true, 0xc0),
+  CASE (true, 0x93, 1, 2, 3),
+  CASE (true, 0x82, 1, 2, 3, 0x90),
+  CASE (true, 0xc4, 2, 0, 0),
+  CASE (true, 0xc7, 1, 9, 0),
+  CASE (true, 0xd5, 9, 0, 0),
+  CASE (true, 0xcd, 1, 2),
+  CASE (true, 0xd3, 1, 2, 3, 4, 5, 6, 7, 8),
+  CASE (true, 0xdc, 0, 1, 0xd9, 1, 'a'),
+  CASE (true, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0),
+  CASE (false, 0xc1),
+  CASE (false, 0xc0, 0xc0),
+  CASE (false, 0x93, 1, 2),
+  CASE (false, 0xdd, 0xff, 0xff, 0xff, 0xff),
+  CASE (false, 0xdf, 0xff, 0xff, 0xff, 0xff, 0, 0),
+  CASE (false, 0xdb, 0xff, 0xff, 0xff, 0xff, 'a'),
+  CASE (false, 0xc6, 0, 0, 0, 2, 0),
+  CASE (false, 0xc9, 0, 0, 0),
+  CASE (false, 0xcf, 1, 2, 3),
+  CASE (false, 0x92, 0x94, 0, 0, 0, 0),
+  CASE (false, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0),
+};
+
+START_TEST (claims_are_compared_with_the_input)
+{
+  ck_assert_msg (pack_is_bounded (cases[_i].bytes, cases[_i].len)
+                     == cases[_i].good,
+                 "case %d", _i);
+}
+END_TEST
+
+START_TEST (empty_input_is_no_value) { ck_assert (!pack_is_bounded ("", 0)); }
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("pack");
+  TCase *tests = tcase_create ("pack");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_loop_test (tests, claims_are_compared_with_the_input, 0,
+                       G_N_ELEMENTS (cases));
+  tcase_add_test (tests, empty_input_is_no_value);
+  suite_add_tcase (suite, tests);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/state/fold.c
+++ b/state/fold.c
@@ -215,8 +215,9 @@
 }
 
 static verdict_t
-fold_config (state_t *state, rec_config_t *rec)
+fold_config (state_t *state, rec_t *full)
 {
+  rec_config_t *rec = &full->u.config;
   config_t *config;
 
   if (rec->base_version != state_config_version (state))
@@ -226,6 +227,8 @@
   config = g_new0 (config_t, 1);
   atomic_init (&config->refs, 1);
   config->version = rec->base_version + 1;
+  g_strlcpy (config->author, full->author, sizeof config->author);
+  config->time_ms = full->time_ms;
   config->text = g_steal_pointer (&rec->text);
   config->len = rec->len;
   config->fleet = g_steal_pointer (&rec->fleet);
@@ -424,7 +427,7 @@
   switch (rec->kind)
     {
     case REC_CONFIG:
-      return fold_config (state, &rec->u.config);
+      return fold_config (state, rec);
     case REC_KEY_GRANT:
       return fold_key_grant (state, &rec->u.key);
     case REC_KEY_WITHDRAW:
--- a/state/state.h
+++ b/state/state.h
@@ -220,6 +220,8 @@
 {
   atomic_uint refs;
   uint64_t version;
+  char author[REC_NAME_BYTES]; /* of the record that brought it */
+  int64_t time_ms;
   char *text;
   size_t len;
   fleet_t *fleet;
