--- a/admit/admit.h
+++ b/admit/admit.h
@@ -125,8 +125,8 @@
   struct queue_entry *next;
   struct queue_entry *prev;
   struct queue_team *team;
-  int64_t expires_us; /* latest time at which sending it makes sense */
-  uint64_t start_tag; /* virtual time */
+  int64_t expires_us;  /* latest time at which sending it makes sense */
+  uint32_t heap_index; /* private: place in the order of expiry */
 } queue_entry_t;
 
 /* The queue of one team at one service.  */
@@ -155,7 +155,9 @@
                       int64_t expires_us);
 
 /* queue_take - remove and return the next entry in fair order among the teams
-   for which MAY_RUN (CTX, entry) is true; NULL when there is none.  */
+   for which MAY_RUN (CTX, entry) is true; NULL when there is none.  MAY_RUN is
+   called in fair order for the first entry of each team until it accepts one,
+   so it may take what that entry needs.  Never returns an expired entry.  */
 queue_entry_t *queue_take (fair_queue_t *queue, int64_t now_us,
                            bool (*may_run) (void *ctx, queue_entry_t *entry),
                            void *ctx);
@@ -171,6 +173,8 @@
    NULL when there is none.  */
 queue_entry_t *queue_take_expired (fair_queue_t *queue, int64_t now_us);
 
+/* queue_length - entries in the queue, with those that have expired and were
+   not taken out.  Any thread, without the lock.  */
 uint32_t queue_length (const fair_queue_t *queue);
 
 #endif
--- /dev/null
+++ b/admit/queue.c
@@ -0,0 +1,447 @@
+#include "admit.h"
+#include <string.h>
+
+/* Virtual time that one request of a team with share 1 takes.  Large, so that
+   dividing it by a share loses little.  */
+#define COST_UNIT ((uint64_t)1 << 32)
+
+/* Tags are moved back to zero past this, so that they never overflow.  */
+#define TAG_MAX ((uint64_t)1 << 62)
+
+/* A served-rate window keeps at least half of these: enough requests for a
+   steady estimate, and little enough time to follow a change of rate.  */
+#define RATE_SERVED_MIN 32
+#define RATE_WINDOW_US 1000000
+
+/* Below this many served, a team's own rate is not yet known.  */
+#define RATE_KNOWN_MIN 8
+
+#define NOT_IN_HEAP UINT32_MAX
+
+/* Requests served in a window that ends now; halved from time to time.  */
+typedef struct rate
+{
+  int64_t since_us;
+  uint32_t served;
+} rate_t;
+
+struct queue_team
+{
+  const char *name;
+  uint32_t share;
+  uint32_t count;
+  uint64_t start; /* virtual time at which its next request starts */
+  queue_entry_t entries;
+  rate_t rate; /* while it has entries */
+};
+
+struct fair_queue
+{
+  uint32_t max_per_team;
+  atomic_uint count;
+  uint64_t virtual_time; /* start tag of the last request served */
+  uint64_t active_share; /* sum over the teams in order */
+  GHashTable *teams;     /* name to queue_team_t */
+  GPtrArray *order;      /* teams with entries, by start tag */
+  GPtrArray *heap;       /* entries, the first to expire on top */
+  queue_entry_t expired; /* past their time, not yet taken out */
+  rate_t rate;           /* while it has entries */
+};
+
+static void
+list_init (queue_entry_t *head)
+{
+  head->next = head;
+  head->prev = head;
+}
+
+static void
+list_append (queue_entry_t *head, queue_entry_t *entry)
+{
+  entry->next = head;
+  entry->prev = head->prev;
+  head->prev->next = entry;
+  head->prev = entry;
+}
+
+static void
+list_unlink (queue_entry_t *entry)
+{
+  entry->prev->next = entry->next;
+  entry->next->prev = entry->prev;
+  entry->next = NULL;
+  entry->prev = NULL;
+}
+
+static void
+rate_begin (rate_t *rate, int64_t now_us)
+{
+  rate->since_us = now_us;
+  rate->served = 0;
+}
+
+static void
+rate_note (rate_t *rate, int64_t now_us)
+{
+  int64_t elapsed_us = now_us - rate->since_us;
+
+  rate->served++;
+  if (rate->served < RATE_SERVED_MIN || elapsed_us < RATE_WINDOW_US)
+    return;
+  rate->served /= 2;
+  rate->since_us = now_us - elapsed_us / 2;
+}
+
+/* Time that COUNT requests take at RATE.  */
+static double
+rate_wait_us (const rate_t *rate, double count, int64_t now_us)
+{
+  return count * (double)(now_us - rate->since_us) / (rate->served + 1.0);
+}
+
+static queue_entry_t *
+heap_at (const fair_queue_t *queue, uint32_t index)
+{
+  return queue->heap->pdata[index];
+}
+
+static void
+heap_set (fair_queue_t *queue, uint32_t index, queue_entry_t *entry)
+{
+  queue->heap->pdata[index] = entry;
+  entry->heap_index = index;
+}
+
+static void
+heap_up (fair_queue_t *queue, uint32_t index, queue_entry_t *entry)
+{
+  while (index > 0)
+    {
+      uint32_t parent = (index - 1) / 2;
+
+      if (heap_at (queue, parent)->expires_us <= entry->expires_us)
+        break;
+      heap_set (queue, index, heap_at (queue, parent));
+      index = parent;
+    }
+  heap_set (queue, index, entry);
+}
+
+static void
+heap_down (fair_queue_t *queue, uint32_t index, queue_entry_t *entry)
+{
+  uint32_t count = queue->heap->len;
+
+  for (;;)
+    {
+      uint32_t child = 2 * index + 1;
+
+      if (child >= count)
+        break;
+      if (child + 1 < count
+          && heap_at (queue, child + 1)->expires_us
+                 < heap_at (queue, child)->expires_us)
+        child++;
+      if (entry->expires_us <= heap_at (queue, child)->expires_us)
+        break;
+      heap_set (queue, index, heap_at (queue, child));
+      index = child;
+    }
+  heap_set (queue, index, entry);
+}
+
+static void
+heap_add (fair_queue_t *queue, queue_entry_t *entry)
+{
+  g_ptr_array_add (queue->heap, entry);
+  heap_up (queue, queue->heap->len - 1, entry);
+}
+
+static void
+heap_remove (fair_queue_t *queue, queue_entry_t *entry)
+{
+  uint32_t index = entry->heap_index;
+  queue_entry_t *last = heap_at (queue, queue->heap->len - 1);
+
+  entry->heap_index = NOT_IN_HEAP;
+  g_ptr_array_set_size (queue->heap, (gint)queue->heap->len - 1);
+  if (last == entry)
+    return;
+  if (last->expires_us < entry->expires_us)
+    heap_up (queue, index, last);
+  else
+    heap_down (queue, index, last);
+}
+
+static queue_team_t *
+order_at (const fair_queue_t *queue, uint32_t index)
+{
+  return queue->order->pdata[index];
+}
+
+/* Teams with equal tags take turns: a new one goes behind them.  */
+static void
+order_add (fair_queue_t *queue, queue_team_t *team)
+{
+  uint32_t low = 0;
+  uint32_t high = queue->order->len;
+
+  while (low < high)
+    {
+      uint32_t mid = low + (high - low) / 2;
+
+      if (order_at (queue, mid)->start <= team->start)
+        low = mid + 1;
+      else
+        high = mid;
+    }
+  g_ptr_array_insert (queue->order, (gint)low, team);
+}
+
+/* Moves all tags back by the virtual time; those behind it count as equal to
+   it anyway.  */
+static void
+rebase (fair_queue_t *queue)
+{
+  uint64_t base = queue->virtual_time;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, queue->teams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      queue_team_t *team = value;
+
+      team->start = team->start > base ? team->start - base : 0;
+    }
+  queue->virtual_time = 0;
+}
+
+static uint64_t
+team_cost (const queue_team_t *team)
+{
+  return COST_UNIT / team->share;
+}
+
+/* A team that had no entries starts at the current virtual time, or later if
+   it was served ahead: idle time gives no credit.  */
+static void
+activate (fair_queue_t *queue, queue_team_t *team, int64_t now_us)
+{
+  team->start = MAX (team->start, queue->virtual_time);
+  order_add (queue, team);
+  queue->active_share += team->share;
+  rate_begin (&team->rate, now_us);
+  if (queue->order->len == 1)
+    rate_begin (&queue->rate, now_us);
+}
+
+static void
+deactivate (fair_queue_t *queue, queue_team_t *team)
+{
+  g_ptr_array_remove (queue->order, team);
+  queue->active_share -= team->share;
+}
+
+/* Takes ENTRY out of its team's queue.  */
+static void
+detach (fair_queue_t *queue, queue_entry_t *entry)
+{
+  queue_team_t *team = entry->team;
+
+  list_unlink (entry);
+  heap_remove (queue, entry);
+  if (--team->count == 0)
+    deactivate (queue, team);
+}
+
+/* Sets expired entries aside, so that none fills a queue or takes a turn.  */
+static void
+expire (fair_queue_t *queue, int64_t now_us)
+{
+  while (queue->heap->len > 0)
+    {
+      queue_entry_t *first = heap_at (queue, 0);
+
+      if (first->expires_us >= now_us)
+        return;
+      detach (queue, first);
+      list_append (&queue->expired, first);
+    }
+}
+
+fair_queue_t *
+queue_new (uint32_t max_per_team)
+{
+  fair_queue_t *queue = g_new0 (fair_queue_t, 1);
+
+  queue->max_per_team = max_per_team;
+  queue->teams = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  queue->order = g_ptr_array_new ();
+  queue->heap = g_ptr_array_new ();
+  list_init (&queue->expired);
+  return queue;
+}
+
+void
+queue_free (fair_queue_t *queue)
+{
+  if (!queue)
+    return;
+  g_hash_table_destroy (queue->teams);
+  g_ptr_array_free (queue->order, TRUE);
+  g_ptr_array_free (queue->heap, TRUE);
+  g_free (queue);
+}
+
+void
+queue_set_max (fair_queue_t *queue, uint32_t max_per_team)
+{
+  queue->max_per_team = max_per_team;
+}
+
+queue_team_t *
+queue_team (fair_queue_t *queue, const char *name, uint32_t share)
+{
+  queue_team_t *team = g_hash_table_lookup (queue->teams, name);
+
+  if (!team)
+    {
+      team = g_new0 (queue_team_t, 1);
+      team->name = g_intern_string (name);
+      list_init (&team->entries);
+      g_hash_table_insert (queue->teams, (gpointer)team->name, team);
+    }
+  share = MAX (share, 1);
+  if (team->count > 0)
+    queue->active_share += (uint64_t)share - team->share;
+  team->share = share;
+  return team;
+}
+
+const char *
+queue_team_name (const queue_team_t *team)
+{
+  return team->name;
+}
+
+/* Estimated time until a new last entry of TEAM is taken.  The team's own
+   served rate covers its share, its limit and the others' demand.  A team that
+   was active too briefly to have one gets its share of the common rate.  */
+static double
+estimate_wait_us (const fair_queue_t *queue, const queue_team_t *team,
+                  int64_t now_us)
+{
+  double turns = team->count + 1.0;
+
+  if (team->rate.served >= RATE_KNOWN_MIN)
+    return rate_wait_us (&team->rate, turns, now_us);
+  turns *= (double)queue->active_share / team->share;
+  return rate_wait_us (&queue->rate, MIN (turns, queue->heap->len + 1.0),
+                       now_us);
+}
+
+err_kind_t
+queue_put (fair_queue_t *queue, queue_team_t *team, queue_entry_t *entry,
+           int64_t now_us, int64_t expires_us)
+{
+  expire (queue, now_us);
+  if (team->count >= queue->max_per_team)
+    return ERR_QUEUE_FULL;
+  if (expires_us < now_us)
+    return ERR_WOULD_BE_LATE;
+  /* A team's only entry is always accepted: a rate seen while nothing could
+     run must not keep the team out once it can.  */
+  if (team->count > 0
+      && estimate_wait_us (queue, team, now_us)
+             > (double)(expires_us - now_us))
+    return ERR_WOULD_BE_LATE;
+  entry->team = team;
+  entry->expires_us = expires_us;
+  list_append (&team->entries, entry);
+  heap_add (queue, entry);
+  if (team->count++ == 0)
+    activate (queue, team, now_us);
+  atomic_fetch_add (&queue->count, 1);
+  return ERR_NONE;
+}
+
+/* Serves the first entry of the team at INDEX in the order.  */
+static queue_entry_t *
+serve (fair_queue_t *queue, uint32_t index, int64_t now_us)
+{
+  queue_team_t *team = g_ptr_array_remove_index (queue->order, index);
+  queue_entry_t *entry = team->entries.next;
+
+  /* The teams before it could not run; that gives no credit either.  */
+  for (uint32_t i = 0; i < index; i++)
+    order_at (queue, i)->start = team->start;
+  queue->virtual_time = MAX (queue->virtual_time, team->start);
+  team->start += team_cost (team);
+  order_add (queue, team);
+  rate_note (&queue->rate, now_us);
+  rate_note (&team->rate, now_us);
+  detach (queue, entry);
+  atomic_fetch_sub (&queue->count, 1);
+  if (queue->virtual_time > TAG_MAX)
+    rebase (queue);
+  return entry;
+}
+
+queue_entry_t *
+queue_take (fair_queue_t *queue, int64_t now_us,
+            bool (*may_run) (void *ctx, queue_entry_t *entry), void *ctx)
+{
+  expire (queue, now_us);
+  for (uint32_t i = 0; i < queue->order->len; i++)
+    if (may_run (ctx, order_at (queue, i)->entries.next))
+      return serve (queue, i, now_us);
+  return NULL;
+}
+
+void
+queue_charge (fair_queue_t *queue, queue_team_t *team)
+{
+  team->start = MAX (team->start, queue->virtual_time);
+  if (team->count > 0)
+    g_ptr_array_remove (queue->order, team);
+  /* With no other team waiting, virtual time goes on with this one;
+     otherwise its lead would grow without bound.  */
+  if (queue->order->len == 0)
+    queue->virtual_time = team->start;
+  team->start += team_cost (team);
+  if (team->count > 0)
+    order_add (queue, team);
+  if (queue->virtual_time > TAG_MAX)
+    rebase (queue);
+}
+
+void
+queue_remove (fair_queue_t *queue, queue_entry_t *entry)
+{
+  if (entry->heap_index == NOT_IN_HEAP)
+    list_unlink (entry);
+  else
+    detach (queue, entry);
+  atomic_fetch_sub (&queue->count, 1);
+}
+
+queue_entry_t *
+queue_take_expired (fair_queue_t *queue, int64_t now_us)
+{
+  queue_entry_t *entry;
+
+  expire (queue, now_us);
+  entry = queue->expired.next;
+  if (entry == &queue->expired)
+    return NULL;
+  list_unlink (entry);
+  atomic_fetch_sub (&queue->count, 1);
+  return entry;
+}
+
+uint32_t
+queue_length (const fair_queue_t *queue)
+{
+  return atomic_load (&queue->count);
+}
--- /dev/null
+++ b/admit/test/queue_test.c
@@ -0,0 +1,322 @@
+#include "../../test/run_suite.h"
+#include "admit.h"
+
+#define TEAMS 6
+#define ROOM 64
+#define FAR_US ((int64_t)1 << 60)
+
+static const char *const names[TEAMS] = { "a", "b", "c", "d", "e", "f" };
+
+typedef struct model
+{
+  fair_queue_t *queue;
+  queue_team_t *teams[TEAMS];
+  uint32_t shares[TEAMS];
+  uint32_t waiting[TEAMS];
+  uint32_t passed_over[TEAMS]; /* takes by others since it could run */
+  bool may_run[TEAMS];
+  queue_entry_t pool[TEAMS * ROOM];
+  GPtrArray *unused;
+} model_t;
+
+static void
+model_open (model_t *m, const uint32_t *shares)
+{
+  memset (m, 0, sizeof *m);
+  m->queue = queue_new (ROOM);
+  m->unused = g_ptr_array_new ();
+  for (uint32_t i = 0; i < TEAMS * ROOM; i++)
+    g_ptr_array_add (m->unused, &m->pool[i]);
+  for (uint32_t i = 0; i < TEAMS; i++)
+    {
+      m->shares[i] = shares ? shares[i] : 1;
+      m->teams[i] = queue_team (m->queue, names[i], m->shares[i]);
+      m->may_run[i] = true;
+    }
+}
+
+static void
+model_close (model_t *m)
+{
+  queue_free (m->queue);
+  g_ptr_array_free (m->unused, TRUE);
+}
+
+static uint32_t
+team_of (const model_t *m, const queue_entry_t *entry)
+{
+  uint32_t i = 0;
+
+  while (m->teams[i] != entry->team)
+    i++;
+  return i;
+}
+
+static bool
+may_run (void *ctx, queue_entry_t *entry)
+{
+  const model_t *m = ctx;
+
+  return m->may_run[team_of (m, entry)];
+}
+
+static err_kind_t
+put (model_t *m, uint32_t team, int64_t now_us, int64_t expires_us)
+{
+  queue_entry_t *entry = m->unused->pdata[m->unused->len - 1];
+  err_kind_t kind
+      = queue_put (m->queue, m->teams[team], entry, now_us, expires_us);
+
+  if (kind != ERR_NONE)
+    return kind;
+  g_ptr_array_set_size (m->unused, (gint)m->unused->len - 1);
+  m->waiting[team]++;
+  return kind;
+}
+
+/* Books an entry that left the queue; the index of its team.  */
+static uint32_t
+book_out (model_t *m, queue_entry_t *entry)
+{
+  uint32_t team = team_of (m, entry);
+
+  m->waiting[team]--;
+  g_ptr_array_add (m->unused, entry);
+  return team;
+}
+
+static uint32_t
+take (model_t *m, int64_t now_us)
+{
+  queue_entry_t *entry = queue_take (m->queue, now_us, may_run, m);
+
+  if (!entry)
+    return TEAMS;
+  ck_assert_int_ge (entry->expires_us, now_us);
+  return book_out (m, entry);
+}
+
+static void
+fill (model_t *m, uint32_t team)
+{
+  while (m->waiting[team] < ROOM)
+    ck_assert_int_eq (put (m, team, 1, FAR_US), ERR_NONE);
+}
+
+/* Guards against shares drifting apart while all teams wait: in any window,
+   the normalised service of two teams differs by at most one request of each
+   (theorem 1 of the paper).  */
+START_TEST (shares_hold_in_every_window)
+{
+  g_autoptr (GRand) rand = g_rand_new_with_seed (run_seed ("shares"));
+
+  for (uint32_t round = 0; round < 200; round++)
+    {
+      model_t m;
+      uint32_t shares[TEAMS];
+      double served[TEAMS] = { 0 };
+
+      for (uint32_t i = 0; i < TEAMS; i++)
+        shares[i] = (uint32_t)g_rand_int_range (rand, 1, 50);
+      model_open (&m, shares);
+      for (uint32_t i = 0; i < TEAMS; i++)
+        fill (&m, i);
+      for (int32_t n = g_rand_int_range (rand, 0, 500); n > 0; n--)
+        fill (&m, take (&m, 1));
+      for (int32_t n = g_rand_int_range (rand, 0, 500); n > 0; n--)
+        {
+          uint32_t team = take (&m, 1);
+
+          served[team]++;
+          fill (&m, team);
+        }
+      for (uint32_t i = 0; i < TEAMS; i++)
+        for (uint32_t j = 0; j < TEAMS; j++)
+          ck_assert_double_le (served[i] / shares[i] - served[j] / shares[j],
+                               1.0 / shares[i] + 1.0 / shares[j] + 1e-6);
+      model_close (&m);
+    }
+}
+END_TEST
+
+/* Takes one and checks that capacity isn't left unused while somebody could
+   use it, and that nobody who could run is passed over beyond its share.  */
+static void
+checked_take (model_t *m, int64_t now_us)
+{
+  bool runnable = false;
+  uint32_t taken;
+
+  for (queue_entry_t *entry; (entry = queue_take_expired (m->queue, now_us));)
+    {
+      ck_assert_int_lt (entry->expires_us, now_us);
+      book_out (m, entry);
+    }
+  for (uint32_t i = 0; i < TEAMS; i++)
+    runnable |= m->may_run[i] && m->waiting[i] > 0;
+  taken = take (m, now_us);
+  ck_assert (runnable == (taken < TEAMS));
+  for (uint32_t i = 0; i < TEAMS && runnable; i++)
+    {
+      double bound = TEAMS;
+
+      for (uint32_t j = 0; j < TEAMS; j++)
+        bound += 2.0 * m->shares[j] / m->shares[i] + 1;
+      if (i == taken || !m->may_run[i] || m->waiting[i] == 0)
+        m->passed_over[i] = 0;
+      else
+        ck_assert_double_le (++m->passed_over[i], bound);
+    }
+}
+
+static void
+random_step (model_t *m, GRand *rand, int64_t now_us)
+{
+  uint32_t team = (uint32_t)g_rand_int_range (rand, 0, TEAMS);
+
+  switch (g_rand_int_range (rand, 0, 8))
+    {
+    case 0:
+      m->may_run[team] = g_rand_int_range (rand, 0, 4) > 0;
+      break;
+    case 1:
+      if (queue_length (m->queue) == 0)
+        queue_charge (m->queue, m->teams[team]);
+      break;
+    case 2: /* an entry whose client is gone, expired or not */
+      for (uint32_t i = 0; i < TEAMS * ROOM; i++)
+        if (m->pool[i].next && m->pool[i].team == m->teams[team])
+          {
+            queue_remove (m->queue, &m->pool[i]);
+            book_out (m, &m->pool[i]);
+            break;
+          }
+      break;
+    case 3:
+    case 4:
+    case 5:
+      put (m, team, now_us, now_us + g_rand_int_range (rand, 0, 3000000));
+      break;
+    default:
+      checked_take (m, now_us);
+    }
+}
+
+/* Guards against idle slots beside waiting work, starvation, service of
+   expired entries and lost entries, whatever the order of events.  */
+START_TEST (random_events_keep_the_invariants)
+{
+  g_autoptr (GRand) rand = g_rand_new_with_seed (run_seed ("events"));
+
+  for (uint32_t round = 0; round < 20; round++)
+    {
+      model_t m;
+      uint32_t shares[TEAMS];
+      int64_t now_us = 1;
+
+      for (uint32_t i = 0; i < TEAMS; i++)
+        shares[i] = (uint32_t)g_rand_int_range (rand, 1, 20);
+      model_open (&m, shares);
+      for (uint32_t step = 0; step < 20000; step++)
+        {
+          uint32_t waiting = 0;
+
+          now_us += g_rand_int_range (rand, 0, 20000);
+          random_step (&m, rand, now_us);
+          for (uint32_t i = 0; i < TEAMS; i++)
+            waiting += m.waiting[i];
+          ck_assert_uint_eq (queue_length (m.queue), waiting);
+        }
+      model_close (&m);
+    }
+}
+END_TEST
+
+/* Guards against credit for time in which a team was idle or could not run:
+   after it, a team gets its share and no more.  */
+START_TEST (absence_gives_no_credit)
+{
+  for (uint32_t blocked = 0; blocked < 2; blocked++)
+    {
+      model_t m;
+      uint32_t served = 0;
+
+      model_open (&m, NULL);
+      m.may_run[0] = false;
+      if (blocked)
+        fill (&m, 0);
+      fill (&m, 1);
+      for (uint32_t i = 0; i < 1000; i++)
+        fill (&m, take (&m, 1));
+      m.may_run[0] = true;
+      fill (&m, 0);
+      for (uint32_t i = 0; i < 40; i++)
+        served += take (&m, 1) == 0;
+      ck_assert_uint_ge (served, 19);
+      ck_assert_uint_le (served, 21);
+      model_close (&m);
+    }
+}
+END_TEST
+
+/* Guards against work that ran past the queue being free of charge: the team
+   that just ran unqueued waits for its turn.  */
+START_TEST (unqueued_work_is_charged)
+{
+  model_t m;
+
+  model_open (&m, NULL);
+  queue_charge (m.queue, m.teams[0]);
+  put (&m, 0, 1, FAR_US);
+  put (&m, 1, 1, FAR_US);
+  ck_assert_uint_eq (take (&m, 1), 1);
+  ck_assert_uint_eq (take (&m, 1), 0);
+  model_close (&m);
+}
+END_TEST
+
+/* Guards against late rejection, against rejection for good after a stall, and
+   against expired entries that fill a queue.  */
+START_TEST (late_requests_are_rejected_until_the_queue_empties)
+{
+  const int64_t second_us = 1000000;
+  int64_t now_us = second_us;
+  model_t m;
+  uint32_t accepted = 0;
+
+  model_open (&m, NULL);
+  for (uint32_t i = 0; i < 20; i++)
+    put (&m, 0, now_us, FAR_US);
+  for (uint32_t i = 0; i < 10; i++) /* ten a second */
+    take (&m, now_us += second_us / 10);
+  ck_assert_int_eq (put (&m, 0, now_us, now_us + second_us / 2),
+                    ERR_WOULD_BE_LATE);
+  ck_assert_int_eq (put (&m, 0, now_us, now_us + 2 * second_us), ERR_NONE);
+  ck_assert_int_eq (put (&m, 1, now_us, now_us + second_us / 2), ERR_NONE);
+  while (take (&m, now_us += 10 * second_us) < TEAMS) /* a stall */
+    continue;
+  while (queue_take_expired (m.queue, now_us))
+    continue;
+  for (uint32_t i = 0; i < ROOM + 1; i++)
+    accepted += put (&m, 0, now_us, now_us + second_us / 2) == ERR_NONE;
+  ck_assert_uint_eq (accepted, ROOM);
+  ck_assert_int_eq (put (&m, 0, now_us, FAR_US), ERR_QUEUE_FULL);
+  ck_assert_int_eq (put (&m, 0, now_us += second_us, FAR_US), ERR_NONE);
+  model_close (&m);
+}
+END_TEST
+
+int
+main (void)
+{
+  const TTest *const tests[] = {
+    shares_hold_in_every_window,
+    random_events_keep_the_invariants,
+    absence_gives_no_credit,
+    unqueued_work_is_charged,
+    late_requests_are_rejected_until_the_queue_empties,
+    NULL,
+  };
+
+  return run_suite ("queue", tests);
+}
--- /dev/null
+++ b/test/run_suite.h
@@ -0,0 +1,42 @@
+/* run_suite - main part of a test program: runs TESTS, NULL-terminated.
+   run_seed - a seed for random tests: that in CUMINPIN_SEED, or a new one;
+   printed, so that a failure can be repeated.  */
+
+#ifndef CUMINPIN_RUN_SUITE_H
+#define CUMINPIN_RUN_SUITE_H
+
+#include <check.h>
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+static inline int
+run_suite (const char *name, const TTest *const *tests)
+{
+  Suite *suite = suite_create (name);
+  TCase *tcase = tcase_create (name);
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  for (; *tests; tests++)
+    tcase_add_test (tcase, *tests);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+static inline uint32_t
+run_seed (const char *test)
+{
+  const char *given = g_getenv ("CUMINPIN_SEED");
+  uint32_t seed
+      = given ? (uint32_t)strtoul (given, NULL, 10) : g_random_int ();
+
+  printf ("%s: CUMINPIN_SEED=%u\n", test, seed);
+  fflush (stdout);
+  return seed;
+}
+
+#endif
