--- /dev/null
+++ b/route/choice.c
@@ -0,0 +1,73 @@
+#include "route.h"
+
+static bool
+is_usable (const candidate_t *c, health_verdict_t verdict)
+{
+  return c->verdict == verdict && !c->tried && c->in_use < c->slots;
+}
+
+static bool
+is_eligible (const candidate_t *c, bool local)
+{
+  return is_usable (c, HEALTH_OK) && c->local == local;
+}
+
+/* Index of the eligible candidate number NTH.  */
+static uint32_t
+nth_eligible (const candidate_t *candidates, uint32_t count, bool local,
+              uint32_t nth)
+{
+  for (uint32_t i = 0; i < count; i++)
+    if (is_eligible (&candidates[i], local) && nth-- == 0)
+      return i;
+  return CHOICE_NONE;
+}
+
+/* The one with the smaller part of its slots in use.  */
+static uint32_t
+less_loaded (const candidate_t *candidates, uint32_t a, uint32_t b)
+{
+  const candidate_t *x = &candidates[a];
+  const candidate_t *y = &candidates[b];
+
+  if ((uint64_t)y->in_use * x->slots < (uint64_t)x->in_use * y->slots)
+    return b;
+  return a;
+}
+
+static uint32_t
+pick_of_two (const candidate_t *candidates, uint32_t count, bool local,
+             uint64_t random)
+{
+  uint32_t eligible = 0;
+  uint32_t first;
+  uint32_t second;
+
+  for (uint32_t i = 0; i < count; i++)
+    eligible += is_eligible (&candidates[i], local);
+  if (eligible == 0)
+    return CHOICE_NONE;
+  first = (uint32_t)random % eligible;
+  if (eligible == 1)
+    return nth_eligible (candidates, count, local, first);
+  second = (uint32_t)(random >> 32) % (eligible - 1);
+  if (second >= first)
+    second++;
+  return less_loaded (candidates,
+                      nth_eligible (candidates, count, local, first),
+                      nth_eligible (candidates, count, local, second));
+}
+
+uint32_t
+choice_pick (const candidate_t *candidates, uint32_t count, uint64_t random)
+{
+  uint32_t picked;
+
+  for (uint32_t i = 0; i < count; i++)
+    if (is_usable (&candidates[i], HEALTH_PROBE))
+      return i;
+  picked = pick_of_two (candidates, count, true, random);
+  if (picked == CHOICE_NONE)
+    picked = pick_of_two (candidates, count, false, random);
+  return picked;
+}
--- /dev/null
+++ b/route/health.c
@@ -0,0 +1,108 @@
+#include "route.h"
+
+/* Weight of one answer in the moving average of the latency: 1/8.  */
+#define LATENCY_SHIFT 3
+
+health_verdict_t
+health_judge (health_t *health, int64_t now_us)
+{
+  int64_t until_us = atomic_load (&health->until_us);
+
+  if (atomic_load (&health->leaving))
+    return HEALTH_LEAVING;
+  if (until_us == 0)
+    return HEALTH_OK;
+  if (now_us < until_us || atomic_load (&health->probing))
+    return HEALTH_EJECTED;
+  return HEALTH_PROBE;
+}
+
+bool
+health_begin_probe (health_t *health)
+{
+  return !atomic_exchange (&health->probing, true);
+}
+
+static int64_t
+ejection_us (unsigned ejections)
+{
+  int64_t length_us = EJECT_MIN_US;
+
+  while (ejections-- > 0 && length_us < EJECT_MAX_US)
+    length_us *= 2;
+  return MIN (length_us, EJECT_MAX_US);
+}
+
+static bool
+note_failure (health_t *health, int64_t now_us)
+{
+  unsigned ejections = atomic_load (&health->ejections);
+  int64_t until_us = now_us + ejection_us (ejections);
+  int_fast64_t none = 0;
+
+  if (atomic_load (&health->probing))
+    {
+      /* The new end first: else another probe could begin before it.  */
+      atomic_store (&health->until_us, until_us);
+      if (!atomic_exchange (&health->probing, false))
+        return false;
+      atomic_fetch_add (&health->ejections, 1);
+      return true;
+    }
+  if (atomic_fetch_add (&health->failures, 1) + 1 < EJECT_FAILURES)
+    return false;
+  /* Requests that were sent before the ejection fail after it; they don't
+     make it longer.  */
+  if (!atomic_compare_exchange_strong (&health->until_us, &none, until_us))
+    return false;
+  atomic_fetch_add (&health->ejections, 1);
+  return true;
+}
+
+static bool
+note_answer (health_t *health, int64_t latency_us)
+{
+  int64_t average_us = (int64_t)atomic_load (&health->latency_us);
+  int64_t step_us = (latency_us - average_us) / (1 << LATENCY_SHIFT);
+
+  atomic_store (&health->latency_us,
+                (uint32_t)CLAMP (average_us + step_us, 0, UINT32_MAX));
+  atomic_store (&health->failures, 0);
+  /* An answer to a request from before the ejection doesn't end it.  */
+  if (!atomic_load (&health->probing))
+    return false;
+  atomic_store (&health->ejections, 0);
+  atomic_store (&health->until_us, 0);
+  return atomic_exchange (&health->probing, false);
+}
+
+bool
+health_note (health_t *health, try_result_t result, int64_t latency_us,
+             int64_t now_us)
+{
+  switch (result)
+    {
+    case TRY_ANSWERED:
+      return note_answer (health, latency_us);
+    case TRY_CANCELLED:
+      /* If this was the probe, another one is due.  */
+      atomic_store (&health->probing, false);
+      return false;
+    /* An upstream that refuses everything is quick at it and would draw all
+       requests, so a refusal counts as a failure too.  */
+    case TRY_REFUSED:
+    case TRY_FAILED:
+    case TRY_CONNECT_FAILED:
+    case TRY_TIMED_OUT:
+    case TRY_CUT:
+    case TRY_BAD_ANSWER:
+      return note_failure (health, now_us);
+    }
+  return false;
+}
+
+void
+health_set_leaving (health_t *health, bool leaving)
+{
+  atomic_store (&health->leaving, leaving);
+}
--- /dev/null
+++ b/route/once.c
@@ -0,0 +1,216 @@
+#include "route.h"
+#include <string.h>
+
+/* Claims are kept in buckets by the second of their issue; a bucket whose
+   whole second is past the window is released at once.  */
+#define BUCKET_MS 1000
+#define SET_ROOM_MIN 8
+
+/* The window, the time that an id may be ahead, and one bucket at each end
+   that is partly inside.  */
+#define BUCKETS ((ONCE_WINDOW_MS + CLOCK_ERROR_MS) / BUCKET_MS + 3)
+
+/* A predecessor's clock may have been ahead of this one, and it granted ids
+   that were ahead of its own.  */
+#define START_MARGIN_MS (2 * CLOCK_ERROR_MS)
+
+/* A set of ids by open addressing, at most half full.  An id of zeroes marks
+   a free place; none is inside the window.  */
+typedef struct id_set
+{
+  once_id_t *ids;
+  uint32_t count;
+  uint32_t room;
+} id_set_t;
+
+struct once_table
+{
+  int64_t start_ms;
+  int64_t floor_ms;      /* ids issued before are forgotten or refused */
+  int64_t oldest_bucket; /* number, not index, of the first one kept */
+  uint32_t count;
+  id_set_t buckets[BUCKETS];
+};
+
+static const once_id_t no_id;
+
+static bool
+is_same (const once_id_t *a, const once_id_t *b)
+{
+  return memcmp (a, b, sizeof *a) == 0;
+}
+
+/* The place of ID, or the free one where it belongs.  */
+static once_id_t *
+set_find (const id_set_t *set, const once_id_t *id)
+{
+  uint32_t mask = set->room - 1;
+  uint32_t at = (uint32_t)hash_bytes (id, sizeof *id, 0) & mask;
+
+  while (!is_same (&set->ids[at], id) && !is_same (&set->ids[at], &no_id))
+    at = (at + 1) & mask;
+  return &set->ids[at];
+}
+
+static void
+set_grow (id_set_t *set)
+{
+  id_set_t grown = { .count = set->count };
+
+  grown.room = MAX (SET_ROOM_MIN, 2 * set->room);
+  grown.ids = g_new0 (once_id_t, grown.room);
+  for (uint32_t i = 0; i < set->room; i++)
+    if (!is_same (&set->ids[i], &no_id))
+      *set_find (&grown, &set->ids[i]) = set->ids[i];
+  g_free (set->ids);
+  *set = grown;
+}
+
+/* False when ID is in SET already.  */
+static bool
+set_add (id_set_t *set, const once_id_t *id)
+{
+  once_id_t *place;
+
+  if (2 * set->count >= set->room)
+    set_grow (set);
+  place = set_find (set, id);
+  if (is_same (place, id))
+    return false;
+  *place = *id;
+  set->count++;
+  return true;
+}
+
+static void
+set_clear (id_set_t *set)
+{
+  g_free (set->ids);
+  memset (set, 0, sizeof *set);
+}
+
+static bool
+parse_hex (const char *text, uint8_t *byte)
+{
+  int high = g_ascii_xdigit_value (text[0]);
+  int low = high < 0 ? -1 : g_ascii_xdigit_value (text[1]);
+
+  if (low < 0)
+    return false;
+  *byte = (uint8_t)(high * 16 + low);
+  return true;
+}
+
+bool
+once_parse (const char *text, once_id_t *id)
+{
+  for (size_t i = 0; i < ONCE_ID_BYTES; i++)
+    {
+      if ((i == 4 || i == 6 || i == 8 || i == 10) && *text++ != '-')
+        return false;
+      if (!parse_hex (text, &id->bytes[i]))
+        return false;
+      text += 2;
+    }
+  return *text == '\0' && id->bytes[6] >> 4 == 7 && id->bytes[8] >> 6 == 2;
+}
+
+int64_t
+once_time_ms (const once_id_t *id)
+{
+  int64_t time_ms = 0;
+
+  for (size_t i = 0; i < 6; i++)
+    time_ms = time_ms << 8 | id->bytes[i];
+  return time_ms;
+}
+
+uint32_t
+once_owner (const once_id_t *id, const char *const *entry_hosts,
+            uint32_t count)
+{
+  uint32_t owner = 0;
+  uint64_t best = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      uint64_t score = hash_score (id, sizeof *id, entry_hosts[i]);
+
+      /* Equal scores must not make the order of the list matter.  */
+      if (i > 0
+          && (score < best
+              || (score == best
+                  && strcmp (entry_hosts[i], entry_hosts[owner]) > 0)))
+        continue;
+      best = score;
+      owner = i;
+    }
+  return owner;
+}
+
+once_table_t *
+once_new (int64_t start_ms)
+{
+  once_table_t *table = g_new0 (once_table_t, 1);
+
+  table->start_ms = start_ms;
+  return table;
+}
+
+void
+once_free (once_table_t *table)
+{
+  if (!table)
+    return;
+  for (size_t i = 0; i < BUCKETS; i++)
+    set_clear (&table->buckets[i]);
+  g_free (table);
+}
+
+void
+once_set_start (once_table_t *table, int64_t start_ms)
+{
+  table->start_ms = MAX (table->start_ms, start_ms);
+}
+
+/* Forgets ids past the window.  Ids issued before the floor are refused from
+   then on, even if the wall clock is set back.  */
+static void
+forget (once_table_t *table, int64_t now_ms)
+{
+  int64_t first;
+
+  table->floor_ms = MAX (table->floor_ms, now_ms - ONCE_WINDOW_MS);
+  first = table->floor_ms / BUCKET_MS;
+  if (first - table->oldest_bucket > BUCKETS)
+    table->oldest_bucket = first - BUCKETS;
+  for (; table->oldest_bucket < first; table->oldest_bucket++)
+    {
+      id_set_t *set = &table->buckets[table->oldest_bucket % BUCKETS];
+
+      table->count -= set->count;
+      set_clear (set);
+    }
+}
+
+err_kind_t
+once_claim (once_table_t *table, const once_id_t *id, int64_t now_ms)
+{
+  int64_t time_ms = once_time_ms (id);
+
+  forget (table, now_ms);
+  if (time_ms < table->floor_ms || time_ms > now_ms + CLOCK_ERROR_MS)
+    return ERR_ID_INVALID;
+  if (time_ms < table->start_ms + START_MARGIN_MS)
+    return ERR_ID_REPEATED;
+  if (!set_add (&table->buckets[time_ms / BUCKET_MS % BUCKETS], id))
+    return ERR_ID_REPEATED;
+  table->count++;
+  return ERR_NONE;
+}
+
+uint32_t
+once_count (const once_table_t *table)
+{
+  return table->count;
+}
--- a/route/route.h
+++ b/route/route.h
@@ -31,7 +31,8 @@
   TRY_CANCELLED   /* the client is gone; says nothing of the upstream */
 } try_result_t;
 
-/* try_error - the error kind for a try that ended in RESULT.  */
+/* try_error - the error kind for a try that ended in RESULT; ERR_NONE for a
+   whole answer, whatever its status.  */
 err_kind_t try_error (try_result_t result);
 
 /* Health of one upstream as this daemon saw it.  All members are private.
@@ -62,7 +63,7 @@
 health_verdict_t health_judge (health_t *health, int64_t now_us);
 
 /* health_begin_probe - claim the probe that HEALTH_PROBE allows; false when
-   another thread was faster.  */
+   another thread was faster.  Its result must be given to health_note.  */
 bool health_begin_probe (health_t *health);
 
 /* health_note - take in the RESULT of a try that took LATENCY_US.  True when
@@ -139,8 +140,9 @@
 /* The claims that this daemon has granted.  One thread, or a lock.  */
 typedef struct once_table once_table_t;
 
-/* once_new - no claims; ids issued before START_MS plus the clock error are
-   refused, because a predecessor may have granted them.  */
+/* once_new - no claims; ids issued before START_MS plus twice the clock error
+   are refused, because a predecessor may have granted them: its clock may have
+   been ahead of this one, and it granted ids that were ahead of its own.  */
 once_table_t *once_new (int64_t start_ms);
 void once_free (once_table_t *table);
 
--- /dev/null
+++ b/route/test/health_test.c
@@ -0,0 +1,96 @@
+#include "../../test/run_suite.h"
+#include "route.h"
+
+static bool
+note_failures (health_t *health, uint32_t times, int64_t now_us)
+{
+  bool ejected = false;
+
+  for (uint32_t i = 0; i < times; i++)
+    ejected |= health_note (health, TRY_TIMED_OUT, 1, now_us);
+  return ejected;
+}
+
+/* Guards against an upstream that fails on and on being sent work, against
+   ejection after a few failures among answers, and against events reported
+   twice.  */
+START_TEST (failures_in_a_row_eject)
+{
+  static const try_result_t bad[]
+      = { TRY_FAILED,    TRY_REFUSED, TRY_CONNECT_FAILED,
+          TRY_TIMED_OUT, TRY_CUT,     TRY_BAD_ANSWER };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      health_t health = { 0 };
+
+      note_failures (&health, EJECT_FAILURES - 1, 1);
+      health_note (&health, TRY_ANSWERED, 1, 1);
+      health_note (&health, TRY_CANCELLED, 1, 1);
+      ck_assert (!note_failures (&health, EJECT_FAILURES - 1, 1));
+      ck_assert_int_eq (health_judge (&health, 1), HEALTH_OK);
+      ck_assert (health_note (&health, bad[i], 1, 1));
+      ck_assert_int_eq (health_judge (&health, EJECT_MIN_US), HEALTH_EJECTED);
+      ck_assert (!note_failures (&health, 20, EJECT_MIN_US));
+      ck_assert_int_eq (health_judge (&health, 1 + EJECT_MIN_US),
+                        HEALTH_PROBE);
+    }
+}
+END_TEST
+
+/* Guards against more than one probe at a time, ejections that don't grow or
+   grow without end, and an upstream that recovered being left out.  */
+START_TEST (probes_decide_on_return)
+{
+  health_t health = { 0 };
+  int64_t now_us = 1;
+  int64_t length_us = EJECT_MIN_US;
+
+  note_failures (&health, EJECT_FAILURES, now_us);
+  for (uint32_t i = 0; i < 10; i++)
+    {
+      ck_assert_int_eq (health_judge (&health, now_us + length_us - 1),
+                        HEALTH_EJECTED);
+      now_us += length_us;
+      ck_assert_int_eq (health_judge (&health, now_us), HEALTH_PROBE);
+      ck_assert (health_begin_probe (&health));
+      ck_assert (!health_begin_probe (&health));
+      ck_assert_int_eq (health_judge (&health, now_us), HEALTH_EJECTED);
+      ck_assert (note_failures (&health, 1, now_us));
+      length_us = MIN (2 * length_us, EJECT_MAX_US);
+    }
+  now_us += length_us;
+  ck_assert (health_begin_probe (&health));
+  health_note (&health, TRY_CANCELLED, 1, now_us);
+  ck_assert_int_eq (health_judge (&health, now_us), HEALTH_PROBE);
+  ck_assert (health_begin_probe (&health));
+  ck_assert (health_note (&health, TRY_ANSWERED, 1, now_us));
+  ck_assert_int_eq (health_judge (&health, now_us), HEALTH_OK);
+}
+END_TEST
+
+/* Guards against an answer to a request from before the ejection ending it,
+   and against work for an upstream that leaves.  */
+START_TEST (early_answers_and_leaving)
+{
+  health_t health = { 0 };
+
+  note_failures (&health, EJECT_FAILURES, 1);
+  ck_assert (!health_note (&health, TRY_ANSWERED, 1, 2));
+  ck_assert_int_eq (health_judge (&health, 2), HEALTH_EJECTED);
+  health_set_leaving (&health, true);
+  ck_assert_int_eq (health_judge (&health, 2 * EJECT_MIN_US), HEALTH_LEAVING);
+  health_set_leaving (&health, false);
+  ck_assert_int_eq (health_judge (&health, 2 * EJECT_MIN_US), HEALTH_PROBE);
+}
+END_TEST
+
+int
+main (void)
+{
+  const TTest *const tests[]
+      = { failures_in_a_row_eject, probes_decide_on_return,
+          early_answers_and_leaving, NULL };
+
+  return run_suite ("health", tests);
+}
