--- a/base/base.h
+++ b/base/base.h
@@ -18,10 +18,10 @@
 #define CUMINPIN_BASE_H
 
 #include <glib.h>
+#include <inttypes.h>
 #include <stdatomic.h>
 #include <stdbool.h>
 #include <stddef.h>
-#include <stdint.h>
 #include <urcu/wfcqueue.h>
 
 /* What is known about a request that was not answered.  */
@@ -53,6 +53,7 @@
   ERR_NO_UPSTREAM,       /* no upstream can take it */
   ERR_UPSTREAM_REFUSED,  /* upstream refused before running it */
   ERR_CONNECT_FAILED,    /* no connection to an upstream */
+  ERR_UPSTREAM_FAILED,   /* upstream ran it and failed, a retry did not run */
   ERR_UPSTREAM_TIMEOUT,  /* deadline passed after sending */
   ERR_UPSTREAM_CUT,      /* connection lost after sending */
   ERR_ANSWER_MISMATCHED, /* answer carries another request's id */
--- a/base/err.c
+++ b/base/err.c
@@ -38,6 +38,8 @@
     "The upstream refused the request before running it." },
   { ERR_CONNECT_FAILED, 503, NOT_RUN, 1, "connect-failed",
     "No upstream accepted a connection." },
+  { ERR_UPSTREAM_FAILED, 502, UNKNOWN, 0, "upstream-failed",
+    "An upstream failed the request and no other one could run it." },
   { ERR_UPSTREAM_TIMEOUT, 504, UNKNOWN, 0, "upstream-timeout",
     "The deadline passed while the upstream had the request." },
   { ERR_UPSTREAM_CUT, 502, UNKNOWN, 0, "upstream-cut",
--- /dev/null
+++ b/daemon/admission.c
@@ -0,0 +1,177 @@
+#include "daemon.h"
+#include <string.h>
+
+/* When work that REQ starts has surely ended.  */
+static int64_t
+end_us (const req_t *req)
+{
+  return req->deadline_us + (int64_t)req->overrun_ms * 1000;
+}
+
+static bool
+take_permit (req_t *req, int64_t now_us)
+{
+  if (!req->team)
+    return true;
+  return escrow_take (req->team->permits, now_us, end_us (req), &req->permit);
+}
+
+static void
+give_permit (req_t *req)
+{
+  if (req->team)
+    escrow_give (req->team->permits, req->permit);
+  req->permit = (permit_t){ 0 };
+}
+
+static const char *
+queue_name (const req_t *req)
+{
+  return req->team ? req->team->name : "-";
+}
+
+static void
+lock_queue (service_live_t *service)
+{
+  if (pthread_mutex_trylock (&service->lock) == 0)
+    return;
+  counter_add (COUNT_QUEUE_CONTENDED, 1);
+  pthread_mutex_lock (&service->lock);
+}
+
+static admission_t
+refuse (req_t *req, err_kind_t error)
+{
+  req->error = error;
+  return ADMIT_REFUSED;
+}
+
+static admission_t
+enqueue (req_t *req, const view_service_t *service, int64_t now_us)
+{
+  service_live_t *live = service->live;
+  queue_team_t *team;
+  err_kind_t error;
+
+  lock_queue (live);
+  team = queue_team (live->queue, queue_name (req), req->share);
+  error = queue_put (live->queue, team, &req->queue_entry, now_us,
+                     req->deadline_us);
+  if (error == ERR_NONE)
+    {
+      req->stage = REQ_QUEUED;
+      atomic_fetch_add (&live->queued, 1);
+    }
+  pthread_mutex_unlock (&live->lock);
+  if (error != ERR_NONE)
+    return refuse (req, error);
+  counter_add (COUNT_QUEUED, 1);
+  return ADMIT_QUEUED;
+}
+
+admission_t
+admission_enter (req_t *req, const view_t *view, int64_t now_us)
+{
+  const view_service_t *service = view_service (view, req->service_name);
+  admission_t result;
+  err_kind_t error;
+
+  if (!service)
+    return refuse (req, ERR_NO_SERVICE);
+  if (now_us >= req->deadline_us)
+    return refuse (req, ERR_EXPIRED_QUEUED);
+  if (atomic_load (&service->live->queued) == 0 && take_permit (req, now_us))
+    {
+      error = routing_take (req, service, now_us, end_us (req));
+      if (error == ERR_NONE)
+        return ADMIT_RUN;
+      give_permit (req);
+      if (error != ERR_QUEUE_FULL)
+        return refuse (req, error);
+    }
+  result = enqueue (req, service, now_us);
+  /* What was given back between the try above and the queueing woke nobody,
+     so the request that comes last looks again.  */
+  if (result == ADMIT_QUEUED)
+    admission_pump (service, now_us);
+  return result;
+}
+
+typedef struct grant
+{
+  const view_service_t *service;
+  int64_t now_us;
+  err_kind_t error;
+} grant_t;
+
+/* Whether the entry at the head of a team's queue can run: takes its permit
+   and a slot.  */
+static bool
+may_run (void *ctx, queue_entry_t *entry)
+{
+  grant_t *grant = ctx;
+  req_t *req = caa_container_of (entry, req_t, queue_entry);
+
+  if (grant->error != ERR_NONE || !take_permit (req, grant->now_us))
+    return false;
+  grant->error
+      = routing_take (req, grant->service, grant->now_us, end_us (req));
+  if (grant->error == ERR_NONE)
+    return true;
+  give_permit (req);
+  /* Tried before by this request only: others may still find a slot.  */
+  if (req->tries > 0)
+    grant->error = ERR_NONE;
+  return false;
+}
+
+void
+admission_pump (const view_service_t *service, int64_t now_us)
+{
+  service_live_t *live = service->live;
+
+  while (atomic_load (&live->queued) > 0)
+    {
+      grant_t grant = { service, now_us, ERR_NONE };
+      queue_entry_t *entry;
+      req_t *req;
+
+      lock_queue (live);
+      entry = queue_take (live->queue, now_us, may_run, &grant);
+      if (entry)
+        {
+          req = caa_container_of (entry, req_t, queue_entry);
+          req->stage = REQ_GRANTED;
+          atomic_fetch_sub (&live->queued, 1);
+        }
+      pthread_mutex_unlock (&live->lock);
+      if (!entry)
+        return;
+      loop_pass (req);
+    }
+}
+
+void
+admission_pump_all (const view_t *view, int64_t now_us)
+{
+  for (uint32_t i = 0; i < view->services_count; i++)
+    admission_pump (&view->services[i], now_us);
+}
+
+bool
+admission_leave (req_t *req)
+{
+  service_live_t *live = req->service;
+  bool queued;
+
+  lock_queue (live);
+  queued = req->stage == REQ_QUEUED;
+  if (queued)
+    {
+      queue_remove (live->queue, &req->queue_entry);
+      req->stage = REQ_ANSWERED;
+      atomic_fetch_sub (&live->queued, 1);
+    }
+  pthread_mutex_unlock (&live->lock);
+  return queued;
+}
--- /dev/null
+++ b/daemon/answer.c
@@ -0,0 +1,81 @@
+#include "daemon.h"
+#include <jansson.h>
+#include <string.h>
+
+static void
+free_body (void *cls)
+{
+  g_byte_array_unref (cls);
+}
+
+/* The answer of the upstream, whole.  */
+static struct MHD_Response *
+pass_on (req_t *req)
+{
+  GByteArray *body = g_steal_pointer (&req->reply.body);
+  struct MHD_Response *response;
+
+  if (body)
+    response = MHD_create_response_from_buffer_with_free_callback_cls (
+        body->len, body->data, free_body, body);
+  else
+    response = MHD_create_response_from_buffer (0, "", MHD_RESPMEM_PERSISTENT);
+  if (!response)
+    return NULL;
+  for (struct curl_slist *header = req->reply.headers; header;
+       header = header->next)
+    {
+      char *colon = strchr (header->data, ':');
+
+      *colon = '\0';
+      MHD_add_response_header (response, header->data,
+                               colon + 1 + strspn (colon + 1, " \t"));
+    }
+  return response;
+}
+
+static struct MHD_Response *
+refusal (const req_t *req, const err_answer_t *answer)
+{
+  json_t *object = json_pack ("{s:s, s:s, s:s, s:s}", "error", answer->name,
+                              "outcome", outcome_name (answer->outcome),
+                              "text", answer->text, "request_id", req->id);
+  char *text = json_dumps (object, JSON_COMPACT);
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      strlen (text), text, MHD_RESPMEM_MUST_FREE);
+  char seconds[16];
+
+  json_decref (object);
+  if (!response)
+    return NULL;
+  MHD_add_response_header (response, "Content-Type", "application/json");
+  MHD_add_response_header (response, "X-Outcome",
+                           outcome_name (answer->outcome));
+  MHD_add_response_header (response, "X-Error", answer->name);
+  MHD_add_response_header (response, "X-Request-Id", req->id);
+  if (answer->retry_after_s)
+    {
+      g_snprintf (seconds, sizeof seconds, "%u", answer->retry_after_s);
+      MHD_add_response_header (response, "Retry-After", seconds);
+    }
+  return response;
+}
+
+enum MHD_Result
+answer_queue (req_t *req, struct MHD_Connection *conn, bool closing)
+{
+  const err_answer_t *answer = err_answer (req->error);
+  bool whole = req->error == ERR_NONE;
+  struct MHD_Response *response
+      = whole ? pass_on (req) : refusal (req, answer);
+  enum MHD_Result result;
+
+  if (!response)
+    return MHD_NO;
+  if (closing)
+    MHD_add_response_header (response, "Connection", "close");
+  result = MHD_queue_response (
+      conn, whole ? req->reply.status : answer->status, response);
+  MHD_destroy_response (response);
+  return result;
+}
--- /dev/null
+++ b/daemon/flow.c
@@ -0,0 +1,357 @@
+#include "loop.h"
+#include <string.h>
+
+/* A request that an upstream may have run is never refused as not run,
+   whatever became of its later tries.  */
+static void
+keep_outcome (req_t *req)
+{
+  if (!err_is_not_run (req->error) || req->past_error == ERR_NONE)
+    return;
+  req->error = req->past_error;
+}
+
+static void
+finish (req_t *req)
+{
+  req->stage = REQ_ANSWERED;
+  keep_outcome (req);
+  if (req->timer)
+    {
+      timers_remove (req->timer);
+      req->timer = NULL;
+    }
+  if (!req->client_gone && req->error != ERR_NONE)
+    counter_add (err_is_not_run (req->error) ? COUNT_REFUSED_NOT_RUN
+                                             : COUNT_REFUSED_UNKNOWN,
+                 1);
+  else if (!req->client_gone)
+    counter_add (COUNT_ANSWERED, 1);
+  if (!req->suspended)
+    return;
+  req->suspended = false;
+  MHD_resume_connection (req->conn);
+}
+
+static void
+refuse (req_t *req, err_kind_t error)
+{
+  req->error = error;
+  finish (req);
+}
+
+static int64_t
+end_us (const req_t *req)
+{
+  return req->deadline_us + (int64_t)req->overrun_ms * 1000;
+}
+
+static void
+give_back (team_live_t *team, permit_t permit, upstream_live_t *upstream,
+           permit_t slot)
+{
+  if (team && permit.source)
+    escrow_give (team->permits, permit);
+  if (upstream && slot.source)
+    escrow_give (upstream->slots, slot);
+}
+
+/* A slot or a permit is free again: a team's permits serve all services.  */
+static void
+pump (int64_t now_us)
+{
+  const view_t *view;
+
+  rcu_read_lock ();
+  view = view_get ();
+  if (view)
+    admission_pump_all (view, now_us);
+  rcu_read_unlock ();
+}
+
+static void
+release (req_t *req, int64_t now_us)
+{
+  give_back (req->team, req->permit, req->upstream, req->slot);
+  req->permit = (permit_t){ 0 };
+  req->slot = (permit_t){ 0 };
+  pump (now_us);
+}
+
+/* The upstream may still be running this try, so its permit and slot stay
+   taken until it has surely ended.  */
+static void
+hold (loop_t *loop, req_t *req)
+{
+  timer_entry_t entry = {
+    .kind = TIMER_HOLD,
+    .at_us = end_us (req),
+    .u.hold = { .team = req->team,
+                .upstream = req->upstream,
+                .service = req->service,
+                .permit = req->permit,
+                .slot = req->slot },
+  };
+
+  timers_add (loop, &entry);
+  req->permit = (permit_t){ 0 };
+  req->slot = (permit_t){ 0 };
+}
+
+static void
+start_timer (loop_t *loop, req_t *req, timer_kind_t kind, int64_t at_us)
+{
+  timer_entry_t entry = { .kind = kind, .at_us = at_us, .u.req = req };
+
+  req->timer = timers_add (loop, &entry);
+}
+
+static void
+stop_timer (req_t *req)
+{
+  if (!req->timer)
+    return;
+  timers_remove (req->timer);
+  req->timer = NULL;
+}
+
+static void
+admit (loop_t *loop, req_t *req, int64_t now_us)
+{
+  const view_t *view;
+  admission_t result = ADMIT_REFUSED;
+
+  req->error = ERR_NO_SERVICE;
+  /* Before the request is in the queue, from which any loop may take it.  */
+  start_timer (loop, req, TIMER_QUEUED, req->deadline_us);
+  rcu_read_lock ();
+  view = view_get ();
+  if (view)
+    result = admission_enter (req, view, now_us);
+  rcu_read_unlock ();
+  switch (result)
+    {
+    case ADMIT_RUN:
+      stop_timer (req);
+      send_start (loop, req, now_us);
+      return;
+    case ADMIT_QUEUED:
+      loop->queued++;
+      return;
+    case ADMIT_REFUSED:
+      finish (req);
+      return;
+    }
+}
+
+/* A non-idempotent request needs the claim of its id's owner.  */
+static err_kind_t
+claim (loop_t *loop, const req_t *req, const view_t *view)
+{
+  loop_config_t *config = loop->config;
+  err_kind_t error;
+  uint32_t owner;
+
+  if (req->idempotent)
+    return ERR_NONE;
+  if (view->entry_hosts_count == 0)
+    return ERR_ID_OWNER_AWAY;
+  owner
+      = once_owner (&req->once_id, view->entry_hosts, view->entry_hosts_count);
+  if (strcmp (view->entry_hosts[owner], config->name) != 0)
+    return ERR_ID_OWNER_AWAY;
+  pthread_mutex_lock (&config->once_lock);
+  error = once_claim (config->once, &req->once_id, clock_wall_ms ());
+  pthread_mutex_unlock (&config->once_lock);
+  counter_add (error == ERR_NONE ? COUNT_CLAIMS_GRANTED : COUNT_CLAIMS_REFUSED,
+               1);
+  return error;
+}
+
+void
+flow_enter (loop_t *loop, req_t *req, int64_t now_us)
+{
+  const view_t *view;
+  err_kind_t error;
+
+  rcu_read_lock ();
+  view = view_get ();
+  error = authenticate (req, view, currency_judge, now_us);
+  if (error == ERR_NONE)
+    error = claim (loop, req, view);
+  rcu_read_unlock ();
+  if (error != ERR_NONE)
+    {
+      if (error == ERR_KEY_REJECTED)
+        counter_add (COUNT_KEY_REJECTED, 1);
+      refuse (req, error);
+      return;
+    }
+  retry_earn (&req->service->retries);
+  admit (loop, req, now_us);
+}
+
+void
+flow_granted (loop_t *loop, req_t *req, int64_t now_us)
+{
+  loop->queued--;
+  stop_timer (req);
+  if (req->client_gone || now_us >= req->deadline_us)
+    {
+      release (req, now_us);
+      refuse (req, ERR_EXPIRED_QUEUED);
+      return;
+    }
+  send_start (loop, req, now_us);
+}
+
+static bool
+outcome_is_unknown (try_result_t result)
+{
+  switch (result)
+    {
+    case TRY_ANSWERED:
+    case TRY_FAILED:
+    case TRY_REFUSED:
+    case TRY_CONNECT_FAILED:
+      return false;
+    case TRY_TIMED_OUT:
+    case TRY_CUT:
+    case TRY_BAD_ANSWER:
+    case TRY_CANCELLED:
+      return true;
+    }
+  return true;
+}
+
+static void
+note_health (req_t *req, try_result_t result, int64_t now_us)
+{
+  health_t *health = &req->upstream->health;
+  bool was_ejected = health_judge (health, now_us) != HEALTH_OK;
+
+  if (req->reply.leaving)
+    {
+      health_set_leaving (health, true);
+      event_log (EV_UPSTREAM_LEAVING, "upstream=%s", req->upstream->name);
+    }
+  if (!health_note (health, result, now_us - req->sent_us, now_us))
+    return;
+  if (was_ejected)
+    {
+      event_log (EV_UPSTREAM_RETURNED, "upstream=%s", req->upstream->name);
+      return;
+    }
+  counter_add (COUNT_UPSTREAM_EJECTED, 1);
+  event_log (EV_UPSTREAM_EJECTED, "upstream=%s result=%s", req->upstream->name,
+             err_answer (try_error (result))->name);
+}
+
+static void
+count_bad_answer (const req_t *req)
+{
+  if (req->error == ERR_ANSWER_MISMATCHED)
+    counter_add (COUNT_ANSWER_MISMATCHED, 1);
+  else
+    counter_add (COUNT_ANSWER_TRUNCATED, 1);
+  event_log (EV_ANSWER_DROPPED, "upstream=%s request=%s reason=%s",
+             req->upstream->name, req->id, err_answer (req->error)->name);
+}
+
+void
+flow_sent (loop_t *loop, req_t *req, CURLcode code, int64_t now_us)
+{
+  try_result_t result = send_result (req, code);
+  retry_case_t retry = {
+    .result = result,
+    .idempotent = req->idempotent,
+    .tries = req->tries,
+    .deadline_us = req->deadline_us,
+  };
+  int64_t delay_us;
+
+  send_cancel (loop, req);
+  note_health (req, result, now_us);
+  if (result == TRY_BAD_ANSWER)
+    count_bad_answer (req);
+  if (result == TRY_FAILED)
+    req->past_error = ERR_UPSTREAM_FAILED;
+  else if (outcome_is_unknown (result))
+    req->past_error = req->error;
+  if (outcome_is_unknown (result) && !req->cancel_on_close)
+    hold (loop, req);
+  else
+    release (req, now_us);
+  if (result == TRY_ANSWERED
+      || !retry_judge (&req->service->retries, &retry, now_us, g_random_int (),
+                       &delay_us))
+    {
+      finish (req);
+      return;
+    }
+  counter_add (COUNT_RETRIES, 1);
+  req->stage = REQ_BACKOFF;
+  start_timer (loop, req, TIMER_BACKOFF, now_us + delay_us);
+}
+
+void
+flow_timer (loop_t *loop, const timer_entry_t *entry, int64_t now_us)
+{
+  req_t *req;
+
+  switch (entry->kind)
+    {
+    case TIMER_HOLD:
+      give_back (entry->u.hold.team, entry->u.hold.permit,
+                 entry->u.hold.upstream, entry->u.hold.slot);
+      pump (now_us);
+      return;
+    case TIMER_QUEUED:
+      req = entry->u.req;
+      req->timer = NULL;
+      if (!admission_leave (req))
+        return; /* granted: it is on its way through the pipe */
+      loop->queued--;
+      refuse (req, ERR_EXPIRED_QUEUED);
+      return;
+    case TIMER_BACKOFF:
+      req = entry->u.req;
+      req->timer = NULL;
+      admit (loop, req, now_us);
+      return;
+    }
+}
+
+void
+flow_client_gone (loop_t *loop, req_t *req, int64_t now_us)
+{
+  if (req->client_gone || req->stage == REQ_ANSWERED)
+    return;
+  req->client_gone = true;
+  counter_add (COUNT_CLIENT_GONE, 1);
+  req->error = ERR_EXPIRED_QUEUED;
+  switch (req->stage)
+    {
+    case REQ_READING:
+    case REQ_ANSWERED:
+    case REQ_GRANTED:
+      return;
+    case REQ_QUEUED:
+      if (!admission_leave (req))
+        return;
+      loop->queued--;
+      break;
+    case REQ_BACKOFF:
+      break;
+    case REQ_SENT:
+      send_cancel (loop, req);
+      health_note (&req->upstream->health, TRY_CANCELLED,
+                   now_us - req->sent_us, now_us);
+      if (req->cancel_on_close)
+        release (req, now_us);
+      else
+        hold (loop, req);
+      break;
+    }
+  finish (req);
+}
--- /dev/null
+++ b/daemon/live.c
@@ -0,0 +1,72 @@
+#include "daemon.h"
+
+/* Live objects are looked up when a view is built, never on the path of a
+   request, so one lock serves all.  They are not freed: their number is
+   bounded by the names in the inventory.  */
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static GHashTable *teams;
+static GHashTable *upstreams;
+static GHashTable *services;
+
+static GHashTable *
+names_of (GHashTable **table)
+{
+  if (!*table)
+    *table = g_hash_table_new (g_str_hash, g_str_equal);
+  return *table;
+}
+
+team_live_t *
+live_team (const char *name)
+{
+  team_live_t *team;
+
+  pthread_mutex_lock (&lock);
+  team = g_hash_table_lookup (names_of (&teams), name);
+  if (!team)
+    {
+      team = g_new0 (team_live_t, 1);
+      team->name = g_intern_string (name);
+      team->permits = escrow_new ();
+      g_hash_table_insert (teams, (gpointer)team->name, team);
+    }
+  pthread_mutex_unlock (&lock);
+  return team;
+}
+
+upstream_live_t *
+live_upstream (const char *name)
+{
+  upstream_live_t *upstream;
+
+  pthread_mutex_lock (&lock);
+  upstream = g_hash_table_lookup (names_of (&upstreams), name);
+  if (!upstream)
+    {
+      upstream = g_new0 (upstream_live_t, 1);
+      upstream->name = g_intern_string (name);
+      upstream->slots = escrow_new ();
+      g_hash_table_insert (upstreams, (gpointer)upstream->name, upstream);
+    }
+  pthread_mutex_unlock (&lock);
+  return upstream;
+}
+
+service_live_t *
+live_service (const char *name)
+{
+  service_live_t *service;
+
+  pthread_mutex_lock (&lock);
+  service = g_hash_table_lookup (names_of (&services), name);
+  if (!service)
+    {
+      service = g_new0 (service_live_t, 1);
+      service->name = g_intern_string (name);
+      pthread_mutex_init (&service->lock, NULL);
+      service->queue = queue_new (1);
+      g_hash_table_insert (services, (gpointer)service->name, service);
+    }
+  pthread_mutex_unlock (&lock);
+  return service;
+}
--- /dev/null
+++ b/daemon/loop.c
@@ -0,0 +1,472 @@
+#include "loop.h"
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define EVENTS_AT_ONCE 128
+#define PIPE_ENTRIES 65536
+/* How often a loop with queued requests looks for slots that came free by
+   time alone: an ejection or a loan that ended.  */
+#define QUEUE_CHECK_MS 50
+#define IDLE_CONNECTION_S 65
+#define STOP_CHECK_MS 20
+
+static void
+on_connection (void *cls, struct MHD_Connection *connection, void **ctx,
+               enum MHD_ConnectionNotificationCode code)
+{
+  loop_t *loop = cls;
+  const union MHD_ConnectionInfo *info;
+  struct epoll_event event = { .events = EPOLLRDHUP | EPOLLET };
+  conn_t *conn;
+
+  if (code == MHD_CONNECTION_NOTIFY_CLOSED)
+    {
+      atomic_fetch_sub (&loop->connections, 1);
+      g_slice_free (conn_t, *ctx);
+      return;
+    }
+  atomic_fetch_add (&loop->connections, 1);
+  conn = g_slice_new0 (conn_t);
+  info = MHD_get_connection_info (connection,
+                                  MHD_CONNECTION_INFO_CONNECTION_FD);
+  conn->source.kind = SOURCE_CLIENT;
+  conn->source.fd = info->connect_fd;
+  conn->source.u.conn = conn;
+  event.data.ptr = &conn->source;
+  /* The server does not look at a suspended connection; this tells when its
+     client goes away meanwhile.  */
+  epoll_ctl (loop->epoll_fd, EPOLL_CTL_ADD, conn->source.fd, &event);
+  *ctx = conn;
+}
+
+static void *
+on_uri (void *cls, const char *uri, struct MHD_Connection *conn)
+{
+  (void)conn;
+  return parse_begin (cls, uri);
+}
+
+static conn_t *
+conn_of (struct MHD_Connection *connection)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+  return info->socket_context;
+}
+
+static void
+on_completed (void *cls, struct MHD_Connection *connection, void **ctx,
+              enum MHD_RequestTerminationCode code)
+{
+  loop_t *loop = cls;
+  req_t *req = *ctx;
+
+  (void)code;
+  if (!req)
+    return;
+  if (req->stage != REQ_READING && req->stage != REQ_ANSWERED)
+    flow_client_gone (loop, req, clock_mono_us ());
+  conn_of (connection)->req = NULL;
+  if (req->conn)
+    atomic_fetch_sub (&loop->in_flight, 1);
+  parse_free (req);
+  *ctx = NULL;
+}
+
+static enum MHD_Result
+answer_now (loop_t *loop, req_t *req, struct MHD_Connection *connection)
+{
+  return answer_queue (req, connection, atomic_load (&loop->config->stopping));
+}
+
+static enum MHD_Result
+begin_request (loop_t *loop, req_t *req, struct MHD_Connection *connection,
+               const char *method)
+{
+  uint32_t body_max_kib = loop->config->settings->body_max_kib;
+  err_kind_t error;
+
+  counter_add (COUNT_REQUESTS, 1);
+  atomic_fetch_add (&loop->in_flight, 1);
+  loop->last_request_us = clock_mono_us ();
+  conn_of (connection)->req = req;
+  error = parse_headers (req, connection, method, body_max_kib,
+                         loop->last_request_us);
+  if (error == ERR_NONE)
+    return MHD_YES;
+  req->error = error;
+  req->stage = REQ_ANSWERED;
+  counter_add (COUNT_REFUSED_NOT_RUN, 1);
+  /* A body that is too large is not read, so the connection can't go on.  */
+  if (error == ERR_BODY_TOO_LARGE)
+    return answer_queue (req, connection, true);
+  return MHD_YES;
+}
+
+static enum MHD_Result
+on_access (void *cls, struct MHD_Connection *connection, const char *url,
+           const char *method, const char *version, const char *data,
+           size_t *len, void **ctx)
+{
+  loop_t *loop = cls;
+  req_t *req = *ctx;
+  err_kind_t error;
+
+  (void)url;
+  (void)version;
+  if (!req->conn)
+    return begin_request (loop, req, connection, method);
+  if (*len > 0)
+    {
+      error = req->stage == REQ_READING ? parse_body (
+                  req, data, *len, loop->config->settings->body_max_kib)
+                                        : ERR_NONE;
+      *len = 0;
+      if (error == ERR_NONE)
+        return MHD_YES;
+      req->error = error;
+      req->stage = REQ_ANSWERED;
+      counter_add (COUNT_REFUSED_NOT_RUN, 1);
+      return MHD_YES;
+    }
+  if (req->stage == REQ_READING)
+    flow_enter (loop, req, clock_mono_us ());
+  if (req->stage == REQ_ANSWERED)
+    return answer_now (loop, req, connection);
+  req->suspended = true;
+  MHD_suspend_connection (connection);
+  return MHD_YES;
+}
+
+static int
+on_curl_socket (CURL *easy, curl_socket_t fd, int what, void *cls,
+                void *socket_ctx)
+{
+  loop_t *loop = cls;
+  source_t *source = socket_ctx;
+  struct epoll_event event = { 0 };
+
+  (void)easy;
+  if (what == CURL_POLL_REMOVE)
+    {
+      epoll_ctl (loop->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
+      g_free (source);
+      curl_multi_assign (loop->multi, fd, NULL);
+      return 0;
+    }
+  if (what & CURL_POLL_IN)
+    event.events |= EPOLLIN;
+  if (what & CURL_POLL_OUT)
+    event.events |= EPOLLOUT;
+  if (source)
+    {
+      event.data.ptr = source;
+      epoll_ctl (loop->epoll_fd, EPOLL_CTL_MOD, fd, &event);
+      return 0;
+    }
+  source = g_new0 (source_t, 1);
+  source->kind = SOURCE_UPSTREAM;
+  source->fd = fd;
+  event.data.ptr = source;
+  epoll_ctl (loop->epoll_fd, EPOLL_CTL_ADD, fd, &event);
+  curl_multi_assign (loop->multi, fd, source);
+  return 0;
+}
+
+static int
+on_curl_timer (CURLM *multi, long timeout_ms, void *cls)
+{
+  loop_t *loop = cls;
+
+  (void)multi;
+  loop->curl_due_us = timeout_ms < 0
+                          ? INT64_MAX
+                          : clock_mono_us () + (int64_t)timeout_ms * 1000;
+  return 0;
+}
+
+static void
+take_finished (loop_t *loop, int64_t now_us)
+{
+  CURLMsg *message;
+  int left;
+
+  while ((message = curl_multi_info_read (loop->multi, &left)))
+    {
+      char *private = NULL;
+
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &private);
+      flow_sent (loop, (req_t *)(void *)private, message->data.result, now_us);
+    }
+}
+
+static void
+run_curl (loop_t *loop, curl_socket_t fd, int events, int64_t now_us)
+{
+  int running;
+
+  curl_multi_socket_action (loop->multi, fd, events, &running);
+  take_finished (loop, now_us);
+}
+
+static void
+run_pipe (loop_t *loop, int64_t now_us)
+{
+  pipe_node_t *node;
+
+  pipe_rest (&loop->pipe);
+  while ((node = pipe_get (&loop->pipe)))
+    flow_granted (loop, caa_container_of (node, req_t, pipe_node), now_us);
+}
+
+static void
+run_source (loop_t *loop, const struct epoll_event *event, int64_t now_us)
+{
+  source_t *source = event->data.ptr;
+  int events = 0;
+
+  switch (source->kind)
+    {
+    case SOURCE_SERVER:
+      return; /* it is run on each turn */
+    case SOURCE_PIPE:
+      run_pipe (loop, now_us);
+      return;
+    case SOURCE_UPSTREAM:
+      if (event->events & EPOLLIN)
+        events |= CURL_CSELECT_IN;
+      if (event->events & EPOLLOUT)
+        events |= CURL_CSELECT_OUT;
+      if (event->events & (EPOLLERR | EPOLLHUP))
+        events |= CURL_CSELECT_ERR;
+      run_curl (loop, source->fd, events, now_us);
+      return;
+    case SOURCE_CLIENT:
+      if (source->u.conn->req)
+        flow_client_gone (loop, source->u.conn->req, now_us);
+      return;
+    }
+}
+
+static int
+wait_ms (loop_t *loop, int64_t now_us)
+{
+  int64_t due_us = MIN (timers_next_us (loop), loop->curl_due_us);
+  MHD_UNSIGNED_LONG_LONG server_ms;
+  int64_t wait = 60000;
+
+  if (due_us != INT64_MAX)
+    wait = MAX (0, (due_us - now_us + 999) / 1000);
+  if (loop->queued)
+    wait = MIN (wait, QUEUE_CHECK_MS);
+  if (atomic_load (&loop->stop_begun))
+    wait = MIN (wait, STOP_CHECK_MS);
+  if (MHD_get_timeout (loop->server, &server_ms) == MHD_YES)
+    wait = MIN (wait, (int64_t)server_ms);
+  return (int)wait;
+}
+
+static void
+stop_accepting (loop_t *loop)
+{
+  MHD_socket fd = MHD_quiesce_daemon (loop->server);
+
+  loop->accepting = false;
+  if (fd != MHD_INVALID_SOCKET)
+    close (fd);
+}
+
+/* Whether a stopping loop has nothing left to do: all requests are answered
+   and, for the drain time, idle connections have brought no new one.  */
+static bool
+is_drained (loop_t *loop, int64_t now_us)
+{
+  int64_t drain_us = (int64_t)loop->config->settings->drain_ms * 1000;
+
+  if (atomic_load (&loop->in_flight) > 0)
+    return false;
+  return atomic_load (&loop->connections) == 0
+         || now_us - loop->last_request_us > drain_us;
+}
+
+static bool
+should_end (loop_t *loop, int64_t now_us, int64_t *stop_us)
+{
+  const settings_t *settings = loop->config->settings;
+
+  if (!atomic_load (&loop->stop_begun))
+    return false;
+  if (*stop_us == 0)
+    {
+      *stop_us = now_us;
+      loop->last_request_us = now_us;
+    }
+  if (loop->accepting
+      && now_us - *stop_us >= (int64_t)settings->drain_ms * 1000)
+    stop_accepting (loop);
+  if (!loop->accepting && is_drained (loop, now_us))
+    return true;
+  if (now_us - *stop_us < (int64_t)settings->stop_ms * 1000)
+    return false;
+  event_log (EV_STOP_FORCED, "in_flight=%u",
+             (unsigned)atomic_load (&loop->in_flight));
+  return true;
+}
+
+static void
+run_timers (loop_t *loop, int64_t now_us)
+{
+  timer_entry_t entry;
+  const view_t *view;
+
+  while (timers_due (loop, now_us, &entry))
+    flow_timer (loop, &entry, now_us);
+  if (loop->curl_due_us <= now_us)
+    {
+      loop->curl_due_us = INT64_MAX;
+      run_curl (loop, CURL_SOCKET_TIMEOUT, 0, now_us);
+    }
+  if (!loop->queued)
+    return;
+  rcu_read_lock ();
+  view = view_get ();
+  if (view)
+    admission_pump_all (view, now_us);
+  rcu_read_unlock ();
+}
+
+static void *
+run (void *arg)
+{
+  loop_t *loop = arg;
+  struct epoll_event events[EVENTS_AT_ONCE];
+  int64_t now_us = clock_mono_us ();
+  int64_t stop_us = 0;
+  int count;
+
+  rcu_register_thread ();
+  while (!should_end (loop, now_us, &stop_us))
+    {
+      count = epoll_wait (loop->epoll_fd, events, EVENTS_AT_ONCE,
+                          wait_ms (loop, now_us));
+      now_us = clock_mono_us ();
+      for (int i = 0; i < count; i++)
+        run_source (loop, &events[i], now_us);
+      run_timers (loop, now_us);
+      MHD_run (loop->server);
+      now_us = clock_mono_us ();
+    }
+  rcu_unregister_thread ();
+  return NULL;
+}
+
+static bool
+open_server (loop_t *loop)
+{
+  const settings_t *settings = loop->config->settings;
+  const union MHD_DaemonInfo *info;
+  struct epoll_event event = { .events = EPOLLIN };
+  uint32_t connections
+      = MAX (1, settings->connections_max / settings->threads);
+
+  loop->server = MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, 0, NULL,
+      NULL, on_access, loop, MHD_OPTION_LISTEN_SOCKET, loop->listen_fd,
+      MHD_OPTION_NOTIFY_CONNECTION, on_connection, loop,
+      MHD_OPTION_NOTIFY_COMPLETED, on_completed, loop,
+      MHD_OPTION_URI_LOG_CALLBACK, on_uri, loop, MHD_OPTION_CONNECTION_LIMIT,
+      connections, MHD_OPTION_CONNECTION_TIMEOUT, IDLE_CONNECTION_S,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)HEADER_BYTES_MAX,
+      MHD_OPTION_END);
+  if (!loop->server)
+    return false;
+  info = MHD_get_daemon_info (loop->server, MHD_DAEMON_INFO_EPOLL_FD);
+  loop->server_source = (source_t){ SOURCE_SERVER, info->epoll_fd, { NULL } };
+  event.data.ptr = &loop->server_source;
+  return epoll_ctl (loop->epoll_fd, EPOLL_CTL_ADD, info->epoll_fd, &event)
+         == 0;
+}
+
+static bool
+open_pipe (loop_t *loop)
+{
+  struct epoll_event event = { .events = EPOLLIN };
+
+  if (!pipe_open (&loop->pipe, PIPE_ENTRIES))
+    return false;
+  loop->pipe_source = (source_t){ SOURCE_PIPE, loop->pipe.event_fd, { NULL } };
+  event.data.ptr = &loop->pipe_source;
+  return epoll_ctl (loop->epoll_fd, EPOLL_CTL_ADD, loop->pipe.event_fd, &event)
+         == 0;
+}
+
+loop_t *
+loop_start (loop_config_t *config, int listen_fd)
+{
+  loop_t *loop = g_new0 (loop_t, 1);
+
+  loop->config = config;
+  loop->curl_due_us = INT64_MAX;
+  loop->accepting = true;
+  loop->timers = g_sequence_new (NULL);
+  loop->easy_free = g_ptr_array_new ();
+  loop->epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
+  loop->listen_fd = dup (listen_fd);
+  loop->multi = curl_multi_init ();
+  curl_multi_setopt (loop->multi, CURLMOPT_SOCKETFUNCTION, on_curl_socket);
+  curl_multi_setopt (loop->multi, CURLMOPT_SOCKETDATA, loop);
+  curl_multi_setopt (loop->multi, CURLMOPT_TIMERFUNCTION, on_curl_timer);
+  curl_multi_setopt (loop->multi, CURLMOPT_TIMERDATA, loop);
+  if (loop->epoll_fd < 0 || loop->listen_fd < 0 || !open_server (loop)
+      || !open_pipe (loop)
+      || pthread_create (&loop->thread, NULL, run, loop) != 0)
+    return NULL;
+  return loop;
+}
+
+void
+loop_stop_begin (loop_t *loop)
+{
+  atomic_store (&loop->stop_begun, true);
+  eventfd_write (loop->pipe.event_fd, 1);
+}
+
+static void
+free_easy (gpointer data, gpointer ctx)
+{
+  (void)ctx;
+  curl_easy_cleanup (data);
+}
+
+void
+loop_join (loop_t *loop)
+{
+  pthread_join (loop->thread, NULL);
+  MHD_stop_daemon (loop->server);
+  g_ptr_array_foreach (loop->easy_free, free_easy, NULL);
+  g_ptr_array_unref (loop->easy_free);
+  curl_multi_cleanup (loop->multi);
+  g_sequence_free (loop->timers);
+  pipe_close (&loop->pipe);
+  close (loop->epoll_fd);
+  g_free (loop);
+}
+
+uint32_t
+loop_in_flight (const loop_t *loop)
+{
+  return atomic_load (&loop->in_flight);
+}
+
+void
+loop_pass (req_t *req)
+{
+  /* The pipe holds more entries than a loop may have connections.  */
+  if (!pipe_put (&req->loop->pipe, &req->pipe_node))
+    abort ();
+}
--- /dev/null
+++ b/daemon/loop.h
@@ -0,0 +1,112 @@
+/* loop - what the stages of a request share with the event loop they run on
+
+   Private to the package.  */
+
+#ifndef CUMINPIN_LOOP_H
+#define CUMINPIN_LOOP_H
+
+#include "daemon.h"
+
+/* Who woke the loop; the tag of each descriptor in its epoll set.  */
+typedef enum source_kind
+{
+  SOURCE_SERVER,   /* the HTTP server's own epoll set */
+  SOURCE_PIPE,     /* granted requests */
+  SOURCE_UPSTREAM, /* a socket of libcurl */
+  SOURCE_CLIENT    /* a client's connection was closed */
+} source_kind_t;
+
+typedef struct source
+{
+  source_kind_t kind;
+  int fd;
+  union
+  {
+    struct conn *conn; /* CLIENT */
+  } u;
+} source_t;
+
+/* A client's connection and its request under way.  */
+typedef struct conn
+{
+  source_t source;
+  req_t *req;
+} conn_t;
+
+typedef enum timer_kind
+{
+  TIMER_QUEUED,  /* the deadline of a queued request */
+  TIMER_BACKOFF, /* the next try of a request */
+  TIMER_HOLD     /* permit and slot of a try whose outcome is unknown */
+} timer_kind_t;
+
+/* Permit and slot that stay taken until the upstream has surely ended.  */
+typedef struct hold
+{
+  team_live_t *team;
+  upstream_live_t *upstream;
+  service_live_t *service;
+  permit_t permit;
+  permit_t slot;
+} hold_t;
+
+typedef struct timer
+{
+  timer_kind_t kind;
+  int64_t at_us;
+  union
+  {
+    req_t *req;  /* QUEUED, BACKOFF */
+    hold_t hold; /* HOLD */
+  } u;
+} timer_entry_t;
+
+struct loop
+{
+  loop_config_t *config;
+  struct MHD_Daemon *server;
+  CURLM *multi;
+  pthread_t thread;
+  int epoll_fd;
+  int listen_fd;
+  source_t server_source;
+  source_t pipe_source;
+  pipe_t pipe;
+  GSequence *timers;    /* timer_entry_t, by time */
+  GPtrArray *easy_free; /* idle CURL handles */
+  int64_t curl_due_us;  /* INT64_MAX: none */
+  int64_t last_request_us;
+  uint32_t queued;       /* own requests in services' queues */
+  atomic_uint in_flight; /* requests not answered yet */
+  atomic_uint connections;
+  atomic_bool stop_begun;
+  bool accepting;
+};
+
+/* timers_add - at the entry's time, loop_run_timer is called with it.  */
+GSequenceIter *timers_add (loop_t *loop, const timer_entry_t *entry);
+void timers_remove (GSequenceIter *timer);
+
+/* timers_due - remove the first entry that is due and copy it to ENTRY.  */
+bool timers_due (loop_t *loop, int64_t now_us, timer_entry_t *entry);
+
+/* timers_next_us - when the first entry is due; INT64_MAX: none.  */
+int64_t timers_next_us (const loop_t *loop);
+
+/* flow_enter - a request whose header and body are here: authenticate it and
+   start it on its way.  */
+void flow_enter (loop_t *loop, req_t *req, int64_t now_us);
+
+/* flow_granted - a queued request got permit and slot.  */
+void flow_granted (loop_t *loop, req_t *req, int64_t now_us);
+
+/* flow_sent - the transfer of REQ ended with CODE.  */
+void flow_sent (loop_t *loop, req_t *req, CURLcode code, int64_t now_us);
+
+/* flow_timer - ENTRY is due.  */
+void flow_timer (loop_t *loop, const timer_entry_t *entry, int64_t now_us);
+
+/* flow_client_gone - the client of REQ has closed its connection.  */
+void flow_client_gone (loop_t *loop, req_t *req, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/daemon/main.c
@@ -0,0 +1,225 @@
+#include "daemon.h"
+#include <argtable2.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define LISTEN_BACKLOG 4096
+#define EXIT_USAGE 2
+
+typedef struct options
+{
+  char *settings;
+  bool check;
+  bool dev;
+  bool verbose;
+} options_t;
+
+typedef struct process
+{
+  settings_t *settings;
+  loop_config_t config;
+  devlog_t *devlog; /* --dev only */
+  int listen_fd;
+  uint16_t port;
+  loop_t **loops;
+  logreader_t *reader;
+  admin_t *admin;
+} process_t;
+
+static int
+open_listener (const settings_t *settings, uint16_t *port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t len = sizeof address;
+  int on = 1;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+  address.sin_port = htons (settings->port);
+  inet_pton (AF_INET, settings->address, &address.sin_addr);
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (fd >= 0 && bind (fd, (struct sockaddr *)&address, sizeof address) == 0
+      && listen (fd, LISTEN_BACKLOG) == 0
+      && getsockname (fd, (struct sockaddr *)&address, &len) == 0)
+    {
+      *port = ntohs (address.sin_port);
+      return fd;
+    }
+  if (fd >= 0)
+    close (fd);
+  return -1;
+}
+
+/* Returns EXIT_SUCCESS to go on, else the exit status.  */
+static int
+read_options (int argc, char **argv, options_t *options)
+{
+  struct arg_lit *help = arg_lit0 ("h", "help", "print this text");
+  struct arg_lit *check
+      = arg_lit0 (NULL, "check", "check the settings file and exit");
+  struct arg_lit *dev = arg_lit0 (
+      NULL, "dev", "embed a stand-in of the platform; nothing lasts");
+  struct arg_lit *verbose
+      = arg_lit0 ("v", "verbose", "write debug events too");
+  struct arg_file *settings
+      = arg_file1 (NULL, NULL, "SETTINGS", "the daemon's settings (YAML)");
+  struct arg_end *end = arg_end (8);
+  void *table[] = { help, check, dev, verbose, settings, end };
+  int errors = arg_parse (argc, argv, table);
+  bool usage = help->count > 0 || errors > 0;
+
+  if (errors > 0 && help->count == 0)
+    arg_print_errors (stderr, end, "cuminpind");
+  if (usage)
+    {
+      FILE *out = help->count > 0 ? stdout : stderr;
+
+      fprintf (out, "usage: cuminpind");
+      arg_print_syntax (out, table, "\n");
+      arg_print_glossary (out, table, "  %-16s %s\n");
+    }
+  options->check = check->count > 0;
+  options->dev = dev->count > 0;
+  options->verbose = verbose->count > 0;
+  options->settings
+      = settings->count > 0 ? strdup (settings->filename[0]) : NULL;
+  if (!usage)
+    {
+      arg_freetable (table, G_N_ELEMENTS (table));
+      return EXIT_SUCCESS;
+    }
+  exit (help->count > 0 ? EXIT_SUCCESS : EXIT_USAGE);
+}
+
+/* Tells whoever started this daemon which ports it listens on.  */
+static bool
+write_ready_file (const process_t *process)
+{
+  const char *path = process->settings->ready_file;
+  g_autofree char *text = NULL;
+  g_autofree char *platform = NULL;
+
+  if (process->devlog)
+    platform = g_strdup_printf ("platform_port %u\n",
+                                devlog_port (process->devlog));
+  text = g_strdup_printf ("port %u\nadmin_port %u\npeer_port %u\n%s",
+                          process->port, admin_port (process->admin),
+                          process->settings->peer_port,
+                          platform ? platform : "");
+  /* Replaces the file in one step, so that a reader sees it whole.  */
+  return !path || g_file_set_contents (path, text, -1, NULL);
+}
+
+static bool
+start (process_t *process, bool dev)
+{
+  const settings_t *settings = process->settings;
+  g_autofree char *platform = g_strdup (settings->platform);
+
+  if (dev)
+    {
+      process->devlog = devlog_start (settings->address, 0);
+      if (!process->devlog)
+        return false;
+      g_free (platform);
+      platform = g_strdup_printf ("http://%s:%u", settings->address,
+                                  devlog_port (process->devlog));
+    }
+  process->config.settings = settings;
+  process->config.name = settings->name;
+  process->config.once = once_new (clock_wall_ms ());
+  pthread_mutex_init (&process->config.once_lock, NULL);
+  process->listen_fd = open_listener (settings, &process->port);
+  if (process->listen_fd < 0)
+    return false;
+  process->reader = logreader_start (settings, platform,
+                                     (uint64_t)clock_wall_ms () * 1000);
+  process->admin = admin_start (settings, &process->config);
+  if (!process->reader || !process->admin)
+    return false;
+  process->loops = g_new0 (loop_t *, settings->threads);
+  for (uint32_t i = 0; i < settings->threads; i++)
+    {
+      process->loops[i] = loop_start (&process->config, process->listen_fd);
+      if (!process->loops[i])
+        return false;
+    }
+  return write_ready_file (process);
+}
+
+static void
+stop (process_t *process)
+{
+  const settings_t *settings = process->settings;
+
+  event_log (EV_STOPPING, "name=%s", settings->name);
+  atomic_store (&process->config.stopping, true);
+  for (uint32_t i = 0; i < settings->threads; i++)
+    loop_stop_begin (process->loops[i]);
+  for (uint32_t i = 0; i < settings->threads; i++)
+    loop_join (process->loops[i]);
+  close (process->listen_fd);
+  logreader_stop (process->reader);
+  admin_stop (process->admin);
+  if (process->devlog)
+    devlog_stop (process->devlog);
+  once_free (process->config.once);
+  g_free (process->loops);
+  event_log (EV_STOPPED, "name=%s", settings->name);
+}
+
+static void
+wait_for_signal (const sigset_t *signals)
+{
+  int signal;
+
+  sigwait (signals, &signal);
+}
+
+int
+main (int argc, char **argv)
+{
+  options_t options;
+  process_t process = { 0 };
+  g_autoptr (GError) error = NULL;
+  sigset_t signals;
+
+  read_options (argc, argv, &options);
+  process.settings = settings_read (options.settings, &error);
+  free (options.settings);
+  if (!process.settings)
+    {
+      event_log (EV_SETTINGS_REJECTED, "%s", error->message);
+      return EXIT_FAILURE;
+    }
+  if (options.check)
+    return EXIT_SUCCESS;
+  event_open (process.settings->name,
+              options.verbose ? LEVEL_DEBUG : LEVEL_INFO);
+  signal (SIGPIPE, SIG_IGN);
+  sigemptyset (&signals);
+  sigaddset (&signals, SIGTERM);
+  sigaddset (&signals, SIGINT);
+  pthread_sigmask (SIG_BLOCK, &signals, NULL);
+  if (sodium_init () < 0 || curl_global_init (CURL_GLOBAL_DEFAULT) != 0)
+    return EXIT_FAILURE;
+  if (!start (&process, options.dev))
+    {
+      event_log (EV_LISTEN_FAILED, "address=%s port=%u",
+                 process.settings->address, process.settings->port);
+      return EXIT_FAILURE;
+    }
+  event_log (EV_STARTED, "name=%s port=%u admin_port=%u",
+             process.settings->name, process.port, admin_port (process.admin));
+  wait_for_signal (&signals);
+  stop (&process);
+  settings_free (process.settings);
+  curl_global_cleanup ();
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/daemon/routing.c
@@ -0,0 +1,78 @@
+#include "daemon.h"
+
+#define CANDIDATES_MAX 256
+
+static bool
+was_tried (const req_t *req, const upstream_live_t *upstream)
+{
+  for (uint32_t i = 0; i < req->tries; i++)
+    if (req->tried[i] == upstream)
+      return true;
+  return false;
+}
+
+/* Fills CANDIDATES; the number of them.  *USABLE tells whether any could take
+   REQ once it has a slot free.  */
+static uint32_t
+list_candidates (const req_t *req, const view_service_t *service,
+                 int64_t now_us, candidate_t *candidates, bool *usable)
+{
+  uint32_t count = MIN (service->upstreams_count, CANDIDATES_MAX);
+
+  *usable = false;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const view_upstream_t *upstream = &service->upstreams[i];
+      int64_t left = escrow_free_count (upstream->live->slots);
+      candidate_t *candidate = &candidates[i];
+
+      candidate->in_use = escrow_in_use (upstream->live->slots);
+      candidate->slots
+          = left > 0 ? candidate->in_use + (uint32_t)left : candidate->in_use;
+      candidate->local = upstream->local;
+      candidate->tried = was_tried (req, upstream->live);
+      candidate->verdict = health_judge (&upstream->live->health, now_us);
+      if (!candidate->tried
+          && (candidate->verdict == HEALTH_OK
+              || candidate->verdict == HEALTH_PROBE)
+          && escrow_share (upstream->live->slots) > 0)
+        *usable = true;
+    }
+  return count;
+}
+
+err_kind_t
+routing_take (req_t *req, const view_service_t *service, int64_t now_us,
+              int64_t end_us)
+{
+  candidate_t candidates[CANDIDATES_MAX];
+  bool usable;
+  uint32_t count = list_candidates (req, service, now_us, candidates, &usable);
+
+  if (!usable)
+    return ERR_NO_UPSTREAM;
+  for (uint32_t attempt = 0; attempt < count; attempt++)
+    {
+      uint64_t random = ((uint64_t)g_random_int () << 32) | g_random_int ();
+      uint32_t index = choice_pick (candidates, count, random);
+      const view_upstream_t *upstream;
+
+      if (index == CHOICE_NONE)
+        return ERR_QUEUE_FULL;
+      upstream = &service->upstreams[index];
+      candidates[index].tried = true;
+      if (!escrow_take (upstream->live->slots, now_us, end_us, &req->slot))
+        continue;
+      if (candidates[index].verdict == HEALTH_PROBE
+          && !health_begin_probe (&upstream->live->health))
+        {
+          escrow_give (upstream->live->slots, req->slot);
+          continue;
+        }
+      req->upstream = upstream->live;
+      g_snprintf (req->base_url, sizeof req->base_url, "http://%s:%u",
+                  upstream->rule->address, upstream->rule->port);
+      return ERR_NONE;
+    }
+  return ERR_QUEUE_FULL;
+}
--- /dev/null
+++ b/daemon/send.c
@@ -0,0 +1,284 @@
+#include "loop.h"
+#include <string.h>
+
+#define CONNECT_TIMEOUT_MS 1000
+#define EASY_IDLE_MAX 256
+
+/* Not passed on to clients: headers of the upstream's hop, and those that the
+   HTTP server sets itself.  */
+static const char *const hop_headers[] = {
+  "Connection", "Content-Length",    "Date",
+  "Keep-Alive", "Proxy-Connection",  "TE",
+  "Trailer",    "Transfer-Encoding", "Upgrade",
+};
+
+void
+reply_clear (reply_t *reply)
+{
+  curl_slist_free_all (reply->headers);
+  if (reply->body)
+    g_byte_array_unref (reply->body);
+  memset (reply, 0, sizeof *reply);
+}
+
+static bool
+is_hop_header (const char *name, size_t len)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (hop_headers); i++)
+    if (strlen (hop_headers[i]) == len
+        && g_ascii_strncasecmp (hop_headers[i], name, len) == 0)
+      return true;
+  return false;
+}
+
+static bool
+header_is (const char *name, size_t len, const char *wanted)
+{
+  return strlen (wanted) == len
+         && g_ascii_strncasecmp (name, wanted, len) == 0;
+}
+
+static void
+note_header (reply_t *reply, const char *line, size_t name_len,
+             const char *value)
+{
+  if (header_is (line, name_len, "X-Request-Id"))
+    g_strlcpy (reply->id, value, sizeof reply->id);
+  else if (header_is (line, name_len, "X-Not-Run"))
+    reply->not_run = true;
+  else if (header_is (line, name_len, "X-Leaving"))
+    reply->leaving = true;
+  else if (header_is (line, name_len, "Content-Length")
+           || header_is (line, name_len, "Transfer-Encoding"))
+    reply->has_length = true;
+}
+
+static size_t
+take_header (char *data, size_t size, size_t count, void *ctx)
+{
+  reply_t *reply = ctx;
+  size_t len = size * count;
+  char line[HEADER_BYTES_MAX];
+  char *colon;
+  char *value;
+
+  if (len >= sizeof line)
+    return 0;
+  memcpy (line, data, len);
+  line[len] = '\0';
+  g_strchomp (line);
+  if (g_str_has_prefix (line, "HTTP/"))
+    {
+      /* The header of an interim answer (1xx) came before.  */
+      reply_clear (reply);
+      return len;
+    }
+  colon = strchr (line, ':');
+  if (!colon)
+    return len;
+  value = colon + 1;
+  value += strspn (value, " \t");
+  note_header (reply, line, (size_t)(colon - line), value);
+  if (!is_hop_header (line, (size_t)(colon - line)))
+    reply->headers = curl_slist_append (reply->headers, line);
+  return len;
+}
+
+static size_t
+take_body (char *data, size_t size, size_t count, void *ctx)
+{
+  reply_t *reply = ctx;
+  size_t len = size * count;
+
+  if (!reply->body)
+    reply->body = g_byte_array_sized_new ((guint)len);
+  if (reply->body->len + len > ANSWER_BYTES_MAX)
+    return 0;
+  g_byte_array_append (reply->body, (const uint8_t *)data, (guint)len);
+  return len;
+}
+
+static CURL *
+take_easy (loop_t *loop)
+{
+  CURL *easy;
+
+  if (loop->easy_free->len == 0)
+    return curl_easy_init ();
+  easy = g_ptr_array_index (loop->easy_free, loop->easy_free->len - 1);
+  g_ptr_array_set_size (loop->easy_free, (gint)loop->easy_free->len - 1);
+  return easy;
+}
+
+static void
+drop_easy (loop_t *loop, req_t *req)
+{
+  CURL *easy = g_steal_pointer (&req->easy);
+
+  curl_multi_remove_handle (loop->multi, easy);
+  if (loop->easy_free->len >= EASY_IDLE_MAX)
+    {
+      curl_easy_cleanup (easy);
+      return;
+    }
+  curl_easy_reset (easy);
+  g_ptr_array_add (loop->easy_free, easy);
+}
+
+static void
+set_method (CURL *easy, const req_t *req)
+{
+  if (strcmp (req->method, "HEAD") == 0)
+    {
+      curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
+      return;
+    }
+  if (req->body)
+    {
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDS, req->body->data);
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE, (long)req->body->len);
+    }
+  if (req->body || strcmp (req->method, "GET") != 0)
+    curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, req->method);
+}
+
+/* The headers that cuminpin sets stand first in req->headers from the first
+   try on; a later try replaces the remaining time only.  */
+static void
+set_headers (req_t *req, int64_t left_ms)
+{
+  struct curl_slist *own = NULL;
+  struct curl_slist *last;
+  char line[ID_BYTES + 32];
+
+  g_snprintf (line, sizeof line, "X-Deadline-Ms: %" PRId64, left_ms);
+  if (req->tries > 0)
+    {
+      own = req->headers;
+      free (own->data);
+      own->data = strdup (line);
+      return;
+    }
+  own = curl_slist_append (NULL, line);
+  g_snprintf (line, sizeof line, "X-Request-Id: %s", req->id);
+  curl_slist_append (own, line);
+  curl_slist_append (own, "Expect:");
+  if (req->team)
+    {
+      g_snprintf (line, sizeof line, "X-Team: %s", req->team->name);
+      curl_slist_append (own, line);
+    }
+  if (req->body && !req->headers)
+    curl_slist_append (own, "Content-Type:");
+  for (last = own; last->next; last = last->next)
+    ;
+  last->next = req->headers;
+  req->headers = own;
+}
+
+void
+send_start (loop_t *loop, req_t *req, int64_t now_us)
+{
+  int64_t left_ms = MAX (1, (req->deadline_us - now_us) / 1000);
+  g_autofree char *url = g_strconcat (
+      req->base_url, req->path[0] == '/' ? "" : "/", req->path, NULL);
+  CURL *easy = take_easy (loop);
+
+  req->easy = easy;
+  req->stage = REQ_SENT;
+  req->sent_us = now_us;
+  reply_clear (&req->reply);
+  set_headers (req, left_ms);
+  req->tried[req->tries++] = req->upstream;
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, req);
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, req->headers);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, take_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, &req->reply);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, take_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, &req->reply);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)left_ms);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
+                    (long)MIN (left_ms, CONNECT_TIMEOUT_MS));
+  set_method (easy, req);
+  /* libcurl sends a request again by itself when a reused connection turns
+     out to be dead, which could run a non-idempotent request twice.  */
+  if (!req->idempotent)
+    curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+  counter_add (COUNT_SENT, 1);
+  curl_multi_add_handle (loop->multi, easy);
+}
+
+void
+send_cancel (loop_t *loop, req_t *req)
+{
+  if (req->easy)
+    drop_easy (loop, req);
+}
+
+/* Whether the transfer ended before a byte of the request was sent.  */
+static bool
+nothing_sent (CURL *easy, CURLcode code)
+{
+  long sent = 0;
+
+  if (code == CURLE_COULDNT_CONNECT)
+    return true;
+  curl_easy_getinfo (easy, CURLINFO_REQUEST_SIZE, &sent);
+  return code == CURLE_OPERATION_TIMEDOUT && sent == 0;
+}
+
+static try_result_t
+check_reply (req_t *req)
+{
+  const reply_t *reply = &req->reply;
+  bool bodyless = reply->status == 204 || reply->status == 304
+                  || strcmp (req->method, "HEAD") == 0;
+
+  if (!req->skip_id_match && strcmp (reply->id, req->id) != 0)
+    {
+      req->error = ERR_ANSWER_MISMATCHED;
+      return TRY_BAD_ANSWER;
+    }
+  if (!reply->has_length && !bodyless)
+    {
+      req->error = ERR_ANSWER_TRUNCATED;
+      return TRY_BAD_ANSWER;
+    }
+  if (reply->status == 503 && reply->not_run)
+    {
+      req->error = ERR_UPSTREAM_REFUSED;
+      return TRY_REFUSED;
+    }
+  req->error = ERR_NONE;
+  return reply->status >= 500 ? TRY_FAILED : TRY_ANSWERED;
+}
+
+try_result_t
+send_result (req_t *req, CURLcode code)
+{
+  long status = 0;
+  try_result_t result;
+
+  curl_easy_getinfo (req->easy, CURLINFO_RESPONSE_CODE, &status);
+  req->reply.status = (uint32_t)status;
+  if (code == CURLE_OK)
+    return check_reply (req);
+  if (nothing_sent (req->easy, code))
+    result = TRY_CONNECT_FAILED;
+  else if (code == CURLE_OPERATION_TIMEDOUT)
+    result = TRY_TIMED_OUT;
+  else if (code == CURLE_PARTIAL_FILE || code == CURLE_WRITE_ERROR
+           || code == CURLE_WEIRD_SERVER_REPLY)
+    result = TRY_BAD_ANSWER;
+  else
+    result = TRY_CUT;
+  req->error
+      = result == TRY_BAD_ANSWER ? ERR_ANSWER_TRUNCATED : try_error (result);
+  return result;
+}
--- /dev/null
+++ b/daemon/test/authenticate_test.c
@@ -0,0 +1,88 @@
+/* Guards against work that is accepted without a valid key, or on a view that
+   may have missed a withdrawal.  */
+
+#include "fixture.h"
+
+static freshness_t
+judge_fresh (const view_t *view, int64_t now_us, int64_t grace_us)
+{
+  (void)view;
+  (void)now_us;
+  (void)grace_us;
+  return FRESH;
+}
+
+static freshness_t
+judge_stale (const view_t *view, int64_t now_us, int64_t grace_us)
+{
+  (void)view;
+  (void)now_us;
+  (void)grace_us;
+  return STALE;
+}
+
+typedef struct auth_case
+{
+  const char *service;
+  const char *key;
+  bool stale;
+  bool once; /* non-idempotent */
+  err_kind_t expected;
+} auth_case_t;
+
+static const auth_case_t cases[] = {
+  { "closed", KEY, false, false, ERR_NONE },
+  { "closed", KEY, false, true, ERR_NONE },
+  { "closed", NULL, false, false, ERR_KEY_MISSING },
+  { "closed", "other-key", false, false, ERR_KEY_REJECTED },
+  { "closed", KEY, true, false, ERR_STALE_VIEW },
+  { "open", NULL, false, false, ERR_NONE },
+  { "open", NULL, true, false, ERR_NONE },
+  { "open", NULL, true, true, ERR_STALE_VIEW },
+  { "none", KEY, false, false, ERR_NO_SERVICE },
+};
+
+START_TEST (accepts_only_what_may_run)
+{
+  const auth_case_t *c = &cases[_i];
+  view_t *view = fixture_view ();
+  req_t *req = fixture_request (c->service, 1000);
+
+  req->key = g_strdup (c->key);
+  req->idempotent = !c->once;
+  ck_assert_int_eq (
+      authenticate (req, view, c->stale ? judge_stale : judge_fresh, 1000),
+      c->expected);
+}
+END_TEST
+
+START_TEST (deadline_is_bounded_by_the_service)
+{
+  view_t *view = fixture_view ();
+  req_t *req = fixture_request ("open", 1000);
+
+  req->deadline_ms = 3000000;
+  ck_assert_int_eq (authenticate (req, view, judge_fresh, 1000), ERR_NONE);
+  ck_assert_int_eq (req->deadline_us, 1000 + INT64_C (30000) * 1000);
+}
+END_TEST
+
+START_TEST (without_a_view_there_is_no_service)
+{
+  req_t *req = fixture_request ("open", 0);
+
+  ck_assert_int_eq (authenticate (req, NULL, judge_fresh, 0), ERR_NO_SERVICE);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tests = tcase_create ("authenticate");
+
+  tcase_add_loop_test (tests, accepts_only_what_may_run, 0,
+                       G_N_ELEMENTS (cases));
+  tcase_add_test (tests, deadline_is_bounded_by_the_service);
+  tcase_add_test (tests, without_a_view_there_is_no_service);
+  return fixture_run (tests);
+}
--- /dev/null
+++ b/daemon/test/routing_test.c
@@ -0,0 +1,59 @@
+/* Guards against more requests at an upstream than this daemon holds slots
+   for, and against requests sent where none may go.  */
+
+#include "fixture.h"
+
+#define FAR_US INT64_C (1000000000)
+
+START_TEST (service_without_upstreams_has_none)
+{
+  view_t *view = fixture_view ();
+  req_t *req = fixture_request ("open", 0);
+
+  ck_assert_int_eq (routing_take (req, view_service (view, "open"), 0, FAR_US),
+                    ERR_NO_UPSTREAM);
+}
+END_TEST
+
+START_TEST (tried_upstream_is_not_tried_again)
+{
+  view_t *view = fixture_view ();
+  const view_service_t *service = view_service (view, "closed");
+  req_t *req = fixture_request ("closed", 0);
+
+  req->tried[req->tries++] = live_upstream ("u1");
+  ck_assert_int_eq (routing_take (req, service, 0, FAR_US), ERR_NO_UPSTREAM);
+}
+END_TEST
+
+/* u1 has two slots here; all of u2's belong to the daemon of its own data
+   centre.  */
+START_TEST (slots_are_never_exceeded)
+{
+  view_t *view = fixture_view ();
+  const view_service_t *service = view_service (view, "closed");
+  req_t *req;
+
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      req = fixture_request ("closed", 0);
+      ck_assert_int_eq (routing_take (req, service, 0, FAR_US), ERR_NONE);
+      ck_assert_str_eq (req->upstream->name, "u1");
+      ck_assert_str_eq (req->base_url, "http://127.0.0.1:1");
+    }
+  req = fixture_request ("closed", 0);
+  ck_assert_int_eq (routing_take (req, service, 0, FAR_US), ERR_QUEUE_FULL);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tests = tcase_create ("routing");
+
+  /* In this order: the last one leaves the slots taken.  */
+  tcase_add_test (tests, service_without_upstreams_has_none);
+  tcase_add_test (tests, tried_upstream_is_not_tried_again);
+  tcase_add_test (tests, slots_are_never_exceeded);
+  return fixture_run (tests);
+}
--- /dev/null
+++ b/daemon/view.c
@@ -0,0 +1,227 @@
+#include "daemon.h"
+#include <stdlib.h>
+#include <string.h>
+
+currency_t currency;
+static view_t *current;
+
+const view_t *
+view_get (void)
+{
+  return rcu_dereference (current);
+}
+
+static void
+free_view (view_t *view)
+{
+  for (uint32_t i = 0; i < view->services_count; i++)
+    g_free (view->services[i].upstreams);
+  g_free (view->services);
+  g_free (view->teams);
+  g_free (view->data_centres);
+  g_free (view->entry_hosts);
+  key_index_free (view->keys);
+  state_free (view->state);
+  g_free (view);
+}
+
+static void
+free_by_rcu (struct rcu_head *head)
+{
+  free_view (caa_container_of (head, view_t, rcu));
+}
+
+void
+view_publish (view_t *view)
+{
+  view_t *old = current;
+
+  rcu_assign_pointer (current, view);
+  counter_add (COUNT_VIEWS_PUBLISHED, 1);
+  if (old)
+    call_rcu (&old->rcu, free_by_rcu);
+}
+
+static int
+compare_services (const void *a, const void *b)
+{
+  const view_service_t *left = a;
+  const view_service_t *right = b;
+
+  return strcmp (left->rule->name, right->rule->name);
+}
+
+static int
+compare_teams (const void *a, const void *b)
+{
+  const view_team_t *left = a;
+  const view_team_t *right = b;
+
+  return strcmp (left->rule->name, right->rule->name);
+}
+
+const view_service_t *
+view_service (const view_t *view, const char *name)
+{
+  service_t rule = { .name = (char *)name };
+  view_service_t wanted = { .rule = &rule };
+
+  if (!view->services_count)
+    return NULL;
+  return bsearch (&wanted, view->services, view->services_count, sizeof wanted,
+                  compare_services);
+}
+
+const view_team_t *
+view_team (const view_t *view, const char *name)
+{
+  team_t rule = { .name = (char *)name };
+  view_team_t wanted = { .rule = &rule };
+
+  if (!view->teams_count)
+    return NULL;
+  return bsearch (&wanted, view->teams, view->teams_count, sizeof wanted,
+                  compare_teams);
+}
+
+static bool
+has_entry_host (const fleet_t *fleet, const char *data_centre)
+{
+  for (uint32_t i = 0; i < fleet->entry_hosts_count; i++)
+    if (strcmp (fleet->entry_hosts[i].data_centre, data_centre) == 0)
+      return true;
+  return false;
+}
+
+/* This daemon's part of TOTAL permits of RESOURCE, split over the entry hosts
+   of DATA_CENTRE, or over all if it is NULL or has none.  */
+static uint32_t
+own_share (const fleet_t *fleet, const char *name, const char *resource,
+           const char *data_centre, uint32_t total)
+{
+  uint64_t own_score = hash_score (resource, strlen (resource), name);
+  uint32_t hosts = 0;
+  uint32_t before = 0;
+  bool listed = false;
+
+  if (data_centre && !has_entry_host (fleet, data_centre))
+    data_centre = NULL;
+  for (uint32_t i = 0; i < fleet->entry_hosts_count; i++)
+    {
+      const entry_host_t *entry = &fleet->entry_hosts[i];
+
+      if (data_centre && strcmp (entry->data_centre, data_centre) != 0)
+        continue;
+      hosts++;
+      if (strcmp (entry->name, name) == 0)
+        listed = true;
+      else if (hash_score (resource, strlen (resource), entry->name)
+               > own_score)
+        before++;
+    }
+  if (!listed)
+    return 0;
+  return total / hosts + (before < total % hosts ? 1 : 0);
+}
+
+static void
+add_service (view_t *view, const service_t *rule, const char *name,
+             const char *data_centre)
+{
+  const fleet_t *fleet = view->state->config->fleet;
+  view_service_t *service = &view->services[view->services_count++];
+
+  service->rule = rule;
+  service->live = live_service (rule->name);
+  service->upstreams = g_new0 (view_upstream_t, fleet->upstreams_count);
+  for (uint32_t i = 0; i < fleet->upstreams_count; i++)
+    {
+      const upstream_t *listed = &fleet->upstreams[i];
+      const char *place = fleet_upstream_data_centre (fleet, listed);
+      view_upstream_t *upstream;
+
+      if (strcmp (listed->service, rule->name) != 0)
+        continue;
+      upstream = &service->upstreams[service->upstreams_count++];
+      upstream->rule = listed;
+      upstream->live = live_upstream (listed->name);
+      upstream->local = strcmp (place, data_centre) == 0;
+      escrow_set_share (
+          upstream->live->slots,
+          own_share (fleet, name, listed->name, place, listed->slots));
+    }
+  pthread_mutex_lock (&service->live->lock);
+  queue_set_max (service->live->queue, rule->queue_max);
+  for (uint32_t i = 0; i < fleet->teams_count; i++)
+    queue_team (service->live->queue, fleet->teams[i].name,
+                fleet->teams[i].share);
+  pthread_mutex_unlock (&service->live->lock);
+  view->run_max_ms = MAX (view->run_max_ms,
+                          (int64_t)rule->deadline_max_ms + rule->overrun_ms);
+}
+
+static void
+add_entry_hosts (view_t *view, const fleet_t *fleet)
+{
+  view->entry_hosts = g_new0 (const char *, fleet->entry_hosts_count);
+  view->data_centres = g_new0 (const char *, fleet->entry_hosts_count);
+  for (uint32_t i = 0; i < fleet->entry_hosts_count; i++)
+    {
+      const entry_host_t *entry = &fleet->entry_hosts[i];
+      bool known = false;
+
+      view->entry_hosts[view->entry_hosts_count++] = entry->name;
+      for (uint32_t j = 0; j < view->data_centres_count && !known; j++)
+        known = strcmp (view->data_centres[j], entry->data_centre) == 0;
+      if (!known)
+        view->data_centres[view->data_centres_count++] = entry->data_centre;
+    }
+}
+
+view_t *
+view_new (state_t *state, const char *name, const char *data_centre)
+{
+  view_t *view = g_new0 (view_t, 1);
+  const fleet_t *fleet;
+
+  view->state = state;
+  view->keys = key_index_new (state);
+  if (!state->config)
+    return view;
+  fleet = state->config->fleet;
+  add_entry_hosts (view, fleet);
+  view->services = g_new0 (view_service_t, fleet->services_count);
+  for (uint32_t i = 0; i < fleet->services_count; i++)
+    add_service (view, &fleet->services[i], name, data_centre);
+  qsort (view->services, view->services_count, sizeof *view->services,
+         compare_services);
+  view->teams = g_new0 (view_team_t, fleet->teams_count);
+  for (uint32_t i = 0; i < fleet->teams_count; i++)
+    {
+      view_team_t *team = &view->teams[view->teams_count++];
+
+      team->rule = &fleet->teams[i];
+      team->live = live_team (team->rule->name);
+      escrow_set_share (
+          team->live->permits,
+          own_share (fleet, name, team->rule->name, NULL, team->rule->limit));
+    }
+  qsort (view->teams, view->teams_count, sizeof *view->teams, compare_teams);
+  return view;
+}
+
+freshness_t
+currency_judge (const view_t *view, int64_t now_us, int64_t grace_us)
+{
+  fresh_view_t known = {
+    .log_read_us = atomic_load (&currency.log_read_us),
+    .offset = atomic_load (&currency.offset),
+    .data_centre = "",
+    .data_centres = view->data_centres,
+    .data_centres_count = view->data_centres_count,
+  };
+
+  if (atomic_load (&currency.behind))
+    return STALE;
+  return fresh_judge (&known, now_us, grace_us);
+}
