daemon: follow the platform's list of hosts; let a sign of leaving time out

Cause: only the upstream's own header marked it as leaving, and nothing ever took the mark back, so an upstream restarted at its address stayed unused.

Change: a thread reads the list each second; a sign from the list or the header holds for 30 s (LEAVING_US). The wait that both platform threads need is one module, waiter. Tests for admission.

Conclusion: leaving upstreams get nothing new within a poll of the list plus its lag; a scenario with real processes has still to show it.

--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -3,7 +3,7 @@
 
    NAME
      live, view, parse, authenticate, admission, routing, send, answer, loop,
-     logreader, admin
+     logreader, livereader, waiter, admin
 
    DESCRIPTION
      A request passes through
@@ -295,6 +295,28 @@
 /* loop_pass - hand a granted REQ to its loop; any thread.  */
 void loop_pass (req_t *req);
 
+/* Lets a thread sleep until a time or until it is told to stop.  */
+typedef struct waiter
+{
+  pthread_mutex_t lock;
+  pthread_cond_t wake;
+  bool stopping;
+} waiter_t;
+
+void waiter_init (waiter_t *waiter);
+void waiter_destroy (waiter_t *waiter);
+
+/* waiter_wait - sleep for WAIT_MS; false once waiter_stop was called.  */
+bool waiter_wait (waiter_t *waiter, uint32_t wait_ms);
+void waiter_stop (waiter_t *waiter);
+
+/* livereader_start - a thread that reads the platform's list of hosts each
+   second and marks upstreams on leaving hosts.  */
+typedef struct livereader livereader_t;
+
+livereader_t *livereader_start (const char *platform_url);
+void livereader_stop (livereader_t *reader);
+
 /* logreader_start - the log thread: follows the platform's log and publishes
    views, until logreader_stop.  */
 typedef struct logreader logreader_t;
--- a/daemon/flow.c
+++ b/daemon/flow.c
@@ -230,11 +230,9 @@
   health_t *health = &req->upstream->health;
   bool was_ejected = health_judge (health, now_us) != HEALTH_OK;
 
-  if (req->reply.leaving)
-    {
-      health_set_leaving (health, true);
-      event_log (EV_UPSTREAM_LEAVING, "upstream=%s", req->upstream->name);
-    }
+  if (req->reply.leaving && health_note_leaving (health, now_us))
+    event_log (EV_UPSTREAM_LEAVING, "upstream=%s sign=header",
+               req->upstream->name);
   if (!health_note (health, result, now_us - req->sent_us, now_us))
     return;
   if (was_ejected)
--- /dev/null
+++ b/daemon/livereader.c
@@ -0,0 +1,88 @@
+#include "daemon.h"
+#include <string.h>
+
+#define POLL_MS 1000
+#define READ_TIMEOUT_MS 2000
+
+struct livereader
+{
+  platform_t *platform;
+  waiter_t waiter;
+  pthread_t thread;
+  bool failing;
+};
+
+static void
+note_host (const view_t *view, const char *host, int64_t now_us)
+{
+  for (uint32_t i = 0; i < view->services_count; i++)
+    for (uint32_t j = 0; j < view->services[i].upstreams_count; j++)
+      {
+        const view_upstream_t *upstream = &view->services[i].upstreams[j];
+
+        if (strcmp (upstream->rule->host, host) == 0
+            && health_note_leaving (&upstream->live->health, now_us))
+          event_log (EV_UPSTREAM_LEAVING, "upstream=%s sign=list",
+                     upstream->live->name);
+      }
+}
+
+static void
+note_list (const live_list_t *list, int64_t now_us)
+{
+  const view_t *view;
+
+  rcu_read_lock ();
+  view = view_get ();
+  for (uint32_t i = 0; view && i < list->count; i++)
+    if (list->hosts[i].state == LIVE_LEAVING)
+      note_host (view, list->hosts[i].host, now_us);
+  rcu_read_unlock ();
+}
+
+static void *
+run (void *arg)
+{
+  livereader_t *reader = arg;
+
+  rcu_register_thread ();
+  while (waiter_wait (&reader->waiter, POLL_MS))
+    {
+      live_list_t list = { 0 };
+      log_status_t status
+          = live_read (reader->platform, READ_TIMEOUT_MS, &list);
+      bool failing = status != LOG_OK;
+
+      if (failing && !reader->failing)
+        event_log (EV_LIVE_LIST_FAILED, "status=%s", log_status_name (status));
+      reader->failing = failing;
+      note_list (&list, clock_mono_us ());
+      live_list_clear (&list);
+    }
+  rcu_unregister_thread ();
+  return NULL;
+}
+
+livereader_t *
+livereader_start (const char *platform_url)
+{
+  livereader_t *reader = g_new0 (livereader_t, 1);
+
+  waiter_init (&reader->waiter);
+  reader->platform = platform_open (platform_url);
+  if (!reader->platform
+      || pthread_create (&reader->thread, NULL, run, reader) != 0)
+    return NULL;
+  return reader;
+}
+
+void
+livereader_stop (livereader_t *reader)
+{
+  waiter_stop (&reader->waiter);
+  platform_interrupt (reader->platform);
+  pthread_join (reader->thread, NULL);
+  platform_close (reader->platform);
+  waiter_destroy (&reader->waiter);
+  g_free (reader);
+}
--- a/daemon/logreader.c
+++ b/daemon/logreader.c
@@ -23,43 +23,9 @@
   bool reachable;
   bool joined;
   pthread_t thread;
-  pthread_mutex_t lock; /* guards stopping */
-  pthread_cond_t wake;
-  bool stopping;
+  waiter_t waiter;
 };
 
-static bool
-is_stopping (logreader_t *reader)
-{
-  bool stopping;
-
-  pthread_mutex_lock (&reader->lock);
-  stopping = reader->stopping;
-  pthread_mutex_unlock (&reader->lock);
-  return stopping;
-}
-
-static void
-back_off (logreader_t *reader, uint32_t *delay_ms)
-{
-  struct timespec until;
-
-  clock_gettime (CLOCK_MONOTONIC, &until);
-  until.tv_sec += *delay_ms / 1000;
-  until.tv_nsec += (long)(*delay_ms % 1000) * 1000000;
-  if (until.tv_nsec >= 1000000000)
-    {
-      until.tv_sec++;
-      until.tv_nsec -= 1000000000;
-    }
-  pthread_mutex_lock (&reader->lock);
-  while (!reader->stopping
-         && pthread_cond_timedwait (&reader->wake, &reader->lock, &until) == 0)
-    ;
-  pthread_mutex_unlock (&reader->lock);
-  *delay_ms = MIN (*delay_ms * 2, BACKOFF_MAX_MS);
-}
-
 static void
 note_reachable (logreader_t *reader, log_status_t status)
 {
@@ -244,15 +210,23 @@
   return behind ? LOG_BAD_ANSWER : LOG_OK;
 }
 
+static uint32_t
+next_wait_ms (log_status_t status, uint32_t last_ms)
+{
+  if (status == LOG_OK)
+    return 0;
+  return CLAMP (last_ms * 2, BACKOFF_MIN_MS, BACKOFF_MAX_MS);
+}
+
 static void *
 run (void *arg)
 {
   logreader_t *reader = arg;
-  uint32_t delay_ms = BACKOFF_MIN_MS;
+  uint32_t wait_ms = 0;
   bool loaded = false;
 
   rcu_register_thread ();
-  while (!is_stopping (reader))
+  while (waiter_wait (&reader->waiter, wait_ms))
     {
       log_status_t status = LOG_UNREACHABLE;
 
@@ -262,12 +236,8 @@
         status = follow (reader);
       note_reachable (reader, status);
       if (status == LOG_OK)
-        {
-          delay_ms = BACKOFF_MIN_MS;
-          write_snapshot (reader);
-        }
-      else
-        back_off (reader, &delay_ms);
+        write_snapshot (reader);
+      wait_ms = next_wait_ms (status, wait_ms);
     }
   rcu_unregister_thread ();
   return NULL;
@@ -278,7 +248,6 @@
                  uint64_t incarnation)
 {
   logreader_t *reader = g_new0 (logreader_t, 1);
-  pthread_condattr_t attr;
 
   reader->settings = settings;
   reader->incarnation = incarnation;
@@ -289,11 +258,7 @@
   rec_init (&reader->join, REC_JOIN, settings->name, clock_wall_ms ());
   g_strlcpy (reader->join.u.entry.name, settings->name, REC_NAME_BYTES);
   reader->join.u.entry.incarnation = incarnation;
-  pthread_mutex_init (&reader->lock, NULL);
-  pthread_condattr_init (&attr);
-  pthread_condattr_setclock (&attr, CLOCK_MONOTONIC);
-  pthread_cond_init (&reader->wake, &attr);
-  pthread_condattr_destroy (&attr);
+  waiter_init (&reader->waiter);
   if (!reader->platform || !reader->writer
       || pthread_create (&reader->thread, NULL, run, reader) != 0)
     return NULL;
@@ -326,16 +291,12 @@
 {
   if (reader->joined)
     append_leave (reader);
-  pthread_mutex_lock (&reader->lock);
-  reader->stopping = true;
-  pthread_cond_signal (&reader->wake);
-  pthread_mutex_unlock (&reader->lock);
+  waiter_stop (&reader->waiter);
   platform_interrupt (reader->platform);
   pthread_join (reader->thread, NULL);
   platform_close (reader->platform);
   platform_close (reader->writer);
   state_free (reader->state);
-  pthread_cond_destroy (&reader->wake);
-  pthread_mutex_destroy (&reader->lock);
+  waiter_destroy (&reader->waiter);
   g_free (reader);
 }
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -30,6 +30,7 @@
   uint16_t port;
   loop_t **loops;
   logreader_t *reader;
+  livereader_t *live;
   admin_t *admin;
 } process_t;
 
@@ -141,7 +142,8 @@
   process->reader = logreader_start (settings, platform,
                                      (uint64_t)clock_wall_ms () * 1000);
   process->admin = admin_start (settings, &process->config);
-  if (!process->reader || !process->admin)
+  process->live = livereader_start (platform);
+  if (!process->reader || !process->live || !process->admin)
     return false;
   process->loops = g_new0 (loop_t *, settings->threads);
   for (uint32_t i = 0; i < settings->threads; i++)
@@ -165,6 +167,7 @@
   for (uint32_t i = 0; i < settings->threads; i++)
     loop_join (process->loops[i]);
   close (process->listen_fd);
+  livereader_stop (process->live);
   logreader_stop (process->reader);
   admin_stop (process->admin);
   if (process->devlog)
--- /dev/null
+++ b/daemon/test/admission_test.c
@@ -0,0 +1,111 @@
+/* Guards against work past a team's limit, requests that stay queued though
+   they could run, and requests that are granted and given up at once.  */
+
+#include "fixture.h"
+#include "loop.h"
+
+static loop_t test_loop;
+
+static req_t *
+keyed_request (const char *team, int64_t deadline_us)
+{
+  req_t *req = fixture_request ("closed", 0);
+
+  req->loop = &test_loop;
+  req->team = live_team (team);
+  req->service = live_service ("closed");
+  req->share = 1;
+  req->deadline_us = deadline_us;
+  return req;
+}
+
+static void
+give_back (req_t *req)
+{
+  escrow_give (req->team->permits, req->permit);
+  escrow_give (req->upstream->slots, req->slot);
+}
+
+START_TEST (queued_request_is_granted_when_a_slot_comes_free)
+{
+  view_t *view = fixture_view ();
+  const view_service_t *service = view_service (view, "closed");
+  req_t *running[2];
+  req_t *waiting;
+
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      running[i] = keyed_request ("a", 1000000);
+      ck_assert_int_eq (admission_enter (running[i], view, 0), ADMIT_RUN);
+    }
+  waiting = keyed_request ("a", 1000000);
+  ck_assert_int_eq (admission_enter (waiting, view, 0), ADMIT_QUEUED);
+  ck_assert_ptr_null (pipe_get (&test_loop.pipe));
+  give_back (running[0]);
+  admission_pump (service, 1);
+  ck_assert_ptr_eq (pipe_get (&test_loop.pipe), &waiting->pipe_node);
+  ck_assert_int_eq (waiting->stage, REQ_GRANTED);
+  ck_assert (!admission_leave (waiting));
+  give_back (running[1]);
+  give_back (waiting);
+}
+END_TEST
+
+/* Team b's limit of 1 is split over two daemons, so it is held by one of
+   them: here at most one request of b runs, though slots are free.  */
+START_TEST (team_limit_holds_though_slots_are_free)
+{
+  view_t *view = fixture_view ();
+  uint32_t running = 0;
+  req_t *reqs[3];
+
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      reqs[i] = keyed_request ("b", 1000000);
+      if (admission_enter (reqs[i], view, 0) == ADMIT_RUN)
+        running++;
+    }
+  ck_assert_uint_le (running, 1);
+  ck_assert_uint_eq (running, escrow_share (live_team ("b")->permits));
+  ck_assert_uint_eq (escrow_in_use (live_upstream ("u1")->slots), running);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      if (reqs[i]->stage == REQ_QUEUED)
+        ck_assert (admission_leave (reqs[i]));
+      else if (reqs[i]->upstream)
+        give_back (reqs[i]);
+    }
+}
+END_TEST
+
+START_TEST (full_queue_and_late_requests_are_refused)
+{
+  view_t *view = fixture_view ();
+  req_t *reqs[5];
+
+  for (uint32_t i = 0; i < 5; i++)
+    {
+      reqs[i] = keyed_request ("a", 1000000);
+      admission_enter (reqs[i], view, 0);
+    }
+  ck_assert_int_eq (reqs[3]->stage, REQ_QUEUED);
+  ck_assert_int_eq (reqs[4]->error, ERR_QUEUE_FULL);
+  reqs[4] = keyed_request ("a", 10);
+  ck_assert_int_eq (admission_enter (reqs[4], view, 10), ADMIT_REFUSED);
+  ck_assert_int_eq (reqs[4]->error, ERR_EXPIRED_QUEUED);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tests = tcase_create ("admission");
+
+  if (!pipe_open (&test_loop.pipe, 16))
+    return EXIT_FAILURE;
+  /* In this order: the last one leaves slots taken.  */
+  tcase_add_test (tests, queued_request_is_granted_when_a_slot_comes_free);
+  tcase_add_test (tests, team_limit_holds_though_slots_are_free);
+  tcase_add_test (tests, full_queue_and_late_requests_are_refused);
+  return fixture_run (tests);
+}
--- a/route/health.c
+++ b/route/health.c
@@ -8,7 +8,7 @@
 {
   int64_t until_us = atomic_load (&health->until_us);
 
-  if (atomic_load (&health->leaving))
+  if (now_us < atomic_load (&health->leaving_until_us))
     return HEALTH_LEAVING;
   if (until_us == 0)
     return HEALTH_OK;
@@ -101,8 +101,11 @@
   return false;
 }
 
-void
-health_set_leaving (health_t *health, bool leaving)
+bool
+health_note_leaving (health_t *health, int64_t now_us)
 {
-  atomic_store (&health->leaving, leaving);
+  int64_t before_us
+      = atomic_exchange (&health->leaving_until_us, now_us + LEAVING_US);
+
+  return before_us <= now_us;
 }
--- a/route/route.h
+++ b/route/route.h
@@ -43,7 +43,7 @@
   atomic_uint ejections;        /* in a row */
   atomic_int_fast64_t until_us; /* ejected until then */
   atomic_bool probing;          /* a probe is under way */
-  atomic_bool leaving;
+  atomic_int_fast64_t leaving_until_us;
   atomic_uint_fast32_t latency_us; /* moving average */
 } health_t;
 
@@ -71,8 +71,14 @@
 bool health_note (health_t *health, try_result_t result, int64_t latency_us,
                   int64_t now_us);
 
-/* health_set_leaving - by the platform's list or the upstream's own sign.  */
-void health_set_leaving (health_t *health, bool leaving);
+/* How long one sign of leaving counts.  The platform's list still shows a
+   leaving host as live for a while, so its word doesn't end this; a list that
+   shows it as leaving renews it.  */
+#define LEAVING_US 30000000
+
+/* health_note_leaving - a sign, from the platform's list or from the upstream
+   itself, that it is leaving.  True when it is the first one.  */
+bool health_note_leaving (health_t *health, int64_t now_us);
 
 /* An upstream as the choice sees it.  */
 typedef struct candidate
