wire: add wire_fold, the one way from bytes to a verdict

Cause: Daemons and operators' tools fold the same log. If they treated malformed records differently, their states would differ at one offset.

Change: wire_fold decodes, checks and folds; what is no valid record is skipped and leaves no trace in the state.

--- a/wire/wire.h
+++ b/wire/wire.h
@@ -1,7 +1,7 @@
 /* wire - encoding of records, snapshots and peer messages
 
    NAME
-     wirerec, wiresnap
+     wirerec, wirefold, wiresnap
 
    DESCRIPTION
      Everything that cuminpin's own processes exchange or keep in the
@@ -38,6 +38,14 @@
    rec_clear.  */
 bool wire_get_rec (const void *data, size_t len, rec_t *rec, GError **error);
 
+/* wire_fold - decode, check and fold the LEN bytes that stand at OFFSET in the
+   log, the same way for every reader.  What is no record or fails its check is
+   skipped without trace: VERDICT_INVALID and *ERROR.  ID, unless NULL, is set
+   to the id of the record.  */
+verdict_t wire_fold (state_t *state, const void *data, size_t len,
+                     uint64_t offset, uint8_t id[REC_ID_BYTES],
+                     GError **error);
+
 /* wire_put_snapshot - the canonical encoding of a whole STATE with a checksum;
    the same bytes for the same state, whoever writes them.  STATE must carry
    its seen ids (not a copy for a view).  */
