--- /dev/null
+++ b/admit/test/key_test.c
@@ -0,0 +1,82 @@
+#include "../../test/run_suite.h"
+#include "admit.h"
+#include <sodium.h>
+#include <string.h>
+
+#define TEAMS 82
+#define KEYS_PER_TEAM 5
+
+static key_state_t *
+add_key (state_t *state, const char *id, const char *team, const char *key)
+{
+  key_state_t *entry = table_add (&state->keys, id);
+
+  entry->team = g_intern_string (team);
+  crypto_generichash (entry->digest, sizeof entry->digest,
+                      (const unsigned char *)key, strlen (key), NULL, 0);
+  return entry;
+}
+
+/* Guards against a key giving access as another team, or not at all, at the
+   target size.  */
+START_TEST (every_key_finds_its_team)
+{
+  state_t *state = state_new ();
+  key_index_t *index;
+
+  for (uint32_t i = 0; i < TEAMS * KEYS_PER_TEAM; i++)
+    {
+      g_autofree char *key = g_strdup_printf ("secret-%u", i);
+      g_autofree char *team = g_strdup_printf ("team-%u", i % TEAMS);
+
+      add_key (state, key, team, key);
+    }
+  index = key_index_new (state);
+  for (uint32_t i = 0; i < 2 * TEAMS * KEYS_PER_TEAM; i++)
+    {
+      g_autofree char *key = g_strdup_printf ("secret-%u", i);
+      g_autofree char *team = g_strdup_printf ("team-%u", i % TEAMS);
+      const char *found = key_index_find (index, key, strlen (key));
+
+      if (i < TEAMS * KEYS_PER_TEAM)
+        ck_assert_str_eq (found, team);
+      else
+        ck_assert_ptr_null (found);
+    }
+  key_index_free (index);
+  state_free (state);
+}
+END_TEST
+
+/* Guards against withdrawn keys being accepted, even where another id lists
+   the same digest; and against trouble with no keys or an empty one.  */
+START_TEST (withdrawn_and_missing_keys_find_nothing)
+{
+  state_t *state = state_new ();
+  key_index_t *index = key_index_new (state);
+
+  ck_assert_ptr_null (key_index_find (index, "", 0));
+  key_index_free (index);
+  add_key (state, "a", "team", "one");
+  add_key (state, "b", "team", "one")->withdrawn = true;
+  add_key (state, "c", "team", "one");
+  add_key (state, "d", "team", "two");
+  index = key_index_new (state);
+  ck_assert_ptr_null (key_index_find (index, "one", 3));
+  ck_assert_ptr_null (key_index_find (index, "two", 2));
+  ck_assert_ptr_null (key_index_find (index, "two", 4)); /* with the zero */
+  ck_assert_str_eq (key_index_find (index, "two", 3), "team");
+  key_index_free (index);
+  state_free (state);
+}
+END_TEST
+
+int
+main (void)
+{
+  const TTest *const tests[]
+      = { every_key_finds_its_team, withdrawn_and_missing_keys_find_nothing,
+          NULL };
+
+  return run_suite ("key", tests);
+}
