Add budget, watch and wave

Cause: hosts have to go through maintenance within the budgets of their pools, whatever fails or races meanwhile.

Change: budget counts every pool and rack in one pass; watch keeps what this daemon saw of the hosts and since when; wave gives the next records: drains in the order of the wave, the phases of a host, failure and return, and the end of the wave. Hosts act through one daemon each by rendezvous hash; the drains of a wave through one daemon a wave, so that its order holds without races.

Conclusion: a wave waits for failures and goes on by itself.

--- /dev/null
+++ b/fleet/fleet.h
@@ -0,0 +1,152 @@
+/* fleet - decisions about hosts: budgets, maintenance waves, moves, and jobs
+   on workers
+
+   NAME
+     budget, watch, wave
+
+   DESCRIPTION
+     budget  hosts of each pool that are out, and how many more may be
+     watch   what this daemon saw of the hosts, and since when
+     wave    the next records of maintenance: drain, maintenance, failure,
+             return
+
+     None of these reads a clock, a socket or a file, or starts a thread.  All
+     times named now_us are monotonic.  */
+
+#ifndef CUMINPIN_FLEET_H
+#define CUMINPIN_FLEET_H
+
+#include "state.h"
+
+/* Hosts out of service for each pool and rack, counted in one pass.  */
+typedef struct budget budget_t;
+
+/* budget_new - the counts of STATE, which must outlive them.  */
+budget_t *budget_new (const state_t *state);
+void budget_free (budget_t *budget);
+
+/* budget_left - as state_budget_left, less what was counted since by
+   budget_take.  */
+uint32_t budget_left (const budget_t *budget, const char *pool,
+                      const char *rack);
+
+/* budget_take - count one more host of POOL and RACK as out: its record is
+   not folded yet, or it is missing and not recorded as failed yet.  */
+void budget_take (budget_t *budget, const char *pool, const char *rack);
+
+/* budget_out - hosts of POOL that are out; budget_hosts - all of them.  */
+uint32_t budget_out (const budget_t *budget, const char *pool);
+uint32_t budget_hosts (const budget_t *budget, const char *pool);
+
+/* One host of the platform's live list, and what is known of it.  A host that
+   is not listed is gone.  */
+typedef struct host_report
+{
+  const char *host;
+  bool leaving;
+  bool verified;   /* its checks pass */
+  bool load_known; /* every daemon that may use it has reported */
+  uint32_t load;   /* requests or jobs in flight, of all daemons */
+} host_report_t;
+
+typedef struct host_watch
+{
+  uint64_t version;       /* of the host's record when last noted */
+  uint64_t round;         /* of watch_note */
+  int64_t phase_since_us; /* first noted in its present phase */
+  int64_t seen_since_us;  /* first noted as it is listed now */
+  int64_t empty_since_us; /* load known to be 0 since; INT64_MAX: it is not */
+  uint32_t load;
+  bool listed;
+  bool leaving;
+  bool verified;
+  bool load_known;
+  bool was_away; /* not listed at some time in its present phase */
+} host_watch_t;
+
+/* What this daemon saw of the hosts.  Lost with the process; all times then
+   start again, which only delays decisions.  */
+typedef struct watch watch_t;
+
+/* WATCH_GAP_US - after a longer pause between two notes nothing is known of
+   the time between, and all times start again.  */
+#define WATCH_GAP_US 5000000
+
+watch_t *watch_new (void);
+void watch_free (watch_t *watch);
+
+/* watch_note - take in the COUNT REPORTS of the live list at NOW_US.  An empty
+   list is a failure of the platform, not of all hosts: it makes the watch
+   blind.  */
+void watch_note (watch_t *watch, const state_t *state,
+                 const host_report_t *reports, uint32_t count, int64_t now_us);
+
+/* watch_is_blind - whether the last note brought nothing to decide on.  */
+bool watch_is_blind (const watch_t *watch);
+
+/* watch_find - what is known of HOST, or NULL.  */
+const host_watch_t *watch_find (const watch_t *watch, const char *host);
+
+typedef struct wave_times
+{
+  int64_t settle_us; /* gone or back for so long before it counts */
+  int64_t quiet_us;  /* empty for so long before DRAINED: a daemon sends to a
+                        draining host until it has read the record */
+  int64_t stay_us;   /* a host that was never seen away is taken for back
+                        after so long in MAINTENANCE */
+  int64_t return_us; /* longest MAINTENANCE before FAILED */
+} wave_times_t;
+
+#define WAVE_SETTLE_US 10000000
+#define WAVE_QUIET_US 5000000
+#define WAVE_STAY_US 60000000
+#define WAVE_RETURN_US 900000000
+
+typedef struct wave_input
+{
+  const state_t *state;
+  const watch_t *watch;
+  const wave_times_t *times;  /* NULL: the values above */
+  const char *self;           /* this daemon's entry host */
+  const char *const *entries; /* entry hosts with current heartbeats */
+  uint32_t entries_count;
+  bool fresh; /* the view is FRESH (admit.h) */
+  int64_t now_us;
+  int64_t now_ms;
+} wave_input_t;
+
+/* wave_actor - the index of the entry host that acts for KEY, by rendezvous
+   hash; COUNT must not be 0.  */
+uint32_t wave_actor (const char *key, const char *const *entries,
+                     uint32_t count);
+
+/* wave_next - up to MAX records that this daemon should append now; their
+   number.  A daemon acts for the hosts, and for the waves, that wave_actor
+   gives it; drains and the end of a wave are decided for the wave as a whole,
+   so that its order and at_once hold without races.  Nothing when the view is
+   not fresh or the watch is blind.  Calling again before the records are
+   folded gives them again; the second ones turn out stale.
+
+   IN_SERVICE -> DRAINING   by the order of the wave: spare pool first, then
+                            racks that are under way, then the emptiest
+   DRAINING -> DRAINED      empty for quiet_us
+   DRAINED -> MAINTENANCE   if drained for a wave
+   MAINTENANCE -> IN_SERVICE  listed and verified for settle_us, after it was
+                            away or stay_us
+   any -> FAILED            not listed for settle_us; in MAINTENANCE for
+                            return_us
+   FAILED -> IN_SERVICE     listed and verified for settle_us
+   wave -> DONE             all hosts of its pools taken and back  */
+uint32_t wave_next (const wave_input_t *in, rec_t *records, uint32_t max);
+
+typedef struct wave_progress
+{
+  uint32_t hosts; /* in the wave's pools now */
+  uint32_t taken; /* need no more drain in this run */
+  uint32_t out;   /* drained for it and not back */
+} wave_progress_t;
+
+/* wave_progress - how far the current run of WAVE has come.  */
+wave_progress_t wave_progress (const state_t *state, const char *wave);
+
+#endif
--- /dev/null
+++ b/fleet/watch.c
@@ -0,0 +1,143 @@
+#include "fleet.h"
+
+struct watch
+{
+  GHashTable *hosts; /* interned name -> host_watch_t */
+  uint64_t round;
+  int64_t noted_us;
+  bool blind;
+};
+
+watch_t *
+watch_new (void)
+{
+  watch_t *watch = g_new0 (watch_t, 1);
+
+  watch->hosts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  watch->blind = true;
+  return watch;
+}
+
+void
+watch_free (watch_t *watch)
+{
+  if (!watch)
+    return;
+  g_hash_table_destroy (watch->hosts);
+  g_free (watch);
+}
+
+bool
+watch_is_blind (const watch_t *watch)
+{
+  return watch->blind;
+}
+
+const host_watch_t *
+watch_find (const watch_t *watch, const char *host)
+{
+  return g_hash_table_lookup (watch->hosts, host);
+}
+
+static void
+restart (host_watch_t *host, int64_t now_us)
+{
+  host->phase_since_us = now_us;
+  host->seen_since_us = now_us;
+  host->empty_since_us = INT64_MAX;
+}
+
+/* Every host of the state has an entry after this; the others go.  */
+static void
+match_hosts (watch_t *watch, const state_t *state, int64_t now_us)
+{
+  bool gap = now_us - watch->noted_us > WATCH_GAP_US;
+  GHashTableIter iter;
+  gpointer value;
+
+  for (uint32_t i = 0; i < state->hosts.count; i++)
+    {
+      const host_state_t *known = table_at (&state->hosts, i);
+      host_watch_t *host = g_hash_table_lookup (watch->hosts, known->name);
+
+      if (!host)
+        {
+          host = g_new0 (host_watch_t, 1);
+          g_hash_table_insert (watch->hosts, (gpointer)known->name, host);
+          restart (host, now_us);
+        }
+      else if (gap)
+        restart (host, now_us);
+      if (host->version != known->version)
+        {
+          host->version = known->version;
+          host->phase_since_us = now_us;
+          host->empty_since_us = INT64_MAX;
+          host->was_away = false;
+        }
+      host->round = watch->round;
+    }
+  g_hash_table_iter_init (&iter, watch->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((const host_watch_t *)value)->round != watch->round)
+      g_hash_table_iter_remove (&iter);
+}
+
+static void
+note_report (host_watch_t *host, const host_report_t *report, int64_t now_us)
+{
+  bool empty = report->load_known && report->load == 0;
+
+  if (!host->listed || host->leaving != report->leaving
+      || host->verified != report->verified)
+    host->seen_since_us = now_us;
+  host->listed = true;
+  host->leaving = report->leaving;
+  host->verified = report->verified;
+  host->load = report->load;
+  host->load_known = report->load_known;
+  if (!empty)
+    host->empty_since_us = INT64_MAX;
+  else if (host->empty_since_us == INT64_MAX)
+    host->empty_since_us = now_us;
+  host->round++;
+}
+
+static void
+note_missing (host_watch_t *host, int64_t now_us)
+{
+  if (host->listed)
+    host->seen_since_us = now_us;
+  host->listed = false;
+  host->leaving = false;
+  host->verified = false;
+  host->load_known = false;
+  host->empty_since_us = INT64_MAX;
+  host->was_away = true;
+}
+
+void
+watch_note (watch_t *watch, const state_t *state, const host_report_t *reports,
+            uint32_t count, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  watch->blind = count == 0;
+  if (watch->blind)
+    return;
+  watch->round += 2; /* a reported host is at round + 1 */
+  match_hosts (watch, state, now_us);
+  watch->noted_us = now_us;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      host_watch_t *host = g_hash_table_lookup (watch->hosts, reports[i].host);
+
+      if (host && host->round == watch->round)
+        note_report (host, &reports[i], now_us);
+    }
+  g_hash_table_iter_init (&iter, watch->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((const host_watch_t *)value)->round == watch->round)
+      note_missing (value, now_us);
+}
--- /dev/null
+++ b/fleet/wave.c
@@ -0,0 +1,390 @@
+#include "fleet.h"
+#include <stdlib.h>
+#include <string.h>
+
+static const wave_times_t default_times = {
+  .settle_us = WAVE_SETTLE_US,
+  .quiet_us = WAVE_QUIET_US,
+  .stay_us = WAVE_STAY_US,
+  .return_us = WAVE_RETURN_US,
+};
+
+/* The records decided so far.  */
+typedef struct output
+{
+  const wave_input_t *in;
+  const wave_times_t *times;
+  rec_t *records;
+  uint32_t count;
+  uint32_t max;
+} output_t;
+
+/* A host that a wave may drain next.  */
+typedef struct candidate
+{
+  const host_state_t *host;
+  uint64_t rack_load;
+  uint32_t load;
+  bool spare;
+  bool rack_under_way;
+} candidate_t;
+
+typedef struct rack_sum
+{
+  uint64_t load;
+  bool under_way;
+} rack_sum_t;
+
+uint32_t
+wave_actor (const char *key, const char *const *entries, uint32_t count)
+{
+  uint64_t best_score = 0;
+  uint32_t best = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      uint64_t score = hash_score (key, strlen (key), entries[i]);
+
+      if (i > 0 && score <= best_score)
+        continue;
+      best_score = score;
+      best = i;
+    }
+  return best;
+}
+
+static bool
+acts_for (const wave_input_t *in, const char *key)
+{
+  uint32_t actor;
+
+  if (in->entries_count == 0)
+    return false;
+  actor = wave_actor (key, in->entries, in->entries_count);
+  return strcmp (in->entries[actor], in->self) == 0;
+}
+
+static bool
+has_lasted (const wave_input_t *in, int64_t since_us, int64_t time_us)
+{
+  return since_us <= in->now_us - time_us;
+}
+
+static bool
+is_back (const output_t *out, const host_watch_t *watch)
+{
+  return watch->listed && !watch->leaving && watch->verified
+         && has_lasted (out->in, watch->seen_since_us, out->times->settle_us);
+}
+
+static bool
+is_gone (const output_t *out, const host_watch_t *watch)
+{
+  return !watch->listed
+         && has_lasted (out->in, watch->seen_since_us, out->times->settle_us);
+}
+
+/* The phase that HOST should enter now; its present one if none.  */
+static host_phase_t
+next_phase (const output_t *out, const host_state_t *host,
+            const host_watch_t *watch)
+{
+  const wave_input_t *in = out->in;
+  bool stayed = has_lasted (in, watch->phase_since_us, out->times->stay_us);
+
+  switch (host->phase)
+    {
+    case HOST_IN_SERVICE:
+      return is_gone (out, watch) ? HOST_FAILED : host->phase;
+    case HOST_DRAINING:
+      if (is_gone (out, watch))
+        return HOST_FAILED;
+      return has_lasted (in, watch->empty_since_us, out->times->quiet_us)
+                 ? HOST_DRAINED
+                 : host->phase;
+    case HOST_DRAINED:
+      if (is_gone (out, watch))
+        return HOST_FAILED;
+      return host->wave ? HOST_MAINTENANCE : host->phase;
+    case HOST_MAINTENANCE:
+      if (is_back (out, watch) && (watch->was_away || stayed))
+        return HOST_IN_SERVICE;
+      return has_lasted (in, watch->phase_since_us, out->times->return_us)
+                 ? HOST_FAILED
+                 : host->phase;
+    case HOST_FAILED:
+      return is_back (out, watch) ? HOST_IN_SERVICE : host->phase;
+    }
+  return host->phase;
+}
+
+static rec_t *
+add_record (output_t *out, rec_kind_t kind)
+{
+  rec_t *rec;
+
+  if (out->count == out->max)
+    return NULL;
+  rec = &out->records[out->count++];
+  rec_init (rec, kind, out->in->self, out->in->now_ms);
+  return rec;
+}
+
+static void
+decide_phases (output_t *out)
+{
+  const state_t *state = out->in->state;
+
+  for (uint32_t i = 0; i < state->hosts.count; i++)
+    {
+      const host_state_t *host = table_at (&state->hosts, i);
+      const host_watch_t *watch = watch_find (out->in->watch, host->name);
+      host_phase_t phase;
+      rec_t *rec;
+
+      if (!watch || watch->version != host->version)
+        continue;
+      phase = next_phase (out, host, watch);
+      if (phase == host->phase || !acts_for (out->in, host->name))
+        continue;
+      rec = add_record (out, REC_HOST_STATE);
+      if (!rec)
+        return;
+      g_strlcpy (rec->u.host_state.host, host->name, REC_NAME_BYTES);
+      rec->u.host_state.host_version = host->version;
+      rec->u.host_state.phase = phase;
+    }
+}
+
+static bool
+covers_pool (const wave_t *rule, const char *pool)
+{
+  for (uint32_t i = 0; i < rule->pools_count; i++)
+    if (strcmp (rule->pools[i], pool) == 0)
+      return true;
+  return false;
+}
+
+static bool
+is_out_for (const host_state_t *host, const char *wave)
+{
+  return host->wave && host->phase != HOST_IN_SERVICE
+         && strcmp (host->wave, wave) == 0;
+}
+
+static bool
+may_be_drained (const host_state_t *host, const host_watch_t *watch)
+{
+  return host->phase == HOST_IN_SERVICE && watch && watch->listed
+         && !watch->leaving;
+}
+
+static int
+compare_candidates (const void *a, const void *b)
+{
+  const candidate_t *l = a;
+  const candidate_t *r = b;
+
+  if (l->spare != r->spare)
+    return l->spare ? -1 : 1;
+  if (l->rack_under_way != r->rack_under_way)
+    return l->rack_under_way ? -1 : 1;
+  if (l->rack_load != r->rack_load)
+    return l->rack_load < r->rack_load ? -1 : 1;
+  if (l->host->rack != r->host->rack)
+    return strcmp (l->host->rack, r->host->rack);
+  if (l->load != r->load)
+    return l->load < r->load ? -1 : 1;
+  return strcmp (l->host->name, r->host->name);
+}
+
+/* Load and progress of each rack, over the hosts of the wave's pools.  */
+static GHashTable *
+sum_racks (const output_t *out, const wave_t *rule, const wave_state_t *wave)
+{
+  GHashTable *sums
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  const state_t *state = out->in->state;
+
+  for (uint32_t i = 0; i < state->hosts.count; i++)
+    {
+      const host_state_t *host = table_at (&state->hosts, i);
+      const host_watch_t *watch = watch_find (out->in->watch, host->name);
+      rack_sum_t *sum;
+
+      if (!covers_pool (rule, host->pool))
+        continue;
+      sum = g_hash_table_lookup (sums, host->rack);
+      if (!sum)
+        {
+          sum = g_new0 (rack_sum_t, 1);
+          g_hash_table_insert (sums, (gpointer)host->rack, sum);
+        }
+      if (state_wave_took (state, wave, host))
+        sum->under_way = true;
+      else if (watch)
+        sum->load += watch->load;
+    }
+  return sums;
+}
+
+/* The hosts that WAVE may drain, in its order.  */
+static GArray *
+list_candidates (const output_t *out, const wave_t *rule,
+                 const wave_state_t *wave)
+{
+  GArray *list = g_array_new (FALSE, FALSE, sizeof (candidate_t));
+  g_autoptr (GHashTable) sums = sum_racks (out, rule, wave);
+  const state_t *state = out->in->state;
+
+  for (uint32_t i = 0; i < state->hosts.count; i++)
+    {
+      const host_state_t *host = table_at (&state->hosts, i);
+      const host_watch_t *watch = watch_find (out->in->watch, host->name);
+      const rack_sum_t *sum = g_hash_table_lookup (sums, host->rack);
+      candidate_t c = { .host = host };
+
+      if (!sum || !covers_pool (rule, host->pool)
+          || !may_be_drained (host, watch)
+          || state_wave_took (state, wave, host))
+        continue;
+      c.load = watch->load_known ? watch->load : UINT32_MAX;
+      c.rack_load = sum->load;
+      c.rack_under_way = sum->under_way;
+      c.spare = fleet_find_pool (state->config->fleet, host->pool)->spare;
+      g_array_append_val (list, c);
+    }
+  g_array_sort (list, compare_candidates);
+  return list;
+}
+
+static void
+add_drain (output_t *out, const wave_state_t *wave, const host_state_t *host)
+{
+  rec_t *rec = add_record (out, REC_DRAIN);
+
+  if (!rec)
+    return;
+  g_strlcpy (rec->u.drain.host, host->name, REC_NAME_BYTES);
+  g_strlcpy (rec->u.drain.wave, wave->name, REC_NAME_BYTES);
+  rec->u.drain.host_version = host->version;
+  rec->u.drain.wave_run = wave->run;
+}
+
+static void
+add_done (output_t *out, const wave_state_t *wave)
+{
+  rec_t *rec = add_record (out, REC_WAVE);
+
+  if (!rec)
+    return;
+  g_strlcpy (rec->u.wave.wave, wave->name, REC_NAME_BYTES);
+  rec->u.wave.wave_version = wave->version;
+  rec->u.wave.phase = WAVE_DONE;
+}
+
+static void
+decide_wave (output_t *out, const wave_t *rule, const wave_state_t *wave,
+             budget_t *budget)
+{
+  wave_progress_t done = wave_progress (out->in->state, wave->name);
+  uint32_t at_once = rule->at_once ? rule->at_once : UINT32_MAX;
+  g_autoptr (GArray) list = NULL;
+
+  if (done.taken == done.hosts && done.out == 0)
+    {
+      add_done (out, wave);
+      return;
+    }
+  if (done.out >= at_once || done.taken == done.hosts)
+    return;
+  list = list_candidates (out, rule, wave);
+  for (uint32_t i = 0; i < list->len && done.out < at_once; i++)
+    {
+      const host_state_t *host = g_array_index (list, candidate_t, i).host;
+
+      if (budget_left (budget, host->pool, host->rack) == 0)
+        continue;
+      add_drain (out, wave, host);
+      budget_take (budget, host->pool, host->rack);
+      done.out++;
+    }
+}
+
+/* Hosts that are missing or leaving count as out before they are recorded as
+   failed: a drain at that moment would break the budget in fact.  */
+static void
+count_missing (const wave_input_t *in, budget_t *budget)
+{
+  for (uint32_t i = 0; i < in->state->hosts.count; i++)
+    {
+      const host_state_t *host = table_at (&in->state->hosts, i);
+
+      if (host->phase == HOST_IN_SERVICE
+          && !may_be_drained (host, watch_find (in->watch, host->name)))
+        budget_take (budget, host->pool, host->rack);
+    }
+}
+
+static void
+decide_waves (output_t *out)
+{
+  const state_t *state = out->in->state;
+  const fleet_t *fleet = state->config->fleet;
+  budget_t *budget = budget_new (state);
+
+  count_missing (out->in, budget);
+  for (uint32_t i = 0; i < fleet->waves_count; i++)
+    {
+      const wave_state_t *wave
+          = table_find (&state->waves, fleet->waves[i].name);
+
+      if (wave && wave->phase == WAVE_RUNNING
+          && acts_for (out->in, wave->name))
+        decide_wave (out, &fleet->waves[i], wave, budget);
+    }
+  budget_free (budget);
+}
+
+uint32_t
+wave_next (const wave_input_t *in, rec_t *records, uint32_t max)
+{
+  output_t out = {
+    .in = in,
+    .times = in->times ? in->times : &default_times,
+    .records = records,
+    .max = max,
+  };
+
+  if (!in->fresh || watch_is_blind (in->watch) || !in->state->config)
+    return 0;
+  decide_phases (&out);
+  decide_waves (&out);
+  return out.count;
+}
+
+wave_progress_t
+wave_progress (const state_t *state, const char *wave)
+{
+  const wave_state_t *known = table_find (&state->waves, wave);
+  const fleet_t *fleet = state->config ? state->config->fleet : NULL;
+  wave_progress_t progress = { 0 };
+  const wave_t *rule = NULL;
+
+  for (uint32_t i = 0; fleet && i < fleet->waves_count; i++)
+    if (strcmp (fleet->waves[i].name, wave) == 0)
+      rule = &fleet->waves[i];
+  for (uint32_t i = 0; rule && known && i < state->hosts.count; i++)
+    {
+      const host_state_t *host = table_at (&state->hosts, i);
+
+      if (is_out_for (host, wave))
+        progress.out++;
+      if (!covers_pool (rule, host->pool))
+        continue;
+      progress.hosts++;
+      if (state_wave_took (state, known, host))
+        progress.taken++;
+    }
+  return progress;
+}
