Add the plan of moves and the size of the buffer

Cause: pools that are short have to get hosts from the spare, and hosts that the fleet file puts elsewhere have to get there, without moving back and forth.

Change: plan proposes moves with a reason each, within the budgets: a pool is short for 5 s before it gets a host, a lent host stays until another pool has lacked one while it was idle for 20 s, and goes back to the spare after 600 s. buffer sizes the spare for the largest rack and the largest bursts at once.

In fleet/plan, a demand alternating every 8 s between 1 and 6 hosts moves two hosts once in 320 s.

Conclusion: plan keeps no memory but since when a pool is short or has a surplus, so any daemon can go on with moves under way.

--- a/fleet/budget.c
+++ b/fleet/budget.c
@@ -141,3 +141,18 @@
 
   return count ? count->hosts : 0;
 }
+
+void
+budget_take_missing (budget_t *budget, const state_t *state,
+                     const watch_t *watch)
+{
+  for (uint32_t i = 0; i < state->hosts.count; i++)
+    {
+      const host_state_t *host = table_at (&state->hosts, i);
+      const host_watch_t *seen = watch_find (watch, host->name);
+
+      if (host->phase == HOST_IN_SERVICE
+          && (!seen || !seen->listed || seen->leaving))
+        budget_take (budget, host->pool, host->rack);
+    }
+}
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -2,13 +2,15 @@
    on workers
 
    NAME
-     budget, watch, wave
+     budget, watch, wave, plan, buffer
 
    DESCRIPTION
      budget  hosts of each pool that are out, and how many more may be
      watch   what this daemon saw of the hosts, and since when
      wave    the next records of maintenance: drain, maintenance, failure,
              return
+     plan    moves of hosts between pools
+     buffer  the size of the spare
 
      None of these reads a clock, a socket or a file, or starts a thread.  All
      times named now_us are monotonic.  */
@@ -87,6 +89,12 @@
 /* watch_find - what is known of HOST, or NULL.  */
 const host_watch_t *watch_find (const watch_t *watch, const char *host);
 
+/* budget_take_missing - count the hosts that are in service in STATE but
+   missing or leaving in WATCH: a disruption now would break the budget in
+   fact, though not in the records.  */
+void budget_take_missing (budget_t *budget, const state_t *state,
+                          const watch_t *watch);
+
 typedef struct wave_times
 {
   int64_t settle_us; /* gone or back for so long before it counts */
@@ -149,4 +157,73 @@
 /* wave_progress - how far the current run of WAVE has come.  */
 wave_progress_t wave_progress (const state_t *state, const char *wave);
 
+/* What a pool is asked for, in thousandths of a host.  */
+typedef struct pool_demand
+{
+  const char *pool;
+  uint32_t now_milli;   /* that the work present now keeps busy */
+  uint32_t burst_milli; /* beyond the pool's own hosts at its largest burst */
+} pool_demand_t;
+
+/* PLAN_SHORT_US - a pool is short for so long before it gets a host: a burst
+   of a few seconds is over before a host has moved.
+   PLAN_SURPLUS_US - a lent host is idle for so long before another pool gets
+   it; PLAN_RETURN_US - before it goes back to the spare.  Until then it stays,
+   because the next burst may need it there.
+   PLAN_MARGIN_HOSTS - a pool keeps so many hosts above its need before it
+   counts as having a surplus.  */
+#define PLAN_SHORT_US 5000000
+#define PLAN_SURPLUS_US 20000000
+#define PLAN_RETURN_US 600000000
+#define PLAN_MARGIN_HOSTS 1
+
+#define MOVE_REASON_BYTES 160
+
+/* A host's way to another pool.  TO is FROM for a host that was drained for a
+   move that nothing needs any more.  */
+typedef struct host_move
+{
+  const char *host;
+  const char *from;
+  const char *to;
+  bool under_way; /* drained, or draining, for a move */
+  char reason[MOVE_REASON_BYTES];
+} host_move_t;
+
+/* Since when pools are short or have a surplus.  */
+typedef struct plan plan_t;
+
+plan_t *plan_new (void);
+void plan_free (plan_t *plan);
+
+/* plan_note - take in the demand on COUNT pools at NOW_US.  */
+void plan_note (plan_t *plan, const state_t *state,
+                const pool_demand_t *demands, uint32_t count, int64_t now_us);
+
+typedef struct plan_input
+{
+  const state_t *state;
+  const watch_t *watch; /* NULL: all hosts are taken to be live */
+  bool fresh;           /* the view is FRESH (admit.h) */
+  int64_t now_us;
+} plan_input_t;
+
+/* plan_moves - up to MAX moves to make now; their number.  In this order:
+   hosts under way, hosts that the fleet file puts in another pool, hosts for
+   pools that are short (from the spare, then lent hosts of pools with a
+   surplus), lent hosts back to the spare.  Each stays within the budgets.
+   None when the view is not fresh.  */
+uint32_t plan_moves (const plan_t *plan, const plan_input_t *in,
+                     host_move_t *moves, uint32_t max);
+
+/* plan_record - the record that takes MOVE one step further: DRAIN or
+   HOST_MOVE.  False when there is none now.  */
+bool plan_record (const state_t *state, const host_move_t *move,
+                  const char *author, int64_t now_ms, rec_t *rec);
+
+/* plan_buffer - idle hosts that the spare should hold: the largest rack plus
+   the AT_ONCE largest bursts, as queues burst in turn.  */
+uint32_t plan_buffer (const state_t *state, const pool_demand_t *demands,
+                      uint32_t count, uint32_t at_once);
+
 #endif
--- a/fleet/test/budget_test.c
+++ b/fleet/test/budget_test.c
@@ -1,8 +1,7 @@
 /* Guards against a plan that counts a budget other than the fold does.  */
 
 #include "fixture.h"
-#include <check.h>
-#include <stdlib.h>
+#include "runner.h"
 
 START_TEST (agrees_with_the_fold)
 {
@@ -65,16 +64,10 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("budget");
-  TCase *tc = tcase_create ("budget");
-  SRunner *runner = srunner_create (suite);
-  int failed;
+  const TTest *const tests[] = {
+    agrees_with_the_fold,
+    taken_hosts_count,
+  };
 
-  tcase_add_test (tc, agrees_with_the_fold);
-  tcase_add_test (tc, taken_hosts_count);
-  suite_add_tcase (suite, tc);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_tests ("budget", tests, G_N_ELEMENTS (tests));
 }
--- /dev/null
+++ b/fleet/test/plan_test.c
@@ -0,0 +1,206 @@
+/* Guards against moves that break a budget, go back and forth, or ignore the
+   fleet file.  */
+
+#include "fixture.h"
+#include "runner.h"
+
+#define SECOND INT64_C (1000000)
+#define MOVES_MAX 32
+
+static const fixture_t fixture = { .hosts = 20,
+                                   .pools = 5,
+                                   .per_rack = 4,
+                                   .centres = 3,
+                                   .budget = 2,
+                                   .rack_budget = 1 };
+
+typedef struct scene
+{
+  state_t *state;
+  plan_t *plan;
+  pool_demand_t demands[5];
+  host_move_t moves[MOVES_MAX];
+  uint32_t count;
+  uint32_t applied; /* HOST_MOVE records */
+  int64_t now_us;
+  bool fresh;
+} scene_t;
+
+static const char *const pools[] = { "p0", "p1", "p2", "p3", "p4" };
+
+static void
+open_scene (scene_t *s)
+{
+  memset (s, 0, sizeof *s);
+  s->state = state_new ();
+  s->plan = plan_new ();
+  s->now_us = SECOND;
+  s->fresh = true;
+  ck_assert_int_eq (fixture_publish (s->state, &fixture), VERDICT_APPLIED);
+  for (uint32_t i = 0; i < 5; i++)
+    s->demands[i] = (pool_demand_t){ .pool = pools[i], .now_milli = 3000 };
+}
+
+static void
+close_scene (scene_t *s)
+{
+  plan_free (s->plan);
+  state_free (s->state);
+}
+
+static uint32_t
+look (scene_t *s)
+{
+  plan_input_t in
+      = { .state = s->state, .fresh = s->fresh, .now_us = s->now_us };
+
+  plan_note (s->plan, s->state, s->demands, 5, s->now_us);
+  s->count = plan_moves (s->plan, &in, s->moves, MOVES_MAX);
+  return s->count;
+}
+
+static void
+step (scene_t *s)
+{
+  rec_t rec;
+
+  look (s);
+  for (uint32_t i = 0; i < s->count; i++)
+    if (plan_record (s->state, &s->moves[i], "t", 0, &rec))
+      s->applied += fixture_fold (s->state, &rec) == VERDICT_APPLIED
+                    && rec.kind == REC_HOST_MOVE;
+  for (uint32_t i = 0; i < s->state->hosts.count; i++)
+    {
+      const host_state_t *host = table_at (&s->state->hosts, i);
+
+      if (host->phase == HOST_DRAINING)
+        fixture_host (s->state, host->name, HOST_DRAINED);
+    }
+  s->now_us += SECOND;
+}
+
+static void
+run (scene_t *s, uint32_t seconds)
+{
+  while (seconds--)
+    step (s);
+}
+
+static uint32_t
+hosts_in (const scene_t *s, const char *pool)
+{
+  budget_t *budget = budget_new (s->state);
+  uint32_t hosts = budget_hosts (budget, pool);
+
+  budget_free (budget);
+  return hosts;
+}
+
+START_TEST (a_short_pool_gets_spare_hosts_within_the_budget)
+{
+  scene_t s;
+
+  open_scene (&s);
+  s.demands[1].now_milli = 6500;
+  run (&s, 5);
+  ck_assert_uint_eq (s.count, 0);   /* a short burst moves nothing */
+  ck_assert_uint_eq (look (&s), 2); /* three are missing, two may leave */
+  ck_assert_str_eq (s.moves[0].from, "p0");
+  ck_assert_str_eq (s.moves[0].to, "p1");
+  ck_assert_str_eq (s.moves[0].reason, "pool p1 needs 7 hosts and has 4");
+  s.fresh = false;
+  ck_assert_uint_eq (look (&s), 0);
+  s.fresh = true;
+  run (&s, 10);
+  ck_assert_uint_eq (hosts_in (&s, "p1"), 7);
+  ck_assert_uint_eq (s.applied, 3);
+  close_scene (&s);
+}
+END_TEST
+
+/* Hosts went to and fro with every burst.  */
+START_TEST (alternating_bursts_do_not_move_hosts_back_and_forth)
+{
+  scene_t s;
+
+  open_scene (&s);
+  for (uint32_t i = 0; i < 40; i++)
+    {
+      s.demands[1].now_milli = i % 2 ? 1000 : 6000;
+      run (&s, 8);
+    }
+  ck_assert_uint_eq (s.applied, 2);
+  s.demands[1].now_milli = 1000;
+  run (&s, (uint32_t)(PLAN_RETURN_US / SECOND) + 10);
+  ck_assert_uint_eq (hosts_in (&s, "p1"), 4);
+  ck_assert_uint_eq (hosts_in (&s, "p0"), 4);
+  close_scene (&s);
+}
+END_TEST
+
+START_TEST (idle_lent_hosts_serve_the_next_pool)
+{
+  scene_t s;
+
+  open_scene (&s);
+  s.demands[1].now_milli = 8000;
+  run (&s, 20);
+  ck_assert_uint_eq (hosts_in (&s, "p0"), 0);
+  s.demands[1].now_milli = 1000;
+  s.demands[2].now_milli = 7000;
+  run (&s, (uint32_t)(PLAN_SURPLUS_US / SECOND) + 20);
+  ck_assert_uint_eq (hosts_in (&s, "p2"), 7);
+  ck_assert_uint_eq (s.applied, 4 + 3);
+  close_scene (&s);
+}
+END_TEST
+
+START_TEST (a_host_follows_the_fleet_file)
+{
+  fixture_t f = fixture;
+  const host_state_t *host;
+  scene_t s;
+
+  open_scene (&s);
+  f.shifted = 6; /* of p1, now p2 */
+  ck_assert_int_eq (fixture_publish (s.state, &f), VERDICT_APPLIED);
+  run (&s, 1);
+  ck_assert_uint_eq (s.count, 1);
+  ck_assert_str_eq (s.moves[0].reason, "the fleet file puts it in pool p2");
+  run (&s, 5);
+  host = table_find (&s.state->hosts, "h0006");
+  ck_assert_str_eq (host->pool, "p2");
+  ck_assert_int_eq (host->phase, HOST_IN_SERVICE);
+  close_scene (&s);
+}
+END_TEST
+
+/* A host drained for a move that is not needed any more stayed drained.  */
+START_TEST (a_move_that_is_not_needed_ends)
+{
+  scene_t s;
+
+  open_scene (&s);
+  s.demands[1].now_milli = 6000;
+  run (&s, 6);
+  s.demands[1].now_milli = 1000;
+  run (&s, 2);
+  ck_assert_uint_eq (hosts_in (&s, "p0"), 4);
+  ck_assert_uint_eq (look (&s), 0);
+  close_scene (&s);
+}
+END_TEST
+
+int
+main (void)
+{
+  const TTest *const tests[] = {
+    a_short_pool_gets_spare_hosts_within_the_budget,
+    alternating_bursts_do_not_move_hosts_back_and_forth,
+    idle_lent_hosts_serve_the_next_pool,
+    a_host_follows_the_fleet_file,
+    a_move_that_is_not_needed_ends,
+  };
+
+  return run_tests ("plan", tests, G_N_ELEMENTS (tests));
+}
--- a/fleet/test/wave_test.c
+++ b/fleet/test/wave_test.c
@@ -2,16 +2,10 @@
    single decisions, and random sequences of failures, delayed and repeated
    records and racing operators.  CUMINPIN_SEED gives the seed of one.  */
 
-#include "fixture.h"
-#include <check.h>
+#include "runner.h"
+#include "scene.h"
 #include <stdio.h>
-#include <stdlib.h>
 
-#define SECOND INT64_C (1000000)
-#define HOSTS_MAX 64
-#define RECORDS_MAX 256
-
-static const char *const one_entry[] = { "e1" };
 static const char *const entries[] = { "e1", "e2", "e3" };
 static const fixture_t small = { .hosts = 20,
                                  .pools = 5,
@@ -20,77 +14,6 @@
                                  .budget = 2,
                                  .rack_budget = 1 };
 
-/* One view of a fleet, with every host live, verified and empty.  */
-typedef struct scene
-{
-  state_t *state;
-  watch_t *watch;
-  host_report_t reports[HOSTS_MAX];
-  char names[HOSTS_MAX][8];
-  uint32_t count;
-  int64_t now_us;
-  bool fresh;
-  rec_t records[RECORDS_MAX];
-} scene_t;
-
-static void
-scene_open (scene_t *s, const fixture_t *f)
-{
-  memset (s, 0, sizeof *s);
-  s->state = state_new ();
-  s->watch = watch_new ();
-  s->fresh = true;
-  s->count = f->hosts;
-  s->now_us = 1000 * SECOND;
-  ck_assert_int_eq (fixture_publish (s->state, f), VERDICT_APPLIED);
-  for (uint32_t i = 0; i < f->hosts; i++)
-    {
-      g_snprintf (s->names[i], sizeof s->names[i], "h%04u", i);
-      s->reports[i] = (host_report_t){ .host = s->names[i],
-                                       .verified = true,
-                                       .load_known = true };
-    }
-}
-
-static void
-scene_close (scene_t *s)
-{
-  watch_free (s->watch);
-  state_free (s->state);
-}
-
-static uint32_t
-scene_next (scene_t *s)
-{
-  wave_input_t in = { .state = s->state,
-                      .watch = s->watch,
-                      .self = "e1",
-                      .entries = one_entry,
-                      .entries_count = 1,
-                      .fresh = s->fresh,
-                      .now_us = s->now_us };
-
-  watch_note (s->watch, s->state, s->reports, s->count, s->now_us);
-  return wave_next (&in, s->records, RECORDS_MAX);
-}
-
-/* Step by a second until TIME_US has passed, folding all that is decided.  */
-static void
-scene_run (scene_t *s, int64_t time_us)
-{
-  for (int64_t end = s->now_us + time_us; s->now_us < end; s->now_us += SECOND)
-    for (uint32_t i = 0, n = scene_next (s); i < n; i++)
-      fixture_fold (s->state, &s->records[i]);
-}
-
-static host_phase_t
-phase_of (const scene_t *s, uint32_t host)
-{
-  const host_state_t *h = table_find (&s->state->hosts, s->names[host]);
-
-  return h->phase;
-}
-
 START_TEST (drains_spare_then_racks_then_emptiest)
 {
   fixture_t f = small;
@@ -501,21 +424,15 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("wave");
-  TCase *tc = tcase_create ("wave");
-  SRunner *runner = srunner_create (suite);
-  int failed;
-
-  tcase_add_test (tc, drains_spare_then_racks_then_emptiest);
-  tcase_add_test (tc, starts_nothing_that_it_cannot_see);
-  tcase_add_test (tc, drained_only_when_surely_empty);
-  tcase_add_test (tc, a_lost_host_uses_the_budget_until_it_is_back);
-  tcase_add_test (tc, fails_a_host_that_does_not_return);
-  tcase_add_test (tc, one_daemon_acts_for_each_host);
-  tcase_add_test (tc, random_sequences_hold_the_invariants);
-  suite_add_tcase (suite, tc);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  const TTest *const tests[] = {
+    drains_spare_then_racks_then_emptiest,
+    starts_nothing_that_it_cannot_see,
+    drained_only_when_surely_empty,
+    a_lost_host_uses_the_budget_until_it_is_back,
+    fails_a_host_that_does_not_return,
+    one_daemon_acts_for_each_host,
+    random_sequences_hold_the_invariants,
+  };
+
+  return run_tests ("wave", tests, G_N_ELEMENTS (tests));
 }
--- a/fleet/wave.c
+++ b/fleet/wave.c
@@ -311,21 +311,6 @@
     }
 }
 
-/* Hosts that are missing or leaving count as out before they are recorded as
-   failed: a drain at that moment would break the budget in fact.  */
-static void
-count_missing (const wave_input_t *in, budget_t *budget)
-{
-  for (uint32_t i = 0; i < in->state->hosts.count; i++)
-    {
-      const host_state_t *host = table_at (&in->state->hosts, i);
-
-      if (host->phase == HOST_IN_SERVICE
-          && !may_be_drained (host, watch_find (in->watch, host->name)))
-        budget_take (budget, host->pool, host->rack);
-    }
-}
-
 static void
 decide_waves (output_t *out)
 {
@@ -333,7 +318,7 @@
   const fleet_t *fleet = state->config->fleet;
   budget_t *budget = budget_new (state);
 
-  count_missing (out->in, budget);
+  budget_take_missing (budget, state, out->in->watch);
   for (uint32_t i = 0; i < fleet->waves_count; i++)
     {
       const wave_state_t *wave
