--- a/route/route.h
+++ b/route/route.h
@@ -31,7 +31,8 @@
   TRY_CANCELLED   /* the client is gone; says nothing of the upstream */
 } try_result_t;
 
-/* try_error - the error kind for a try that ended in RESULT.  */
+/* try_error - the error kind for a try that ended in RESULT; ERR_NONE for a
+   whole answer, whatever its status.  */
 err_kind_t try_error (try_result_t result);
 
 /* Health of one upstream as this daemon saw it.  All members are private.
@@ -42,7 +43,7 @@
   atomic_uint ejections;        /* in a row */
   atomic_int_fast64_t until_us; /* ejected until then */
   atomic_bool probing;          /* a probe is under way */
-  atomic_bool leaving;
+  atomic_int_fast64_t leaving_until_us;
   atomic_uint_fast32_t latency_us; /* moving average */
 } health_t;
 
@@ -62,7 +63,7 @@
 health_verdict_t health_judge (health_t *health, int64_t now_us);
 
 /* health_begin_probe - claim the probe that HEALTH_PROBE allows; false when
-   another thread was faster.  */
+   another thread was faster.  Its result must be given to health_note.  */
 bool health_begin_probe (health_t *health);
 
 /* health_note - take in the RESULT of a try that took LATENCY_US.  True when
@@ -70,8 +71,14 @@
 bool health_note (health_t *health, try_result_t result, int64_t latency_us,
                   int64_t now_us);
 
-/* health_set_leaving - by the platform's list or the upstream's own sign.  */
-void health_set_leaving (health_t *health, bool leaving);
+/* How long one sign of leaving counts.  The platform's list still shows a
+   leaving host as live for a while, so its word doesn't end this; a list that
+   shows it as leaving renews it.  */
+#define LEAVING_US 30000000
+
+/* health_note_leaving - a sign, from the platform's list or from the upstream
+   itself, that it is leaving.  True when it is the first one.  */
+bool health_note_leaving (health_t *health, int64_t now_us);
 
 /* An upstream as the choice sees it.  */
 typedef struct candidate
@@ -139,8 +146,9 @@
 /* The claims that this daemon has granted.  One thread, or a lock.  */
 typedef struct once_table once_table_t;
 
-/* once_new - no claims; ids issued before START_MS plus the clock error are
-   refused, because a predecessor may have granted them.  */
+/* once_new - no claims; ids issued before START_MS plus twice the clock error
+   are refused, because a predecessor may have granted them: its clock may have
+   been ahead of this one, and it granted ids that were ahead of its own.  */
 once_table_t *once_new (int64_t start_ms);
 void once_free (once_table_t *table);
 
