peer: add the connections between daemons

Cause: heartbeats, relayed records, claims and loans need a connection between each two daemons that finds its way back after any failure, and that listens to nobody without the shared secret.

Counter peer_refused.

--- a/base/counter.c
+++ b/base/counter.c
@@ -39,6 +39,7 @@
   [COUNT_PEER_MESSAGES_OUT] = "peer_messages_out",
   [COUNT_PEER_BYTES_IN] = "peer_bytes_in",
   [COUNT_PEER_BYTES_OUT] = "peer_bytes_out",
+  [COUNT_PEER_REFUSED] = "peer_refused",
   [COUNT_LOANS_GIVEN] = "loans_given",
   [COUNT_LOANS_TAKEN] = "loans_taken",
   [COUNT_CLAIMS_GRANTED] = "claims_granted",
--- /dev/null
+++ b/peer/conn.c
@@ -0,0 +1,327 @@
+#include "conn.h"
+#include <apr_portable.h>
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#define READ_BYTES (64 * 1024)
+
+GBytes *
+frame_new (const msg_t *msg)
+{
+  g_autoptr (GBytes) body = wire_put_msg (msg);
+  const void *data;
+  uint8_t *frame;
+  uint32_t head;
+  gsize len;
+
+  if (!body)
+    return NULL;
+  data = g_bytes_get_data (body, &len);
+  frame = g_malloc (HEAD_BYTES + len);
+  head = htonl ((uint32_t)len);
+  memcpy (frame, &head, HEAD_BYTES);
+  memcpy (frame + HEAD_BYTES, data, len);
+  return g_bytes_new_take (frame, HEAD_BYTES + len);
+}
+
+static void
+wait_for (conn_t *conn, uint32_t events)
+{
+  struct epoll_event event
+      = { .events = events, .data = { .ptr = &conn->source } };
+
+  if (conn->events == events)
+    return;
+  epoll_ctl (conn->link->epoll_fd,
+             conn->events ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, conn->fd, &event);
+  conn->events = events;
+}
+
+conn_t *
+conn_new (link_t *link, apr_pool_t *pool, apr_socket_t *sock, target_t *target,
+          int64_t now_us)
+{
+  conn_t *conn = g_new0 (conn_t, 1);
+
+  conn->source = (source_t){ SOURCE_CONN, { conn } };
+  conn->link = link;
+  conn->pool = pool;
+  conn->sock = sock;
+  conn->target = target;
+  conn->outgoing = target != NULL;
+  conn->in = g_byte_array_new ();
+  conn->opened_us = now_us;
+  conn->read_us = now_us;
+  g_queue_init (&conn->out);
+  apr_os_sock_get (&conn->fd, sock);
+  apr_socket_opt_set (sock, APR_SO_NONBLOCK, 1);
+  apr_socket_timeout_set (sock, 0);
+  apr_socket_opt_set (sock, APR_TCP_NODELAY, 1);
+  g_ptr_array_add (link->conns, conn);
+  return conn;
+}
+
+bool
+conn_open (link_t *link, target_t *target, int64_t now_us)
+{
+  apr_sockaddr_t *address;
+  apr_socket_t *sock;
+  apr_pool_t *pool;
+  apr_status_t status;
+  conn_t *conn;
+
+  if (apr_pool_create (&pool, link->pool) != APR_SUCCESS)
+    return false;
+  if (apr_sockaddr_info_get (&address, target->address, APR_UNSPEC,
+                             target->port, 0, pool)
+          != APR_SUCCESS
+      || apr_socket_create (&sock, address->family, SOCK_STREAM, APR_PROTO_TCP,
+                            pool)
+             != APR_SUCCESS)
+    {
+      apr_pool_destroy (pool);
+      return false;
+    }
+  conn = conn_new (link, pool, sock, target, now_us);
+  target->conn = conn;
+  status = apr_socket_connect (sock, address);
+  if (status == APR_SUCCESS)
+    handshake_begin (conn);
+  else if (APR_STATUS_IS_EINPROGRESS (status))
+    wait_for (conn, EPOLLOUT);
+  else
+    conn_close (conn, "connect");
+  return true;
+}
+
+void
+conn_close (conn_t *conn, const char *reason)
+{
+  if (conn->phase == CONN_CLOSED)
+    return;
+  if (conn->phase == CONN_UP)
+    event_log (EV_PEER_DOWN, "peer=%s reason=%s", conn->slot->name, reason);
+  conn->phase = CONN_CLOSED;
+  apr_socket_close (conn->sock);
+  link_dropped (conn->link, conn);
+}
+
+void
+conn_free (conn_t *conn)
+{
+  if (conn->slot)
+    atomic_fetch_sub (&conn->slot->queued, (unsigned)conn->out_bytes);
+  g_queue_clear_full (&conn->out, (GDestroyNotify)g_bytes_unref);
+  g_byte_array_unref (conn->in);
+  apr_pool_destroy (conn->pool);
+  g_free (conn);
+}
+
+static void
+drop_written (conn_t *conn)
+{
+  GBytes *frame = g_queue_pop_head (&conn->out);
+  gsize len = g_bytes_get_size (frame);
+
+  conn->out_done = 0;
+  conn->out_bytes -= len;
+  if (conn->slot)
+    atomic_fetch_sub (&conn->slot->queued, (unsigned)len);
+  counter_add (COUNT_PEER_MESSAGES_OUT, 1);
+  counter_add (COUNT_PEER_BYTES_OUT, len);
+  g_bytes_unref (frame);
+}
+
+static void
+write_out (conn_t *conn)
+{
+  while (!g_queue_is_empty (&conn->out))
+    {
+      gsize len;
+      const char *data
+          = g_bytes_get_data (g_queue_peek_head (&conn->out), &len);
+      apr_size_t count = len - conn->out_done;
+      apr_status_t status
+          = apr_socket_send (conn->sock, data + conn->out_done, &count);
+
+      if (status != APR_SUCCESS && !APR_STATUS_IS_EAGAIN (status))
+        {
+          conn_close (conn, "write");
+          return;
+        }
+      conn->out_done += count;
+      if (conn->out_done < len)
+        {
+          wait_for (conn, EPOLLIN | EPOLLOUT);
+          return;
+        }
+      drop_written (conn);
+    }
+  wait_for (conn, EPOLLIN);
+}
+
+void
+conn_queue (conn_t *conn, GBytes *frame)
+{
+  if (conn->phase == CONN_CLOSED)
+    return;
+  conn->out_bytes += g_bytes_get_size (frame);
+  if (conn->slot)
+    atomic_fetch_add (&conn->slot->queued, (unsigned)g_bytes_get_size (frame));
+  g_queue_push_tail (&conn->out, g_bytes_ref (frame));
+  /* If others wait, the socket is full and will say when it is not.  */
+  if (conn->out.length == 1)
+    write_out (conn);
+}
+
+static void
+take_frame (conn_t *conn, GBytes *body, int64_t now_us)
+{
+  g_autoptr (GError) error = NULL;
+  msg_t msg;
+
+  counter_add (COUNT_PEER_MESSAGES_IN, 1);
+  if (!wire_get_msg (body, &msg, &error))
+    {
+      conn_close (conn, "malformed");
+      return;
+    }
+  if (conn->phase == CONN_UP)
+    link_take (conn->link, conn, &msg, now_us);
+  else
+    handshake_take (conn, &msg, now_us);
+  msg_clear (&msg);
+}
+
+/* Takes the whole frames from the input.  */
+static void
+take_frames (conn_t *conn, int64_t now_us)
+{
+  guint at = 0;
+
+  while (conn->phase != CONN_CLOSED && conn->in->len - at >= HEAD_BYTES)
+    {
+      g_autoptr (GBytes) body = NULL;
+      uint32_t len;
+
+      memcpy (&len, conn->in->data + at, HEAD_BYTES);
+      len = ntohl (len);
+      if (len > (conn->phase == CONN_UP ? MSG_BYTES_MAX : HANDSHAKE_BYTES_MAX))
+        {
+          conn_close (conn, "oversized");
+          return;
+        }
+      if (conn->in->len - at - HEAD_BYTES < len)
+        break;
+      body = g_bytes_new (conn->in->data + at + HEAD_BYTES, len);
+      at += HEAD_BYTES + len;
+      take_frame (conn, body, now_us);
+    }
+  if (at)
+    g_byte_array_remove_range (conn->in, 0, at);
+}
+
+static void
+read_in (conn_t *conn, int64_t now_us)
+{
+  char data[READ_BYTES];
+  apr_size_t len = sizeof data;
+  apr_status_t status = apr_socket_recv (conn->sock, data, &len);
+
+  if (APR_STATUS_IS_EAGAIN (status))
+    return;
+  if (len == 0 || (status != APR_SUCCESS && !APR_STATUS_IS_EOF (status)))
+    {
+      conn_close (conn, "closed");
+      return;
+    }
+  conn->read_us = now_us;
+  counter_add (COUNT_PEER_BYTES_IN, len);
+  g_byte_array_append (conn->in, (const guint8 *)data, (guint)len);
+  take_frames (conn, now_us);
+}
+
+static void
+connected (conn_t *conn)
+{
+  int error = 0;
+  socklen_t len = sizeof error;
+
+  if (getsockopt (conn->fd, SOL_SOCKET, SO_ERROR, &error, &len) < 0 || error)
+    conn_close (conn, "connect");
+  else
+    handshake_begin (conn);
+}
+
+void
+conn_ready (conn_t *conn, uint32_t events, int64_t now_us)
+{
+  if (conn->phase == CONN_CONNECTING)
+    {
+      connected (conn);
+      return;
+    }
+  if (conn->phase != CONN_CLOSED && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)))
+    read_in (conn, now_us);
+  if (conn->phase != CONN_CLOSED && (events & EPOLLOUT))
+    write_out (conn);
+}
+
+void
+conn_send_beat (conn_t *conn, int64_t now_us)
+{
+  g_autoptr (GBytes) frame = NULL;
+  msg_t msg = { .kind = MSG_BEAT };
+  own_beat_t own;
+
+  conn->beat_us = now_us + BEAT_EVERY_US;
+  if (conn->out_bytes > QUEUE_BEAT_BYTES)
+    return;
+  pthread_mutex_lock (&conn->link->lock);
+  own = conn->link->beat;
+  pthread_mutex_unlock (&conn->link->lock);
+  msg.u.beat = (msg_beat_t){ .config_version = own.config_version,
+                             .settled_version = own.settled_version,
+                             .offset = own.offset,
+                             .log_age_ms = BEAT_NEVER_READ,
+                             .sent_us = now_us,
+                             .echo_us = conn->peer_sent_us };
+  /* Rounded up, so that no reader takes the log for read later than it was. */
+  if (own.log_read_us > 0)
+    msg.u.beat.log_age_ms
+        = (uint64_t)MAX (0, now_us - own.log_read_us) / 1000 + 1;
+  frame = frame_new (&msg);
+  conn_queue (conn, frame);
+}
+
+void
+conn_timer (conn_t *conn, int64_t now_us)
+{
+  switch (conn->phase)
+    {
+    case CONN_CONNECTING:
+    case CONN_HELLO:
+    case CONN_PROOF:
+      if (now_us - conn->opened_us >= HANDSHAKE_US)
+        conn_close (conn, "handshake");
+      break;
+    case CONN_UP:
+      if (now_us - conn->read_us >= GONE_US)
+        conn_close (conn, "silent");
+      else if (now_us >= conn->beat_us)
+        conn_send_beat (conn, now_us);
+      break;
+    case CONN_CLOSED:
+      break;
+    }
+}
+
+int64_t
+conn_due_us (const conn_t *conn)
+{
+  if (conn->phase == CONN_UP)
+    return MIN (conn->beat_us, conn->read_us + GONE_US);
+  return conn->opened_us + HANDSHAKE_US;
+}
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -121,8 +121,8 @@
      longer.  May call link_send.  */
   void (*on_message) (void *ctx, const char *peer, uint64_t incarnation,
                       const msg_t *msg);
-  /* Called on the peer thread when NAME is connected, and when it is not any
-     more; may be NULL.  */
+  /* Called on the peer thread when PEER is connected, and when it is not any
+     more, after the list of members says so; may be NULL.  */
   void (*on_peer) (void *ctx, const char *peer, bool connected);
   /* Called on the peer thread at least each BEAT_EVERY_US; may be NULL.  */
   void (*on_tick) (void *ctx, int64_t now_us);
