daemon: keep connections to an upstream inside its limit

Cause: each event loop kept as many idle connections to an upstream as libcurl liked, so that all daemons together could exceed the upstream's connections.

Change: a view gives the connections for one loop (limit / entry hosts / threads), and loops pass it to libcurl. The log thread folds through wire_fold, as the command line does. A stop past stop_ms ends at once.

Conclusion: a bound by construction; the stand-in's count of connections under load has still to show it.

--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -103,16 +103,17 @@
   uint32_t data_centres_count;
   const char **entry_hosts;
   uint32_t entry_hosts_count;
-  int64_t run_max_ms; /* longest deadline and overrun of any service */
+  int64_t run_max_ms;   /* longest deadline and overrun of any service */
+  uint32_t connections; /* to one upstream from one event loop */
 } view_t;
 
 /* view_get - the view in force; NULL before the first.  Between
    rcu_read_lock and rcu_read_unlock.  */
 const view_t *view_get (void);
 
-/* view_new - a view of STATE, which it takes over, as NAME in DATA_CENTRE sees
-   it.  Sets the shares of all live objects.  */
-view_t *view_new (state_t *state, const char *name, const char *data_centre);
+/* view_new - a view of STATE, which it takes over, as the daemon with SETTINGS
+   sees it.  Sets the shares of all live objects.  */
+view_t *view_new (state_t *state, const settings_t *settings);
 
 /* view_publish - put VIEW in force.  One thread.  */
 void view_publish (view_t *view);
--- a/daemon/logreader.c
+++ b/daemon/logreader.c
@@ -47,8 +47,7 @@
 {
   uint64_t version = state_config_version (reader->state);
 
-  view_publish (view_new (state_copy (reader->state), reader->settings->name,
-                          reader->settings->data_centre));
+  view_publish (view_new (state_copy (reader->state), reader->settings));
   if (version != old_version)
     event_log (EV_CONFIG_IN_FORCE, "version=%" PRIu64 " offset=%" PRIu64,
                version, reader->state->offset);
@@ -59,33 +58,26 @@
 take_record (logreader_t *reader, const log_entry_t *entry)
 {
   g_autoptr (GError) error = NULL;
-  rec_t rec;
-  verdict_t verdict;
   gsize len;
   const void *data = g_bytes_get_data (entry->data, &len);
+  verdict_t verdict
+      = wire_fold (reader->state, data, len, entry->offset, NULL, &error);
 
-  if (!wire_get_rec (data, len, &rec, &error))
+  if (verdict == VERDICT_APPLIED)
     {
-      event_log (EV_RECORD_MALFORMED, "offset=%" PRIu64 " reason=\"%s\"",
-                 entry->offset, error->message);
-      reader->state->offset = entry->offset + 1;
+      counter_add (COUNT_RECORDS_APPLIED, 1);
       return true;
     }
-  if (!rec_check (&rec, &error))
-    event_log (EV_RECORD_REJECTED, "offset=%" PRIu64 " reason=\"%s\"",
+  counter_add (COUNT_RECORDS_REJECTED, 1);
+  if (verdict == VERDICT_BEHIND)
+    event_log (EV_VIEW_BEHIND, "offset=%" PRIu64, entry->offset);
+  else if (error && g_error_matches (error, WIRE_ERROR, WIRE_ERROR_FORM))
+    event_log (EV_RECORD_MALFORMED, "offset=%" PRIu64 " reason=\"%s\"",
                entry->offset, error->message);
-  verdict = state_fold (reader->state, &rec, entry->offset);
-  if (verdict == VERDICT_APPLIED)
-    counter_add (COUNT_RECORDS_APPLIED, 1);
   else
-    {
-      counter_add (COUNT_RECORDS_REJECTED, 1);
-      event_log (
-          verdict == VERDICT_BEHIND ? EV_VIEW_BEHIND : EV_RECORD_REJECTED,
-          "offset=%" PRIu64 " kind=%s verdict=%s author=%s", entry->offset,
-          rec_kind_name (rec.kind), verdict_name (verdict), rec.author);
-    }
-  rec_clear (&rec);
+    event_log (EV_RECORD_REJECTED,
+               "offset=%" PRIu64 " verdict=%s reason=\"%s\"", entry->offset,
+               verdict_name (verdict), error ? error->message : "condition");
   return verdict != VERDICT_BEHIND;
 }
 
--- a/daemon/loop.c
+++ b/daemon/loop.c
@@ -315,14 +315,14 @@
     return false;
   event_log (EV_STOP_FORCED, "in_flight=%u",
              (unsigned)atomic_load (&loop->in_flight));
-  return true;
+  /* The HTTP server can't be stopped in order while requests wait.  */
+  _exit (EXIT_FAILURE);
 }
 
 static void
 run_timers (loop_t *loop, int64_t now_us)
 {
   timer_entry_t entry;
-  const view_t *view;
 
   while (timers_due (loop, now_us, &entry))
     flow_timer (loop, &entry, now_us);
@@ -331,11 +331,23 @@
       loop->curl_due_us = INT64_MAX;
       run_curl (loop, CURL_SOCKET_TIMEOUT, 0, now_us);
     }
-  if (!loop->queued)
-    return;
+}
+
+/* What a new view changes for this loop, and what time alone has freed.  */
+static void
+follow_view (loop_t *loop, int64_t now_us)
+{
+  const view_t *view;
+
   rcu_read_lock ();
   view = view_get ();
-  if (view)
+  if (view && view->connections != loop->host_connections)
+    {
+      loop->host_connections = view->connections;
+      curl_multi_setopt (loop->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                         (long)MIN (view->connections, INT32_MAX));
+    }
+  if (view && loop->queued)
     admission_pump_all (view, now_us);
   rcu_read_unlock ();
 }
@@ -358,6 +370,7 @@
       for (int i = 0; i < count; i++)
         run_source (loop, &events[i], now_us);
       run_timers (loop, now_us);
+      follow_view (loop, now_us);
       MHD_run (loop->server);
       now_us = clock_mono_us ();
     }
--- a/daemon/loop.h
+++ b/daemon/loop.h
@@ -76,8 +76,9 @@
   GPtrArray *easy_free; /* idle CURL handles */
   int64_t curl_due_us;  /* INT64_MAX: none */
   int64_t last_request_us;
-  uint32_t queued;       /* own requests in services' queues */
-  atomic_uint in_flight; /* requests not answered yet */
+  uint32_t host_connections; /* as libcurl was told last */
+  uint32_t queued;           /* own requests in services' queues */
+  atomic_uint in_flight;     /* requests not answered yet */
   atomic_uint connections;
   atomic_bool stop_begun;
   bool accepting;
--- a/daemon/test/fixture.h
+++ b/daemon/test/fixture.h
@@ -38,6 +38,9 @@
       "  - {name: e1, data_centre: dc1, address: 127.0.0.1, peer_port: 1}\n"
       "  - {name: e2, data_centre: dc2, address: 127.0.0.1, peer_port: 2}\n";
 
+static const settings_t fixture_settings
+    = { .name = "e1", .data_centre = "dc1", .threads = 2 };
+
 /* A view of the fleet above, as e1 sees it, in which team a has KEY.  */
 static inline view_t *
 fixture_view (void)
@@ -58,7 +61,7 @@
   g_strlcpy (rec.u.key.team, "a", sizeof rec.u.key.team);
   key_digest (KEY, strlen (KEY), rec.u.key.digest);
   ck_assert_int_eq (state_fold (state, &rec, 1), VERDICT_APPLIED);
-  return view_new (state, "e1", "dc1");
+  return view_new (state, &fixture_settings);
 }
 
 /* A request for SERVICE that arrived at NOW_US.  */
--- a/daemon/view.c
+++ b/daemon/view.c
@@ -124,9 +124,16 @@
   return total / hosts + (before < total % hosts ? 1 : 0);
 }
 
+/* Connections that one event loop of this daemon may keep to an upstream that
+   takes TOTAL: all loops of all entry hosts together stay inside.  */
+static uint32_t
+own_connections (const fleet_t *fleet, uint32_t threads, uint32_t total)
+{
+  return MAX (1, total / MAX (1, fleet->entry_hosts_count * threads));
+}
+
 static void
-add_service (view_t *view, const service_t *rule, const char *name,
-             const char *data_centre)
+add_service (view_t *view, const service_t *rule, const settings_t *settings)
 {
   const fleet_t *fleet = view->state->config->fleet;
   view_service_t *service = &view->services[view->services_count++];
@@ -145,10 +152,13 @@
       upstream = &service->upstreams[service->upstreams_count++];
       upstream->rule = listed;
       upstream->live = live_upstream (listed->name);
-      upstream->local = strcmp (place, data_centre) == 0;
-      escrow_set_share (
-          upstream->live->slots,
-          own_share (fleet, name, listed->name, place, listed->slots));
+      upstream->local = strcmp (place, settings->data_centre) == 0;
+      view->connections
+          = MIN (view->connections, own_connections (fleet, settings->threads,
+                                                     listed->connections));
+      escrow_set_share (upstream->live->slots,
+                        own_share (fleet, settings->name, listed->name, place,
+                                   listed->slots));
     }
   pthread_mutex_lock (&service->live->lock);
   queue_set_max (service->live->queue, rule->queue_max);
@@ -179,12 +189,13 @@
 }
 
 view_t *
-view_new (state_t *state, const char *name, const char *data_centre)
+view_new (state_t *state, const settings_t *settings)
 {
   view_t *view = g_new0 (view_t, 1);
   const fleet_t *fleet;
 
   view->state = state;
+  view->connections = UINT32_MAX;
   view->keys = key_index_new (state);
   if (!state->config)
     return view;
@@ -192,7 +203,7 @@
   add_entry_hosts (view, fleet);
   view->services = g_new0 (view_service_t, fleet->services_count);
   for (uint32_t i = 0; i < fleet->services_count; i++)
-    add_service (view, &fleet->services[i], name, data_centre);
+    add_service (view, &fleet->services[i], settings);
   qsort (view->services, view->services_count, sizeof *view->services,
          compare_services);
   view->teams = g_new0 (view_team_t, fleet->teams_count);
@@ -202,9 +213,9 @@
 
       team->rule = &fleet->teams[i];
       team->live = live_team (team->rule->name);
-      escrow_set_share (
-          team->live->permits,
-          own_share (fleet, name, team->rule->name, NULL, team->rule->limit));
+      escrow_set_share (team->live->permits,
+                        own_share (fleet, settings->name, team->rule->name,
+                                   NULL, team->rule->limit));
     }
   qsort (view->teams, view->teams_count, sizeof *view->teams, compare_teams);
   return view;
