daemon: split limits with share_split

Cause: view.c had a split of its own beside the one in admit/share.

Change: it calls share_split.

Conclusion: one rule for the split; the gate that delays raised shares still has to be connected.

--- a/daemon/view.c
+++ b/daemon/view.c
@@ -84,44 +84,24 @@
                   compare_teams);
 }
 
-static bool
-has_entry_host (const fleet_t *fleet, const char *data_centre)
-{
-  for (uint32_t i = 0; i < fleet->entry_hosts_count; i++)
-    if (strcmp (fleet->entry_hosts[i].data_centre, data_centre) == 0)
-      return true;
-  return false;
-}
-
 /* This daemon's part of TOTAL permits of RESOURCE, split over the entry hosts
    of DATA_CENTRE, or over all if it is NULL or has none.  */
 static uint32_t
-own_share (const fleet_t *fleet, const char *name, const char *resource,
-           const char *data_centre, uint32_t total)
+own_part (const view_t *view, const char *name, const char *resource,
+          const char *data_centre, uint32_t total)
 {
-  uint64_t own_score = hash_score (resource, strlen (resource), name);
-  uint32_t hosts = 0;
-  uint32_t before = 0;
-  bool listed = false;
-
-  if (data_centre && !has_entry_host (fleet, data_centre))
-    data_centre = NULL;
-  for (uint32_t i = 0; i < fleet->entry_hosts_count; i++)
-    {
-      const entry_host_t *entry = &fleet->entry_hosts[i];
+  const fleet_t *fleet = view->state->config->fleet;
+  g_autofree const char **hosts
+      = g_new0 (const char *, fleet->entry_hosts_count + 1);
+  uint32_t count = 0;
 
-      if (data_centre && strcmp (entry->data_centre, data_centre) != 0)
-        continue;
-      hosts++;
-      if (strcmp (entry->name, name) == 0)
-        listed = true;
-      else if (hash_score (resource, strlen (resource), entry->name)
-               > own_score)
-        before++;
-    }
-  if (!listed)
-    return 0;
-  return total / hosts + (before < total % hosts ? 1 : 0);
+  for (uint32_t i = 0; data_centre && i < fleet->entry_hosts_count; i++)
+    if (strcmp (fleet->entry_hosts[i].data_centre, data_centre) == 0)
+      hosts[count++] = fleet->entry_hosts[i].name;
+  if (count == 0)
+    return share_split (resource, total, view->entry_hosts,
+                        view->entry_hosts_count, name);
+  return share_split (resource, total, hosts, count, name);
 }
 
 /* Connections that one event loop of this daemon may keep to an upstream that
@@ -156,9 +136,9 @@
       view->connections
           = MIN (view->connections, own_connections (fleet, settings->threads,
                                                      listed->connections));
-      escrow_set_share (upstream->live->slots,
-                        own_share (fleet, settings->name, listed->name, place,
-                                   listed->slots));
+      escrow_set_share (
+          upstream->live->slots,
+          own_part (view, settings->name, listed->name, place, listed->slots));
     }
   pthread_mutex_lock (&service->live->lock);
   queue_set_max (service->live->queue, rule->queue_max);
@@ -214,8 +194,8 @@
       team->rule = &fleet->teams[i];
       team->live = live_team (team->rule->name);
       escrow_set_share (team->live->permits,
-                        own_share (fleet, settings->name, team->rule->name,
-                                   NULL, team->rule->limit));
+                        own_part (view, settings->name, team->rule->name, NULL,
+                                  team->rule->limit));
     }
   qsort (view->teams, view->teams_count, sizeof *view->teams, compare_teams);
   return view;
