cli: add the operators' command cuminpin

Cause: Operators need to check and publish fleet files, handle keys and waves, and see the state, while other operators do the same and the log fails.

--- /dev/null
+++ b/cli/main.c
@@ -0,0 +1,112 @@
+/* cuminpin - the operators' command; see docs/cuminpin.1  */
+
+#include "cli.h"
+#include <argtable2.h>
+#include <sodium.h>
+#include <stdlib.h>
+
+#define ADMINS_MAX 64
+#define ARGS_MAX 4
+
+/* A configuration is to be in effect everywhere within this time
+   (docs/design.md, 1.6).  */
+#define WAIT_DEFAULT_MS 14000
+
+typedef struct options
+{
+  struct arg_str *platform;
+  struct arg_str *author;
+  struct arg_str *admin;
+  struct arg_lit *json;
+  struct arg_int *base;
+  struct arg_lit *wait;
+  struct arg_int *wait_ms;
+  struct arg_lit *help;
+  struct arg_str *words;
+  struct arg_end *end;
+} options_t;
+
+static void
+print_help (void **table)
+{
+  uint32_t count;
+  const verb_t *verbs = verb_table (&count);
+
+  printf ("usage: cuminpin");
+  arg_print_syntax (stdout, table, "\n");
+  printf ("\nverbs:\n");
+  for (uint32_t i = 0; i < count; i++)
+    {
+      g_autofree char *call
+          = g_strdup_printf ("%s %s", verbs[i].name, verbs[i].synopsis);
+
+      printf ("  %-38s %s\n", call, verbs[i].help);
+    }
+  printf ("\noptions:\n");
+  arg_print_glossary (stdout, table, "  %-26s %s\n");
+}
+
+static int
+run (const options_t *o)
+{
+  const char *platform = getenv ("CUMINPIN_PLATFORM");
+  cli_t cli = {
+    .platform = o->platform->count ? o->platform->sval[0] : platform,
+    .author = o->author->count ? o->author->sval[0] : g_get_user_name (),
+    .json = o->json->count > 0,
+    .wait = o->wait->count > 0,
+    .wait_ms = (uint32_t)o->wait_ms->ival[0],
+    .base = o->base->count ? (uint64_t)o->base->ival[0] : 0,
+    .admins = o->admin->sval,
+    .admins_count = (uint32_t)o->admin->count,
+    .args = o->words->sval + 1,
+    .args_count = (uint32_t)o->words->count - 1,
+    .in = stdin,
+    .out = stdout,
+    .err = stderr,
+  };
+
+  return verb_run (o->words->sval[0], &cli);
+}
+
+int
+main (int argc, char **argv)
+{
+  options_t o = {
+    .platform = arg_str0 (NULL, "platform", "URL", "the platform's services"),
+    .author = arg_str0 (NULL, "author", "NAME", "stands in records"),
+    .admin = arg_strn (NULL, "admin", "HOST:PORT", 0, ADMINS_MAX,
+                       "admin address of a daemon; may be repeated"),
+    .json = arg_lit0 (NULL, "json", "output for scripts"),
+    .base = arg_int0 (NULL, "base", "N",
+                      "publish: version that the file was made from"),
+    .wait = arg_lit0 (NULL, "wait", "publish: until it is in force"),
+    .wait_ms = arg_int0 (NULL, "wait-ms", "MS", "publish: longest wait"),
+    .help = arg_lit0 ("h", "help", "print this text"),
+    .words = arg_strn (NULL, NULL, "VERB", 0, ARGS_MAX, "verb and arguments"),
+    .end = arg_end (8),
+  };
+  void *table[] = { o.platform, o.author,  o.admin, o.json,  o.base,
+                    o.wait,     o.wait_ms, o.help,  o.words, o.end };
+  int errors;
+  int status = CLI_USAGE;
+
+  if (arg_nullcheck (table) || sodium_init () < 0)
+    return CLI_REFUSED;
+  o.wait_ms->ival[0] = WAIT_DEFAULT_MS;
+  errors = arg_parse (argc, argv, table);
+  if (o.help->count > 0)
+    {
+      print_help (table);
+      status = CLI_OK;
+    }
+  else if (errors > 0)
+    arg_print_errors (stderr, o.end, "cuminpin");
+  else if (o.words->count == 0 || o.wait_ms->ival[0] < 0
+           || (o.base->count > 0 && o.base->ival[0] <= 0))
+    fprintf (stderr, "cuminpin: wrong usage; see cuminpin --help\n");
+  else
+    status = run (&o);
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  return status;
+}
