--- a/base/test/pack_test.c
+++ b/base/test/pack_test.c
@@ -1,9 +1,8 @@
 /* Guards against msgpack input whose claimed counts exceed what is there: a
    decoder would allocate for the claim.  */
 
+#include "../../test/run_suite.h"
 #include "base.h"
-#include <check.h>
-#include <stdlib.h>
 
 #define CASE(good, ...)                                                       \
   {                                                                           \
@@ -41,9 +40,10 @@
 
 START_TEST (claims_are_compared_with_the_input)
 {
-  ck_assert_msg (pack_is_bounded (cases[_i].bytes, cases[_i].len)
-                     == cases[_i].good,
-                 "case %d", _i);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    ck_assert_msg (pack_is_bounded (cases[i].bytes, cases[i].len)
+                       == cases[i].good,
+                   "case %zu", i);
 }
 END_TEST
 
@@ -53,18 +53,8 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("pack");
-  TCase *tests = tcase_create ("pack");
-  SRunner *runner;
-  int failed;
+  const TTest *const tests[]
+      = { claims_are_compared_with_the_input, empty_input_is_no_value, NULL };
 
-  tcase_add_loop_test (tests, claims_are_compared_with_the_input, 0,
-                       G_N_ELEMENTS (cases));
-  tcase_add_test (tests, empty_input_is_no_value);
-  suite_add_tcase (suite, tests);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return run_suite ("pack", tests);
 }
--- a/cli/test/config_test.c
+++ b/cli/test/config_test.c
@@ -238,7 +238,8 @@
           an_edit_of_an_old_version_is_refused_with_the_changes,
           the_loser_of_a_race_is_told,
           a_withdrawn_key_stays_withdrawn,
-          wait_tells_where_a_version_is_not_in_force };
+          wait_tells_where_a_version_is_not_in_force,
+          NULL };
 
-  return run_tests ("config", tests, G_N_ELEMENTS (tests));
+  return run_suite_with ("config", tests, set_up, tear_down);
 }
--- a/cli/test/fixture.h
+++ b/cli/test/fixture.h
@@ -3,11 +3,10 @@
 #ifndef CUMINPIN_CLI_FIXTURE_H
 #define CUMINPIN_CLI_FIXTURE_H
 
+#include "../../test/run_suite.h"
 #include "cli.h"
 #include "session.h"
-#include <check.h>
 #include <sodium.h>
-#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -126,23 +125,4 @@
   return session;
 }
 
-static G_GNUC_UNUSED int
-run_tests (const char *name, const TTest *const *tests, size_t count)
-{
-  Suite *suite = suite_create (name);
-  TCase *cases = tcase_create (name);
-  SRunner *runner;
-  int failed;
-
-  tcase_add_checked_fixture (cases, set_up, tear_down);
-  for (size_t i = 0; i < count; i++)
-    tcase_add_test (cases, tests[i]);
-  suite_add_tcase (suite, cases);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
-}
-
 #endif
--- a/cli/test/fleetverbs_test.c
+++ b/cli/test/fleetverbs_test.c
@@ -79,7 +79,7 @@
 {
   const TTest *const tests[]
       = { a_wave_takes_only_allowed_steps,
-          status_shows_phases_and_the_budget_left, usage_is_checked };
+          status_shows_phases_and_the_budget_left, usage_is_checked, NULL };
 
-  return run_tests ("fleetverbs", tests, G_N_ELEMENTS (tests));
+  return run_suite_with ("fleetverbs", tests, set_up, tear_down);
 }
--- a/cli/test/keys_test.c
+++ b/cli/test/keys_test.c
@@ -76,7 +76,7 @@
 {
   const TTest *const tests[]
       = { a_granted_key_matches_its_digest, refusals_print_a_reason_and_no_key,
-          a_digest_needs_one_line };
+          a_digest_needs_one_line, NULL };
 
-  return run_tests ("keys", tests, G_N_ELEMENTS (tests));
+  return run_suite_with ("keys", tests, set_up, tear_down);
 }
--- a/cli/test/textdiff_test.c
+++ b/cli/test/textdiff_test.c
@@ -1,10 +1,8 @@
 /* Guards against changes of another operator that the loser of a race is not
    shown.  */
 
+#include "../../test/run_suite.h"
 #include "textdiff.h"
-#include <check.h>
-#include <stdlib.h>
-#include <string.h>
 
 static const struct
 {
@@ -38,9 +36,12 @@
 
 START_TEST (changes_are_the_shortest)
 {
-  g_autofree char *shown = show (cases[_i].old, cases[_i].new);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *shown = show (cases[i].old, cases[i].new);
 
-  ck_assert_str_eq (shown, cases[_i].changes);
+      ck_assert_str_eq (shown, cases[i].changes);
+    }
 }
 END_TEST
 
@@ -65,18 +66,8 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("textdiff");
-  TCase *tests = tcase_create ("textdiff");
-  SRunner *runner;
-  int failed;
+  const TTest *const tests[] = { changes_are_the_shortest,
+                                 very_large_changes_are_still_complete, NULL };
 
-  tcase_add_loop_test (tests, changes_are_the_shortest, 0,
-                       G_N_ELEMENTS (cases));
-  tcase_add_test (tests, very_large_changes_are_still_complete);
-  suite_add_tcase (suite, tests);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return run_suite ("textdiff", tests);
 }
--- a/test/run_suite.h
+++ b/test/run_suite.h
@@ -1,4 +1,5 @@
 /* run_suite - main part of a test program: runs TESTS, NULL-terminated.
+   run_suite_with - the same, with SET_UP before and TEAR_DOWN after each.
    run_seed - a seed for random tests: that in CUMINPIN_SEED, or a new one;
    printed, so that a failure can be repeated.  */
 
@@ -11,13 +12,15 @@
 #include <stdlib.h>
 
 static inline int
-run_suite (const char *name, const TTest *const *tests)
+run_suite_with (const char *name, const TTest *const *tests,
+                void (*set_up) (void), void (*tear_down) (void))
 {
   Suite *suite = suite_create (name);
   TCase *tcase = tcase_create (name);
   SRunner *runner = srunner_create (suite);
   int failed;
 
+  tcase_add_checked_fixture (tcase, set_up, tear_down);
   for (; *tests; tests++)
     tcase_add_test (tcase, *tests);
   suite_add_tcase (suite, tcase);
@@ -27,6 +30,12 @@
   return failed ? EXIT_FAILURE : EXIT_SUCCESS;
 }
 
+static inline int
+run_suite (const char *name, const TTest *const *tests)
+{
+  return run_suite_with (name, tests, NULL, NULL);
+}
+
 static inline uint32_t
 run_seed (const char *test)
 {
--- a/wire/test/wirefold_test.c
+++ b/wire/test/wirefold_test.c
@@ -1,9 +1,8 @@
 /* Guards against readers that disagree on bytes in the log that are no valid
    record.  */
 
+#include "../../test/run_suite.h"
 #include "wire.h"
-#include <check.h>
-#include <stdlib.h>
 #include <string.h>
 
 static const struct
@@ -23,7 +22,8 @@
   { REC_UNKNOWN, true, "", VERDICT_BEHIND, 0, 0, false },
 };
 
-START_TEST (each_case_has_one_verdict)
+static void
+check_case (size_t i)
 {
   state_t *state = state_new ();
   g_autoptr (GError) error = NULL;
@@ -33,37 +33,33 @@
   const void *data;
 
   memset (&rec, 0, sizeof rec);
-  rec.kind = cases[_i].kind;
-  rec.required = cases[_i].required;
+  rec.kind = cases[i].kind;
+  rec.required = cases[i].required;
   rec.u.entry.incarnation = 1;
-  if (cases[_i].name)
-    g_strlcpy (rec.u.entry.name, cases[_i].name, REC_NAME_BYTES);
+  if (cases[i].name)
+    g_strlcpy (rec.u.entry.name, cases[i].name, REC_NAME_BYTES);
   bytes = wire_put_rec (&rec);
   data = g_bytes_get_data (bytes, &len);
   ck_assert_int_eq (
-      wire_fold (state, data, cases[_i].name ? len : len - 1, 7, NULL, &error),
-      cases[_i].verdict);
-  ck_assert_uint_eq (state->offset, cases[_i].offset);
-  ck_assert_uint_eq (state->seen_count, cases[_i].seen);
-  ck_assert (cases[_i].error == (error != NULL));
+      wire_fold (state, data, cases[i].name ? len : len - 1, 7, NULL, &error),
+      cases[i].verdict);
+  ck_assert_uint_eq (state->offset, cases[i].offset);
+  ck_assert_uint_eq (state->seen_count, cases[i].seen);
+  ck_assert (cases[i].error == (error != NULL));
   state_free (state);
 }
+
+START_TEST (each_case_has_one_verdict)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    check_case (i);
+}
 END_TEST
 
 int
 main (void)
 {
-  Suite *suite = suite_create ("wirefold");
-  TCase *tests = tcase_create ("wirefold");
-  SRunner *runner;
-  int failed;
+  const TTest *const tests[] = { each_case_has_one_verdict, NULL };
 
-  tcase_add_loop_test (tests, each_case_has_one_verdict, 0,
-                       G_N_ELEMENTS (cases));
-  suite_add_tcase (suite, tests);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return run_suite ("wirefold", tests);
 }
--- a/wire/test/wirerec_test.c
+++ b/wire/test/wirerec_test.c
@@ -1,10 +1,9 @@
 /* Guards against records that change on their way through the log, and
    against bytes in the log that crash a reader.  */
 
+#include "../../test/run_suite.h"
 #include "wire.h"
-#include <check.h>
 #include <msgpack.h>
-#include <stdlib.h>
 #include <string.h>
 
 static rec_t
@@ -58,15 +57,16 @@
   return ok;
 }
 
-START_TEST (each_kind_comes_back_the_same)
+static void
+check_kind (rec_kind_t kind)
 {
-  rec_t rec = sample ((rec_kind_t)_i);
+  rec_t rec = sample (kind);
   g_autoptr (GBytes) bytes = wire_put_rec (&rec);
   g_autoptr (GBytes) again = NULL;
   rec_t back;
 
   ck_assert (decode (bytes, &back));
-  ck_assert_int_eq (back.kind, _i);
+  ck_assert_int_eq (back.kind, kind);
   ck_assert_int_eq (back.time_ms, rec.time_ms);
   if (rec.kind == REC_CONFIG)
     ck_assert_str_eq (back.u.config.text, rec.u.config.text);
@@ -77,14 +77,19 @@
   rec_clear (&rec);
   rec_clear (&back);
 }
+
+START_TEST (each_kind_comes_back_the_same)
+{
+  for (rec_kind_t kind = REC_CONFIG; kind <= REC_WAVE; kind++)
+    check_kind (kind);
+}
 END_TEST
 
-START_TEST (cut_or_changed_bytes_never_crash)
+static void
+damage_kind (rec_kind_t kind, GRand *rand)
 {
-  rec_t rec = sample ((rec_kind_t)_i);
+  rec_t rec = sample (kind);
   g_autoptr (GBytes) bytes = wire_put_rec (&rec);
-  uint32_t seed = 4711 + (uint32_t)_i;
-  g_autoptr (GRand) rand = g_rand_new_with_seed (seed);
   gsize len;
   const uint8_t *data = g_bytes_get_data (bytes, &len);
   rec_t back;
@@ -107,6 +112,14 @@
     }
   rec_clear (&rec);
 }
+
+START_TEST (cut_or_changed_bytes_never_crash)
+{
+  g_autoptr (GRand) rand = g_rand_new_with_seed (run_seed ("wirerec"));
+
+  for (rec_kind_t kind = REC_CONFIG; kind <= REC_WAVE; kind++)
+    damage_kind (kind, rand);
+}
 END_TEST
 
 /* A record whose payload is NAMES names of NAME_LEN bytes.  */
@@ -153,18 +166,25 @@
   { UINT64_MAX, 0, 0, false, true, REC_UNKNOWN },
 };
 
-START_TEST (payloads_of_other_versions)
+static void
+check_handmade (size_t i)
 {
   g_autoptr (GBytes) bytes
-      = handmade (handmade_cases[_i].kind, handmade_cases[_i].required,
-                  handmade_cases[_i].names, handmade_cases[_i].name_len);
+      = handmade (handmade_cases[i].kind, handmade_cases[i].required,
+                  handmade_cases[i].names, handmade_cases[i].name_len);
   rec_t rec;
 
-  ck_assert (decode (bytes, &rec) == handmade_cases[_i].good);
-  if (!handmade_cases[_i].good)
+  ck_assert (decode (bytes, &rec) == handmade_cases[i].good);
+  if (!handmade_cases[i].good)
     return;
-  ck_assert_int_eq (rec.kind, handmade_cases[_i].expected);
-  ck_assert (rec.required == handmade_cases[_i].required);
+  ck_assert_int_eq (rec.kind, handmade_cases[i].expected);
+  ck_assert (rec.required == handmade_cases[i].required);
+}
+
+START_TEST (payloads_of_other_versions)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (handmade_cases); i++)
+    check_handmade (i);
 }
 END_TEST
 
@@ -186,22 +206,9 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("wirerec");
-  TCase *tests = tcase_create ("wirerec");
-  SRunner *runner;
-  int failed;
-
-  tcase_add_loop_test (tests, each_kind_comes_back_the_same, REC_CONFIG,
-                       REC_WAVE + 1);
-  tcase_add_loop_test (tests, cut_or_changed_bytes_never_crash, REC_CONFIG,
-                       REC_WAVE + 1);
-  tcase_add_loop_test (tests, payloads_of_other_versions, 0,
-                       G_N_ELEMENTS (handmade_cases));
-  tcase_add_test (tests, oversized_input_is_rejected);
-  suite_add_tcase (suite, tests);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  const TTest *const tests[]
+      = { each_kind_comes_back_the_same, cut_or_changed_bytes_never_crash,
+          payloads_of_other_versions, oversized_input_is_rejected, NULL };
+
+  return run_suite ("wirerec", tests);
 }
--- a/wire/test/wiresnap_test.c
+++ b/wire/test/wiresnap_test.c
@@ -2,11 +2,9 @@
    that starts from it disagrees with one that folded every record; and against
    damaged snapshots.  */
 
+#include "../../test/run_suite.h"
 #include "wire.h"
-#include <check.h>
 #include <sodium.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #define RECORDS 6000 /* more than SEEN_IDS, so that the ring turns over */
@@ -157,17 +155,11 @@
    and then, and sees repeated records too.  */
 START_TEST (snapshot_and_tail_equal_the_whole_log)
 {
-  uint32_t seed = g_random_int ();
-  const char *given = getenv ("SEED");
-  g_autoptr (GRand) rand = NULL;
+  g_autoptr (GRand) rand = g_rand_new_with_seed (run_seed ("wiresnap"));
   state_t *whole = state_new ();
   state_t *other = state_new ();
   uint32_t applied[VERDICT_BEHIND + 1] = { 0 };
 
-  if (given)
-    seed = (uint32_t)strtoul (given, NULL, 10);
-  printf ("seed %u\n", seed);
-  rand = g_rand_new_with_seed (seed);
   for (int i = 0; i < RECORDS; i++)
     {
       g_autoptr (GBytes) bytes = random_record (rand, whole);
@@ -266,20 +258,11 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("wiresnap");
-  TCase *tests = tcase_create ("wiresnap");
-  SRunner *runner;
-  int failed;
+  const TTest *const tests[]
+      = { snapshot_and_tail_equal_the_whole_log, any_changed_byte_is_found,
+          damaged_body_with_valid_checksum_never_crashes, NULL };
 
   if (sodium_init () < 0)
     return EXIT_FAILURE;
-  tcase_add_test (tests, snapshot_and_tail_equal_the_whole_log);
-  tcase_add_test (tests, any_changed_byte_is_found);
-  tcase_add_test (tests, damaged_body_with_valid_checksum_never_crashes);
-  suite_add_tcase (suite, tests);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return run_suite ("wiresnap", tests);
 }
