Add the placement of jobs on workers

Cause: jobs have to share workers by dominant resource, within their teams' limits, without broken jobs or broken workers holding up the rest.

Change: place keeps jobs, runs and leases; schedule starts urgent jobs first and then the team with the least dominant share for its weight; fit finds a worker through a segment tree; learn reserves by use, bounded by declaration; reclaim takes lent capacity back by throttle, checkpoint, stop; ending holds failing jobs and takes out failing workers, at most a tenth of them. A run on a lost worker counts towards its team's limit until its lease has ended.

--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -2,7 +2,8 @@
    on workers
 
    NAME
-     budget, watch, wave, plan, buffer
+     budget, watch, wave, plan, buffer, place, schedule, ending,
+     reclaim, fit, learn
 
    DESCRIPTION
      budget  hosts of each pool that are out, and how many more may be
@@ -11,6 +12,10 @@
              return
      plan    moves of hosts between pools
      buffer  the size of the spare
+     place   jobs and the workers they run on: what is queued, running, lost
+     schedule, ending, reclaim, fit, learn
+             parts of place: the order of starts, how runs end, lent capacity,
+             the index of workers, and learned use
 
      None of these reads a clock, a socket or a file, or starts a thread.  All
      times named now_us are monotonic.  */
@@ -226,4 +231,164 @@
 uint32_t plan_buffer (const state_t *state, const pool_demand_t *demands,
                       uint32_t count, uint32_t at_once);
 
+typedef struct resources
+{
+  uint32_t cpu_milli;
+  uint32_t mem_mib;
+  uint32_t accels;
+} resources_t;
+
+/* A job as its team describes it.  */
+typedef struct job_spec
+{
+  const char *id;
+  const char *team;
+  const char *kind; /* jobs of a team that use alike; NULL or "": none */
+  resources_t declared;
+  bool urgent;
+  bool idempotent;
+  bool can_checkpoint;
+} job_spec_t;
+
+typedef enum job_phase
+{
+  JOB_QUEUED,
+  JOB_RUNNING,
+  JOB_LOST, /* not idempotent, and its worker is gone: waits for the end of its
+               lease */
+  JOB_HELD  /* failing: is not started again */
+} job_phase_t;
+
+/* How a worker says that a run ended.  */
+typedef enum job_end
+{
+  JOB_END_DONE,
+  JOB_END_FAILED,
+  JOB_END_CHECKPOINTED, /* as told: it may start again */
+  JOB_END_STOPPED       /* as told: it may start again, unless cancelled */
+} job_end_t;
+
+typedef enum place_verdict
+{
+  PLACE_ACCEPTED,
+  PLACE_KNOWN,    /* a job with this id is here already */
+  PLACE_NO_TEAM,  /* no such team */
+  PLACE_TOO_LARGE /* no worker can ever hold it */
+} place_verdict_t;
+
+typedef enum step_kind
+{
+  STEP_START,
+  STEP_THROTTLE, /* run on with resources.cpu_milli */
+  STEP_RESTORE,  /* run on with resources.cpu_milli, as at first */
+  STEP_CHECKPOINT,
+  STEP_STOP
+} step_kind_t;
+
+/* What a worker has to be told.  The strings last until the job or the worker
+   is next changed.  */
+typedef struct place_step
+{
+  step_kind_t kind;
+  const char *job;
+  const char *worker;
+  resources_t resources;
+  int64_t lease_end_us; /* START */
+} place_step_t;
+
+#define PLACE_REASON_BYTES 192
+
+/* PLACE_LEASE_US - a run's lease unless renewed.
+   PLACE_FAIL_WORKERS - a job that failed on so many workers is held, or after
+   PLACE_FAIL_RUNS runs where there are fewer workers.
+   PLACE_BAD_KINDS - a worker on which jobs of so many kinds failed with no
+   success between is taken out, but at most one in PLACE_BAD_PART: when more
+   fail, the fault is elsewhere.
+   PLACE_CHECKPOINT_US - a checkpoint that takes longer becomes a stop: urgent
+   work has to start within 1.3 s.
+   PLACE_HOLD_US - a worker is kept free for an urgent job for so long.
+   PLACE_STARVE_US - a job that waited for so long at the head of its queue
+   gets a worker kept free for it, but only one worker in PLACE_STARVE_PART is
+   kept so.  */
+#define PLACE_LEASE_US 10000000
+#define PLACE_FAIL_WORKERS 3
+#define PLACE_FAIL_RUNS 6
+#define PLACE_BAD_KINDS 3
+#define PLACE_BAD_PART 10
+#define PLACE_CHECKPOINT_US 600000
+#define PLACE_HOLD_US 2000000
+#define PLACE_STARVE_US 30000000
+#define PLACE_STARVE_PART 20
+
+/* Jobs, teams and workers.  One thread, or a lock.  */
+typedef struct place place_t;
+
+place_t *place_new (void);
+void place_free (place_t *place);
+
+/* place_set_team - the share of TEAM, and how many jobs it may run at once
+   fleet-wide.  A lower limit stops nothing that runs.  */
+void place_set_team (place_t *place, const char *team, uint32_t share,
+                     uint32_t limit);
+
+/* place_set_worker - the capacity of WORKER; it gets nothing new unless
+   USABLE.  */
+void place_set_worker (place_t *place, const char *worker,
+                       resources_t capacity, bool usable);
+
+/* place_lose_worker - WORKER is gone.  Its idempotent jobs are queued again at
+   once; the others when their leases have ended.  Until then all of them count
+   towards their teams' limits, since they may still be running.  */
+void place_lose_worker (place_t *place, const char *worker);
+
+/* place_trust_worker - WORKER, taken out because jobs failed on it, was
+   repaired.  */
+void place_trust_worker (place_t *place, const char *worker);
+
+/* place_is_bad - whether WORKER was taken out because jobs failed on it.  */
+bool place_is_bad (const place_t *place, const char *worker);
+
+/* place_submit - queue the job SPEC; with any verdict but PLACE_ACCEPTED,
+   REASON says why not.  */
+place_verdict_t place_submit (place_t *place, const job_spec_t *spec,
+                              char reason[PLACE_REASON_BYTES]);
+
+/* place_cancel - forget the job ID; if it runs, it is told to stop and is
+   forgotten when it has ended.  False when there is none.  */
+bool place_cancel (place_t *place, const char *id);
+
+/* The reports of a worker.  False when job ID has no run on WORKER: a report
+   of an earlier run, which changes nothing.  */
+bool place_renew (place_t *place, const char *id, const char *worker,
+                  int64_t lease_end_us);
+bool place_use (place_t *place, const char *id, const char *worker,
+                resources_t used);
+bool place_end (place_t *place, const char *id, const char *worker,
+                job_end_t how);
+
+/* place_next - up to MAX STEPS to take now; their number.  Urgent jobs come
+   first, then the team with the least dominant share for its weight (Ghodsi et
+   al. 2011).  Steps are taken as done: call again until it gives none.  */
+uint32_t place_next (place_t *place, int64_t now_us, place_step_t *steps,
+                     uint32_t max);
+
+typedef struct job_info
+{
+  job_phase_t phase;
+  const char *worker; /* NULL: none */
+  const char *reason; /* why it is held; NULL: it is not */
+} job_info_t;
+
+/* place_job - what is known of job ID; false when there is none.  */
+bool place_job (const place_t *place, const char *id, job_info_t *info);
+
+typedef struct team_info
+{
+  uint32_t running; /* or perhaps still running on a lost worker */
+  uint32_t queued;
+  double dominant; /* part of the fleet, of the resource it has most of */
+} team_info_t;
+
+bool place_team (const place_t *place, const char *team, team_info_t *info);
+
 #endif
