Share slot time instead of requests in the fair queue

Cause: the queue counted requests, so a team whose requests run longer got more slot time, and random run times moved small teams off their share.

Change: a turn is charged by the team's average run time and corrected by the new queue_settle when the slot is free again. A correction is bounded to what all slots do in 0.5 s, or to the run itself, so that surprising run times starve nobody. Without queue_settle all requests count the same, as before.

--- a/admit/admit.h
+++ b/admit/admit.h
@@ -166,6 +166,12 @@
    empty), so that it takes its turn later.  */
 void queue_charge (fair_queue_t *queue, queue_team_t *team);
 
+/* queue_settle - a request of TEAM that queue_take or queue_charge counted has
+   held its slot for RUN_US.  Shares are of slot time: the turn that was
+   counted by an estimate is corrected.  Without it all requests count the
+   same.  */
+void queue_settle (fair_queue_t *queue, queue_team_t *team, int64_t run_us);
+
 /* queue_remove - take out ENTRY, whose client is gone.  */
 void queue_remove (fair_queue_t *queue, queue_entry_t *entry);
 
--- a/admit/queue.c
+++ b/admit/queue.c
@@ -1,12 +1,26 @@
 #include "admit.h"
 #include <string.h>
 
-/* Virtual time that one request of a team with share 1 takes.  Large, so that
-   dividing it by a share loses little.  */
-#define COST_UNIT ((uint64_t)1 << 32)
+/* Virtual time for 1 us of a slot at share 1.  Large, so that dividing it by a
+   share loses little.  */
+#define COST_PER_US 65536
 
 /* Tags are moved back to zero past this, so that they never overflow.  */
-#define TAG_MAX ((uint64_t)1 << 62)
+#define TAG_MAX ((int64_t)1 << 61)
+
+/* Slot time counted for a request before any has ended.  */
+#define RUN_FIRST_US 10000
+
+/* Weight of one run in the moving average of run times: 1/16.  */
+#define RUN_SHIFT 4
+
+/* Longest run that is counted; keeps the products within 64 bits.  */
+#define RUN_MAX_US ((int64_t)1 << 32)
+
+/* A correction may set a team back, or let it run ahead, by what all slots do
+   in this time, so that runs of unexpected length don't starve anybody: a team
+   waits at most twice that for others to catch up.  */
+#define LEAD_MAX_US 500000
 
 /* A served-rate window keeps at least half of these: enough requests for a
    steady estimate, and little enough time to follow a change of rate.  */
@@ -30,7 +44,10 @@
   const char *name;
   uint32_t share;
   uint32_t count;
-  uint64_t start; /* virtual time at which its next request starts */
+  int64_t start;      /* virtual time at which its next request starts */
+  int64_t run_us;     /* average run time; 0: none has ended */
+  int64_t charged_us; /* slot time counted for requests that run */
+  uint32_t running;
   queue_entry_t entries;
   rate_t rate; /* while it has entries */
 };
@@ -39,7 +56,9 @@
 {
   uint32_t max_per_team;
   atomic_uint count;
-  uint64_t virtual_time; /* start tag of the last request served */
+  int64_t virtual_time; /* start tag of the last request served */
+  int64_t run_us;       /* as of a team, over all teams */
+  uint32_t running;
   uint64_t active_share; /* sum over the teams in order */
   GHashTable *teams;     /* name to queue_team_t */
   GPtrArray *order;      /* teams with entries, by start tag */
@@ -203,7 +222,7 @@
 static void
 rebase (fair_queue_t *queue)
 {
-  uint64_t base = queue->virtual_time;
+  int64_t base = queue->virtual_time;
   GHashTableIter iter;
   gpointer value;
 
@@ -212,15 +231,32 @@
     {
       queue_team_t *team = value;
 
-      team->start = team->start > base ? team->start - base : 0;
+      team->start = MAX (team->start - base, 0);
     }
   queue->virtual_time = 0;
 }
 
-static uint64_t
-team_cost (const queue_team_t *team)
+/* Virtual time that RUN_US of a slot cost TEAM.  */
+static int64_t
+cost (const queue_team_t *team, int64_t run_us)
 {
-  return COST_UNIT / team->share;
+  return run_us * COST_PER_US / team->share;
+}
+
+/* Counts a request of TEAM that starts now, by its expected run time.  */
+static void
+charge (fair_queue_t *queue, queue_team_t *team)
+{
+  int64_t run_us = RUN_FIRST_US;
+
+  if (team->run_us > 0)
+    run_us = team->run_us;
+  else if (queue->run_us > 0)
+    run_us = queue->run_us;
+  team->start += cost (team, run_us);
+  team->charged_us += run_us;
+  team->running++;
+  queue->running++;
 }
 
 /* A team that had no entries starts at the current virtual time, or later if
@@ -377,7 +413,7 @@
   for (uint32_t i = 0; i < index; i++)
     order_at (queue, i)->start = team->start;
   queue->virtual_time = MAX (queue->virtual_time, team->start);
-  team->start += team_cost (team);
+  charge (queue, team);
   order_add (queue, team);
   rate_note (&queue->rate, now_us);
   rate_note (&team->rate, now_us);
@@ -409,13 +445,60 @@
      otherwise its lead would grow without bound.  */
   if (queue->order->len == 0)
     queue->virtual_time = team->start;
-  team->start += team_cost (team);
+  charge (queue, team);
   if (team->count > 0)
     order_add (queue, team);
   if (queue->virtual_time > TAG_MAX)
     rebase (queue);
 }
 
+static void
+average (int64_t *run_us, int64_t sample_us)
+{
+  if (*run_us == 0)
+    *run_us = sample_us;
+  else
+    *run_us += (sample_us - *run_us) / (1 << RUN_SHIFT);
+}
+
+/* Corrects TEAM's tag by the slot time ERROR_US; a run of RUN_US by itself
+   always counts in full.  */
+static void
+correct (fair_queue_t *queue, queue_team_t *team, int64_t error_us,
+         int64_t run_us)
+{
+  int64_t lead = (int64_t)LEAD_MAX_US * COST_PER_US * queue->running
+                 / (int64_t)MAX (queue->active_share, team->share);
+  int64_t low = MIN (team->start, queue->virtual_time - lead);
+  int64_t high = MAX (team->start,
+                      queue->virtual_time + MAX (lead, cost (team, run_us)));
+
+  team->start = CLAMP (team->start + cost (team, error_us), low, high);
+}
+
+void
+queue_settle (fair_queue_t *queue, queue_team_t *team, int64_t run_us)
+{
+  int64_t charged_us;
+
+  if (team->running == 0)
+    return;
+  run_us = CLAMP (run_us, 1, RUN_MAX_US);
+  charged_us = team->charged_us / team->running;
+  if (team->count > 0)
+    g_ptr_array_remove (queue->order, team);
+  correct (queue, team, run_us - charged_us, run_us);
+  if (queue->order->len == 0)
+    queue->virtual_time = MAX (queue->virtual_time, team->start);
+  if (team->count > 0)
+    order_add (queue, team);
+  team->charged_us -= charged_us;
+  team->running--;
+  queue->running--;
+  average (&team->run_us, run_us);
+  average (&queue->run_us, run_us);
+}
+
 void
 queue_remove (fair_queue_t *queue, queue_entry_t *entry)
 {
--- a/admit/test/queue_test.c
+++ b/admit/test/queue_test.c
@@ -3,6 +3,7 @@
 
 #define TEAMS 6
 #define ROOM 64
+#define SLOTS 20
 #define FAR_US ((int64_t)1 << 60)
 
 static const char *const names[TEAMS] = { "a", "b", "c", "d", "e", "f" };
@@ -306,6 +307,122 @@
 }
 END_TEST
 
+typedef struct slots
+{
+  int64_t now_us;
+  int64_t ends_us[SLOTS];
+  int64_t run_us[SLOTS];
+  uint32_t team[SLOTS]; /* TEAMS: free */
+  double used_us[TEAMS];
+  int64_t served_us[TEAMS]; /* when last */
+} slots_t;
+
+/* Ends the request in the slot that is free first and starts the next one,
+   which runs for RUN_US of its team.  */
+static void
+turn_slot (model_t *m, slots_t *s, const int64_t *run_us)
+{
+  uint32_t slot = 0;
+  uint32_t team;
+
+  for (uint32_t i = 1; i < SLOTS; i++)
+    if (s->ends_us[i] < s->ends_us[slot])
+      slot = i;
+  s->now_us = s->ends_us[slot];
+  team = s->team[slot];
+  if (team < TEAMS)
+    {
+      queue_settle (m->queue, m->teams[team], s->run_us[slot]);
+      s->used_us[team] += (double)s->run_us[slot];
+    }
+  team = take (m, s->now_us);
+  fill (m, team);
+  s->team[slot] = team;
+  s->run_us[slot] = run_us[team];
+  s->ends_us[slot] = s->now_us + run_us[team];
+  s->served_us[team] = s->now_us;
+}
+
+static slots_t
+free_slots (void)
+{
+  slots_t slots = { 0 };
+
+  for (uint32_t i = 0; i < SLOTS; i++)
+    slots.team[i] = TEAMS;
+  return slots;
+}
+
+/* Guards against teams with long requests getting more than their share of the
+   slots' time.  */
+START_TEST (shares_are_of_slot_time)
+{
+  const uint32_t shares[TEAMS] = { 7, 5, 4, 3, 2, 1 };
+  const int64_t run_us[TEAMS] = { 5000, 10000, 40000, 1000, 300, 20000 };
+  slots_t slots = free_slots ();
+  double sum_us = 0;
+  model_t m;
+
+  model_open (&m, shares);
+  for (uint32_t i = 0; i < TEAMS; i++)
+    fill (&m, i);
+  while (slots.now_us < 10000000)
+    turn_slot (&m, &slots, run_us);
+  for (uint32_t i = 0; i < TEAMS; i++)
+    sum_us += slots.used_us[i];
+  for (uint32_t i = 0; i < TEAMS; i++)
+    ck_assert_double_eq_tol (slots.used_us[i] / sum_us, shares[i] / 22.0,
+                             0.02 * shares[i] / 22.0);
+  model_close (&m);
+}
+END_TEST
+
+/* Guards against a long run counting as an average one: the other team gets
+   what it lost.  */
+START_TEST (a_long_run_is_paid_for)
+{
+  model_t m;
+
+  model_open (&m, NULL);
+  fill (&m, 0);
+  fill (&m, 1);
+  ck_assert_uint_ne (take (&m, 1), take (&m, 1));
+  queue_settle (m.queue, m.teams[1], 10000);
+  queue_settle (m.queue, m.teams[0], 50000);
+  for (uint32_t i = 0; i < 3; i++)
+    ck_assert_uint_eq (take (&m, 1), 1);
+  model_close (&m);
+}
+END_TEST
+
+/* Guards against a team being starved because its requests ran for an
+   unexpectedly long time once, and against its starving others when they are
+   short again: urgent work starts within 1.3 s.  */
+START_TEST (unexpected_run_times_starve_nobody)
+{
+  int64_t run_us[TEAMS] = { 2000000, 10000, 10000, 10000, 10000, 10000 };
+  slots_t slots = free_slots ();
+  model_t m;
+
+  model_open (&m, NULL);
+  fill (&m, 0);
+  for (uint32_t i = 0; i < SLOTS; i++)
+    turn_slot (&m, &slots, run_us);
+  run_us[0] = 10000;
+  for (uint32_t i = 0; i < TEAMS; i++)
+    fill (&m, i);
+  for (uint32_t i = 0; i < TEAMS; i++)
+    slots.served_us[i] = 2000000;
+  while (slots.now_us < 10000000)
+    {
+      turn_slot (&m, &slots, run_us);
+      for (uint32_t i = 0; i < TEAMS; i++)
+        ck_assert_int_le (slots.now_us - slots.served_us[i], 1300000);
+    }
+  model_close (&m);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -315,6 +432,9 @@
     absence_gives_no_credit,
     unqueued_work_is_charged,
     late_requests_are_rejected_until_the_queue_empties,
+    shares_are_of_slot_time,
+    a_long_run_is_paid_for,
+    unexpected_run_times_starve_nobody,
     NULL,
   };
 
--- a/test/bench/share_sim.c
+++ b/test/bench/share_sim.c
@@ -160,6 +160,8 @@
 
   sim->running[slot] = sim->running[--sim->running_count];
   sim->in_use[request->team]--;
+  queue_settle (sim->queue, sim->teams[request->team],
+                sim->now_us - request->started_us);
   if (sim->measuring && latency_us > sim->load->deadline_us)
     result->late++;
   else if (sim->measuring)
