--- a/base/pack.c
+++ b/base/pack.c
@@ -54,8 +54,8 @@
   return head;
 }
 
-/* Reads the count behind the first byte.  False when the input ends in it, or
-   when what it announces can't fit in the rest of the input.  */
+/* Reads the count behind the first byte.  False when the input ends in it or
+   in the bytes that it announces.  */
 static bool
 read_count (pack_head_t *head, const uint8_t **at, const uint8_t *end)
 {
@@ -69,10 +69,11 @@
     head->bytes += count;
   if (head->counts_values)
     head->values = head->pairs ? 2 * count : count;
-  return head->bytes <= (uint64_t)(end - *at)
-         && head->values <= (uint64_t)(end - *at);
+  return head->bytes <= (uint64_t)(end - *at);
 }
 
+/* Each value takes a byte at least, so counts that are all met by the input
+   add up to no more than its length.  */
 bool
 pack_is_bounded (const void *data, size_t len)
 {
@@ -80,7 +81,6 @@
   const uint8_t *end = at + len;
   uint64_t left[PACK_DEPTH_MAX + 1] = { 1 }; /* values to come, by depth */
   uint32_t depth = 0;
-  uint64_t announced = 1; /* values counted so far, read or not */
 
   for (;;)
     {
@@ -96,9 +96,6 @@
       if (!head.valid || !read_count (&head, &at, end))
         return false;
       at += head.bytes;
-      announced += head.values;
-      if (announced > len)
-        return false;
       if (head.values == 0)
         continue;
       if (depth == PACK_DEPTH_MAX)
