--- /dev/null
+++ b/peer/test/pair.h
@@ -0,0 +1,201 @@
+/* pair - two daemons' links with claims and loans, joined over loopback, as
+   cuminpind joins them  */
+
+#ifndef CUMINPIN_PEER_PAIR_H
+#define CUMINPIN_PEER_PAIR_H
+
+#include "../../test/run_suite.h"
+#include "peer.h"
+#include <string.h>
+
+#define WAIT_S 20 /* for what takes milliseconds to a second */
+
+typedef struct side
+{
+  link_t *link;
+  claims_t *claims;
+  loans_t *loans;
+  once_table_t *table;
+  pthread_mutex_t table_lock;
+  escrow_t *escrow;    /* of team "blue" */
+  atomic_bool mute;    /* answers nothing */
+  atomic_bool refuses; /* grants and lends nothing */
+  bool up;
+  uint32_t done;
+  uint32_t arrived;
+} side_t;
+
+static side_t sides[2];
+static bool no_ticks; /* for tests that set the time; before pair_open */
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
+
+/* Counts one more in *COUNT and wakes the test.  */
+static void
+note (uint32_t *count)
+{
+  pthread_mutex_lock (&lock);
+  (*count)++;
+  pthread_cond_broadcast (&changed);
+  pthread_mutex_unlock (&lock);
+}
+
+static bool
+side_send (void *ctx, const char *peer, const msg_t *msg)
+{
+  return link_send (((side_t *)ctx)->link, peer, msg);
+}
+
+static bool
+side_may_grant (void *ctx, const once_id_t *id)
+{
+  (void)id;
+  return !((side_t *)ctx)->refuses;
+}
+
+static bool
+side_may_lend (void *ctx)
+{
+  return !((side_t *)ctx)->refuses;
+}
+
+static void
+side_done (void *ctx, claim_ask_t *ask)
+{
+  (void)ask;
+  note (&((side_t *)ctx)->done);
+}
+
+static escrow_t *
+side_find (void *ctx, loan_kind_t kind, const char *name)
+{
+  return kind == LOAN_TEAM && strcmp (name, "blue") == 0
+             ? ((side_t *)ctx)->escrow
+             : NULL;
+}
+
+static void
+side_arrived (void *ctx, loan_kind_t kind, const char *name)
+{
+  ck_assert_int_eq (kind, LOAN_TEAM);
+  ck_assert_str_eq (name, "blue");
+  note (&((side_t *)ctx)->arrived);
+}
+
+static void
+side_message (void *ctx, const char *peer, uint64_t incarnation,
+              const msg_t *msg)
+{
+  side_t *side = ctx;
+
+  (void)incarnation;
+  if (side->mute)
+    return;
+  claims_take (side->claims, peer, msg, clock_wall_ms ());
+  loans_take (side->loans, peer, msg, clock_mono_us (), clock_wall_ms ());
+}
+
+static void
+side_peer (void *ctx, const char *peer, bool connected)
+{
+  side_t *side = ctx;
+
+  if (!connected)
+    claims_lost (side->claims, peer);
+  pthread_mutex_lock (&lock);
+  side->up = connected;
+  pthread_cond_broadcast (&changed);
+  pthread_mutex_unlock (&lock);
+}
+
+static void
+side_tick (void *ctx, int64_t now_us)
+{
+  side_t *side = ctx;
+
+  if (no_ticks)
+    return;
+  claims_tick (side->claims, now_us);
+  loans_tick (side->loans, now_us);
+}
+
+static void
+side_open (side_t *side, const char *name)
+{
+  claims_config_t claims = { .send = side_send,
+                             .may_grant = side_may_grant,
+                             .done = side_done,
+                             .ctx = side,
+                             .table_lock = &side->table_lock };
+  loans_config_t loans = { .send = side_send,
+                           .find = side_find,
+                           .may_lend = side_may_lend,
+                           .arrived = side_arrived,
+                           .ctx = side };
+  link_config_t config = { .name = name,
+                           .data_centre = "north",
+                           .incarnation = 1,
+                           .secret = "secret",
+                           .address = "127.0.0.1",
+                           .on_message = side_message,
+                           .on_peer = side_peer,
+                           .on_tick = side_tick,
+                           .ctx = side };
+
+  *side = (side_t){ .escrow = escrow_new () };
+  pthread_mutex_init (&side->table_lock, NULL);
+  side->table = once_new (clock_wall_ms () - ONCE_WINDOW_MS);
+  claims.table = side->table;
+  side->claims = claims_new (&claims);
+  side->loans = loans_new (&loans);
+  side->link = link_start (&config);
+  ck_assert_ptr_nonnull (side->link);
+}
+
+static void
+side_close (side_t *side)
+{
+  link_stop (side->link);
+  claims_free (side->claims);
+  loans_free (side->loans);
+  once_free (side->table);
+  escrow_free (side->escrow);
+}
+
+/* Waits until CONDITION holds.  */
+#define wait_until(condition)                                                 \
+  do                                                                          \
+    {                                                                         \
+      struct timespec end;                                                    \
+      int late = 0;                                                           \
+                                                                              \
+      clock_gettime (CLOCK_REALTIME, &end);                                   \
+      end.tv_sec += WAIT_S;                                                   \
+      pthread_mutex_lock (&lock);                                             \
+      while (!(condition) && late == 0)                                       \
+        late = pthread_cond_timedwait (&changed, &lock, &end);                \
+      pthread_mutex_unlock (&lock);                                           \
+      ck_assert_msg (late == 0, "in vain: %s", #condition);                   \
+    }                                                                         \
+  while (0)
+
+static void
+pair_open (void)
+{
+  entry_host_t host = { (char *)"e2", (char *)"north", (char *)"127.0.0.1" };
+
+  side_open (&sides[0], "e1");
+  side_open (&sides[1], "e2");
+  host.peer_port = link_port (sides[1].link);
+  link_set_peers (sides[0].link, &host, 1);
+  wait_until (sides[0].up && sides[1].up);
+}
+
+static void
+pair_close (void)
+{
+  side_close (&sides[0]);
+  side_close (&sides[1]);
+}
+
+#endif
