peer: test two daemons that connect to each other at once

Cause: both daemons must keep the same one of two connections; no test provoked that they open both.

Change: a case in link_test with a seed at each side.

--- a/peer/test/link_test.c
+++ b/peer/test/link_test.c
@@ -265,6 +265,34 @@
 }
 END_TEST
 
+/* Both must keep the same one of the two connections.  */
+START_TEST (daemons_that_connect_at_once_keep_one_connection)
+{
+  msg_t claim = { .kind = MSG_CLAIM };
+
+  for (int round = 0; round < 4; round++)
+    {
+      char seeds[2][32];
+      int64_t up_us;
+
+      for (int i = 0; i < 2; i++)
+        g_snprintf (seeds[i], sizeof seeds[i], "127.0.0.1:%u",
+                    link_port (start (i, 1, "secret")));
+      for (int i = 0; i < 2; i++)
+        link_set_seeds (nodes[i].link, (const char *[]){ seeds[1 - i] }, 1);
+      wait_until (nodes[0].up == 1 && nodes[1].up == 1);
+      up_us = clock_mono_us ();
+      wait_until (member_of (0, "e2").heard_us > up_us
+                  && member_of (1, "e1").heard_us > up_us);
+      ck_assert_uint_eq (link_send_all (nodes[0].link, &claim), 1);
+      ck_assert_uint_eq (link_send_all (nodes[1].link, &claim), 1);
+      wait_until (nodes[0].verdicts == 1 && nodes[1].verdicts == 1);
+      wait_until (nodes[0].up == 1 && nodes[1].up == 1);
+      stop (2);
+    }
+}
+END_TEST
+
 /* Each input must end the connection, and nothing else.  */
 START_TEST (strangers_are_turned_away)
 {
@@ -352,14 +380,16 @@
 int
 main (void)
 {
-  const TTest *const tests[] = { two_daemons_exchange_beats_and_messages,
-                                 daemons_find_each_other_again,
-                                 replaced_daemon_is_refused,
-                                 wrong_secret_is_refused,
-                                 seed_is_enough_to_connect,
-                                 strangers_are_turned_away,
-                                 paused_daemon_is_given_up_and_comes_back,
-                                 NULL };
+  const TTest *const tests[]
+      = { two_daemons_exchange_beats_and_messages,
+          daemons_find_each_other_again,
+          replaced_daemon_is_refused,
+          wrong_secret_is_refused,
+          seed_is_enough_to_connect,
+          daemons_that_connect_at_once_keep_one_connection,
+          strangers_are_turned_away,
+          paused_daemon_is_given_up_and_comes_back,
+          NULL };
   int status;
 
   rcu_register_thread ();
