conf: check texts against their schema with errors of its own

Cause: libcyaml's errors did not say what was expected, named the list instead of the entry, and gave the wrong line for an unknown or a missing field. A file of comments alone gave "Success". It took 1.5 for 1, any word for true, and ignored all but the first document of a file. Seed peers and times in settings were not checked.

Change: a new module, shape, walks the text along the schema before libcyaml loads it; its errors are FILE:LINE: list[index].field: expected. Aliases, anchors, tags, repeated fields and NUL bytes are rejected there. Control characters stay out of errors. Settings check seed_peers, connections_max, drain_ms and stop_ms. One test program for each module of the package, with tables of bad texts and the whole error that each must give.

Conclusion: each row of the tables has file, line, field and what was expected.

--- a/conf/check.c
+++ b/conf/check.c
@@ -31,7 +31,7 @@
   va_end (args);
   g_set_error (c->error, CONF_ERROR, CONF_ERROR_CHECK, "%s:%u: %s[%u].%s: %s",
                c->file, yaml_line (c->text, c->len, list, index, field), list,
-               index, field, why);
+               index, field, yaml_plain (why));
   return false;
 }
 
@@ -282,8 +282,9 @@
       if (!add_name (c, names, "waves", i, "name", wave->name, wave))
         return false;
       for (uint32_t j = 0; j < wave->pools_count; j++)
-        if (!is_known (c, c->pools, "waves", i, "pools", wave->pools[j]))
-          return false;
+        if (!g_hash_table_contains (c->pools, wave->pools[j]))
+          return reject (c, "waves", i, "pools",
+                         "expected known pools, found \"%s\"", wave->pools[j]);
     }
   return true;
 }
--- a/conf/conf.h
+++ b/conf/conf.h
@@ -1,7 +1,7 @@
 /* conf - the operators' fleet file and a daemon's settings file
 
    NAME
-     fleet, check, settings, yamlload
+     fleet, check, settings, shape, yamlload
 
    DESCRIPTION
      Both files are YAML.  A file is loaded against a schema and checked whole
--- a/conf/settings.c
+++ b/conf/settings.c
@@ -7,6 +7,8 @@
 #define CONNECTIONS_MAX_DEFAULT 10000
 #define DRAIN_DEFAULT_MS 0
 #define STOP_DEFAULT_MS 35000
+#define CONNECTIONS_MAX_MAX 1000000
+#define TIME_MAX_MS 3600000
 #define SECRET_BYTES_MIN 16
 #define SECRET_BYTES_MAX 256
 #define PATH_BYTES_MAX 1024
@@ -50,6 +52,26 @@
     *value = fallback;
 }
 
+static bool
+is_endpoint (const char *text)
+{
+  const char *colon = strrchr (text, ':');
+  g_autofree char *address = colon ? g_strndup (text, colon - text) : NULL;
+  struct in_addr addr;
+
+  return colon && inet_pton (AF_INET, address, &addr) == 1
+         && g_ascii_string_to_unsigned (colon + 1, 10, 1, 65535, NULL, NULL);
+}
+
+static bool
+seed_peers_are_endpoints (const settings_t *s)
+{
+  for (uint32_t i = 0; i < s->seed_peers_count; i++)
+    if (!is_endpoint (s->seed_peers[i]))
+      return false;
+  return true;
+}
+
 static bool
 check_settings (const settings_t *s, const char *file, const char *text,
                 size_t len, GError **error)
@@ -64,6 +86,14 @@
     field = "threads", expected = "a number from 1 to 64";
   else if (s->body_max_kib > 65536)
     field = "body_max_kib", expected = "a number from 1 to 65536";
+  else if (s->connections_max > CONNECTIONS_MAX_MAX)
+    field = "connections_max", expected = "a number from 1 to 1000000";
+  else if (s->drain_ms > TIME_MAX_MS)
+    field = "drain_ms", expected = "a number from 0 to 3600000";
+  else if (s->stop_ms > TIME_MAX_MS)
+    field = "stop_ms", expected = "a number from 1 to 3600000";
+  else if (!seed_peers_are_endpoints (s))
+    field = "seed_peers", expected = "IP:PORT for each";
   else if (!g_str_has_prefix (s->platform, "http://")
            && !g_str_has_prefix (s->platform, "https://"))
     field = "platform", expected = "an http or https URL";
--- a/conf/yamlload.c
+++ b/conf/yamlload.c
@@ -1,86 +1,25 @@
 #include "yamlload.h"
-#include <stdarg.h>
-#include <stdio.h>
 #include <string.h>
 #include <yaml.h>
 
-#define MESSAGE_BYTES 512
-
-/* What libcyaml has logged about one load.  It logs the fault first and then
-   a backtrace, innermost field first, with the line in the text.  */
-typedef struct load_log
-{
-  char fault[MESSAGE_BYTES];
-  char field[MESSAGE_BYTES];
-  uint32_t line;
-} load_log_t;
-
 G_DEFINE_QUARK (conf - error, conf_error)
 
-static void
-keep_message (cyaml_log_t level, void *ctx, const char *format, va_list args)
-{
-  load_log_t *log = ctx;
-  char text[MESSAGE_BYTES];
-  const char *line;
-  const char *part;
-
-  if (level < CYAML_LOG_ERROR)
-    return;
-  vsnprintf (text, sizeof text, format, args);
-  text[strcspn (text, "\n")] = '\0';
-  line = strstr (text, "line: ");
-  if (line)
-    {
-      if (log->line == 0)
-        log->line = (uint32_t)strtoul (line + strlen ("line: "), NULL, 10);
-      part = strstr (text, "in mapping field '");
-      if (part && !log->field[0])
-        {
-          part += strlen ("in mapping field '");
-          g_strlcpy (log->field, part, sizeof log->field);
-          log->field[strcspn (log->field, "'")] = '\0';
-        }
-      return;
-    }
-  if (strstr (text, "Backtrace"))
-    return;
-  part = strstr (text, "Load: ");
-  part = part ? part + strlen ("Load: ") : text;
-  if (!log->fault[0])
-    g_strlcpy (log->fault, part, sizeof log->fault);
-}
-
 void *
 yaml_load (const cyaml_schema_value_t *schema, const char *file,
            const char *text, size_t len, GError **error)
 {
-  load_log_t log = { 0 };
-  cyaml_config_t config = {
-    .log_fn = keep_message,
-    .log_ctx = &log,
-    .log_level = CYAML_LOG_ERROR,
-    .mem_fn = cyaml_mem,
-    .flags = CYAML_CFG_NO_ALIAS,
-  };
+  cyaml_config_t config = { .mem_fn = cyaml_mem, .flags = CYAML_CFG_NO_ALIAS };
   cyaml_data_t *data = NULL;
   cyaml_err_t result;
 
-  if (len == 0 || memchr (text, '\0', len))
-    {
-      g_set_error (error, CONF_ERROR, CONF_ERROR_SCHEMA,
-                   "%s:1: expected YAML text, found %s", file,
-                   len == 0 ? "an empty file" : "a NUL byte");
-      return NULL;
-    }
+  if (!yaml_check (schema, file, text, len, error))
+    return NULL;
   result = cyaml_load_data ((const uint8_t *)text, len, &config, schema, &data,
                             NULL);
   if (result == CYAML_OK && data)
     return data;
-  g_set_error (error, CONF_ERROR, CONF_ERROR_SCHEMA, "%s:%u: %s%s%s%s", file,
-               log.line ? log.line : 1, log.field[0] ? "field \"" : "",
-               log.field, log.field[0] ? "\": " : "",
-               log.fault[0] ? log.fault : cyaml_strerror (result));
+  g_set_error (error, CONF_ERROR, CONF_ERROR_SCHEMA, "%s:1: %s", file,
+               cyaml_strerror (result));
   return NULL;
 }
 
