--- a/daemon/view.c
+++ b/daemon/view.c
@@ -91,17 +91,17 @@
           const char *data_centre, uint32_t total)
 {
   const fleet_t *fleet = view->state->config->fleet;
-  g_autofree const char **hosts
-      = g_new0 (const char *, fleet->entry_hosts_count + 1);
+  const char **hosts = g_new0 (const char *, fleet->entry_hosts_count + 1);
   uint32_t count = 0;
+  uint32_t part;
 
   for (uint32_t i = 0; data_centre && i < fleet->entry_hosts_count; i++)
     if (strcmp (fleet->entry_hosts[i].data_centre, data_centre) == 0)
       hosts[count++] = fleet->entry_hosts[i].name;
-  if (count == 0)
-    return share_split (resource, total, view->entry_hosts,
-                        view->entry_hosts_count, name);
-  return share_split (resource, total, hosts, count, name);
+  part = share_split (resource, total, count ? hosts : view->entry_hosts,
+                      count ? count : view->entry_hosts_count, name);
+  g_free (hosts);
+  return part;
 }
 
 /* Connections that one event loop of this daemon may keep to an upstream that
