daemon: share records, claims, permits and loans between daemons

Cause: each daemon stood alone: a limit was a fixed split without regard to predecessors, an id owned elsewhere was refused, and a daemon cut off from the log had no news.

Change: exchange runs on the peer thread: beats, the gate for raised shares, quarantine of a predecessor's permits, loans of team permits, claims of ids between daemons (stage REQ_CLAIMING), relay of records. replica is the fold, fed by the log thread and by peers. The fair queue is told the run times.

--- a/daemon/admission.c
+++ b/daemon/admission.c
@@ -11,9 +11,11 @@
 static bool
 take_permit (req_t *req, int64_t now_us)
 {
-  if (!req->team)
+  if (!req->team
+      || escrow_take (req->team->permits, now_us, end_us (req), &req->permit))
     return true;
-  return escrow_take (req->team->permits, now_us, end_us (req), &req->permit);
+  atomic_fetch_add (&req->team->wanted, 1);
+  return false;
 }
 
 static void
@@ -142,6 +144,7 @@
         {
           req = caa_container_of (entry, req_t, queue_entry);
           req->stage = REQ_GRANTED;
+          req->turn = entry->team;
           atomic_fetch_sub (&live->queued, 1);
         }
       pthread_mutex_unlock (&live->lock);
@@ -158,6 +161,19 @@
     admission_pump (&view->services[i], now_us);
 }
 
+void
+admission_settle (req_t *req, int64_t run_us)
+{
+  service_live_t *live = req->service;
+
+  if (!req->turn)
+    return;
+  lock_queue (live);
+  queue_settle (live->queue, req->turn, run_us);
+  pthread_mutex_unlock (&live->lock);
+  req->turn = NULL;
+}
+
 bool
 admission_leave (req_t *req)
 {
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -2,8 +2,8 @@
    that run them
 
    NAME
-     live, view, parse, authenticate, admission, routing, send, answer, loop,
-     logreader, livereader, waiter, admin
+     live, view, shares, parse, authenticate, claims, admission, routing, send,
+     answer, loop, replica, logreader, livereader, exchange, waiter, admin
 
    DESCRIPTION
      A request passes through
@@ -29,12 +29,12 @@
 #define CUMINPIN_DAEMON_H
 
 #include "admit.h"
+#include "peer.h"
 #include "platform.h"
 #include "route.h"
 #include <curl/curl.h>
 #include <microhttpd.h>
 #include <pthread.h>
-#include <urcu.h>
 
 #define ID_BYTES 64
 #define TRIES_MAX (RETRY_MAX + 1)
@@ -46,12 +46,15 @@
 {
   const char *name;
   escrow_t *permits;
+  uint32_t part;      /* keeper only: of the limit, for this daemon */
+  atomic_uint wanted; /* permits missed since the keeper looked last */
 } team_live_t;
 
 typedef struct upstream_live
 {
   const char *name;
   escrow_t *slots;
+  uint32_t part; /* keeper only: of the slots, for this daemon */
   health_t health;
 } upstream_live_t;
 
@@ -68,11 +71,18 @@
 upstream_live_t *live_upstream (const char *name);
 service_live_t *live_service (const char *name);
 
+/* live_teams, live_upstreams - call VISIT for each there is.  */
+void live_teams (void (*visit) (team_live_t *team, void *ctx), void *ctx);
+void live_upstreams (void (*visit) (upstream_live_t *upstream, void *ctx),
+                     void *ctx);
+
 typedef struct view_upstream
 {
   upstream_live_t *live;
   const upstream_t *rule;
-  bool local; /* in this daemon's data centre */
+  uint32_t part;   /* of its slots, for this daemon */
+  bool local;      /* in this daemon's data centre */
+  bool in_service; /* its host is neither drained nor failed */
 } view_upstream_t;
 
 typedef struct view_service
@@ -87,6 +97,7 @@
 {
   const team_t *rule;
   team_live_t *live;
+  uint32_t part; /* of its limit, for this daemon */
 } view_team_t;
 
 /* What is in force, immutable.  */
@@ -103,6 +114,7 @@
   uint32_t data_centres_count;
   const char **entry_hosts;
   uint32_t entry_hosts_count;
+  int64_t grace_max_ms; /* longest stale_grace_ms of any service */
   int64_t run_max_ms;   /* longest deadline and overrun of any service */
   uint32_t connections; /* to one upstream from one event loop */
 } view_t;
@@ -112,7 +124,7 @@
 const view_t *view_get (void);
 
 /* view_new - a view of STATE, which it takes over, as the daemon with SETTINGS
-   sees it.  Sets the shares of all live objects.  */
+   sees it.  */
 view_t *view_new (state_t *state, const settings_t *settings);
 
 /* view_publish - put VIEW in force.  One thread.  */
@@ -121,12 +133,21 @@
 const view_service_t *view_service (const view_t *view, const char *name);
 const view_team_t *view_team (const view_t *view, const char *name);
 
+/* shares_apply - hold the parts that VIEW gives to this daemon: lower ones at
+   once, higher ones if the GATE_OPEN.  Keeper only.  */
+void shares_apply (const view_t *view, bool gate_open);
+
+/* shares_are_settled - whether nothing in use or lent exceeds the shares.  */
+bool shares_are_settled (void);
+
 /* How current the view is; written by the log and peer threads.  */
 typedef struct currency
 {
   atomic_int_fast64_t log_read_us;
   atomic_uint_fast64_t offset;
-  atomic_bool behind; /* the log holds what this daemon can't fold */
+  atomic_bool behind;      /* the log holds what this daemon can't fold */
+  const link_t *link;      /* set before the first request */
+  const char *data_centre; /* of this daemon */
 } currency_t;
 
 extern currency_t currency;
@@ -138,12 +159,13 @@
 
 typedef enum req_stage
 {
-  REQ_READING, /* its header or body comes in */
-  REQ_QUEUED,  /* in its service's queue */
-  REQ_GRANTED, /* has permit and slot; on its way to its loop */
-  REQ_SENT,    /* an upstream has it */
-  REQ_BACKOFF, /* waits for its next try */
-  REQ_ANSWERED /* answer or refusal is set */
+  REQ_READING,  /* its header or body comes in */
+  REQ_CLAIMING, /* waits for the owner of its id */
+  REQ_QUEUED,   /* in its service's queue */
+  REQ_GRANTED,  /* has permit and slot; on its way to its loop */
+  REQ_SENT,     /* an upstream has it */
+  REQ_BACKOFF,  /* waits for its next try */
+  REQ_ANSWERED  /* answer or refusal is set */
 } req_stage_t;
 
 typedef struct loop loop_t;
@@ -160,10 +182,34 @@
   GByteArray *body;
 } reply_t;
 
+/* What other threads tell an event loop, through its pipe.  */
+typedef enum note_kind
+{
+  NOTE_GRANTED, /* a queued request has permit and slot */
+  NOTE_CLAIMED  /* the owner of an id has answered */
+} note_kind_t;
+
+typedef struct note_claimed
+{
+  uint64_t number;
+  err_kind_t verdict;
+} note_claimed_t;
+
+typedef struct note
+{
+  pipe_node_t node;
+  note_kind_t kind;
+  union
+  {
+    struct req *granted;    /* GRANTED: holds this note itself */
+    note_claimed_t claimed; /* CLAIMED: on the heap */
+  } u;
+} note_t;
+
 typedef struct req
 {
   queue_entry_t queue_entry;
-  pipe_node_t pipe_node;
+  note_t note;
   GSequenceIter *timer;
   loop_t *loop;
   struct MHD_Connection *conn;
@@ -179,6 +225,7 @@
   char id[ID_BYTES];
   char *key;
   once_id_t once_id;
+  uint64_t claim_number; /* of the question to the owner of the id */
   bool idempotent;
   GByteArray *body;
   struct curl_slist *headers; /* to the upstream */
@@ -197,6 +244,7 @@
   /* Set by admission and routing.  */
   permit_t permit;
   permit_t slot;
+  queue_team_t *turn; /* that the queue counted for it; NULL: none */
   upstream_live_t *upstream;
   char base_url[REC_NAME_BYTES + 16];
   upstream_live_t *tried[TRIES_MAX];
@@ -245,6 +293,10 @@
 /* admission_pump_all - admission_pump for every service with a queue.  */
 void admission_pump_all (const view_t *view, int64_t now_us);
 
+/* admission_settle - tell the queue that the try of REQ held its slot for
+   RUN_US.  */
+void admission_settle (req_t *req, int64_t run_us);
+
 /* admission_leave - take REQ out of its queue; false when another loop has
    granted it meanwhile.  */
 bool admission_leave (req_t *req);
@@ -272,13 +324,43 @@
 enum MHD_Result answer_queue (req_t *req, struct MHD_Connection *conn,
                               bool closing);
 
-/* Settings of the loops and what they share.  */
+/* Claims of ids that this daemon owns; any thread.  */
+typedef struct claims
+{
+  pthread_mutex_t lock;
+  once_table_t *table;
+  uint64_t hosts_hash; /* of the list of entry hosts that gave the ids */
+} claims_t;
+
+void claims_open (claims_t *claims, int64_t now_ms);
+void claims_close (claims_t *claims);
+
+/* claims_follow - VIEW may list other entry hosts than before, so that ids
+   have become this daemon's.  */
+void claims_follow (claims_t *claims, const view_t *view, int64_t now_ms);
+
+/* claims_owner - name of the entry host that owns ID; NULL: none.  */
+const char *claims_owner (const view_t *view, const once_id_t *id);
+
+/* claims_grant - grant ID if this daemon, called NAME, owns it and its view is
+   not stale.  */
+err_kind_t claims_grant (claims_t *claims, const view_t *view,
+                         const char *name, const once_id_t *id, int64_t now_us,
+                         int64_t now_ms);
+
+typedef struct exchange exchange_t;
+
+#define LOOPS_MAX 64
+
+/* What the event loops share.  */
 typedef struct loop_config
 {
   const settings_t *settings;
   const char *name;
-  once_table_t *once; /* guarded by once_lock */
-  pthread_mutex_t once_lock;
+  claims_t claims;
+  exchange_t *exchange;
+  loop_t *loops[LOOPS_MAX];
+  uint32_t loops_count;
   atomic_bool stopping; /* finish what is there, accept nothing new */
 } loop_config_t;
 
@@ -296,6 +378,11 @@
 /* loop_pass - hand a granted REQ to its loop; any thread.  */
 void loop_pass (req_t *req);
 
+/* loop_tell_claimed - the owner of an id has answered question NUMBER, which
+   names the loop; any thread.  */
+void loop_tell_claimed (loop_config_t *config, uint64_t number,
+                        err_kind_t verdict);
+
 /* Lets a thread sleep until a time or until it is told to stop.  */
 typedef struct waiter
 {
@@ -318,15 +405,64 @@
 livereader_t *livereader_start (const char *platform_url);
 void livereader_stop (livereader_t *reader);
 
-/* logreader_start - the log thread: follows the platform's log and publishes
-   views, until logreader_stop.  */
+/* replica - this daemon's fold of the log: takes records from the log thread
+   and from peers, and publishes views.  Any thread.  */
+typedef struct replica replica_t;
+
+replica_t *replica_open (const settings_t *settings, claims_t *claims,
+                         uint64_t incarnation);
+void replica_close (replica_t *replica);
+
+/* replica_take - fold and publish what was read.  False when this daemon must
+   fold no further.  */
+bool replica_take (replica_t *replica, const log_batch_t *batch);
+
+/* replica_take_snapshot - start from the snapshot in DATA, if it is ahead;
+ *OFFSET is where it stands.  False when it is malformed.  */
+bool replica_take_snapshot (replica_t *replica, const void *data, size_t len,
+                            uint64_t *offset);
+
+/* replica_snapshot - a snapshot of the state at *OFFSET.  */
+GBytes *replica_snapshot (replica_t *replica, uint64_t *offset);
+
+/* replica_quarantine_us - how long after its start this daemon may hold no
+   share; INT64_MAX until that is known.  */
+int64_t replica_quarantine_us (replica_t *replica, int64_t run_us);
+
+/* replica_relay - fill RELAY, to be sent to a peer that has folded up to FROM,
+   with the records behind it, or a snapshot; release it with relay_release.
+   False when there is nothing to send.  */
+bool replica_relay (replica_t *replica, uint64_t from, msg_relay_t *relay);
+void relay_release (msg_relay_t *relay);
+
+/* replica_accept - fold what a peer relayed and publish it.  */
+void replica_accept (replica_t *replica, const msg_relay_t *relay);
+
+/* logreader_start - the log thread: reads the platform's log into REPLICA and
+   appends JOIN, LEAVE and snapshots, until logreader_stop.  */
 typedef struct logreader logreader_t;
 
-logreader_t *logreader_start (const settings_t *settings,
+logreader_t *logreader_start (const settings_t *settings, replica_t *replica,
                               const char *platform_url, uint64_t incarnation);
 
-/* logreader_stop - append LEAVE, then end the thread.  */
-void logreader_stop (logreader_t *reader);
+/* logreader_stop - end the thread, then append LEAVE if LEAVES.  */
+void logreader_stop (logreader_t *reader, bool leaves);
+
+/* exchange_start - what daemons owe each other: heartbeats, relay, claims,
+   shares and loans, all on the peer thread.  */
+exchange_t *exchange_start (const settings_t *settings, loop_config_t *config,
+                            replica_t *replica, uint64_t incarnation);
+uint16_t exchange_port (const exchange_t *exchange);
+
+/* exchange_stop - end the peer thread.  True when nothing that this daemon
+   granted can still be running or lent, so that it may leave.  After the loops
+   have ended.  */
+bool exchange_stop (exchange_t *exchange);
+
+/* exchange_ask_claim - ask OWNER for ID; loop_tell_claimed brings the answer
+   to question NUMBER.  False when OWNER can't be reached.  Any thread.  */
+bool exchange_ask_claim (exchange_t *exchange, const char *owner,
+                         uint64_t number, const once_id_t *id);
 
 /* admin_start - the operators' HTTP server: /counters, /dump, /config,
    /health.  */
--- a/daemon/flow.c
+++ b/daemon/flow.c
@@ -73,6 +73,8 @@
 static void
 release (req_t *req, int64_t now_us)
 {
+  admission_settle (req, req->sent_us ? now_us - req->sent_us : 0);
+  req->sent_us = 0;
   give_back (req->team, req->permit, req->upstream, req->slot);
   req->permit = (permit_t){ 0 };
   req->slot = (permit_t){ 0 };
@@ -94,6 +96,8 @@
                 .slot = req->slot },
   };
 
+  admission_settle (req, end_us (req) - req->sent_us);
+  req->sent_us = 0;
   timers_add (loop, &entry);
   req->permit = (permit_t){ 0 };
   req->slot = (permit_t){ 0 };
@@ -123,6 +127,8 @@
   admission_t result = ADMIT_REFUSED;
 
   req->error = ERR_NO_SERVICE;
+  if (req->tries == 0)
+    retry_earn (&req->service->retries);
   /* Before the request is in the queue, from which any loop may take it.  */
   start_timer (loop, req, TIMER_QUEUED, req->deadline_us);
   rcu_read_lock ();
@@ -145,28 +151,41 @@
     }
 }
 
-/* A non-idempotent request needs the claim of its id's owner.  */
+/* How long a request waits for the owner of its id.  */
+#define CLAIM_WAIT_US 1000000
+
+/* Asks the owner of a non-idempotent request's id for the claim.  ERR_NONE:
+   granted, or REQ waits for the answer in stage REQ_CLAIMING.  */
 static err_kind_t
-claim (loop_t *loop, const req_t *req, const view_t *view)
+claim (loop_t *loop, req_t *req, const view_t *view, int64_t now_us)
 {
   loop_config_t *config = loop->config;
-  err_kind_t error;
-  uint32_t owner;
+  const char *owner;
 
   if (req->idempotent)
     return ERR_NONE;
-  if (view->entry_hosts_count == 0)
+  owner = claims_owner (view, &req->once_id);
+  if (!owner)
     return ERR_ID_OWNER_AWAY;
-  owner
-      = once_owner (&req->once_id, view->entry_hosts, view->entry_hosts_count);
-  if (strcmp (view->entry_hosts[owner], config->name) != 0)
+  if (strcmp (owner, config->name) == 0)
+    return claims_grant (&config->claims, view, config->name, &req->once_id,
+                         now_us, clock_wall_ms ());
+  req->claim_number = loop_next_number (loop);
+  if (!exchange_ask_claim (config->exchange, owner, req->claim_number,
+                           &req->once_id))
     return ERR_ID_OWNER_AWAY;
-  pthread_mutex_lock (&config->once_lock);
-  error = once_claim (config->once, &req->once_id, clock_wall_ms ());
-  pthread_mutex_unlock (&config->once_lock);
-  counter_add (error == ERR_NONE ? COUNT_CLAIMS_GRANTED : COUNT_CLAIMS_REFUSED,
-               1);
-  return error;
+  req->stage = REQ_CLAIMING;
+  g_hash_table_insert (loop->claiming, &req->claim_number, req);
+  start_timer (loop, req, TIMER_CLAIM,
+               MIN (req->deadline_us, now_us + CLAIM_WAIT_US));
+  return ERR_NONE;
+}
+
+static void
+stop_claiming (loop_t *loop, req_t *req)
+{
+  g_hash_table_remove (loop->claiming, &req->claim_number);
+  stop_timer (req);
 }
 
 void
@@ -179,17 +198,29 @@
   view = view_get ();
   error = authenticate (req, view, currency_judge, now_us);
   if (error == ERR_NONE)
-    error = claim (loop, req, view);
+    error = claim (loop, req, view, now_us);
   rcu_read_unlock ();
+  if (error == ERR_KEY_REJECTED)
+    counter_add (COUNT_KEY_REJECTED, 1);
   if (error != ERR_NONE)
-    {
-      if (error == ERR_KEY_REJECTED)
-        counter_add (COUNT_KEY_REJECTED, 1);
-      refuse (req, error);
-      return;
-    }
-  retry_earn (&req->service->retries);
-  admit (loop, req, now_us);
+    refuse (req, error);
+  else if (req->stage != REQ_CLAIMING)
+    admit (loop, req, now_us);
+}
+
+void
+flow_claimed (loop_t *loop, uint64_t number, err_kind_t verdict,
+              int64_t now_us)
+{
+  req_t *req = g_hash_table_lookup (loop->claiming, &number);
+
+  if (!req)
+    return; /* it was given up meanwhile; its id stays claimed */
+  stop_claiming (loop, req);
+  if (verdict == ERR_NONE)
+    admit (loop, req, now_us);
+  else
+    refuse (req, verdict);
 }
 
 void
@@ -313,6 +344,12 @@
       loop->queued--;
       refuse (req, ERR_EXPIRED_QUEUED);
       return;
+    case TIMER_CLAIM:
+      req = entry->u.req;
+      req->timer = NULL;
+      g_hash_table_remove (loop->claiming, &req->claim_number);
+      refuse (req, ERR_ID_OWNER_AWAY);
+      return;
     case TIMER_BACKOFF:
       req = entry->u.req;
       req->timer = NULL;
@@ -335,6 +372,9 @@
     case REQ_ANSWERED:
     case REQ_GRANTED:
       return;
+    case REQ_CLAIMING:
+      stop_claiming (loop, req);
+      break;
     case REQ_QUEUED:
       if (!admission_leave (req))
         return;
--- a/daemon/live.c
+++ b/daemon/live.c
@@ -70,3 +70,30 @@
   pthread_mutex_unlock (&lock);
   return service;
 }
+
+void
+live_teams (void (*visit) (team_live_t *team, void *ctx), void *ctx)
+{
+  GHashTableIter iter;
+  gpointer team;
+
+  pthread_mutex_lock (&lock);
+  g_hash_table_iter_init (&iter, names_of (&teams));
+  while (g_hash_table_iter_next (&iter, NULL, &team))
+    visit (team, ctx);
+  pthread_mutex_unlock (&lock);
+}
+
+void
+live_upstreams (void (*visit) (upstream_live_t *upstream, void *ctx),
+                void *ctx)
+{
+  GHashTableIter iter;
+  gpointer upstream;
+
+  pthread_mutex_lock (&lock);
+  g_hash_table_iter_init (&iter, names_of (&upstreams));
+  while (g_hash_table_iter_next (&iter, NULL, &upstream))
+    visit (upstream, ctx);
+  pthread_mutex_unlock (&lock);
+}
--- a/daemon/loop.c
+++ b/daemon/loop.c
@@ -141,6 +141,22 @@
   return MHD_YES;
 }
 
+static void
+run_note (loop_t *loop, note_t *note, int64_t now_us)
+{
+  switch (note->kind)
+    {
+    case NOTE_GRANTED:
+      flow_granted (loop, note->u.granted, now_us);
+      return;
+    case NOTE_CLAIMED:
+      flow_claimed (loop, note->u.claimed.number, note->u.claimed.verdict,
+                    now_us);
+      g_free (note);
+      return;
+    }
+}
+
 static void
 run_pipe (loop_t *loop, int64_t now_us)
 {
@@ -148,7 +164,7 @@
 
   pipe_rest (&loop->pipe);
   while ((node = pipe_get (&loop->pipe)))
-    flow_granted (loop, caa_container_of (node, req_t, pipe_node), now_us);
+    run_note (loop, caa_container_of (node, note_t, node), now_us);
 }
 
 static void
@@ -347,6 +363,8 @@
   loop->config = config;
   loop->accepting = true;
   loop->timers = g_sequence_new (NULL);
+  loop->claiming = g_hash_table_new (g_int64_hash, g_int64_equal);
+  loop->index = config->loops_count;
   loop->epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
   loop->listen_fd = dup (listen_fd);
   transfer_open (loop);
@@ -354,6 +372,7 @@
       || !open_pipe (loop)
       || pthread_create (&loop->thread, NULL, run, loop) != 0)
     return NULL;
+  config->loops[config->loops_count++] = loop;
   return loop;
 }
 
@@ -371,6 +390,7 @@
   MHD_stop_daemon (loop->server);
   transfer_close (loop);
   g_sequence_free (loop->timers);
+  g_hash_table_destroy (loop->claiming);
   pipe_close (&loop->pipe);
   close (loop->epoll_fd);
   g_free (loop);
@@ -382,10 +402,47 @@
   return atomic_load (&loop->in_flight);
 }
 
+static void
+put_note (loop_t *loop, note_t *note)
+{
+  /* The pipe holds more entries than a loop may have connections, and each
+     request has one note under way at most.  */
+  if (!pipe_put (&loop->pipe, &note->node))
+    abort ();
+}
+
 void
 loop_pass (req_t *req)
 {
-  /* The pipe holds more entries than a loop may have connections.  */
-  if (!pipe_put (&req->loop->pipe, &req->pipe_node))
-    abort ();
+  req->note.kind = NOTE_GRANTED;
+  req->note.u.granted = req;
+  put_note (req->loop, &req->note);
+}
+
+/* The loop's index stands above the bits that count.  */
+#define NUMBER_BITS 48
+
+uint64_t
+loop_next_number (loop_t *loop)
+{
+  loop->next_number
+      = (loop->next_number + 1) & ((UINT64_C (1) << NUMBER_BITS) - 1);
+  return ((uint64_t)loop->index << NUMBER_BITS) | loop->next_number;
+}
+
+void
+loop_tell_claimed (loop_config_t *config, uint64_t number, err_kind_t verdict)
+{
+  uint64_t index = number >> NUMBER_BITS;
+  note_t *note;
+
+  if (index >= config->loops_count)
+    return; /* no question of this daemon */
+  note = g_new0 (note_t, 1);
+  note->kind = NOTE_CLAIMED;
+  note->u.claimed.number = number;
+  note->u.claimed.verdict = verdict;
+  /* Dropping an answer is safe: the request is refused as not run.  */
+  if (!pipe_put (&config->loops[index]->pipe, &note->node))
+    g_free (note);
 }
--- a/daemon/loop.h
+++ b/daemon/loop.h
@@ -38,6 +38,7 @@
 
 typedef enum timer_kind
 {
+  TIMER_CLAIM,   /* the owner of an id has not answered */
   TIMER_QUEUED,  /* the deadline of a queued request */
   TIMER_BACKOFF, /* the next try of a request */
   TIMER_HOLD     /* permit and slot of a try whose outcome is unknown */
@@ -59,7 +60,7 @@
   int64_t at_us;
   union
   {
-    req_t *req;  /* QUEUED, BACKOFF */
+    req_t *req;  /* CLAIM, QUEUED, BACKOFF */
     hold_t hold; /* HOLD */
   } u;
 } timer_entry_t;
@@ -75,6 +76,9 @@
   source_t server_source;
   source_t pipe_source;
   pipe_t pipe;
+  GHashTable *claiming; /* requests that wait for a claim, by number */
+  uint64_t next_number;
+  uint32_t index;       /* in config->loops */
   GSequence *timers;    /* timer_entry_t, by time */
   GPtrArray *easy_idle; /* CURL handles between transfers */
   GPtrArray *sockets;   /* socket_watch_t of upstreams, by descriptor */
@@ -89,6 +93,9 @@
   bool resumed; /* the server has to run before the loop sleeps */
 };
 
+/* loop_next_number - a number for a question, which names this loop too.  */
+uint64_t loop_next_number (loop_t *loop);
+
 /* timers_add - at the entry's time, loop_run_timer is called with it.  */
 GSequenceIter *timers_add (loop_t *loop, const timer_entry_t *entry);
 void timers_remove (GSequenceIter *timer);
@@ -121,6 +128,10 @@
    start it on its way.  */
 void flow_enter (loop_t *loop, req_t *req, int64_t now_us);
 
+/* flow_claimed - the owner of an id has answered question NUMBER.  */
+void flow_claimed (loop_t *loop, uint64_t number, err_kind_t verdict,
+                   int64_t now_us);
+
 /* flow_granted - a queued request got permit and slot.  */
 void flow_granted (loop_t *loop, req_t *req, int64_t now_us);
 
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -28,7 +28,7 @@
   devlog_t *devlog; /* --dev only */
   int listen_fd;
   uint16_t port;
-  loop_t **loops;
+  replica_t *replica;
   logreader_t *reader;
   livereader_t *live;
   admin_t *admin;
@@ -111,7 +111,7 @@
                                 devlog_port (process->devlog));
   text = g_strdup_printf ("port %u\nadmin_port %u\npeer_port %u\n%s",
                           process->port, admin_port (process->admin),
-                          process->settings->peer_port,
+                          exchange_port (process->config.exchange),
                           platform ? platform : "");
   /* Replaces the file in one step, so that a reader sees it whole.  */
   return !path || g_file_set_contents (path, text, -1, NULL);
@@ -122,6 +122,7 @@
 {
   const settings_t *settings = process->settings;
   g_autofree char *platform = g_strdup (settings->platform);
+  uint64_t incarnation = (uint64_t)clock_wall_ms () * 1000;
 
   if (dev)
     {
@@ -134,24 +135,25 @@
     }
   process->config.settings = settings;
   process->config.name = settings->name;
-  process->config.once = once_new (clock_wall_ms ());
-  pthread_mutex_init (&process->config.once_lock, NULL);
+  claims_open (&process->config.claims, clock_wall_ms ());
   process->listen_fd = open_listener (settings, &process->port);
   if (process->listen_fd < 0)
     return false;
-  process->reader = logreader_start (settings, platform,
-                                     (uint64_t)clock_wall_ms () * 1000);
-  process->admin = admin_start (settings, &process->config);
+  process->replica
+      = replica_open (settings, &process->config.claims, incarnation);
+  process->reader
+      = logreader_start (settings, process->replica, platform, incarnation);
   process->live = livereader_start (platform);
-  if (!process->reader || !process->live || !process->admin)
+  if (!process->reader || !process->live)
+    return false;
+  process->config.exchange = exchange_start (settings, &process->config,
+                                             process->replica, incarnation);
+  process->admin = admin_start (settings, &process->config);
+  if (!process->config.exchange || !process->admin)
     return false;
-  process->loops = g_new0 (loop_t *, settings->threads);
   for (uint32_t i = 0; i < settings->threads; i++)
-    {
-      process->loops[i] = loop_start (&process->config, process->listen_fd);
-      if (!process->loops[i])
-        return false;
-    }
+    if (!loop_start (&process->config, process->listen_fd))
+      return false;
   return write_ready_file (process);
 }
 
@@ -159,21 +161,24 @@
 stop (process_t *process)
 {
   const settings_t *settings = process->settings;
+  loop_config_t *config = &process->config;
+  bool leaves;
 
   event_log (EV_STOPPING, "name=%s", settings->name);
   atomic_store (&process->config.stopping, true);
-  for (uint32_t i = 0; i < settings->threads; i++)
-    loop_stop_begin (process->loops[i]);
-  for (uint32_t i = 0; i < settings->threads; i++)
-    loop_join (process->loops[i]);
+  for (uint32_t i = 0; i < config->loops_count; i++)
+    loop_stop_begin (config->loops[i]);
+  for (uint32_t i = 0; i < config->loops_count; i++)
+    loop_join (config->loops[i]);
   close (process->listen_fd);
   livereader_stop (process->live);
-  logreader_stop (process->reader);
   admin_stop (process->admin);
+  leaves = exchange_stop (config->exchange);
+  logreader_stop (process->reader, leaves);
+  replica_close (process->replica);
   if (process->devlog)
     devlog_stop (process->devlog);
-  once_free (process->config.once);
-  g_free (process->loops);
+  claims_close (&config->claims);
   event_log (EV_STOPPED, "name=%s", settings->name);
 }
 
--- /dev/null
+++ b/daemon/replica.c
@@ -0,0 +1,328 @@
+#include "daemon.h"
+#include <string.h>
+
+/* Records kept at hand for peers that can't read the log; a peer that lacks
+   more gets a snapshot.  */
+#define RECENT_MAX 1024
+#define RELAY_BYTES_MAX (512 * 1024)
+
+struct replica
+{
+  const settings_t *settings;
+  claims_t *claims;
+  uint64_t incarnation;
+  pthread_mutex_t lock; /* guards all below */
+  state_t *state;       /* what is folded; never published itself */
+  GQueue recent;        /* GBytes; the last one is of offset state->offset-1 */
+  entry_state_t before; /* this host's entry before its JOIN */
+  bool has_before;
+  bool join_folded;
+};
+
+replica_t *
+replica_open (const settings_t *settings, claims_t *claims,
+              uint64_t incarnation)
+{
+  replica_t *replica = g_new0 (replica_t, 1);
+
+  replica->settings = settings;
+  replica->claims = claims;
+  replica->incarnation = incarnation;
+  replica->state = state_new ();
+  pthread_mutex_init (&replica->lock, NULL);
+  g_queue_init (&replica->recent);
+  return replica;
+}
+
+static void
+drop_recent (replica_t *replica)
+{
+  g_queue_clear_full (&replica->recent, (GDestroyNotify)g_bytes_unref);
+}
+
+void
+replica_close (replica_t *replica)
+{
+  drop_recent (replica);
+  state_free (replica->state);
+  pthread_mutex_destroy (&replica->lock);
+  g_free (replica);
+}
+
+/* publish: the last stage of a record.  */
+static void
+publish (replica_t *replica, uint64_t old_version)
+{
+  uint64_t version = state_config_version (replica->state);
+  view_t *view = view_new (state_copy (replica->state), replica->settings);
+
+  claims_follow (replica->claims, view, clock_wall_ms ());
+  view_publish (view);
+  atomic_store (&currency.offset, replica->state->offset);
+  if (version != old_version)
+    event_log (EV_CONFIG_IN_FORCE, "version=%" PRIu64 " offset=%" PRIu64,
+               version, replica->state->offset);
+}
+
+/* Remembers what the state said of this host just before its JOIN.  */
+static void
+note_join (replica_t *replica, const entry_state_t *before, bool has_before)
+{
+  const entry_state_t *now
+      = table_find (&replica->state->entries, replica->settings->name);
+
+  if (replica->join_folded || !now || now->incarnation != replica->incarnation)
+    return;
+  replica->join_folded = true;
+  replica->has_before = has_before;
+  replica->before = *before;
+}
+
+/* check and fold: one record.  */
+static verdict_t
+fold (replica_t *replica, GBytes *bytes, uint64_t offset, GError **error)
+{
+  const entry_state_t *entry
+      = table_find (&replica->state->entries, replica->settings->name);
+  entry_state_t before = { 0 };
+  verdict_t verdict;
+  gsize len;
+  const void *data = g_bytes_get_data (bytes, &len);
+
+  if (entry)
+    before = *entry;
+  verdict = wire_fold (replica->state, data, len, offset, NULL, error);
+  if (verdict == VERDICT_BEHIND)
+    return verdict;
+  note_join (replica, &before, entry != NULL);
+  g_queue_push_tail (&replica->recent, g_bytes_ref (bytes));
+  if (replica->recent.length > RECENT_MAX)
+    g_bytes_unref (g_queue_pop_head (&replica->recent));
+  return verdict;
+}
+
+static void
+report (verdict_t verdict, uint64_t offset, const GError *error)
+{
+  if (verdict == VERDICT_APPLIED)
+    {
+      counter_add (COUNT_RECORDS_APPLIED, 1);
+      return;
+    }
+  /* Part of an append whose answer was lost.  */
+  if (verdict == VERDICT_REPEATED)
+    return;
+  counter_add (COUNT_RECORDS_REJECTED, 1);
+  if (verdict == VERDICT_BEHIND)
+    event_log (EV_VIEW_BEHIND, "offset=%" PRIu64, offset);
+  else if (g_error_matches (error, WIRE_ERROR, WIRE_ERROR_FORM))
+    event_log (EV_RECORD_MALFORMED, "offset=%" PRIu64 " reason=\"%s\"", offset,
+               error->message);
+  else
+    event_log (EV_RECORD_REJECTED,
+               "offset=%" PRIu64 " verdict=%s reason=\"%s\"", offset,
+               verdict_name (verdict), error ? error->message : "condition");
+}
+
+/* False when this daemon must fold no further.  Records that were folded
+   before are passed over: they come from the log and from peers.  */
+static bool
+take (replica_t *replica, GBytes *bytes, uint64_t offset)
+{
+  g_autoptr (GError) error = NULL;
+  verdict_t verdict;
+
+  if (offset < replica->state->offset)
+    return true;
+  verdict = fold (replica, bytes, offset, &error);
+  report (verdict, offset, error);
+  return verdict != VERDICT_BEHIND;
+}
+
+bool
+replica_take (replica_t *replica, const log_batch_t *batch)
+{
+  uint64_t old_offset;
+  uint64_t old_version;
+  bool behind = false;
+  bool first;
+
+  pthread_mutex_lock (&replica->lock);
+  old_offset = replica->state->offset;
+  old_version = state_config_version (replica->state);
+  for (uint32_t i = 0; i < batch->count && !behind; i++)
+    behind = !take (replica, batch->entries[i].data, batch->entries[i].offset);
+  rcu_read_lock ();
+  first = view_get () == NULL;
+  rcu_read_unlock ();
+  if (replica->state->offset != old_offset || first)
+    publish (replica, old_version);
+  pthread_mutex_unlock (&replica->lock);
+  atomic_store (&currency.behind, behind);
+  return !behind;
+}
+
+/* Takes over NEWEST, if it is ahead of the state.  */
+static bool
+replace_state (replica_t *replica, state_t *newest)
+{
+  const entry_state_t unknown = { .left = false };
+  uint64_t old_version = state_config_version (replica->state);
+
+  if (newest->offset <= replica->state->offset)
+    {
+      state_free (newest);
+      return false;
+    }
+  state_free (replica->state);
+  replica->state = newest;
+  drop_recent (replica);
+  /* A snapshot that has this JOIN doesn't tell what was before it: assume a
+     predecessor that may have work running.  */
+  note_join (replica, &unknown, true);
+  event_log (EV_SNAPSHOT_LOADED, "offset=%" PRIu64, newest->offset);
+  publish (replica, old_version);
+  return true;
+}
+
+bool
+replica_take_snapshot (replica_t *replica, const void *data, size_t len,
+                       uint64_t *offset)
+{
+  g_autoptr (GError) error = NULL;
+  state_t *newest = wire_get_snapshot (data, len, &error);
+
+  if (!newest)
+    {
+      event_log (EV_SNAPSHOT_REJECTED, "reason=\"%s\"", error->message);
+      return false;
+    }
+  *offset = newest->offset;
+  pthread_mutex_lock (&replica->lock);
+  replace_state (replica, newest);
+  pthread_mutex_unlock (&replica->lock);
+  return true;
+}
+
+GBytes *
+replica_snapshot (replica_t *replica, uint64_t *offset)
+{
+  GBytes *bytes;
+
+  pthread_mutex_lock (&replica->lock);
+  *offset = replica->state->offset;
+  bytes = wire_put_snapshot (replica->state);
+  pthread_mutex_unlock (&replica->lock);
+  return bytes;
+}
+
+int64_t
+replica_quarantine_us (replica_t *replica, int64_t run_us)
+{
+  const entry_state_t *entry;
+  int64_t wait_us;
+
+  pthread_mutex_lock (&replica->lock);
+  if (replica->join_folded)
+    entry = replica->has_before ? &replica->before : NULL;
+  else
+    entry = table_find (&replica->state->entries, replica->settings->name);
+  wait_us = share_quarantine_us (entry, replica->join_folded, run_us);
+  pthread_mutex_unlock (&replica->lock);
+  return wait_us;
+}
+
+static void
+relay_snapshot (const replica_t *replica, msg_relay_t *relay)
+{
+  gsize len;
+
+  relay->snapshot = true;
+  relay->count = 1;
+  relay->records = g_new0 (msg_record_t, 1);
+  relay->records[0].offset = replica->state->offset;
+  relay->records[0].data
+      = g_bytes_unref_to_data (wire_put_snapshot (replica->state), &len);
+  relay->records[0].len = len;
+}
+
+/* Copies of the records from FROM on, as many as a message may hold.  */
+static void
+relay_records (replica_t *replica, uint64_t from, msg_relay_t *relay)
+{
+  uint64_t oldest = replica->state->offset - replica->recent.length;
+  GList *link
+      = g_queue_peek_nth_link (&replica->recent, (guint)(from - oldest));
+  size_t bytes = 0;
+
+  relay->records = g_new0 (msg_record_t, replica->recent.length);
+  for (; link; link = link->next, from++)
+    {
+      gsize len;
+      const void *data = g_bytes_get_data (link->data, &len);
+
+      bytes += len;
+      if (bytes > RELAY_BYTES_MAX && relay->count > 0)
+        return;
+      relay->records[relay->count++]
+          = (msg_record_t){ from, g_memdup2 (data, len), len };
+    }
+}
+
+bool
+replica_relay (replica_t *replica, uint64_t from, msg_relay_t *relay)
+{
+  memset (relay, 0, sizeof *relay);
+  pthread_mutex_lock (&replica->lock);
+  relay->next = replica->state->offset;
+  if (replica->state->offset > from)
+    {
+      if (replica->state->offset - from > replica->recent.length)
+        relay_snapshot (replica, relay);
+      else
+        relay_records (replica, from, relay);
+    }
+  pthread_mutex_unlock (&replica->lock);
+  return relay->count > 0;
+}
+
+void
+relay_release (msg_relay_t *relay)
+{
+  for (uint32_t i = 0; i < relay->count; i++)
+    g_free ((gpointer)relay->records[i].data);
+  g_free (relay->records);
+}
+
+void
+replica_accept (replica_t *replica, const msg_relay_t *relay)
+{
+  uint64_t old_offset;
+  uint64_t old_version;
+  uint64_t offset;
+
+  if (relay->snapshot)
+    {
+      for (uint32_t i = 0; i < relay->count; i++)
+        replica_take_snapshot (replica, relay->records[i].data,
+                               relay->records[i].len, &offset);
+      return;
+    }
+  pthread_mutex_lock (&replica->lock);
+  old_offset = replica->state->offset;
+  old_version = state_config_version (replica->state);
+  for (uint32_t i = 0; i < relay->count; i++)
+    {
+      const msg_record_t *record = &relay->records[i];
+      g_autoptr (GBytes) bytes = NULL;
+
+      if (record->offset > replica->state->offset)
+        break;
+      bytes = g_bytes_new (record->data, record->len);
+      if (!take (replica, bytes, record->offset))
+        break;
+    }
+  if (replica->state->offset != old_offset)
+    publish (replica, old_version);
+  pthread_mutex_unlock (&replica->lock);
+}
--- a/daemon/routing.c
+++ b/daemon/routing.c
@@ -31,7 +31,9 @@
           = left > 0 ? candidate->in_use + (uint32_t)left : candidate->in_use;
       candidate->local = upstream->local;
       candidate->tried = was_tried (req, upstream->live);
-      candidate->verdict = health_judge (&upstream->live->health, now_us);
+      candidate->verdict = upstream->in_service
+                               ? health_judge (&upstream->live->health, now_us)
+                               : HEALTH_LEAVING;
       if (!candidate->tried
           && (candidate->verdict == HEALTH_OK
               || candidate->verdict == HEALTH_PROBE)
--- a/daemon/view.c
+++ b/daemon/view.c
@@ -104,6 +104,14 @@
   return part;
 }
 
+static bool
+host_is_in_service (const state_t *state, const char *name)
+{
+  const host_state_t *host = table_find (&state->hosts, name);
+
+  return host && host->phase == HOST_IN_SERVICE;
+}
+
 /* Connections that one event loop of this daemon may keep to an upstream that
    takes TOTAL: all loops of all entry hosts together stay inside.  */
 static uint32_t
@@ -132,13 +140,13 @@
       upstream = &service->upstreams[service->upstreams_count++];
       upstream->rule = listed;
       upstream->live = live_upstream (listed->name);
+      upstream->in_service = host_is_in_service (view->state, listed->host);
       upstream->local = strcmp (place, settings->data_centre) == 0;
       view->connections
           = MIN (view->connections, own_connections (fleet, settings->threads,
                                                      listed->connections));
-      escrow_set_share (
-          upstream->live->slots,
-          own_part (view, settings->name, listed->name, place, listed->slots));
+      upstream->part = own_part (view, settings->name, listed->name, place,
+                                 listed->slots);
     }
   pthread_mutex_lock (&service->live->lock);
   queue_set_max (service->live->queue, rule->queue_max);
@@ -193,9 +201,8 @@
 
       team->rule = &fleet->teams[i];
       team->live = live_team (team->rule->name);
-      escrow_set_share (team->live->permits,
-                        own_part (view, settings->name, team->rule->name, NULL,
-                                  team->rule->limit));
+      team->part = own_part (view, settings->name, team->rule->name, NULL,
+                             team->rule->limit);
     }
   qsort (view->teams, view->teams_count, sizeof *view->teams, compare_teams);
   return view;
@@ -204,10 +211,14 @@
 freshness_t
 currency_judge (const view_t *view, int64_t now_us, int64_t grace_us)
 {
+  const member_list_t *members
+      = currency.link ? link_members (currency.link) : NULL;
   fresh_view_t known = {
     .log_read_us = atomic_load (&currency.log_read_us),
     .offset = atomic_load (&currency.offset),
-    .data_centre = "",
+    .data_centre = currency.data_centre ? currency.data_centre : "",
+    .peers = members ? members->views : NULL,
+    .peers_count = members ? members->count : 0,
     .data_centres = view->data_centres,
     .data_centres_count = view->data_centres_count,
   };
