Count slot time in the fair queue while requests run

Change: a team's tag is the slot time that its requests have used so far, and half an average run for each that still runs; tags are refreshed where the order is decided. queue_charge and queue_settle take the time, and settling is mandatory. The heap of entries by expiry is now admit/expiry.

--- a/admit/admit.h
+++ b/admit/admit.h
@@ -162,15 +162,15 @@
                            bool (*may_run) (void *ctx, queue_entry_t *entry),
                            void *ctx);
 
-/* queue_charge - count work of TEAM that ran without waiting (the queue was
-   empty), so that it takes its turn later.  */
-void queue_charge (fair_queue_t *queue, queue_team_t *team);
-
-/* queue_settle - a request of TEAM that queue_take or queue_charge counted has
-   held its slot for RUN_US.  Shares are of slot time: the turn that was
-   counted by an estimate is corrected.  Without it all requests count the
-   same.  */
-void queue_settle (fair_queue_t *queue, queue_team_t *team, int64_t run_us);
+/* queue_charge - count work of TEAM that starts at NOW_US without waiting (the
+   queue was empty), so that it takes its turn later.  */
+void queue_charge (fair_queue_t *queue, queue_team_t *team, int64_t now_us);
+
+/* queue_settle - the slot of a request of TEAM is free again; STARTED_US is
+   the time that was given to queue_take or queue_charge.  Shares are of slot
+   time, so each of these must be settled once.  */
+void queue_settle (fair_queue_t *queue, queue_team_t *team, int64_t started_us,
+                   int64_t now_us);
 
 /* queue_remove - take out ENTRY, whose client is gone.  */
 void queue_remove (fair_queue_t *queue, queue_entry_t *entry);
--- a/admit/queue.c
+++ b/admit/queue.c
@@ -1,5 +1,4 @@
-#include "admit.h"
-#include <string.h>
+#include "expiry.h"
 
 /* Virtual time for 1 us of a slot at share 1.  Large, so that dividing it by a
    share loses little.  */
@@ -8,18 +7,15 @@
 /* Tags are moved back to zero past this, so that they never overflow.  */
 #define TAG_MAX ((int64_t)1 << 61)
 
-/* Slot time counted for a request before any has ended.  */
+/* Average run time of a team before any of its requests has ended.  */
 #define RUN_FIRST_US 10000
 
 /* Weight of one run in the moving average of run times: 1/16.  */
 #define RUN_SHIFT 4
 
-/* Longest run that is counted; keeps the products within 64 bits.  */
-#define RUN_MAX_US ((int64_t)1 << 32)
-
-/* A correction may set a team back, or let it run ahead, by what all slots do
-   in this time, so that runs of unexpected length don't starve anybody: a team
-   waits at most twice that for others to catch up.  */
+/* The end of a request moves its team's tag at most as far from the virtual
+   time as all slots take it in this time, so that runs of unexpected length
+   don't starve anybody.  */
 #define LEAD_MAX_US 500000
 
 /* A served-rate window keeps at least half of these: enough requests for a
@@ -30,8 +26,6 @@
 /* Below this many served, a team's own rate is not yet known.  */
 #define RATE_KNOWN_MIN 8
 
-#define NOT_IN_HEAP UINT32_MAX
-
 /* Requests served in a window that ends now; halved from time to time.  */
 typedef struct rate
 {
@@ -44,10 +38,12 @@
   const char *name;
   uint32_t share;
   uint32_t count;
-  int64_t start;      /* virtual time at which its next request starts */
-  int64_t run_us;     /* average run time; 0: none has ended */
-  int64_t charged_us; /* slot time counted for requests that run */
+  int64_t start;   /* virtual time at which its next request starts; may be
+                      too low if it has requests running: see refresh */
+  int64_t base;    /* part of start for requests that have ended */
+  int64_t started; /* sum of the start times of those that run, us */
   uint32_t running;
+  int64_t run_us; /* average run time */
   queue_entry_t entries;
   rate_t rate; /* while it has entries */
 };
@@ -62,7 +58,7 @@
   uint64_t active_share; /* sum over the teams in order */
   GHashTable *teams;     /* name to queue_team_t */
   GPtrArray *order;      /* teams with entries, by start tag */
-  GPtrArray *heap;       /* entries, the first to expire on top */
+  GPtrArray *expiring;   /* all entries but the expired; see expiry.h */
   queue_entry_t expired; /* past their time, not yet taken out */
   rate_t rate;           /* while it has entries */
 };
@@ -118,80 +114,6 @@
   return count * (double)(now_us - rate->since_us) / (rate->served + 1.0);
 }
 
-static queue_entry_t *
-heap_at (const fair_queue_t *queue, uint32_t index)
-{
-  return queue->heap->pdata[index];
-}
-
-static void
-heap_set (fair_queue_t *queue, uint32_t index, queue_entry_t *entry)
-{
-  queue->heap->pdata[index] = entry;
-  entry->heap_index = index;
-}
-
-static void
-heap_up (fair_queue_t *queue, uint32_t index, queue_entry_t *entry)
-{
-  while (index > 0)
-    {
-      uint32_t parent = (index - 1) / 2;
-
-      if (heap_at (queue, parent)->expires_us <= entry->expires_us)
-        break;
-      heap_set (queue, index, heap_at (queue, parent));
-      index = parent;
-    }
-  heap_set (queue, index, entry);
-}
-
-static void
-heap_down (fair_queue_t *queue, uint32_t index, queue_entry_t *entry)
-{
-  uint32_t count = queue->heap->len;
-
-  for (;;)
-    {
-      uint32_t child = 2 * index + 1;
-
-      if (child >= count)
-        break;
-      if (child + 1 < count
-          && heap_at (queue, child + 1)->expires_us
-                 < heap_at (queue, child)->expires_us)
-        child++;
-      if (entry->expires_us <= heap_at (queue, child)->expires_us)
-        break;
-      heap_set (queue, index, heap_at (queue, child));
-      index = child;
-    }
-  heap_set (queue, index, entry);
-}
-
-static void
-heap_add (fair_queue_t *queue, queue_entry_t *entry)
-{
-  g_ptr_array_add (queue->heap, entry);
-  heap_up (queue, queue->heap->len - 1, entry);
-}
-
-static void
-heap_remove (fair_queue_t *queue, queue_entry_t *entry)
-{
-  uint32_t index = entry->heap_index;
-  queue_entry_t *last = heap_at (queue, queue->heap->len - 1);
-
-  entry->heap_index = NOT_IN_HEAP;
-  g_ptr_array_set_size (queue->heap, (gint)queue->heap->len - 1);
-  if (last == entry)
-    return;
-  if (last->expires_us < entry->expires_us)
-    heap_up (queue, index, last);
-  else
-    heap_down (queue, index, last);
-}
-
 static queue_team_t *
 order_at (const fair_queue_t *queue, uint32_t index)
 {
@@ -217,6 +139,35 @@
   g_ptr_array_insert (queue->order, (gint)low, team);
 }
 
+/* Virtual time that RUN_US of a slot cost TEAM.  */
+static int64_t
+cost (const queue_team_t *team, int64_t run_us)
+{
+  return run_us * COST_PER_US / team->share;
+}
+
+/* Brings TEAM's tag up to NOW_US: the slot time that it has used, and half an
+   average run more for each request that runs, since most of these are about
+   half way through.  Time only raises the tag.  */
+static void
+refresh (queue_team_t *team, int64_t now_us)
+{
+  int64_t used_us = team->running * now_us - team->started;
+
+  team->start
+      = team->base + cost (team, used_us + team->running * team->run_us / 2);
+}
+
+/* Raises TEAM's tag to at least TAG.  */
+static void
+lift (queue_team_t *team, int64_t tag)
+{
+  if (team->start >= tag)
+    return;
+  team->base += tag - team->start;
+  team->start = tag;
+}
+
 /* Moves all tags back by the virtual time; those behind it count as equal to
    it anyway.  */
 static void
@@ -231,32 +182,21 @@
     {
       queue_team_t *team = value;
 
-      team->start = MAX (team->start - base, 0);
+      team->base -= base;
+      team->start -= base;
+      lift (team, 0);
     }
   queue->virtual_time = 0;
 }
 
-/* Virtual time that RUN_US of a slot cost TEAM.  */
-static int64_t
-cost (const queue_team_t *team, int64_t run_us)
-{
-  return run_us * COST_PER_US / team->share;
-}
-
-/* Counts a request of TEAM that starts now, by its expected run time.  */
+/* Counts a request of TEAM that starts now.  */
 static void
-charge (fair_queue_t *queue, queue_team_t *team)
+begin_run (fair_queue_t *queue, queue_team_t *team, int64_t now_us)
 {
-  int64_t run_us = RUN_FIRST_US;
-
-  if (team->run_us > 0)
-    run_us = team->run_us;
-  else if (queue->run_us > 0)
-    run_us = queue->run_us;
-  team->start += cost (team, run_us);
-  team->charged_us += run_us;
   team->running++;
+  team->started += now_us;
   queue->running++;
+  refresh (team, now_us);
 }
 
 /* A team that had no entries starts at the current virtual time, or later if
@@ -264,7 +204,8 @@
 static void
 activate (fair_queue_t *queue, queue_team_t *team, int64_t now_us)
 {
-  team->start = MAX (team->start, queue->virtual_time);
+  refresh (team, now_us);
+  lift (team, queue->virtual_time);
   order_add (queue, team);
   queue->active_share += team->share;
   rate_begin (&team->rate, now_us);
@@ -286,7 +227,7 @@
   queue_team_t *team = entry->team;
 
   list_unlink (entry);
-  heap_remove (queue, entry);
+  expiry_remove (queue->expiring, entry);
   if (--team->count == 0)
     deactivate (queue, team);
 }
@@ -295,12 +236,11 @@
 static void
 expire (fair_queue_t *queue, int64_t now_us)
 {
-  while (queue->heap->len > 0)
-    {
-      queue_entry_t *first = heap_at (queue, 0);
+  queue_entry_t *first;
 
-      if (first->expires_us >= now_us)
-        return;
+  while ((first = expiry_first (queue->expiring))
+         && first->expires_us < now_us)
+    {
       detach (queue, first);
       list_append (&queue->expired, first);
     }
@@ -314,7 +254,7 @@
   queue->max_per_team = max_per_team;
   queue->teams = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   queue->order = g_ptr_array_new ();
-  queue->heap = g_ptr_array_new ();
+  queue->expiring = g_ptr_array_new ();
   list_init (&queue->expired);
   return queue;
 }
@@ -326,7 +266,7 @@
     return;
   g_hash_table_destroy (queue->teams);
   g_ptr_array_free (queue->order, TRUE);
-  g_ptr_array_free (queue->heap, TRUE);
+  g_ptr_array_free (queue->expiring, TRUE);
   g_free (queue);
 }
 
@@ -345,6 +285,7 @@
     {
       team = g_new0 (queue_team_t, 1);
       team->name = g_intern_string (name);
+      team->run_us = RUN_FIRST_US;
       list_init (&team->entries);
       g_hash_table_insert (queue->teams, (gpointer)team->name, team);
     }
@@ -373,7 +314,7 @@
   if (team->rate.served >= RATE_KNOWN_MIN)
     return rate_wait_us (&team->rate, turns, now_us);
   turns *= (double)queue->active_share / team->share;
-  return rate_wait_us (&queue->rate, MIN (turns, queue->heap->len + 1.0),
+  return rate_wait_us (&queue->rate, MIN (turns, queue->expiring->len + 1.0),
                        now_us);
 }
 
@@ -395,7 +336,7 @@
   entry->team = team;
   entry->expires_us = expires_us;
   list_append (&team->entries, entry);
-  heap_add (queue, entry);
+  expiry_add (queue->expiring, entry);
   if (team->count++ == 0)
     activate (queue, team, now_us);
   atomic_fetch_add (&queue->count, 1);
@@ -411,9 +352,9 @@
 
   /* The teams before it could not run; that gives no credit either.  */
   for (uint32_t i = 0; i < index; i++)
-    order_at (queue, i)->start = team->start;
+    lift (order_at (queue, i), team->start);
   queue->virtual_time = MAX (queue->virtual_time, team->start);
-  charge (queue, team);
+  begin_run (queue, team, now_us);
   order_add (queue, team);
   rate_note (&queue->rate, now_us);
   rate_note (&team->rate, now_us);
@@ -424,85 +365,99 @@
   return entry;
 }
 
+/* Refreshes the team at INDEX in the order; true if that moved it back.  Tags
+   are refreshed only here, where they decide, and only ever rise here, so each
+   team is moved at most once for one take.  */
+static bool
+move_back (fair_queue_t *queue, uint32_t index, int64_t now_us)
+{
+  queue_team_t *team = order_at (queue, index);
+
+  refresh (team, now_us);
+  if (index + 1 == queue->order->len
+      || team->start <= order_at (queue, index + 1)->start)
+    return false;
+  g_ptr_array_remove_index (queue->order, index);
+  order_add (queue, team);
+  return true;
+}
+
 queue_entry_t *
 queue_take (fair_queue_t *queue, int64_t now_us,
             bool (*may_run) (void *ctx, queue_entry_t *entry), void *ctx)
 {
   expire (queue, now_us);
-  for (uint32_t i = 0; i < queue->order->len; i++)
-    if (may_run (ctx, order_at (queue, i)->entries.next))
+  for (uint32_t i = 0; i < queue->order->len;)
+    if (move_back (queue, i, now_us))
+      continue;
+    else if (may_run (ctx, order_at (queue, i)->entries.next))
       return serve (queue, i, now_us);
+    else
+      i++;
   return NULL;
 }
 
 void
-queue_charge (fair_queue_t *queue, queue_team_t *team)
+queue_charge (fair_queue_t *queue, queue_team_t *team, int64_t now_us)
 {
-  team->start = MAX (team->start, queue->virtual_time);
   if (team->count > 0)
     g_ptr_array_remove (queue->order, team);
+  refresh (team, now_us);
+  lift (team, queue->virtual_time);
   /* With no other team waiting, virtual time goes on with this one;
      otherwise its lead would grow without bound.  */
   if (queue->order->len == 0)
     queue->virtual_time = team->start;
-  charge (queue, team);
+  begin_run (queue, team, now_us);
   if (team->count > 0)
     order_add (queue, team);
   if (queue->virtual_time > TAG_MAX)
     rebase (queue);
 }
 
+/* Bounds how far TEAM's tag is from the virtual time after a run of RUN_US,
+   which by itself always counts in full.  */
 static void
-average (int64_t *run_us, int64_t sample_us)
-{
-  if (*run_us == 0)
-    *run_us = sample_us;
-  else
-    *run_us += (sample_us - *run_us) / (1 << RUN_SHIFT);
-}
-
-/* Corrects TEAM's tag by the slot time ERROR_US; a run of RUN_US by itself
-   always counts in full.  */
-static void
-correct (fair_queue_t *queue, queue_team_t *team, int64_t error_us,
-         int64_t run_us)
+bound_lead (fair_queue_t *queue, queue_team_t *team, int64_t run_us)
 {
   int64_t lead = (int64_t)LEAD_MAX_US * COST_PER_US * queue->running
                  / (int64_t)MAX (queue->active_share, team->share);
-  int64_t low = MIN (team->start, queue->virtual_time - lead);
-  int64_t high = MAX (team->start,
-                      queue->virtual_time + MAX (lead, cost (team, run_us)));
+  int64_t most = queue->virtual_time + MAX (lead, cost (team, run_us));
 
-  team->start = CLAMP (team->start + cost (team, error_us), low, high);
+  lift (team, queue->virtual_time - lead);
+  if (team->start <= most)
+    return;
+  team->base -= team->start - most;
+  team->start = most;
 }
 
 void
-queue_settle (fair_queue_t *queue, queue_team_t *team, int64_t run_us)
+queue_settle (fair_queue_t *queue, queue_team_t *team, int64_t started_us,
+              int64_t now_us)
 {
-  int64_t charged_us;
+  int64_t run_us = now_us - started_us;
 
   if (team->running == 0)
     return;
-  run_us = CLAMP (run_us, 1, RUN_MAX_US);
-  charged_us = team->charged_us / team->running;
   if (team->count > 0)
     g_ptr_array_remove (queue->order, team);
-  correct (queue, team, run_us - charged_us, run_us);
+  team->base += cost (team, run_us);
+  team->started -= started_us;
+  team->running--;
+  team->run_us += (run_us - team->run_us) / (1 << RUN_SHIFT);
+  refresh (team, now_us);
+  bound_lead (queue, team, run_us);
+  queue->running--;
   if (queue->order->len == 0)
     queue->virtual_time = MAX (queue->virtual_time, team->start);
   if (team->count > 0)
     order_add (queue, team);
-  team->charged_us -= charged_us;
-  team->running--;
-  queue->running--;
-  average (&team->run_us, run_us);
-  average (&queue->run_us, run_us);
 }
 
 void
 queue_remove (fair_queue_t *queue, queue_entry_t *entry)
 {
-  if (entry->heap_index == NOT_IN_HEAP)
+  if (entry->heap_index == NOT_EXPIRING)
     list_unlink (entry);
   else
     detach (queue, entry);
--- a/admit/test/queue_test.c
+++ b/admit/test/queue_test.c
@@ -140,22 +140,34 @@
 }
 END_TEST
 
+/* Lets a request of TEAM, which was taken or charged, run for 10 ms.  */
+static void
+run (model_t *m, uint32_t team, int64_t *now_us)
+{
+  int64_t started_us = *now_us;
+
+  *now_us += 10000;
+  queue_settle (m->queue, m->teams[team], started_us, *now_us);
+}
+
 /* Takes one and checks that capacity isn't left unused while somebody could
    use it, and that nobody who could run is passed over beyond its share.  */
 static void
-checked_take (model_t *m, int64_t now_us)
+checked_take (model_t *m, int64_t *now_us)
 {
   bool runnable = false;
   uint32_t taken;
 
-  for (queue_entry_t *entry; (entry = queue_take_expired (m->queue, now_us));)
+  for (queue_entry_t *entry; (entry = queue_take_expired (m->queue, *now_us));)
     {
-      ck_assert_int_lt (entry->expires_us, now_us);
+      ck_assert_int_lt (entry->expires_us, *now_us);
       book_out (m, entry);
     }
   for (uint32_t i = 0; i < TEAMS; i++)
     runnable |= m->may_run[i] && m->waiting[i] > 0;
-  taken = take (m, now_us);
+  taken = take (m, *now_us);
+  if (taken < TEAMS)
+    run (m, taken, now_us);
   ck_assert (runnable == (taken < TEAMS));
   for (uint32_t i = 0; i < TEAMS && runnable; i++)
     {
@@ -171,7 +183,7 @@
 }
 
 static void
-random_step (model_t *m, GRand *rand, int64_t now_us)
+random_step (model_t *m, GRand *rand, int64_t *now_us)
 {
   uint32_t team = (uint32_t)g_rand_int_range (rand, 0, TEAMS);
 
@@ -181,8 +193,10 @@
       m->may_run[team] = g_rand_int_range (rand, 0, 4) > 0;
       break;
     case 1:
-      if (queue_length (m->queue) == 0)
-        queue_charge (m->queue, m->teams[team]);
+      if (queue_length (m->queue) > 0)
+        break;
+      queue_charge (m->queue, m->teams[team], *now_us);
+      run (m, team, now_us);
       break;
     case 2: /* an entry whose client is gone, expired or not */
       for (uint32_t i = 0; i < TEAMS * ROOM; i++)
@@ -196,7 +210,7 @@
     case 3:
     case 4:
     case 5:
-      put (m, team, now_us, now_us + g_rand_int_range (rand, 0, 3000000));
+      put (m, team, *now_us, *now_us + g_rand_int_range (rand, 0, 3000000));
       break;
     default:
       checked_take (m, now_us);
@@ -223,7 +237,7 @@
           uint32_t waiting = 0;
 
           now_us += g_rand_int_range (rand, 0, 20000);
-          random_step (&m, rand, now_us);
+          random_step (&m, rand, &now_us);
           for (uint32_t i = 0; i < TEAMS; i++)
             waiting += m.waiting[i];
           ck_assert_uint_eq (queue_length (m.queue), waiting);
@@ -267,7 +281,7 @@
   model_t m;
 
   model_open (&m, NULL);
-  queue_charge (m.queue, m.teams[0]);
+  queue_charge (m.queue, m.teams[0], 1);
   put (&m, 0, 1, FAR_US);
   put (&m, 1, 1, FAR_US);
   ck_assert_uint_eq (take (&m, 1), 1);
@@ -332,7 +346,8 @@
   team = s->team[slot];
   if (team < TEAMS)
     {
-      queue_settle (m->queue, m->teams[team], s->run_us[slot]);
+      queue_settle (m->queue, m->teams[team], s->now_us - s->run_us[slot],
+                    s->now_us);
       s->used_us[team] += (double)s->run_us[slot];
     }
   team = take (m, s->now_us);
@@ -387,10 +402,10 @@
   fill (&m, 0);
   fill (&m, 1);
   ck_assert_uint_ne (take (&m, 1), take (&m, 1));
-  queue_settle (m.queue, m.teams[1], 10000);
-  queue_settle (m.queue, m.teams[0], 50000);
+  queue_settle (m.queue, m.teams[1], 1, 10001);
+  queue_settle (m.queue, m.teams[0], 1, 50001);
   for (uint32_t i = 0; i < 3; i++)
-    ck_assert_uint_eq (take (&m, 1), 1);
+    ck_assert_uint_eq (take (&m, 50001), 1);
   model_close (&m);
 }
 END_TEST
--- a/test/bench/share_bench.c
+++ b/test/bench/share_bench.c
@@ -248,13 +248,15 @@
   return true;
 }
 
-/* Time of one take and one put at the target size with all queues full.  */
+/* Time of one take, put and settle at the target size with all queues full and
+   80 requests running for 80 us each.  */
 static void
 bench_cost (void)
 {
   fair_queue_t *queue = queue_new (COST_ENTRIES);
   queue_entry_t *entries
       = g_new0 (queue_entry_t, (gsize)COST_TEAMS * COST_ENTRIES);
+  queue_team_t *running[SLOTS] = { NULL };
   int64_t start_us;
 
   for (uint32_t i = 0; i < COST_TEAMS * COST_ENTRIES; i++)
@@ -265,15 +267,20 @@
                  &entries[i], i, INT64_MAX / 2 + i * 7919 % 10007);
     }
   start_us = clock_mono_us ();
-  for (uint32_t i = 0; i < COST_ROUNDS; i++)
+  for (int64_t i = 0; i < COST_ROUNDS; i++)
     {
-      queue_entry_t *entry = queue_take (queue, i, run_any, NULL);
+      queue_entry_t *entry;
 
+      if (running[i % SLOTS])
+        queue_settle (queue, running[i % SLOTS], i - SLOTS, i);
+      entry = queue_take (queue, i, run_any, NULL);
+      running[i % SLOTS] = entry->team;
       queue_put (queue, entry->team, entry, i,
                  INT64_MAX / 2 + i * 7919 % 10007);
     }
-  printf ("82 teams, 256 entries each: take and put %.0f ns (real time)\n",
-          (double)(clock_mono_us () - start_us) * 1000 / COST_ROUNDS);
+  printf (
+      "82 teams, 256 entries each: take, put and settle %.0f ns (real time)\n",
+      (double)(clock_mono_us () - start_us) * 1000 / COST_ROUNDS);
   queue_free (queue);
   g_free (entries);
 }
--- a/test/bench/share_sim.c
+++ b/test/bench/share_sim.c
@@ -135,7 +135,7 @@
   draw_arrival (sim, team);
   if (queue_length (sim->queue) == 0 && may_run (sim, &request->entry))
     {
-      queue_charge (sim->queue, sim->teams[team]);
+      queue_charge (sim->queue, sim->teams[team], sim->now_us);
       start (sim, request);
       return;
     }
@@ -160,8 +160,8 @@
 
   sim->running[slot] = sim->running[--sim->running_count];
   sim->in_use[request->team]--;
-  queue_settle (sim->queue, sim->teams[request->team],
-                sim->now_us - request->started_us);
+  queue_settle (sim->queue, sim->teams[request->team], request->started_us,
+                sim->now_us);
   if (sim->measuring && latency_us > sim->load->deadline_us)
     result->late++;
   else if (sim->measuring)
