daemon: close the listening socket when a stop ends accepting

Cause: main kept the listening descriptor open until all loops had ended, so a daemon that was stopping went on taking connections that no loop served; their requests hung until the last request in flight and were then reset.

Change: main closes its descriptor once the loops have their own.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -152,6 +152,9 @@
       if (!process->loops[i])
         return false;
     }
+  /* The loops have descriptors of their own.  With this one open, a daemon
+     that is stopping would go on taking connections that nobody serves.  */
+  close (process->listen_fd);
   return write_ready_file (process);
 }
 
@@ -166,7 +169,6 @@
     loop_stop_begin (process->loops[i]);
   for (uint32_t i = 0; i < settings->threads; i++)
     loop_join (process->loops[i]);
-  close (process->listen_fd);
   livereader_stop (process->live);
   logreader_stop (process->reader);
   admin_stop (process->admin);
