Add the scenario runner and the first scenarios

Cause: failures that involve several processes need tests with real ones.

Change: a small line-oriented language, one test for each script: two daemons, the stand-in log and three upstreams with and without faults. The upstream gains /_ids, to find an id that ran at two upstreams, and idle_ms, to show that nothing new arrives.

Conclusion: what the design promises of processes is tested as scripts.

--- /dev/null
+++ b/test/scenario/control.c
@@ -0,0 +1,193 @@
+#include "words.h"
+#include <errno.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "support.h"
+#include <poll.h>
+
+#define TOOL_MAX_US 30000000
+#define CONTROL_MS 5000
+
+/* The operators' command, which is to end with STATUS; its output goes to
+ *OUTPUT.  */
+static bool
+run_tool (const char **argv, int status, char **output, GError **error)
+{
+  static uint32_t runs;
+  g_autofree char *name = g_strdup_printf ("cuminpin-%u", ++runs);
+  proc_t *proc = proc_start (PROC_TOOL, name, "cuminpin", argv, false, error);
+
+  if (!proc || !proc_wait (proc, clock_mono_us () + TOOL_MAX_US, error))
+    return false;
+  if (!g_file_get_contents (proc->log_path, output, NULL, error))
+    return false;
+  if (proc->status == status)
+    return true;
+  return scenario_fail (error, "cuminpin ended with status %d: %s",
+                        proc->status, *output);
+}
+
+/* The platform that the operator reaches: log=PROCESS or the first log.  */
+static const char *
+operator_url (const cmd_t *cmd)
+{
+  const proc_t *log = proc_at (PROC_LOG, 0);
+
+  return script_get (script_option (cmd, "log", log ? log->name : ""), "url");
+}
+
+bool
+control_publish (const cmd_t *cmd, GError **error)
+{
+  g_autofree char *source = words_path (cmd, cmd->args[0]);
+  g_autofree char *path
+      = g_strdup_printf ("%s/%s", procs_dir (), cmd->args[0]);
+  g_autofree char *text = NULL;
+  g_autofree char *filled = NULL;
+  g_autofree char *output = NULL;
+  const char *url = operator_url (cmd);
+  const char *argv[] = { NULL, "--platform", url, "publish", path, NULL };
+  bool fails = cmd->args_count > 1 && strcmp (cmd->args[1], "fails") == 0;
+
+  if (!url)
+    return scenario_fail (error, "no log was started");
+  if (!g_file_get_contents (source, &text, NULL, error))
+    return false;
+  filled = script_fill (text, NULL, error);
+  if (!filled || !g_file_set_contents (path, filled, -1, error)
+      || !run_tool (argv, fails ? 1 : 0, &output, error))
+    return false;
+  if (fails && !strstr (output, script_rest (cmd, 2)))
+    return scenario_fail (error, "expected an error with \"%s\", found: %s",
+                          script_rest (cmd, 2), output);
+  return true;
+}
+
+bool
+control_withdraw (const cmd_t *cmd, GError **error)
+{
+  g_autofree char *output = NULL;
+  const char *url = operator_url (cmd);
+  const char *argv[]
+      = { NULL, "--platform", url, "withdraw", cmd->args[0], NULL };
+
+  return run_tool (argv, 0, &output, error);
+}
+
+bool
+control_fault (const cmd_t *cmd, GError **error)
+{
+  g_autofree char *url = words_url (cmd->args[0], "port", "/_faults", error);
+
+  return url && http_put (url, script_rest (cmd, 1), error);
+}
+
+bool
+control_logfault (const cmd_t *cmd, GError **error)
+{
+  const proc_t *log = proc_at (PROC_LOG, 0);
+  g_autofree char *url
+      = words_url (log ? log->name : "", "port", "/faults", error);
+
+  return url && http_put (url, script_rest (cmd, 0), error);
+}
+
+bool
+control_live (const cmd_t *cmd, GError **error)
+{
+  const proc_t *log = proc_at (PROC_LOG, 0);
+  g_autofree char *path = g_strconcat ("/live/", cmd->args[0], NULL);
+  g_autofree char *url = words_url (log ? log->name : "", "port", path, error);
+
+  return url && http_put (url, cmd->args[1], error);
+}
+
+static bool
+wait_fd (int fd, short events)
+{
+  struct pollfd item = { .fd = fd, .events = events };
+
+  return poll (&item, 1, CONTROL_MS) == 1;
+}
+
+bool
+control_proxyfault (const cmd_t *cmd, GError **error)
+{
+  const char *port = script_get (cmd->args[0], "control_port");
+  g_autofree char *line = g_strconcat (script_rest (cmd, 1), "\n", NULL);
+  char answer[64] = "";
+  bool done;
+  int fd;
+
+  if (!port)
+    return scenario_fail (error, "there is no proxy \"%s\"", cmd->args[0]);
+  fd = support_connect ("127.0.0.1", (uint16_t)strtoul (port, NULL, 10));
+  done = fd >= 0 && wait_fd (fd, POLLOUT)
+         && write (fd, line, strlen (line)) == (ssize_t)strlen (line)
+         && wait_fd (fd, POLLIN) && read (fd, answer, sizeof answer - 1) > 0
+         && strcmp (answer, "ok\n") == 0;
+  if (fd >= 0)
+    close (fd);
+  if (done)
+    return true;
+  return scenario_fail (error, "the proxy answered \"%s\"",
+                        g_strchomp (answer));
+}
+
+bool
+control_signal (const cmd_t *cmd, GError **error)
+{
+  static const struct
+  {
+    const char *name;
+    int number;
+  } signals[] = { { "TERM", SIGTERM },
+                  { "KILL", SIGKILL },
+                  { "STOP", SIGSTOP },
+                  { "CONT", SIGCONT } };
+  proc_t *proc = proc_find (cmd->args[0], error);
+
+  if (!proc)
+    return false;
+  for (size_t i = 0; i < G_N_ELEMENTS (signals); i++)
+    if (strcmp (signals[i].name, cmd->args[1]) == 0)
+      return proc_signal (proc, signals[i].number, error);
+  return scenario_fail (error, "unknown signal \"%s\"", cmd->args[1]);
+}
+
+/* The time for which a process has been stopped is the stimulus itself, so
+   this is the one wait whose end is a time.  */
+bool
+control_stopped_for (const cmd_t *cmd, GError **error)
+{
+  proc_t *proc = proc_find (cmd->args[0], error);
+  int64_t end_us = (int64_t)strtoul (cmd->args[1], NULL, 10) * 1000;
+
+  if (!proc)
+    return false;
+  end_us += proc->stopped_us;
+  while (clock_mono_us () < end_us)
+    if (!procs_wait ((uint32_t)((end_us - clock_mono_us ()) / 1000 + 1),
+                     error))
+      return false;
+  return true;
+}
+
+bool
+control_expect_exit (const cmd_t *cmd, GError **error)
+{
+  proc_t *proc = proc_find (cmd->args[0], error);
+  int status = (int)strtol (cmd->args[1], NULL, 10);
+  int64_t due_us = clock_mono_us ()
+                   + (int64_t)script_number (cmd, "within", 10000) * 1000;
+
+  if (!proc || !proc_wait (proc, due_us, error))
+    return false;
+  if (proc->status == status)
+    return true;
+  return scenario_fail (error, "expected status %d, found %d", status,
+                        proc->status);
+}
--- a/test/standin/runs.c
+++ b/test/standin/runs.c
@@ -1,4 +1,5 @@
 #include "standin.h"
+#include <inttypes.h>
 #include <string.h>
 
 #define STRIPES 64
@@ -21,6 +22,7 @@
 
 static stripe_t stripes[STRIPES];
 static atomic_uint_fast64_t runs;
+static atomic_int_fast64_t last_asked_us;
 static gauge_t running;
 static gauge_t connections;
 
@@ -110,6 +112,12 @@
   g_mutex_unlock (&twice_mutex);
 }
 
+void
+runs_asked (void)
+{
+  atomic_store (&last_asked_us, clock_mono_us ());
+}
+
 bool
 runs_begin (const char *id, const char *team, int32_t slots,
             gauge_t **team_gauge)
@@ -165,9 +173,41 @@
   ids_twice = twice ? json_deep_copy (twice) : json_array ();
   g_mutex_unlock (&twice_mutex);
   return json_pack (
-      "{sI sI sI so sI so sI}", "runs", (json_int_t)atomic_load (&runs),
+      "{sI sI sI so sI so sI sI}", "runs", (json_int_t)atomic_load (&runs),
       "running", (json_int_t)atomic_load (&running.now), "max_running",
       (json_int_t)atomic_load (&running.max), "max_running_by_team", by_team,
       "max_connections", (json_int_t)atomic_load (&connections.max),
-      "ids_run_twice", ids_twice, "ids", ids);
+      "ids_run_twice", ids_twice, "ids", ids, "idle_ms",
+      (json_int_t)((clock_mono_us () - atomic_load (&last_asked_us)) / 1000));
+}
+
+json_t *
+runs_ids (void)
+{
+  json_t *ids = json_array ();
+  GHashTableIter iter;
+  gpointer id;
+  char text[32];
+
+  for (size_t i = 0; i < STRIPES; i++)
+    {
+      g_mutex_lock (&stripes[i].mutex);
+      if (stripes[i].ids)
+        {
+          g_hash_table_iter_init (&iter, stripes[i].ids);
+          while (g_hash_table_iter_next (&iter, &id, NULL))
+            {
+              g_snprintf (text, sizeof text, "%016" PRIxPTR, (uintptr_t)id);
+              json_array_append_new (ids, json_string (text));
+            }
+        }
+      g_mutex_unlock (&stripes[i].mutex);
+    }
+  g_mutex_lock (&twice_mutex);
+  if (twice)
+    json_array_extend (ids, twice);
+  if (twice)
+    json_array_extend (ids, twice);
+  g_mutex_unlock (&twice_mutex);
+  return ids;
 }
--- a/test/standin/standin.h
+++ b/test/standin/standin.h
@@ -24,6 +24,9 @@
 int32_t gauge_enter (gauge_t *gauge);
 void gauge_leave (gauge_t *gauge);
 
+/* runs_asked - note that a request came, whatever becomes of it.  */
+void runs_asked (void);
+
 /* runs_begin - count a run of ID by TEAM.  False, with nothing counted, when
    SLOTS runs are under way.  *TEAM_GAUGE goes to runs_end.  */
 bool runs_begin (const char *id, const char *team, int32_t slots,
@@ -36,6 +39,10 @@
 /* runs_json - the counts so far.  */
 json_t *runs_json (void);
 
+/* runs_ids - hashes of the ids that ran; an id that ran twice is there as
+   text too, twice.  */
+json_t *runs_ids (void);
+
 typedef enum fault
 {
   FAULT_FAIL,     /* answers 500 */
--- a/test/standin/upstream_main.c
+++ b/test/standin/upstream_main.c
@@ -1,7 +1,8 @@
 /* standin_upstream - an upstream that answers with the request's id, records
    what it ran and fails on request.
 
-   GET /_runs gives what ran; PUT /_faults sets failures (standin.h).  */
+   GET /_runs and /_ids give what ran; PUT /_faults sets failures (standin.h).
+ */
 
 #include "standin.h"
 #include "support.h"
@@ -167,6 +168,7 @@
   int64_t due_us = clock_mono_us () + (int64_t)delay_ms * 1000;
 
   g_strlcpy (req->id, id ? id : "", sizeof req->id);
+  runs_asked ();
   req->fault = faults_choose ();
   if (faults_leaving () || req->fault == FAULT_REFUSE
       || !runs_begin (req->id, team ? team : "", slots, &req->team))
@@ -192,9 +194,8 @@
 }
 
 static enum MHD_Result
-answer_runs (request_t *req)
+answer_json (request_t *req, json_t *json)
 {
-  json_t *json = runs_json ();
   char *text = json_dumps (json, JSON_COMPACT);
   enum MHD_Result result = answer_text (req, MHD_HTTP_OK, text, false);
 
@@ -240,7 +241,9 @@
       return MHD_YES;
     }
   if (strcmp (url, "/_runs") == 0)
-    return answer_runs (req);
+    return answer_json (req, runs_json ());
+  if (strcmp (url, "/_ids") == 0)
+    return answer_json (req, runs_ids ());
   if (strcmp (url, "/_faults") == 0)
     return answer_faults (req);
   switch (req->stage)
