--- a/daemon/admission.c
+++ b/daemon/admission.c
@@ -144,7 +144,7 @@
         {
           req = caa_container_of (entry, req_t, queue_entry);
           req->stage = REQ_GRANTED;
-          req->turn = entry->team;
+          req->turn = (turn_t){ entry->team, now_us };
           atomic_fetch_sub (&live->queued, 1);
         }
       pthread_mutex_unlock (&live->lock);
@@ -162,16 +162,14 @@
 }
 
 void
-admission_settle (req_t *req, int64_t run_us)
+admission_settle (service_live_t *service, turn_t *turn, int64_t now_us)
 {
-  service_live_t *live = req->service;
-
-  if (!req->turn)
+  if (!turn->team)
     return;
-  lock_queue (live);
-  queue_settle (live->queue, req->turn, run_us);
-  pthread_mutex_unlock (&live->lock);
-  req->turn = NULL;
+  lock_queue (service);
+  queue_settle (service->queue, turn->team, turn->since_us, now_us);
+  pthread_mutex_unlock (&service->lock);
+  turn->team = NULL;
 }
 
 bool
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -182,6 +182,13 @@
   GByteArray *body;
 } reply_t;
 
+/* A turn that a service's queue has counted.  */
+typedef struct turn
+{
+  queue_team_t *team; /* NULL: none */
+  int64_t since_us;
+} turn_t;
+
 /* What other threads tell an event loop, through its pipe.  */
 typedef enum note_kind
 {
@@ -244,7 +251,7 @@
   /* Set by admission and routing.  */
   permit_t permit;
   permit_t slot;
-  queue_team_t *turn; /* that the queue counted for it; NULL: none */
+  turn_t turn; /* that the queue counted for it */
   upstream_live_t *upstream;
   char base_url[REC_NAME_BYTES + 16];
   upstream_live_t *tried[TRIES_MAX];
@@ -293,9 +300,9 @@
 /* admission_pump_all - admission_pump for every service with a queue.  */
 void admission_pump_all (const view_t *view, int64_t now_us);
 
-/* admission_settle - tell the queue that the try of REQ held its slot for
-   RUN_US.  */
-void admission_settle (req_t *req, int64_t run_us);
+/* admission_settle - tell the queue of SERVICE that the slot of TURN is free
+   again.  */
+void admission_settle (service_live_t *service, turn_t *turn, int64_t now_us);
 
 /* admission_leave - take REQ out of its queue; false when another loop has
    granted it meanwhile.  */
--- a/daemon/flow.c
+++ b/daemon/flow.c
@@ -73,8 +73,7 @@
 static void
 release (req_t *req, int64_t now_us)
 {
-  admission_settle (req, req->sent_us ? now_us - req->sent_us : 0);
-  req->sent_us = 0;
+  admission_settle (req->service, &req->turn, now_us);
   give_back (req->team, req->permit, req->upstream, req->slot);
   req->permit = (permit_t){ 0 };
   req->slot = (permit_t){ 0 };
@@ -93,14 +92,14 @@
                 .upstream = req->upstream,
                 .service = req->service,
                 .permit = req->permit,
-                .slot = req->slot },
+                .slot = req->slot,
+                .turn = req->turn },
   };
 
-  admission_settle (req, end_us (req) - req->sent_us);
-  req->sent_us = 0;
   timers_add (loop, &entry);
   req->permit = (permit_t){ 0 };
   req->slot = (permit_t){ 0 };
+  req->turn = (turn_t){ 0 };
 }
 
 static void
@@ -324,6 +323,16 @@
   start_timer (loop, req, TIMER_BACKOFF, now_us + delay_us);
 }
 
+static void
+end_hold (const hold_t *hold, int64_t now_us)
+{
+  turn_t turn = hold->turn;
+
+  admission_settle (hold->service, &turn, now_us);
+  give_back (hold->team, hold->permit, hold->upstream, hold->slot);
+  pump (now_us);
+}
+
 void
 flow_timer (loop_t *loop, const timer_entry_t *entry, int64_t now_us)
 {
@@ -332,9 +341,7 @@
   switch (entry->kind)
     {
     case TIMER_HOLD:
-      give_back (entry->u.hold.team, entry->u.hold.permit,
-                 entry->u.hold.upstream, entry->u.hold.slot);
-      pump (now_us);
+      end_hold (&entry->u.hold, now_us);
       return;
     case TIMER_QUEUED:
       req = entry->u.req;
--- a/daemon/loop.h
+++ b/daemon/loop.h
@@ -52,6 +52,7 @@
   service_live_t *service;
   permit_t permit;
   permit_t slot;
+  turn_t turn;
 } hold_t;
 
 typedef struct timer
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -154,6 +154,9 @@
   for (uint32_t i = 0; i < settings->threads; i++)
     if (!loop_start (&process->config, process->listen_fd))
       return false;
+  /* The loops have descriptors of their own.  With this one open, a daemon
+     that is stopping would go on taking connections that nobody serves.  */
+  close (process->listen_fd);
   return write_ready_file (process);
 }
 
@@ -170,7 +173,6 @@
     loop_stop_begin (config->loops[i]);
   for (uint32_t i = 0; i < config->loops_count; i++)
     loop_join (config->loops[i]);
-  close (process->listen_fd);
   livereader_stop (process->live);
   admin_stop (process->admin);
   leaves = exchange_stop (config->exchange);
