state: withdraw a digest under all its ids; fold each offset once

Cause: a digest granted by record and listed by a configuration under another id kept working after one of the two was withdrawn, and a grant of a digest that is in use applied although its condition is "digest not known". A record that came again at an old offset, as a peer's relay may bring it, set the reader's offset back. A stale JOIN left an entry in the table.

Change: withdrawal marks all keys with the digest, a grant of a known digest is stale, and what stands before the state's offset is VERDICT_REPEATED and changes nothing, in state_fold and wire_fold.

Conclusion: a withdrawn key does not return through another id.

--- a/state/fold.c
+++ b/state/fold.c
@@ -109,8 +109,9 @@
                   NULL, &len, NULL);
 }
 
+/* Whether a key has DIGEST; with WITHDRAWN, whether a withdrawn one has.  */
 static bool
-digest_is_withdrawn (const state_t *state, const char *digest)
+digest_is_known (const state_t *state, const char *digest, bool withdrawn)
 {
   uint8_t bytes[KEY_DIGEST_BYTES] = { 0 };
   size_t len;
@@ -121,12 +122,27 @@
     {
       const key_state_t *key = table_at (&state->keys, i);
 
-      if (key->withdrawn && memcmp (key->digest, bytes, sizeof bytes) == 0)
+      if ((key->withdrawn || !withdrawn)
+          && memcmp (key->digest, bytes, sizeof bytes) == 0)
         return true;
     }
   return false;
 }
 
+/* Withdraws KEY under all its ids: a configuration may list a digest that was
+   granted by record under another id.  */
+static void
+withdraw_key (state_t *state, const key_state_t *key)
+{
+  for (uint32_t i = 0; i < state->keys.count; i++)
+    {
+      key_state_t *other = table_at (&state->keys, i);
+
+      if (memcmp (other->digest, key->digest, KEY_DIGEST_BYTES) == 0)
+        other->withdrawn = true;
+    }
+}
+
 /* A key that is missing from a configuration is withdrawn; one that was
    withdrawn stays so, whatever a configuration says.  Keys granted by record
    are not listed in fleet files, so only keys that an earlier file listed can
@@ -136,13 +152,13 @@
 {
   for (uint32_t i = 0; old && i < old->keys_count; i++)
     {
-      key_state_t *key = table_find (&state->keys, old->keys[i].id);
+      const key_state_t *key = table_find (&state->keys, old->keys[i].id);
       bool listed = false;
 
       for (uint32_t j = 0; j < new->keys_count && !listed; j++)
         listed = strcmp (new->keys[j].id, old->keys[i].id) == 0;
       if (key && !listed)
-        key->withdrawn = true;
+        withdraw_key (state, key);
     }
   for (uint32_t i = 0; i < new->keys_count; i++)
     {
@@ -151,16 +167,16 @@
 
       if (known && known->withdrawn)
         continue;
-      if (digest_is_withdrawn (state, key->digest))
+      if (digest_is_known (state, key->digest, true))
         continue;
       put_key (state, key->id, key->team, key->digest);
     }
   for (uint32_t i = 0; i < state->keys.count; i++)
     {
-      key_state_t *key = table_at (&state->keys, i);
+      const key_state_t *key = table_at (&state->keys, i);
 
       if (!fleet_find_team (new, key->team))
-        key->withdrawn = true;
+        withdraw_key (state, key);
     }
 }
 
@@ -254,7 +270,7 @@
   if (!state->config || !fleet_find_team (state->config->fleet, rec->team))
     return VERDICT_INVALID;
   if (table_find (&state->keys, rec->id)
-      || digest_is_withdrawn (state, rec->digest))
+      || digest_is_known (state, rec->digest, false))
     return VERDICT_STALE;
   put_key (state, rec->id, rec->team, rec->digest);
   return VERDICT_APPLIED;
@@ -263,23 +279,25 @@
 static verdict_t
 fold_key_withdraw (state_t *state, const rec_key_t *rec)
 {
-  key_state_t *key = table_find (&state->keys, rec->id);
+  const key_state_t *key = table_find (&state->keys, rec->id);
 
   if (!key)
     return VERDICT_INVALID;
   if (key->withdrawn)
     return VERDICT_STALE;
-  key->withdrawn = true;
+  withdraw_key (state, key);
   return VERDICT_APPLIED;
 }
 
 static verdict_t
 fold_join (state_t *state, const rec_entry_t *rec, int64_t time_ms)
 {
-  entry_state_t *entry = table_add (&state->entries, rec->name);
+  entry_state_t *entry = table_find (&state->entries, rec->name);
 
-  if (rec->incarnation <= entry->incarnation)
+  if (rec->incarnation <= (entry ? entry->incarnation : 0))
     return VERDICT_STALE;
+  if (!entry)
+    entry = table_add (&state->entries, rec->name);
   entry->incarnation = rec->incarnation;
   entry->joined_ms = time_ms;
   entry->left = false;
@@ -337,6 +355,8 @@
 verdict_t
 state_fold (state_t *state, rec_t *rec, uint64_t offset)
 {
+  if (offset < state->offset)
+    return VERDICT_REPEATED;
   if (is_ahead_of_reader (rec))
     return VERDICT_BEHIND;
   state->offset = offset + 1;
--- a/state/state.h
+++ b/state/state.h
@@ -130,7 +130,8 @@
 typedef enum verdict
 {
   VERDICT_APPLIED,
-  VERDICT_REPEATED, /* a record with this id was folded before */
+  VERDICT_REPEATED, /* this offset or a record with this id was folded
+                       before */
   VERDICT_STALE,    /* its condition no longer holds */
   VERDICT_INVALID,  /* it could never apply */
   VERDICT_UNKNOWN,  /* optional kind of a newer version: skipped */
@@ -262,7 +263,9 @@
 void state_free (state_t *state);
 
 /* state_fold - apply the checked REC, which stands at OFFSET in the log.
-   Moves state->offset past it, whatever the verdict but VERDICT_BEHIND.  */
+   Moves state->offset past it, whatever the verdict but VERDICT_BEHIND.  What
+   stands before state->offset is VERDICT_REPEATED and changes nothing: a log
+   read and a peer may both bring a record.  */
 verdict_t state_fold (state_t *state, rec_t *rec, uint64_t offset);
 
 /* state_config_version - 0 before the first configuration.  */
--- a/wire/wirefold.c
+++ b/wire/wirefold.c
@@ -12,7 +12,7 @@
     memset (id, 0, REC_ID_BYTES);
   if (!wire_get_rec (data, len, &rec, error))
     {
-      state->offset = offset + 1;
+      state->offset = MAX (state->offset, offset + 1);
       return VERDICT_INVALID;
     }
   if (id)
@@ -20,7 +20,7 @@
   if (rec_check (&rec, error))
     verdict = state_fold (state, &rec, offset);
   else
-    state->offset = offset + 1;
+    state->offset = MAX (state->offset, offset + 1);
   rec_clear (&rec);
   return verdict;
 }
