--- /dev/null
+++ b/daemon/test/view_test.c
@@ -0,0 +1,200 @@
+/* Guards against entry hosts that together hold more permits than a limit, and
+   against services, teams and keys of the fleet that requests don't find.  */
+
+#include "../../test/run_suite.h"
+#include "daemon.h"
+#include <string.h>
+
+#define DATA_CENTRES 3
+#define ENTRY_HOSTS 8
+#define DIGEST                                                                \
+  "1111111111111111111111111111111111111111111111111111111111111111"
+
+typedef struct limit
+{
+  const char *name;
+  uint32_t permits;
+} limit_t;
+
+/* Limits below, at and above the number of hosts, and no multiple of it.  */
+static const limit_t teams[] = { { "t1", 1 },   { "t2", 7 },    { "t3", 8 },
+                                 { "t4", 100 }, { "t5", 1001 }, { "t0", 3 } };
+static const limit_t upstreams[] = { { "u1", 8 }, { "u2", 1 }, { "u3", 2 },
+                                     { "u4", 7 }, { "u5", 3 }, { "u6", 64 } };
+
+static char *
+fleet_text (void)
+{
+  GString *text = g_string_new ("format: 1\ndata_centres:\n");
+
+  for (int i = 0; i < DATA_CENTRES; i++)
+    g_string_append_printf (text, "- {name: d%d, region: r}\n", i);
+  g_string_append (text, "racks:\n");
+  for (int i = 0; i < DATA_CENTRES; i++)
+    g_string_append_printf (text, "- {name: r%d, data_centre: d%d}\n", i, i);
+  g_string_append (text, "pools: [{name: p}]\nhosts:\n");
+  for (int i = 0; i < DATA_CENTRES; i++)
+    g_string_append_printf (text, "- {name: h%d, rack: r%d, pool: p}\n", i, i);
+  g_string_append (text, "services: [{name: s2, pool: p}, "
+                         "{name: s1, pool: p, overrun_ms: 9000}]\n"
+                         "keys: [{id: k, team: t4, digest: '" DIGEST "'}]\n"
+                         "upstreams:\n");
+  for (size_t i = 0; i < G_N_ELEMENTS (upstreams); i++)
+    g_string_append_printf (
+        text,
+        "- {name: %s, service: s%zu, host: h%zu, address: 127.0.0.1, "
+        "port: %zu, slots: %u, connections: 640}\n",
+        upstreams[i].name, 1 + i % 2, i % DATA_CENTRES, i + 1,
+        upstreams[i].permits);
+  g_string_append (text, "teams:\n");
+  for (size_t i = 0; i < G_N_ELEMENTS (teams); i++)
+    g_string_append_printf (text, "- {name: %s, share: 1, limit: %u}\n",
+                            teams[i].name, teams[i].permits);
+  g_string_append (text, "entry_hosts:\n");
+  for (int i = 0; i < ENTRY_HOSTS; i++)
+    g_string_append_printf (
+        text,
+        "- {name: e%d, data_centre: d%d, address: 127.0.0.1, peer_port: 1}\n",
+        i, i % DATA_CENTRES);
+  return g_string_free (text, FALSE);
+}
+
+/* The view that entry host NAME in DATA_CENTRE has of the fleet.  */
+static view_t *
+view_from (const char *name, const char *data_centre)
+{
+  settings_t settings = { .name = (char *)name,
+                          .data_centre = (char *)data_centre,
+                          .threads = 2 };
+  g_autoptr (GError) error = NULL;
+  state_t *state = state_new ();
+  rec_t rec;
+
+  rec_init (&rec, REC_CONFIG, "test", 0);
+  rec.u.config.format = FLEET_FORMAT;
+  rec.u.config.text = fleet_text ();
+  rec.u.config.len = strlen (rec.u.config.text);
+  ck_assert_msg (rec_check (&rec, &error), "%s", error ? error->message : "");
+  ck_assert_int_eq (state_fold (state, &rec, 0), VERDICT_APPLIED);
+  rec_clear (&rec);
+  return view_new (state, &settings);
+}
+
+START_TEST (shares_of_all_entry_hosts_add_up_to_each_limit)
+{
+  uint32_t team_sums[G_N_ELEMENTS (teams)] = { 0 };
+  uint32_t slot_sums[G_N_ELEMENTS (upstreams)] = { 0 };
+  uint32_t connections = 0;
+
+  for (uint32_t e = 0; e < ENTRY_HOSTS; e++)
+    {
+      char name[8];
+      char place[8];
+      view_t *view;
+
+      g_snprintf (name, sizeof name, "e%u", e);
+      g_snprintf (place, sizeof place, "d%u", e % DATA_CENTRES);
+      view = view_from (name, place);
+      connections += 2 * view->connections;
+      for (size_t i = 0; i < G_N_ELEMENTS (teams); i++)
+        team_sums[i] += escrow_share (live_team (teams[i].name)->permits);
+      for (size_t i = 0; i < G_N_ELEMENTS (upstreams); i++)
+        {
+          uint32_t share
+              = escrow_share (live_upstream (upstreams[i].name)->slots);
+
+          /* Slots belong to the daemons of the upstream's data centre.  */
+          ck_assert (share == 0 || i % DATA_CENTRES == e % DATA_CENTRES);
+          slot_sums[i] += share;
+        }
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (teams); i++)
+    ck_assert_uint_eq (team_sums[i], teams[i].permits);
+  for (size_t i = 0; i < G_N_ELEMENTS (upstreams); i++)
+    ck_assert_uint_eq (slot_sums[i], upstreams[i].permits);
+  ck_assert_uint_le (connections, 640);
+}
+END_TEST
+
+START_TEST (daemon_that_is_not_listed_holds_nothing)
+{
+  view_from ("e9", "d0");
+  for (size_t i = 0; i < G_N_ELEMENTS (teams); i++)
+    ck_assert_uint_eq (escrow_share (live_team (teams[i].name)->permits), 0);
+  for (size_t i = 0; i < G_N_ELEMENTS (upstreams); i++)
+    ck_assert_uint_eq (escrow_share (live_upstream (upstreams[i].name)->slots),
+                       0);
+}
+END_TEST
+
+START_TEST (indexes_find_what_the_fleet_lists)
+{
+  view_t *view = view_from ("e1", "d1");
+  const view_service_t *service;
+
+  ck_assert_uint_eq (view->services_count, 2);
+  ck_assert_uint_eq (view->teams_count, G_N_ELEMENTS (teams));
+  for (size_t i = 0; i < G_N_ELEMENTS (teams); i++)
+    {
+      const view_team_t *team = view_team (view, teams[i].name);
+
+      ck_assert_ptr_nonnull (team);
+      ck_assert_str_eq (team->rule->name, teams[i].name);
+      ck_assert_uint_eq (team->rule->limit, teams[i].permits);
+      ck_assert_ptr_eq (team->live, live_team (teams[i].name));
+    }
+  service = view_service (view, "s1");
+  ck_assert_str_eq (service->rule->name, "s1");
+  ck_assert_uint_eq (service->upstreams_count, 3);
+  ck_assert_str_eq (service->upstreams[0].rule->name, "u1");
+  ck_assert (!service->upstreams[0].local);
+  ck_assert_str_eq (view_service (view, "s2")->upstreams[0].rule->name, "u2");
+  ck_assert (view_service (view, "s2")->upstreams[0].local);
+  ck_assert_ptr_null (view_service (view, "s"));
+  ck_assert_ptr_null (view_service (view, "s3"));
+  ck_assert_ptr_null (view_team (view, ""));
+  ck_assert_uint_eq (view->data_centres_count, DATA_CENTRES);
+  ck_assert_uint_eq (view->entry_hosts_count, ENTRY_HOSTS);
+  ck_assert_int_eq (view->run_max_ms, 30000 + 9000);
+}
+END_TEST
+
+START_TEST (view_without_a_configuration_is_empty)
+{
+  settings_t settings = { .name = "e1", .data_centre = "d1", .threads = 2 };
+  view_t *view = view_new (state_new (), &settings);
+
+  ck_assert_ptr_null (view_service (view, "s1"));
+  ck_assert_ptr_null (view_team (view, "t1"));
+}
+END_TEST
+
+/* Only a later read of the log makes the view fresh, and a daemon that can't
+   fold the log is stale however often it reads it.  */
+START_TEST (currency_follows_the_log)
+{
+  view_t *view = view_from ("e1", "d1");
+
+  atomic_store (&currency.log_read_us, 1000);
+  ck_assert_int_eq (currency_judge (view, 1000 + FRESH_MAX_US, 0), FRESH);
+  ck_assert_int_eq (currency_judge (view, 1001 + FRESH_MAX_US, 0), STALE);
+  ck_assert_int_eq (currency_judge (view, 1001 + FRESH_MAX_US, 1), FRESH);
+  atomic_store (&currency.behind, true);
+  ck_assert_int_eq (currency_judge (view, 1000, 0), STALE);
+  atomic_store (&currency.behind, false);
+}
+END_TEST
+
+int
+main (void)
+{
+  const TTest *const tests[]
+      = { shares_of_all_entry_hosts_add_up_to_each_limit,
+          daemon_that_is_not_listed_holds_nothing,
+          indexes_find_what_the_fleet_lists,
+          view_without_a_configuration_is_empty,
+          currency_follows_the_log,
+          NULL };
+
+  return run_suite ("view", tests);
+}
