--- a/daemon/parse.c
+++ b/daemon/parse.c
@@ -120,6 +120,15 @@
   return true;
 }
 
+/* A word that is neither yes nor no is refused: taken for yes, it could run a
+   request twice whose client meant to forbid that.  */
+static bool
+parse_idempotent (req_t *req, const char *text)
+{
+  req->idempotent = !text || g_ascii_strcasecmp (text, "yes") == 0;
+  return req->idempotent || g_ascii_strcasecmp (text, "no") == 0;
+}
+
 /* The key in "Bearer KEY"; NULL when there is none.  */
 static char *
 parse_key (const char *text)
@@ -133,8 +142,6 @@
 parse_headers (req_t *req, struct MHD_Connection *conn, const char *method,
                uint32_t body_max_kib, int64_t now_us)
 {
-  const char *idempotent
-      = MHD_lookup_connection_value (conn, MHD_HEADER_KIND, "X-Idempotent");
   const char *length
       = MHD_lookup_connection_value (conn, MHD_HEADER_KIND, "Content-Length");
   const char *id
@@ -144,12 +151,14 @@
   req->conn = conn;
   req->method = g_intern_string (method);
   req->arrived_us = now_us;
-  req->idempotent = !idempotent || g_ascii_strcasecmp (idempotent, "no") != 0;
   if (!parse_service (req))
     return ERR_NO_SERVICE;
   error = parse_id (req, id);
   if (error != ERR_NONE)
     return error;
+  if (!parse_idempotent (req, MHD_lookup_connection_value (
+                                  conn, MHD_HEADER_KIND, "X-Idempotent")))
+    return ERR_BAD_REQUEST;
   if (!req->idempotent && (!id || !once_parse (id, &req->once_id)))
     return ERR_ID_INVALID;
   if (!parse_deadline (req, MHD_lookup_connection_value (conn, MHD_HEADER_KIND,
--- a/daemon/send.c
+++ b/daemon/send.c
@@ -44,9 +44,9 @@
   if (header_is (line, name_len, "X-Request-Id"))
     g_strlcpy (reply->id, value, sizeof reply->id);
   else if (header_is (line, name_len, "X-Not-Run"))
-    reply->not_run = true;
+    reply->not_run = strcmp (value, "1") == 0;
   else if (header_is (line, name_len, "X-Leaving"))
-    reply->leaving = true;
+    reply->leaving = strcmp (value, "1") == 0;
   else if (header_is (line, name_len, "Content-Length")
            || header_is (line, name_len, "Transfer-Encoding"))
     reply->has_length = true;
--- /dev/null
+++ b/daemon/test/answer_test.c
@@ -0,0 +1,126 @@
+/* Guards against refusals without the status and headers that say what became
+   of the request, and against answers that are not those of the upstream.  */
+
+#include "http.h"
+#include <jansson.h>
+
+static err_kind_t kind;
+
+static void
+refuse (req_t *req)
+{
+  req->error = kind;
+}
+
+static void
+assert_refusal (const http_reply_t *reply, const err_answer_t *answer)
+{
+  g_autofree char *error = g_strdup_printf ("X-Error: %s", answer->name);
+  g_autofree char *outcome
+      = g_strdup_printf ("X-Outcome: %s", outcome_name (answer->outcome));
+  g_autofree char *retry
+      = g_strdup_printf ("Retry-After: %u", answer->retry_after_s);
+  json_t *body = json_loads (reply->body->str, 0, NULL);
+  const char *fields[4] = { NULL };
+
+  ck_assert_msg (reply->status == answer->status, "%s: status %ld",
+                 answer->name, reply->status);
+  ck_assert_msg (http_has (reply, error), "%s: X-Error", answer->name);
+  ck_assert_msg (http_has (reply, outcome), "%s: X-Outcome", answer->name);
+  ck_assert (http_has (reply, "X-Request-Id: r1"));
+  ck_assert (http_has (reply, "Content-Type: application/json"));
+  if (answer->retry_after_s)
+    ck_assert_msg (http_has (reply, retry), "%s: Retry-After", answer->name);
+  else
+    ck_assert_msg (!strstr (reply->head->str, "Retry-After"), "%s",
+                   answer->name);
+  ck_assert_int_eq (json_unpack (body, "{s:s, s:s, s:s, s:s}", "error",
+                                 &fields[0], "outcome", &fields[1], "text",
+                                 &fields[2], "request_id", &fields[3]),
+                    0);
+  ck_assert_str_eq (fields[0], answer->name);
+  ck_assert_str_eq (fields[1], outcome_name (answer->outcome));
+  ck_assert_str_eq (fields[2], answer->text);
+  ck_assert_str_eq (fields[3], "r1");
+  json_decref (body);
+}
+
+START_TEST (each_error_kind_has_its_status_and_headers)
+{
+  static const char *const headers[] = { "X-Request-Id: r1", NULL };
+
+  http_start ();
+  http.fill = refuse;
+  for (kind = ERR_NONE + 1; kind < ERR_KIND_COUNT; kind++)
+    {
+      http_reply_t reply = http_ask ("GET", "/v1/s", headers, NULL);
+
+      assert_refusal (&reply, err_answer (kind));
+      http_reply_clear (&reply);
+    }
+  http_stop ();
+}
+END_TEST
+
+static void
+answer (req_t *req)
+{
+  req->reply.status = 418;
+  req->reply.headers = curl_slist_append (NULL, "X-One: a: b");
+  req->reply.headers
+      = curl_slist_append (req->reply.headers, "X-Request-Id:r1");
+  req->reply.headers = curl_slist_append (req->reply.headers, "X-One: c");
+  req->reply.body = g_byte_array_new ();
+  g_byte_array_append (req->reply.body, (const uint8_t *)"a\0b", 3);
+}
+
+START_TEST (answer_of_the_upstream_is_passed_on_whole)
+{
+  http_reply_t reply;
+
+  http_start ();
+  http.fill = answer;
+  reply = http_ask ("GET", "/v1/s", NULL, NULL);
+  ck_assert_int_eq (reply.status, 418);
+  ck_assert (http_has (&reply, "X-One: a: b"));
+  ck_assert (http_has (&reply, "X-One: c"));
+  ck_assert (http_has (&reply, "X-Request-Id: r1"));
+  ck_assert (http_has (&reply, "Content-Length: 3"));
+  ck_assert (!strstr (reply.head->str, "X-Outcome"));
+  ck_assert_uint_eq (reply.body->len, 3);
+  ck_assert_mem_eq (reply.body->str, "a\0b", 3);
+  http_reply_clear (&reply);
+  http_stop ();
+}
+END_TEST
+
+/* A daemon that stops must not leave clients with connections that it is
+   about to close.  */
+START_TEST (closing_is_announced)
+{
+  http_reply_t reply;
+
+  http_start ();
+  http.fill = NULL;
+  for (int closing = 0; closing < 2; closing++)
+    {
+      http.closing = closing;
+      reply = http_ask ("GET", "/v1/s", NULL, NULL);
+      ck_assert_int_eq (reply.status, 200);
+      ck_assert_int_eq (http_has (&reply, "Connection: close"), closing);
+      http_reply_clear (&reply);
+    }
+  http_stop ();
+}
+END_TEST
+
+int
+main (void)
+{
+  const TTest *const tests[] = { each_error_kind_has_its_status_and_headers,
+                                 answer_of_the_upstream_is_passed_on_whole,
+                                 closing_is_announced, NULL };
+
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  return run_suite ("answer", tests);
+}
