A daemon that resumes from a pause is stale until it has tried the log

Cause: scenario/paused-daemon: a daemon stopped for 3.5 s answered 8 of 8, in another run 5 of 8, requests with a key that was withdrawn meanwhile. It held itself BLIND: its own read of the log was old, no other data centre exists in this fleet, so nobody seemed to read the log. Ruled out: heartbeats, which were found old, and the folded record, which came a moment later.

Change: BLIND needs a read of the log that failed in time, one not stretched by a pause; reads time out after 2 s and pauses between them after 0.5 s, so that two failures in a row fall into the 3 s of freshness. A new view, and new versions of peers, are followed at once instead of on the next tick (0.5 s). The stop order no longer uses the peer link after its end.

--- a/admit/admit.h
+++ b/admit/admit.h
@@ -36,7 +36,8 @@
 typedef enum freshness
 {
   FRESH, /* the log was read to its end in time, here or at a live peer */
-  BLIND, /* nobody reads the log, and all other data centres are heard */
+  BLIND, /* the log was found down in time, nobody reads it, and all other data
+            centres are heard */
   STALE  /* somebody may have appended a record that is not seen here */
 } freshness_t;
 
@@ -55,8 +56,11 @@
 /* What this daemon knows of the log, itself and through its peers.  */
 typedef struct fresh_view
 {
-  int64_t log_read_us; /* last read to the end; 0: never */
-  uint64_t offset;     /* folded up to here */
+  int64_t log_read_us;   /* last read to the end; 0: never */
+  int64_t log_failed_us; /* end of the last read that failed in its time: one
+                            that a pause of the process has stretched tells
+                            nothing; 0: never */
+  uint64_t offset;       /* folded up to here */
   const char *data_centre;
   const char *const *data_centres; /* those with entry hosts, from the fleet */
   uint32_t data_centres_count;
--- a/admit/fresh.c
+++ b/admit/fresh.c
@@ -33,11 +33,14 @@
   return false;
 }
 
-/* Whether somebody may have read a record that is not folded here: a peer says
-   that it did, or a data centre is silent.  */
+/* Whether somebody may have read a record that is not folded here: this daemon
+   has not found the log down lately (it may have been paused), a peer says
+   that it has one, or a data centre is silent.  */
 static bool
 may_lack_record (const fresh_view_t *view, int64_t now_us, int64_t limit_us)
 {
+  if (!is_recent (view->log_failed_us, now_us, limit_us))
+    return true;
   for (uint32_t i = 0; i < view->peers_count; i++)
     if (view->peers[i].heard_us > 0 && view->peers[i].offset > view->offset)
       return true;
--- a/admit/test/fresh_test.c
+++ b/admit/test/fresh_test.c
@@ -14,37 +14,50 @@
 {
   const char *guards;
   int64_t log_read_us;
+  int64_t log_failed_us;
   peer_view_t peers[3]; /* data centre, heard, log read, offset */
   freshness_t freshness;
 } rows[] = {
-  { "own read", RECENT, { { "y" } }, FRESH },
+  { "own read", RECENT, 0, { { "y" } }, FRESH },
   { "peer's read",
     LATE,
+    RECENT,
     { { "y", RECENT, RECENT, 10 }, { "z" }, { "x" } },
     FRESH },
   { "peer read what is not folded here",
     LATE,
+    RECENT,
     { { "y", NOW, NOW, 11 }, { "z", NOW, LATE, 10 } },
     STALE },
   { "one of two peers has been caught up with",
     LATE,
+    RECENT,
     { { "y", NOW, NOW, 11 }, { "z", NOW, NOW, 10 } },
     FRESH },
   { "nobody reads, all heard",
     LATE,
+    RECENT,
     { { "y", RECENT, LATE, 10 }, { "z", RECENT, 0, 9 }, { "x" } },
     BLIND },
   { "nobody reads, but a peer has a record more",
     LATE,
+    RECENT,
     { { "y", NOW, LATE, 10 }, { "z", NOW, LATE, 10 }, { "x", 1, 0, 11 } },
     STALE },
   { "one data centre silent",
     LATE,
+    RECENT,
     { { "y", NOW, LATE, 10 }, { "z", LATE, LATE, 10 }, { "x", NOW, 0, 9 } },
     STALE },
-  { "never heard of anything", 0, { { NULL } }, STALE },
+  { "never heard of anything", 0, RECENT, { { NULL } }, STALE },
+  { "resumed after a pause, heard again before the log was tried",
+    LATE,
+    LATE,
+    { { "y", NOW, LATE, 10 }, { "z", NOW, LATE, 10 } },
+    STALE },
   { "resumed after a pause: all times are old",
     LATE,
+    RECENT,
     { { "y", LATE, LATE, 10 }, { "z", LATE, LATE, 10 } },
     STALE },
 };
@@ -53,8 +66,14 @@
 {
   for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
     {
-      fresh_view_t view = { rows[i].log_read_us, 10, "x", data_centres, 3,
-                            rows[i].peers,       3 };
+      fresh_view_t view = { rows[i].log_read_us,
+                            rows[i].log_failed_us,
+                            10,
+                            "x",
+                            data_centres,
+                            3,
+                            rows[i].peers,
+                            3 };
 
       ck_assert_msg (fresh_judge (&view, NOW, 0) == rows[i].freshness, "%s",
                      rows[i].guards);
@@ -67,7 +86,7 @@
 START_TEST (grace_and_log_outage)
 {
   peer_view_t peers[] = { { "y", NOW, NOW, 10 }, { "z", NOW, NOW, 10 } };
-  fresh_view_t view = { NOW, 10, "x", data_centres, 3, peers, 2 };
+  fresh_view_t view = { NOW, 0, 10, "x", data_centres, 3, peers, 2 };
   int64_t end_us = NOW + FRESH_MAX_US;
 
   ck_assert_int_eq (fresh_judge (&view, end_us + 1, 0), STALE);
@@ -76,6 +95,7 @@
     {
       for (size_t i = 0; i < 2; i++)
         peers[i].heard_us = now_us - now_us % 500000;
+      view.log_failed_us = now_us - now_us % 2500000;
       ck_assert_int_eq (fresh_judge (&view, now_us, 0),
                         now_us <= end_us ? FRESH : BLIND);
     }
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -144,6 +144,7 @@
 typedef struct currency
 {
   atomic_int_fast64_t log_read_us;
+  atomic_int_fast64_t log_failed_us;
   atomic_uint_fast64_t offset;
   atomic_bool behind;      /* the log holds what this daemon can't fold */
   const link_t *link;      /* set before the first request */
@@ -418,6 +419,10 @@
 
 replica_t *replica_open (const settings_t *settings, claims_t *claims,
                          uint64_t incarnation);
+
+/* replica_set_exchange - tell EXCHANGE of each new view.  Before
+   logreader_start.  */
+void replica_set_exchange (replica_t *replica, exchange_t *exchange);
 void replica_close (replica_t *replica);
 
 /* replica_take - fold and publish what was read.  False when this daemon must
@@ -446,14 +451,16 @@
 void replica_accept (replica_t *replica, const msg_relay_t *relay);
 
 /* logreader_start - the log thread: reads the platform's log into REPLICA and
-   appends JOIN, LEAVE and snapshots, until logreader_stop.  */
+   appends JOIN, LEAVE and snapshots, until logreader_halt.  */
 typedef struct logreader logreader_t;
 
 logreader_t *logreader_start (const settings_t *settings, replica_t *replica,
                               const char *platform_url, uint64_t incarnation);
 
-/* logreader_stop - end the thread, then append LEAVE if LEAVES.  */
-void logreader_stop (logreader_t *reader, bool leaves);
+/* logreader_halt - end the thread; logreader_close - append LEAVE if LEAVES.
+ */
+void logreader_halt (logreader_t *reader);
+void logreader_close (logreader_t *reader, bool leaves);
 
 /* exchange_start - what daemons owe each other: heartbeats, relay, claims,
    shares and loans, all on the peer thread.  */
@@ -466,6 +473,9 @@
    have ended.  */
 bool exchange_stop (exchange_t *exchange);
 
+/* exchange_follow - a new view is in force; any thread.  */
+void exchange_follow (exchange_t *exchange);
+
 /* exchange_ask_claim - ask OWNER for ID; loop_tell_claimed brings the answer
    to question NUMBER.  False when OWNER can't be reached.  Any thread.  */
 bool exchange_ask_claim (exchange_t *exchange, const char *owner,
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -26,10 +26,12 @@
   int64_t started_us;
   share_gate_t gate;
   uint64_t version; /* whose entry hosts the link was given */
+  own_beat_t beat;  /* the last one */
   uint64_t next_number;
   asked_t asked[ASKED_MAX]; /* a ring, by number */
   bool quarantined;
   bool stale;
+  atomic_bool ready; /* link is set */
 };
 
 static const member_t *
@@ -228,6 +230,11 @@
   if (view && shares_are_settled () && now_us >= exchange->gate.hold_from_us)
     beat.settled_version = beat.config_version;
   link_set_beat (exchange->link, &beat);
+  /* Peers wait for these versions before they raise their shares.  */
+  if (beat.config_version != exchange->beat.config_version
+      || beat.settled_version != exchange->beat.settled_version)
+    link_beat_now (exchange->link);
+  exchange->beat = beat;
 }
 
 static void
@@ -256,6 +263,8 @@
   exchange_t *exchange = ctx;
   const view_t *view;
 
+  if (!atomic_load (&exchange->ready))
+    return;
   live_teams (tick_team, &now_us);
   live_upstreams (tick_upstream, &now_us);
   rcu_read_lock ();
@@ -382,6 +391,8 @@
   exchange_t *exchange = ctx;
 
   (void)incarnation;
+  if (!atomic_load (&exchange->ready))
+    return;
   switch (msg->kind)
     {
     case MSG_CLAIM:
@@ -446,6 +457,7 @@
                   settings->seed_peers_count);
   currency.data_centre = settings->data_centre;
   currency.link = exchange->link;
+  atomic_store (&exchange->ready, true);
   return exchange;
 }
 
@@ -495,6 +507,12 @@
   return may_leave;
 }
 
+void
+exchange_follow (exchange_t *exchange)
+{
+  link_beat_now (exchange->link);
+}
+
 bool
 exchange_ask_claim (exchange_t *exchange, const char *owner, uint64_t number,
                     const once_id_t *id)
--- a/daemon/logreader.c
+++ b/daemon/logreader.c
@@ -2,11 +2,14 @@
 #include <string.h>
 
 #define READ_MAX 512
-#define POLL_WAIT_MS 1000
-#define READ_TIMEOUT_MS 4000
+/* Two reads that fail one after the other must fall into FRESH_MAX_US, or a
+   daemon would be stale in between while the log is down.  */
+#define POLL_WAIT_MS 500
+#define READ_TIMEOUT_MS 2000
+#define READ_SLACK_US 500000
 #define APPEND_TIMEOUT_MS 2000
 #define BACKOFF_MIN_MS 100
-#define BACKOFF_MAX_MS 2000
+#define BACKOFF_MAX_MS 500
 #define SNAPSHOT_RECORDS 512
 #define LEAVE_TRIES 3
 
@@ -41,6 +44,15 @@
     event_log (EV_LOG_UNREACHABLE, "status=%s", log_status_name (status));
 }
 
+/* A read that took longer than its time was stretched by a pause of this
+   process, and tells nothing of the log now.  */
+static void
+note_failed (int64_t asked_us, int64_t now_us)
+{
+  if (now_us - asked_us <= READ_TIMEOUT_MS * INT64_C (1000) + READ_SLACK_US)
+    atomic_store (&currency.log_failed_us, now_us);
+}
+
 static log_status_t
 append (platform_t *platform, const char *stream, GBytes *bytes)
 {
@@ -132,7 +144,10 @@
                  : LOG_EXPIRED;
     }
   if (status != LOG_OK)
-    return status;
+    {
+      note_failed (asked_us, clock_mono_us ());
+      return status;
+    }
   taken = replica_take (reader->replica, &batch);
   at_end = taken && atomic_load (&currency.offset) >= batch.next;
   log_batch_clear (&batch);
@@ -218,11 +233,16 @@
 }
 
 void
-logreader_stop (logreader_t *reader, bool leaves)
+logreader_halt (logreader_t *reader)
 {
   waiter_stop (&reader->waiter);
   platform_interrupt (reader->platform);
   pthread_join (reader->thread, NULL);
+}
+
+void
+logreader_close (logreader_t *reader, bool leaves)
+{
   if (leaves && reader->joined)
     append_leave (reader);
   platform_close (reader->platform);
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -141,15 +141,16 @@
     return false;
   process->replica
       = replica_open (settings, &process->config.claims, incarnation);
+  process->config.exchange = exchange_start (settings, &process->config,
+                                             process->replica, incarnation);
+  if (!process->config.exchange)
+    return false;
+  replica_set_exchange (process->replica, process->config.exchange);
   process->reader
       = logreader_start (settings, process->replica, platform, incarnation);
   process->live = livereader_start (platform);
-  if (!process->reader || !process->live)
-    return false;
-  process->config.exchange = exchange_start (settings, &process->config,
-                                             process->replica, incarnation);
   process->admin = admin_start (settings, &process->config);
-  if (!process->config.exchange || !process->admin)
+  if (!process->reader || !process->live || !process->admin)
     return false;
   for (uint32_t i = 0; i < settings->threads; i++)
     if (!loop_start (&process->config, process->listen_fd))
@@ -175,8 +176,9 @@
     loop_join (config->loops[i]);
   livereader_stop (process->live);
   admin_stop (process->admin);
+  logreader_halt (process->reader);
   leaves = exchange_stop (config->exchange);
-  logreader_stop (process->reader, leaves);
+  logreader_close (process->reader, leaves);
   replica_close (process->replica);
   if (process->devlog)
     devlog_stop (process->devlog);
--- a/daemon/replica.c
+++ b/daemon/replica.c
@@ -10,6 +10,7 @@
 {
   const settings_t *settings;
   claims_t *claims;
+  exchange_t *exchange;
   uint64_t incarnation;
   pthread_mutex_t lock; /* guards all below */
   state_t *state;       /* what is folded; never published itself */
@@ -34,6 +35,12 @@
   return replica;
 }
 
+void
+replica_set_exchange (replica_t *replica, exchange_t *exchange)
+{
+  replica->exchange = exchange;
+}
+
 static void
 drop_recent (replica_t *replica)
 {
@@ -59,6 +66,7 @@
   claims_follow (replica->claims, view, clock_wall_ms ());
   view_publish (view);
   atomic_store (&currency.offset, replica->state->offset);
+  exchange_follow (replica->exchange);
   if (version != old_version)
     event_log (EV_CONFIG_IN_FORCE, "version=%" PRIu64 " offset=%" PRIu64,
                version, replica->state->offset);
--- a/daemon/view.c
+++ b/daemon/view.c
@@ -215,6 +215,7 @@
       = currency.link ? link_members (currency.link) : NULL;
   fresh_view_t known = {
     .log_read_us = atomic_load (&currency.log_read_us),
+    .log_failed_us = atomic_load (&currency.log_failed_us),
     .offset = atomic_load (&currency.offset),
     .data_centre = currency.data_centre ? currency.data_centre : "",
     .peers = members ? members->views : NULL,
--- a/peer/conn.h
+++ b/peer/conn.h
@@ -118,6 +118,7 @@
   member_list_t *list; /* under RCU */
   int64_t now_us;      /* of this round of events */
   int64_t tick_us;
+  bool beats_due; /* with the next tick */
 };
 
 /* A frame on its way from another thread.  */
--- a/peer/hub.c
+++ b/peer/hub.c
@@ -142,8 +142,10 @@
   bool first = conn->peer_sent_us == 0;
 
   conn->peer_sent_us = beat->sent_us;
-  members_beat (link->members, conn->slot->name, conn->theirs.incarnation,
-                beat, now_us);
+  /* What this daemon may hold can depend on the versions of its peers.  */
+  if (members_beat (link->members, conn->slot->name, conn->theirs.incarnation,
+                    beat, now_us))
+    link->tick_us = now_us;
   link_publish (link);
   /* Until it is echoed, the other side can't tell that it is heard.  */
   if (first)
@@ -239,13 +241,22 @@
   if (atomic_exchange (&link->targets_changed, false))
     targets_update (link, link->now_us);
   if (atomic_exchange (&link->beat_now, false))
-    for (guint i = 0; i < link->conns->len; i++)
-      {
-        conn_t *conn = g_ptr_array_index (link->conns, i);
+    {
+      link->tick_us = link->now_us;
+      link->beats_due = true;
+    }
+}
+
+static void
+send_beats (link_t *link)
+{
+  for (guint i = 0; i < link->conns->len; i++)
+    {
+      conn_t *conn = g_ptr_array_index (link->conns, i);
 
-        if (conn->phase == CONN_UP)
-          conn_send_beat (conn, link->now_us);
-      }
+      if (conn->phase == CONN_UP)
+        conn_send_beat (conn, link->now_us);
+    }
 }
 
 static void
@@ -281,6 +292,9 @@
                (link->now_us - suspect->heard_us) / 1000);
   if (link->config.on_tick)
     link->config.on_tick (link->config.ctx, link->now_us);
+  if (link->beats_due)
+    send_beats (link);
+  link->beats_due = false;
 }
 
 /* What is due by time, then frees the closed connections.  */
--- a/peer/member.c
+++ b/peer/member.c
@@ -68,27 +68,31 @@
   return true;
 }
 
-void
+bool
 members_beat (members_t *members, const char *name, uint64_t incarnation,
               const msg_beat_t *beat, int64_t now_us)
 {
   member_t *member = find (members, name);
   int64_t age_us;
+  bool changed;
 
   if (!member || member->incarnation != incarnation)
-    return;
+    return false;
+  changed = beat->config_version > member->config_version
+            || beat->settled_version > member->settled_version;
   member->config_version = MAX (member->config_version, beat->config_version);
   member->settled_version
       = MAX (member->settled_version, beat->settled_version);
   member->offset = MAX (member->offset, beat->offset);
   if (beat->echo_us <= 0 || beat->echo_us > now_us)
-    return;
+    return changed;
   member->heard_us = MAX (member->heard_us, beat->echo_us);
   member->suspect = member_judge (member, now_us) != MEMBER_ALIVE;
   if (beat->log_age_ms >= (uint64_t)beat->echo_us / 1000)
-    return;
+    return changed;
   age_us = (int64_t)beat->log_age_ms * 1000;
   member->log_read_us = MAX (member->log_read_us, beat->echo_us - age_us);
+  return changed;
 }
 
 void
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -61,11 +61,12 @@
 bool members_hello (members_t *members, const char *name,
                     const char *data_centre, uint64_t incarnation);
 
-/* members_beat - take in a beat of that incarnation of NAME.  A beat counts as
-   heard when the beat of this daemon that it echoes was sent, so that one
-   which waited in a buffer while this process was paused is known to be old.
+/* members_beat - take in a beat of that incarnation of NAME; true when it
+   tells of other versions than the one before.  A beat counts as heard when
+   the beat of this daemon that it echoes was sent, so that one which waited in
+   a buffer while this process was paused is known to be old.
  */
-void members_beat (members_t *members, const char *name, uint64_t incarnation,
+bool members_beat (members_t *members, const char *name, uint64_t incarnation,
                    const msg_beat_t *beat, int64_t now_us);
 
 void members_set_connected (members_t *members, const char *name,
@@ -149,8 +150,8 @@
 /* link_set_beat - what beats say from now on.  Any thread.  */
 void link_set_beat (link_t *link, const own_beat_t *beat);
 
-/* link_beat_now - send a beat to all peers without waiting for its time.  Any
-   thread.  */
+/* link_beat_now - call on_tick and send a beat to all peers without waiting
+   for their time.  Any thread.  */
 void link_beat_now (link_t *link);
 
 /* link_send - queue MSG for PEER.  False when it is not connected or its queue
