--- a/daemon/test/view_test.c
+++ b/daemon/test/view_test.c
@@ -59,7 +59,8 @@
   return g_string_free (text, FALSE);
 }
 
-/* The view that entry host NAME in DATA_CENTRE has of the fleet.  */
+/* The view that entry host NAME in DATA_CENTRE has of the fleet, with its
+   shares held.  */
 static view_t *
 view_from (const char *name, const char *data_centre)
 {
@@ -68,6 +69,7 @@
                           .threads = 2 };
   g_autoptr (GError) error = NULL;
   state_t *state = state_new ();
+  view_t *view;
   rec_t rec;
 
   rec_init (&rec, REC_CONFIG, "test", 0);
@@ -77,7 +79,9 @@
   ck_assert_msg (rec_check (&rec, &error), "%s", error ? error->message : "");
   ck_assert_int_eq (state_fold (state, &rec, 0), VERDICT_APPLIED);
   rec_clear (&rec);
-  return view_new (state, &settings);
+  view = view_new (state, &settings);
+  shares_apply (view, true);
+  return view;
 }
 
 START_TEST (shares_of_all_entry_hosts_add_up_to_each_limit)
