--- a/daemon/test/view_test.c
+++ b/daemon/test/view_test.c
@@ -59,7 +59,8 @@
   return g_string_free (text, FALSE);
 }
 
-/* The view that entry host NAME in DATA_CENTRE has of the fleet.  */
+/* The view that entry host NAME in DATA_CENTRE has of the fleet, with its
+   shares held.  */
 static view_t *
 view_from (const char *name, const char *data_centre)
 {
