--- a/test/scenario/background.c
+++ b/test/scenario/background.c
@@ -11,7 +11,8 @@
   char *name;
   char *url;
   char *key;
-  uint32_t deadline_ms;
+  char *id;
+  http_request_t request;
   bool once;
   int stop_fd; /* readable when the threads are to end */
   GPtrArray *threads;
@@ -53,19 +54,15 @@
 {
   background_t *bg = cls;
   CURL *handle = curl_easy_init ();
-  char id[37];
-  http_request_t request = { .method = "GET",
-                             .url = bg->url,
-                             .key = bg->key,
-                             .id = id,
-                             .deadline_ms = bg->deadline_ms,
-                             .idempotent = true };
+  char new_id[37];
+  http_request_t request = bg->request;
   answer_t answer;
   int wait_ms = 0;
 
+  request.id = bg->id ? bg->id : new_id;
   do
     {
-      http_id (id);
+      http_id (new_id);
       http_run (handle, &request, &answer);
       wait_ms = 0;
       /* Nothing was sent without a connection.  */
@@ -74,7 +71,7 @@
       else
         {
           g_mutex_lock (&bg->mutex);
-          count_answer (&bg->tally, &answer, id);
+          count_answer (&bg->tally, &answer, request.id);
           g_mutex_unlock (&bg->mutex);
         }
       answer_clear (&answer);
@@ -85,20 +82,22 @@
 }
 
 background_t *
-background_start (const char *name, const char *url, const char *key,
-                  uint32_t count, uint32_t deadline_ms, bool once)
+background_start (const background_plan_t *plan)
 {
   background_t *bg = g_new0 (background_t, 1);
 
-  bg->name = g_strdup (name);
-  bg->url = g_strdup (url);
-  bg->key = g_strdup (key);
-  bg->deadline_ms = deadline_ms;
-  bg->once = once;
+  bg->name = g_strdup (plan->name);
+  bg->url = g_strdup (plan->request.url);
+  bg->key = g_strdup (plan->request.key);
+  bg->id = g_strdup (plan->request.id);
+  bg->request = plan->request;
+  bg->request.url = bg->url;
+  bg->request.key = bg->key;
+  bg->once = plan->once;
   bg->stop_fd = eventfd (0, EFD_CLOEXEC);
   bg->threads = g_ptr_array_new ();
-  for (uint32_t i = 0; i < count; i++)
-    g_ptr_array_add (bg->threads, g_thread_new (name, run, bg));
+  for (uint32_t i = 0; i < plan->count; i++)
+    g_ptr_array_add (bg->threads, g_thread_new (plan->name, run, bg));
   if (!backgrounds)
     backgrounds = g_ptr_array_new ();
   g_ptr_array_add (backgrounds, bg);
@@ -134,6 +133,7 @@
   g_free (bg->name);
   g_free (bg->url);
   g_free (bg->key);
+  g_free (bg->id);
   g_free (bg);
   return tally;
 }
--- a/test/scenario/control.c
+++ b/test/scenario/control.c
@@ -82,7 +82,7 @@
 {
   g_autofree char *url = words_url (cmd->args[0], "port", "/_faults", error);
 
-  return url && http_put (url, script_rest (cmd, 1), error);
+  return url && http_send ("PUT", url, script_rest (cmd, 1), error);
 }
 
 bool
@@ -92,7 +92,7 @@
   g_autofree char *url
       = words_url (log ? log->name : "", "port", "/faults", error);
 
-  return url && http_put (url, script_rest (cmd, 0), error);
+  return url && http_send ("PUT", url, script_rest (cmd, 0), error);
 }
 
 bool
@@ -102,7 +102,17 @@
   g_autofree char *path = g_strconcat ("/live/", cmd->args[0], NULL);
   g_autofree char *url = words_url (log ? log->name : "", "port", path, error);
 
-  return url && http_put (url, cmd->args[1], error);
+  return url && http_send ("PUT", url, cmd->args[1], error);
+}
+
+bool
+control_append (const cmd_t *cmd, GError **error)
+{
+  const proc_t *log = proc_at (PROC_LOG, 0);
+  g_autofree char *path = g_strconcat ("/log/", cmd->args[0], NULL);
+  g_autofree char *url = words_url (log ? log->name : "", "port", path, error);
+
+  return url && http_send ("POST", url, script_rest (cmd, 1), error);
 }
 
 static bool
--- a/test/scenario/http.c
+++ b/test/scenario/http.c
@@ -161,10 +161,11 @@
 }
 
 bool
-http_put (const char *url, const char *body, GError **error)
+http_send (const char *method, const char *url, const char *body,
+           GError **error)
 {
   answer_t answer;
-  bool done = call ("PUT", url, body, &answer, error);
+  bool done = call (method, url, body, &answer, error);
 
   answer_clear (&answer);
   return done;
--- a/test/scenario/scenario.h
+++ b/test/scenario/scenario.h
@@ -35,6 +35,7 @@
   WORD_LOGFAULT,
   WORD_PROXYFAULT,
   WORD_LIVE,
+  WORD_APPEND,
   WORD_SIGNAL,
   WORD_STOPPED_FOR,
   WORD_EXPECT_EXIT,
@@ -184,17 +185,25 @@
 /* http_json - the JSON at URL.  */
 json_t *http_json (const char *url, GError **error);
 
-/* http_put - PUT BODY; an answer other than 200 is an error.  */
-bool http_put (const char *url, const char *body, GError **error);
+/* http_send - PUT or POST BODY; an answer other than 200 is an error.  */
+bool http_send (const char *method, const char *url, const char *body,
+                GError **error);
 
 typedef struct background background_t;
 
-/* background_start - COUNT threads that send requests to URL; each sends one
-   on a connection of its own if ONCE, else one after the other until
+/* What threads in the background send.  */
+typedef struct background_plan
+{
+  const char *name;
+  http_request_t request; /* without an id, each gets a new one */
+  uint32_t count;
+  bool once;
+} background_plan_t;
+
+/* background_start - COUNT threads that send requests as PLAN says; each sends
+   one on a connection of its own if ONCE, else one after the other until
    background_end.  */
-background_t *background_start (const char *name, const char *url,
-                                const char *key, uint32_t count,
-                                uint32_t deadline_ms, bool once);
+background_t *background_start (const background_plan_t *plan);
 background_t *background_find (const char *name, GError **error);
 
 typedef struct tally
--- a/test/scenario/script.c
+++ b/test/scenario/script.c
@@ -17,6 +17,7 @@
   [WORD_LOGFAULT] = "logfault",
   [WORD_PROXYFAULT] = "proxyfault",
   [WORD_LIVE] = "live",
+  [WORD_APPEND] = "append",
   [WORD_SIGNAL] = "signal",
   [WORD_STOPPED_FOR] = "stopped-for",
   [WORD_EXPECT_EXIT] = "expect-exit",
--- a/test/scenario/verify.c
+++ b/test/scenario/verify.c
@@ -61,21 +61,45 @@
   return true;
 }
 
+/* The id that the line names; @NAME is one id for the whole script.  */
+static const char *
+read_id (const cmd_t *cmd)
+{
+  const char *id = script_option (cmd, "id", NULL);
+  char new_id[37];
+
+  if (!id || id[0] != '@')
+    return id;
+  if (!script_get ("id", id))
+    {
+      http_id (new_id);
+      script_set ("id", id, new_id);
+    }
+  return script_get ("id", id);
+}
+
+static http_request_t
+read_request (const cmd_t *cmd, const char *url)
+{
+  const char *idempotent = script_option (cmd, "idempotent", "yes");
+
+  return (http_request_t){ .method = "GET",
+                           .url = url,
+                           .key = script_option (cmd, "key", NULL),
+                           .id = read_id (cmd),
+                           .deadline_ms
+                           = script_number (cmd, "deadline_ms", 0),
+                           .idempotent = strcmp (idempotent, "no") != 0 };
+}
+
 bool
 verify_request (const cmd_t *cmd, bool *fatal, GError **error)
 {
   g_autofree char *url = service_url (cmd, 0, error);
-  char new_id[37];
-  http_request_t request
-      = { .method = "GET",
-          .url = url,
-          .key = script_option (cmd, "key", NULL),
-          .id = script_option (cmd, "id", new_id),
-          .deadline_ms = script_number (cmd, "deadline_ms", 0),
-          .idempotent
-          = strcmp (script_option (cmd, "idempotent", "yes"), "no") != 0 };
+  http_request_t request = read_request (cmd, url);
   uint32_t took_max_ms = script_number (cmd, "took_ms", UINT32_MAX);
   int64_t began_us = clock_mono_us ();
+  char new_id[37];
   answer_t answer;
   CURL *handle;
   bool holds;
@@ -83,6 +107,8 @@
   if (!url)
     return false;
   http_id (new_id);
+  if (!request.id)
+    request.id = new_id;
   handle = curl_easy_init ();
   http_run (handle, &request, &answer);
   curl_easy_cleanup (handle);
@@ -99,12 +125,15 @@
 verify_send (const cmd_t *cmd, bool once, GError **error)
 {
   g_autofree char *url = service_url (cmd, 1, error);
+  background_plan_t plan
+      = { .name = cmd->args[0],
+          .request = read_request (cmd, url),
+          .count = script_number (cmd, once ? "count" : "connections", 1),
+          .once = once };
 
   if (!url)
     return false;
-  background_start (cmd->args[0], url, script_option (cmd, "key", NULL),
-                    script_number (cmd, once ? "count" : "connections", 1),
-                    script_number (cmd, "deadline_ms", 0), once);
+  background_start (&plan);
   return true;
 }
 
--- a/test/scenario/words.c
+++ b/test/scenario/words.c
@@ -10,27 +10,17 @@
   uint32_t args;
   bool acts;
 } rows[WORD_COUNT] = {
-  [WORD_LOG] = { 1, true },
-  [WORD_UPSTREAM] = { 1, true },
-  [WORD_PROXY] = { 2, true },
-  [WORD_DAEMON] = { 1, true },
-  [WORD_PUBLISH] = { 1, true },
-  [WORD_WITHDRAW] = { 1, true },
-  [WORD_FAULT] = { 2, true },
-  [WORD_LOGFAULT] = { 1, true },
-  [WORD_PROXYFAULT] = { 2, true },
-  [WORD_LIVE] = { 2, true },
-  [WORD_SIGNAL] = { 2, true },
-  [WORD_STOPPED_FOR] = { 2, false },
-  [WORD_EXPECT_EXIT] = { 2, false },
-  [WORD_REQUEST] = { 3, false },
-  [WORD_SEND] = { 3, true },
-  [WORD_ANSWERS] = { 1, false },
-  [WORD_REFUSED] = { 1, false },
-  [WORD_LOAD] = { 3, true },
-  [WORD_ENDLOAD] = { 1, false },
-  [WORD_CHECK] = { 2, false },
-  [WORD_NO_DOUBLE_RUNS] = { 0, false },
+  [WORD_LOG] = { 1, true },          [WORD_UPSTREAM] = { 1, true },
+  [WORD_PROXY] = { 2, true },        [WORD_DAEMON] = { 1, true },
+  [WORD_PUBLISH] = { 1, true },      [WORD_WITHDRAW] = { 1, true },
+  [WORD_FAULT] = { 2, true },        [WORD_LOGFAULT] = { 1, true },
+  [WORD_PROXYFAULT] = { 2, true },   [WORD_LIVE] = { 2, true },
+  [WORD_APPEND] = { 2, true },       [WORD_SIGNAL] = { 2, true },
+  [WORD_STOPPED_FOR] = { 2, false }, [WORD_EXPECT_EXIT] = { 2, false },
+  [WORD_REQUEST] = { 3, false },     [WORD_SEND] = { 3, true },
+  [WORD_ANSWERS] = { 1, false },     [WORD_REFUSED] = { 1, false },
+  [WORD_LOAD] = { 3, true },         [WORD_ENDLOAD] = { 1, false },
+  [WORD_CHECK] = { 2, false },       [WORD_NO_DOUBLE_RUNS] = { 0, false },
   [WORD_WITHIN] = { 2, false },
 };
 
@@ -111,6 +101,8 @@
       return control_proxyfault (cmd, error);
     case WORD_LIVE:
       return control_live (cmd, error);
+    case WORD_APPEND:
+      return control_append (cmd, error);
     case WORD_SIGNAL:
       return control_signal (cmd, error);
     case WORD_STOPPED_FOR:
--- a/test/scenario/words.h
+++ b/test/scenario/words.h
@@ -21,6 +21,7 @@
 bool control_logfault (const cmd_t *cmd, GError **error);
 bool control_proxyfault (const cmd_t *cmd, GError **error);
 bool control_live (const cmd_t *cmd, GError **error);
+bool control_append (const cmd_t *cmd, GError **error);
 bool control_signal (const cmd_t *cmd, GError **error);
 bool control_stopped_for (const cmd_t *cmd, GError **error);
 bool control_expect_exit (const cmd_t *cmd, GError **error);
