Add fleet_bench

Cause: buffer cost, roll-out time, moves and share have to be measured beside their baselines.

Change: test/bench/fleet_bench steps the pure decisions over simple fakes for both users' sizes and the target size, and prints time and memory of planning.

--- a/fleet/test/fixture.h
+++ b/fleet/test/fixture.h
@@ -12,7 +12,8 @@
   uint32_t pools; /* p0 is the spare */
   uint32_t per_rack;
   uint32_t centres;
-  uint32_t budget; /* hosts of each pool */
+  uint32_t budget;       /* hosts of each pool */
+  uint32_t spare_budget; /* of p0; 0: as the others */
   uint32_t rack_budget;
   uint32_t at_once;
   uint32_t cpu_milli;
@@ -48,20 +49,22 @@
   g_string_append (t, "racks:\n");
   for (uint32_t i = 0; i < f->hosts; i += f->per_rack)
     g_string_append_printf (t, "- {name: k%u, data_centre: d%u}\n",
-                            i / f->per_rack, i / f->per_rack % f->centres);
+                            i / f->per_rack,
+                            i / f->per_rack % MAX (f->centres, 1));
   g_string_append (t, "pools:\n");
   for (uint32_t i = 0; i < f->pools; i++)
     g_string_append_printf (
         t,
         "- {name: p%u, budget_hosts: %u, budget_rack_hosts: %u, spare: %s}\n",
-        i, f->budget, f->rack_budget, i == 0 ? "true" : "false");
+        i, i == 0 && f->spare_budget ? f->spare_budget : f->budget,
+        f->rack_budget, i == 0 ? "true" : "false");
   g_string_append (t, "hosts:\n");
   for (uint32_t i = 0; i < f->hosts; i++)
     g_string_append_printf (
         t,
         "- {name: h%04u, rack: k%u, pool: p%u, cpu_milli: %u, mem_mib: %u, "
         "accels: %u}\n",
-        i, i / f->per_rack, (i + (i && i == f->shifted)) % f->pools,
+        i, i / f->per_rack, (i + (i && i == f->shifted)) % MAX (f->pools, 1),
         f->cpu_milli, f->mem_mib, f->accels);
   g_string_append_printf (t,
                           "waves:\n- {name: one, pools: [p1]}\n"
--- /dev/null
+++ b/test/bench/fleet_share.c
@@ -0,0 +1,279 @@
+#include "fit.h"
+#include "fleet_bench.h"
+#include <stdlib.h>
+
+#define TEAMS_MAX 96
+#define STEPS_MAX 8192
+#define BACKLOG 64 /* jobs that each team keeps waiting */
+#define WARM_UP_S 100
+#define RUN_S 600
+#define JOB_MIN_S 20
+#define RENEW_S 4
+#define JOB_SPREAD_S 100
+
+typedef struct bench_job
+{
+  uint32_t team;
+  uint32_t worker;
+  resources_t size;
+  int64_t end_s;
+} bench_job_t;
+
+typedef struct sim
+{
+  const bench_case_t *c;
+  bool fair;
+  place_t *place;
+  fit_t fit; /* of the baseline */
+  amounts_t *free;
+  GQueue waiting;      /* of the baseline, in order of arrival */
+  GHashTable *running; /* id -> bench_job_t */
+  GHashTable *queued;  /* id -> bench_job_t */
+  uint32_t backlog[TEAMS_MAX];
+  uint32_t shares[TEAMS_MAX];
+  amounts_t held[TEAMS_MAX];
+  amounts_t total;
+  uint64_t seed;
+  uint64_t next_id;
+  int64_t now_s;
+  share_result_t result;
+  uint64_t samples;
+} sim_t;
+
+static resources_t
+worker_size (const bench_case_t *c, uint32_t worker)
+{
+  resources_t size = { c->fleet.cpu_milli, c->fleet.mem_mib, 0 };
+
+  if (worker < c->accels / 2)
+    size.accels = 2;
+  return size;
+}
+
+/* A third of the teams needs mostly processors, a third mostly memory, the
+   rest both.  */
+static resources_t
+job_size (sim_t *sim, uint32_t team)
+{
+  uint32_t n = 1 + fixture_below (&sim->seed, 2);
+
+  switch (team % 3)
+    {
+    case 0:
+      return (resources_t){ n * 1000, n * 1024, 0 };
+    case 1:
+      return (resources_t){ n * 250, n * 4096, 0 };
+    default:
+      return (resources_t){ n * 500, n * 2048, 0 };
+    }
+}
+
+static amounts_t
+amounts_of (resources_t r)
+{
+  return (amounts_t){ r.cpu_milli, r.mem_mib, r.accels };
+}
+
+static void
+open_sim (sim_t *sim)
+{
+  uint32_t hosts = sim->c->fleet.hosts;
+
+  sim->place = place_new ();
+  sim->free = g_new0 (amounts_t, hosts);
+  sim->running
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  sim->queued
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  fit_reset (&sim->fit, hosts);
+  for (uint32_t i = 0; i < hosts; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("h%04u", i);
+      amounts_t size = amounts_of (worker_size (sim->c, i));
+
+      place_set_worker (sim->place, name, worker_size (sim->c, i), true);
+      sim->free[i] = size;
+      fit_set (&sim->fit, i, &size);
+      amounts_add (&sim->total, &size);
+    }
+  for (uint32_t i = 0; i < sim->c->teams; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("t%u", i);
+
+      sim->shares[i] = 1 + i % 3;
+      place_set_team (sim->place, name, sim->shares[i], 1000000);
+    }
+}
+
+/* Teams send unequally fast: a team with a higher number keeps more waiting.
+   Arrival order is that in which they refill.  */
+static void
+refill (sim_t *sim)
+{
+  char reason[PLACE_REASON_BYTES];
+
+  for (uint32_t t = 0; t < sim->c->teams; t++)
+    while (sim->backlog[t] < BACKLOG * (1 + t % 4))
+      {
+        bench_job_t *job = g_new0 (bench_job_t, 1);
+        char *id = g_strdup_printf ("j%" G_GUINT64_FORMAT, sim->next_id++);
+        g_autofree char *team = g_strdup_printf ("t%u", t);
+        job_spec_t spec = { .id = id, .team = team, .idempotent = true };
+
+        job->team = t;
+        job->size = spec.declared = job_size (sim, t);
+        if (sim->fair)
+          place_submit (sim->place, &spec, reason);
+        else
+          g_queue_push_tail (&sim->waiting, id);
+        g_hash_table_insert (sim->queued, id, job);
+        sim->backlog[t]++;
+      }
+}
+
+static void
+start (sim_t *sim, const char *id, uint32_t worker)
+{
+  char *key = NULL;
+  bench_job_t *job = NULL;
+  amounts_t size;
+
+  g_hash_table_steal_extended (sim->queued, id, (gpointer *)&key,
+                               (gpointer *)&job);
+  size = amounts_of (job->size);
+  job->worker = worker;
+  job->end_s
+      = sim->now_s + JOB_MIN_S + fixture_below (&sim->seed, JOB_SPREAD_S);
+  sim->backlog[job->team]--;
+  amounts_add (&sim->held[job->team], &size);
+  amounts_subtract (&sim->free[worker], &size);
+  fit_set (&sim->fit, worker, &sim->free[worker]);
+  g_hash_table_insert (sim->running, key, job);
+}
+
+static void
+end_jobs (sim_t *sim)
+{
+  GHashTableIter iter;
+  gpointer id;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, sim->running);
+  while (g_hash_table_iter_next (&iter, &id, &value))
+    {
+      bench_job_t *job = value;
+      amounts_t size = amounts_of (job->size);
+      char worker[8];
+
+      g_snprintf (worker, sizeof worker, "h%04u", job->worker);
+      if (sim->fair && sim->now_s % RENEW_S == 0)
+        place_renew (sim->place, id, worker,
+                     sim->now_s * SECOND + PLACE_LEASE_US);
+      if (job->end_s > sim->now_s)
+        continue;
+      if (sim->fair)
+        place_end (sim->place, id, worker, JOB_END_DONE);
+      amounts_subtract (&sim->held[job->team], &size);
+      amounts_add (&sim->free[job->worker], &size);
+      fit_set (&sim->fit, job->worker, &sim->free[job->worker]);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+static void
+start_fair (sim_t *sim)
+{
+  static place_step_t steps[STEPS_MAX];
+  uint32_t count;
+
+  while (
+      (count = place_next (sim->place, sim->now_s * SECOND, steps, STEPS_MAX))
+      > 0)
+    for (uint32_t i = 0; i < count; i++)
+      start (sim, steps[i].job,
+             (uint32_t)strtoul (steps[i].worker + 1, NULL, 10));
+}
+
+static void
+start_first_fit (sim_t *sim)
+{
+  GList *link = sim->waiting.head;
+
+  while (link)
+    {
+      GList *next = link->next;
+      const bench_job_t *job = g_hash_table_lookup (sim->queued, link->data);
+      amounts_t size = amounts_of (job->size);
+      uint32_t worker = fit_find (&sim->fit, &size, NULL, 0);
+
+      if (worker != FIT_NONE)
+        {
+          start (sim, link->data, worker);
+          g_queue_delete_link (&sim->waiting, link);
+        }
+      link = next;
+    }
+}
+
+static void
+measure (sim_t *sim)
+{
+  double parts[TEAMS_MAX];
+  double sum = 0;
+  double shares = 0;
+  amounts_t held = { 0 };
+
+  for (uint32_t i = 0; i < sim->c->teams; i++)
+    {
+      parts[i] = MAX ((double)sim->held[i].cpu_milli / sim->total.cpu_milli,
+                      (double)sim->held[i].mem_mib / sim->total.mem_mib);
+      sum += parts[i];
+      shares += sim->shares[i];
+      amounts_add (&held, &sim->held[i]);
+    }
+  for (uint32_t i = 0; i < sim->c->teams; i++)
+    {
+      double off = 100 * (parts[i] / sum - sim->shares[i] / shares);
+
+      off = off < 0 ? -off : off;
+      sim->result.mean += off;
+      sim->result.max = MAX (sim->result.max, off);
+      sim->samples++;
+    }
+  sim->result.used += MAX ((double)held.cpu_milli / sim->total.cpu_milli,
+                           (double)held.mem_mib / sim->total.mem_mib);
+}
+
+share_result_t
+share_run (const bench_case_t *c, bool fair, uint64_t seed)
+{
+  sim_t *sim = g_new0 (sim_t, 1);
+  share_result_t result;
+
+  sim->c = c;
+  sim->fair = fair;
+  sim->seed = seed;
+  open_sim (sim);
+  for (; sim->now_s < WARM_UP_S + RUN_S; sim->now_s++)
+    {
+      end_jobs (sim);
+      refill (sim);
+      if (fair)
+        start_fair (sim);
+      else
+        start_first_fit (sim);
+      if (sim->now_s >= WARM_UP_S)
+        measure (sim);
+    }
+  result = sim->result;
+  result.mean /= (double)sim->samples;
+  result.used /= RUN_S;
+  g_hash_table_destroy (sim->running);
+  g_queue_clear (&sim->waiting);
+  g_hash_table_destroy (sim->queued);
+  fit_clear (&sim->fit);
+  g_free (sim->free);
+  place_free (sim->place);
+  g_free (sim);
+  return result;
+}
