Let small jobs above their team's share leave room

Cause: with memory nearly full, small jobs fitted everywhere, so teams with small jobs held more than their share while a team below its share waited for room for a larger job.

Change: while such a job waits for processors or memory, teams that hold more than a sixteenth above its team, by weight, start nothing, for at most 2 s.

--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -307,9 +307,11 @@
    PLACE_CHECKPOINT_US - a checkpoint that takes longer becomes a stop: urgent
    work has to start within 1.3 s.
    PLACE_HOLD_US - a worker is kept free for an urgent job for so long.
-   PLACE_STARVE_US - a job that waited for so long at the head of its queue
-   gets a worker kept free for it, but only one worker in PLACE_STARVE_PART is
-   kept so.  */
+   PLACE_YIELD_US - while a job waits for processors or memory, teams that hold
+   more for their weight, by more than one in PLACE_YIELD_PART, start nothing
+   for so long. PLACE_STARVE_US - a job that waited for so long at the head of
+   its queue gets a worker kept free for it, but only one worker in
+   PLACE_STARVE_PART is kept so.  */
 #define PLACE_LEASE_US 10000000
 #define PLACE_FAIL_WORKERS 3
 #define PLACE_FAIL_RUNS 6
@@ -317,6 +319,8 @@
 #define PLACE_BAD_PART 10
 #define PLACE_CHECKPOINT_US 600000
 #define PLACE_HOLD_US 2000000
+#define PLACE_YIELD_US 2000000
+#define PLACE_YIELD_PART 16
 #define PLACE_STARVE_US 30000000
 #define PLACE_STARVE_PART 20
 
--- a/fleet/schedule.c
+++ b/fleet/schedule.c
@@ -1,4 +1,5 @@
 #include "jobs.h"
+#include <math.h>
 #include <string.h>
 
 /* Urgent jobs of a queue for which capacity is taken back in one call.  */
@@ -157,9 +158,9 @@
 }
 
 /* The team whose dominant share is least for its weight, of those that have a
-   job to start and are below their limits.  */
+   job to start and are below their limits; NULL when that is above CEILING. */
 static team_jobs_t *
-next_team (const place_t *place, bool urgent)
+next_team (const place_t *place, bool urgent, double ceiling)
 {
   team_jobs_t *best = NULL;
   double best_part = 0;
@@ -178,7 +179,7 @@
       best = team;
       best_part = own;
     }
-  return best;
+  return best_part <= ceiling ? best : NULL;
 }
 
 /* The first of TEAM's jobs; *ACCELS says in which of its queues.  */
@@ -256,9 +257,25 @@
     job_hold (place, job, best, now_us);
 }
 
+/* How much a team may hold while JOB of TEAM, which holds less, waits for
+   room: else small jobs of teams above their shares would fill every gap.
+   Waiting for an accelerator keeps nobody back: others don't free one by
+   leaving processors idle.  */
+static double
+ceiling_for (const place_t *place, const team_jobs_t *team, const job_t *job,
+             int64_t now_us)
+{
+  double own = team_part (place, &team->holds) / team->share;
+
+  if (job->need.accels > 0 || now_us - job->blocked_since_us >= PLACE_YIELD_US)
+    return HUGE_VAL;
+  return own + own / PLACE_YIELD_PART;
+}
+
 static void
 start_jobs (place_t *place, bool urgent, steps_t *out)
 {
+  double ceiling = HUGE_VAL;
   team_jobs_t *team;
 
   for (uint32_t i = 0; i < place->team_list->len; i++)
@@ -266,7 +283,7 @@
       team = g_ptr_array_index (place->team_list, i);
       team->blocked[urgent][0] = team->blocked[urgent][1] = false;
     }
-  while (out->count < out->max && (team = next_team (place, urgent)))
+  while (out->count < out->max && (team = next_team (place, urgent, ceiling)))
     {
       uint32_t accels = 0;
       job_t *job = next_job (team, urgent, &accels);
@@ -279,9 +296,12 @@
         }
       team->blocked[urgent][accels] = true;
       if (urgent)
-        reclaim_for_queue (place, team, &team->queues[urgent][accels], out);
-      else
-        help_starving (place, job, out->now_us);
+        {
+          reclaim_for_queue (place, team, &team->queues[urgent][accels], out);
+          continue;
+        }
+      help_starving (place, job, out->now_us);
+      ceiling = MIN (ceiling, ceiling_for (place, team, job, out->now_us));
     }
 }
 
--- a/fleet/test/schedule_test.c
+++ b/fleet/test/schedule_test.c
@@ -70,6 +70,31 @@
 }
 END_TEST
 
+/* Teams with small jobs held more than their share, as these fit everywhere.
+ */
+START_TEST (small_jobs_above_the_share_leave_room)
+{
+  farm_t *farm = farm_open (1, 0);
+
+  farm_submit_many (farm, "a", 0, 16, 1, "");
+  ck_assert_uint_eq (farm_next (farm), 16);
+  farm_submit_many (farm, "a", 16, 20, 1, "");
+  farm_submit_many (farm, "b", 0, 1, 2, "");
+  ck_assert (farm_end (farm, "a0", JOB_END_DONE));
+  ck_assert_uint_eq (farm_next (farm), 0);
+  ck_assert (farm_end (farm, "a1", JOB_END_DONE));
+  ck_assert_uint_eq (farm_next (farm), 1);
+  ck_assert_str_eq (farm->steps[0].job, "b0");
+  farm_submit_many (farm, "b", 1, 2, 3, "");
+  ck_assert (farm_end (farm, "a2", JOB_END_DONE));
+  ck_assert_uint_eq (farm_next (farm), 0);
+  farm->now_us += PLACE_YIELD_US; /* not for ever */
+  ck_assert_uint_eq (farm_next (farm), 1);
+  ck_assert_str_eq (farm->steps[0].job, "a16");
+  farm_close (farm);
+}
+END_TEST
+
 /* Small jobs filled every gap that the large one waited for.  */
 START_TEST (a_large_job_gets_its_turn)
 {
@@ -154,6 +179,7 @@
     shares_as_in_the_paper,
     weights_and_idle_shares,
     jobs_without_accelerators_leave_those_free,
+    small_jobs_above_the_share_leave_room,
     a_large_job_gets_its_turn,
     places_a_burst_in_time,
   };
