--- a/admit/admit.h
+++ b/admit/admit.h
@@ -36,7 +36,8 @@
 typedef enum freshness
 {
   FRESH, /* the log was read to its end in time, here or at a live peer */
-  BLIND, /* nobody reads the log, and all other data centres are heard */
+  BLIND, /* the log was found down in time, nobody reads it, and all other data
+            centres are heard */
   STALE  /* somebody may have appended a record that is not seen here */
 } freshness_t;
 
@@ -55,8 +56,11 @@
 /* What this daemon knows of the log, itself and through its peers.  */
 typedef struct fresh_view
 {
-  int64_t log_read_us; /* last read to the end; 0: never */
-  uint64_t offset;     /* folded up to here */
+  int64_t log_read_us;   /* last read to the end; 0: never */
+  int64_t log_failed_us; /* end of the last read that failed in its time: one
+                            that a pause of the process has stretched tells
+                            nothing; 0: never */
+  uint64_t offset;       /* folded up to here */
   const char *data_centre;
   const char *const *data_centres; /* those with entry hosts, from the fleet */
   uint32_t data_centres_count;
@@ -234,15 +238,15 @@
                            bool (*may_run) (void *ctx, queue_entry_t *entry),
                            void *ctx);
 
-/* queue_charge - count work of TEAM that ran without waiting (the queue was
-   empty), so that it takes its turn later.  */
-void queue_charge (fair_queue_t *queue, queue_team_t *team);
+/* queue_charge - count work of TEAM that starts at NOW_US without waiting (the
+   queue was empty), so that it takes its turn later.  */
+void queue_charge (fair_queue_t *queue, queue_team_t *team, int64_t now_us);
 
-/* queue_settle - a request of TEAM that queue_take or queue_charge counted has
-   held its slot for RUN_US.  Shares are of slot time: the turn that was
-   counted by an estimate is corrected.  Without it all requests count the
-   same.  */
-void queue_settle (fair_queue_t *queue, queue_team_t *team, int64_t run_us);
+/* queue_settle - the slot of a request of TEAM is free again; STARTED_US is
+   the time that was given to queue_take or queue_charge.  Shares are of slot
+   time, so each of these must be settled once.  */
+void queue_settle (fair_queue_t *queue, queue_team_t *team, int64_t started_us,
+                   int64_t now_us);
 
 /* queue_remove - take out ENTRY, whose client is gone.  */
 void queue_remove (fair_queue_t *queue, queue_entry_t *entry);
