daemon: take hosts through maintenance waves

Cause: `cuminpin wave start` wrote a record on which nobody acted.

Change: module maintenance, on the thread that reads the platform's list, gives the list and the load of draining hosts to fleet/wave and appends its records; hostload collects what each daemon has in flight on draining hosts (TOTALS of kind host). Upstreams on hosts that drain get no requests. drain_ms is 1000 by default; 0 closed idle connections under their clients.

Conclusion: a scenario test has to bring about failures in the middle.

--- a/conf/conf.h
+++ b/conf/conf.h
@@ -204,6 +204,8 @@
   uint32_t connections_max;
   uint32_t drain_ms; /* time from leaving the list to closing the socket */
   uint32_t stop_ms;  /* longest graceful stop */
+  uint32_t host_settle_ms; /* gone or back for so long before it counts */
+  uint32_t host_quiet_ms;  /* no request for so long before it is drained */
   uint32_t seed_peers_count;
   char **seed_peers; /* IP:PORT, asked when the log is down at start */
 } settings_t;
--- a/conf/settings.c
+++ b/conf/settings.c
@@ -5,8 +5,10 @@
 #define THREADS_DEFAULT 2
 #define BODY_MAX_DEFAULT_KIB 1024
 #define CONNECTIONS_MAX_DEFAULT 10000
-#define DRAIN_DEFAULT_MS 0
+#define DRAIN_DEFAULT_MS 1000
 #define STOP_DEFAULT_MS 35000
+#define HOST_SETTLE_DEFAULT_MS 10000
+#define HOST_QUIET_DEFAULT_MS 5000
 #define CONNECTIONS_MAX_MAX 1000000
 #define TIME_MAX_MS 3600000
 #define SECRET_BYTES_MIN 16
@@ -37,6 +39,8 @@
   UINT_FIELD (connections_max),
   UINT_FIELD (drain_ms),
   UINT_FIELD (stop_ms),
+  UINT_FIELD (host_settle_ms),
+  UINT_FIELD (host_quiet_ms),
   CYAML_FIELD_SEQUENCE ("seed_peers", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
                         settings_t, seed_peers, &seed_schema, 0, 64),
   CYAML_FIELD_END,
@@ -116,6 +120,8 @@
   set_default (&settings->connections_max, CONNECTIONS_MAX_DEFAULT);
   set_default (&settings->drain_ms, DRAIN_DEFAULT_MS);
   set_default (&settings->stop_ms, STOP_DEFAULT_MS);
+  set_default (&settings->host_settle_ms, HOST_SETTLE_DEFAULT_MS);
+  set_default (&settings->host_quiet_ms, HOST_QUIET_DEFAULT_MS);
   if (check_settings (settings, file, text, len, error))
     return settings;
   settings_free (settings);
--- a/conf/test/settings_test.c
+++ b/conf/test/settings_test.c
@@ -18,6 +18,7 @@
     "s.yaml:4: prot: unknown field, expected one of name, data_centre, "
     "address, port, admin_port, peer_port, platform, secret, ready_file, "
     "threads, body_max_kib, connections_max, drain_ms, stop_ms, "
+    "host_settle_ms, host_quiet_ms, "
     "seed_peers" },
   { "port: 0", "port: 65536",
     "s.yaml:4: port: expected a whole number from 0 to 65535, found "
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -3,7 +3,8 @@
 
    NAME
      live, view, shares, parse, authenticate, claims, admission, routing, send,
-     answer, loop, replica, logreader, livereader, exchange, waiter, admin
+     answer, loop, replica, logreader, livereader, maintenance, hostload,
+     exchange, waiter, admin
 
    DESCRIPTION
      A request passes through
@@ -82,7 +83,7 @@
   const upstream_t *rule;
   uint32_t part;   /* of its slots, for this daemon */
   bool local;      /* in this daemon's data centre */
-  bool in_service; /* its host is neither drained nor failed */
+  bool in_service; /* its host is not being drained or in maintenance */
 } view_upstream_t;
 
 typedef struct view_service
@@ -410,9 +411,42 @@
    second and marks upstreams on leaving hosts.  */
 typedef struct livereader livereader_t;
 
-livereader_t *livereader_start (const char *platform_url);
+livereader_t *livereader_start (const settings_t *settings,
+                                const char *platform_url,
+                                exchange_t *exchange);
 void livereader_stop (livereader_t *reader);
 
+/* hostload - requests on draining hosts, as each daemon tells the others.  Any
+   thread.  */
+typedef struct hostload hostload_t;
+
+hostload_t *hostload_new (void);
+void hostload_free (hostload_t *loads);
+
+/* hostload_list - what this daemon has to tell: up to MAX TOTALS; their
+   number.  */
+uint32_t hostload_list (const view_t *view, msg_total_t *totals, uint32_t max);
+
+/* hostload_note - PEER has told TOTALS.  */
+void hostload_note (hostload_t *loads, const char *peer,
+                    const msg_totals_t *totals, int64_t now_us);
+
+/* hostload_sum - requests on HOST of all entry hosts, SELF included.  False
+   while HOST is not draining or one of them has not told lately: it may still
+   send to HOST.  */
+bool hostload_sum (hostload_t *loads, const view_t *view, const char *self,
+                   const char *host, int64_t now_us, uint32_t *load);
+
+/* maintenance - takes hosts through waves: decides by the state, the
+   platform's list and the load of draining hosts, and appends the records. The
+   live thread only.  */
+typedef struct maintenance maintenance_t;
+
+maintenance_t *maintenance_new (const settings_t *settings,
+                                exchange_t *exchange, platform_t *platform);
+void maintenance_free (maintenance_t *maintenance);
+void maintenance_step (maintenance_t *maintenance, const live_list_t *list);
+
 /* replica - this daemon's fold of the log: takes records from the log thread
    and from peers, and publishes views.  Any thread.  */
 typedef struct replica replica_t;
@@ -476,6 +510,17 @@
 /* exchange_follow - a new view is in force; any thread.  */
 void exchange_follow (exchange_t *exchange);
 
+/* exchange_alive - interned names of the entry hosts with current heartbeats,
+   this one included, up to MAX; their number.  Any thread.  */
+uint32_t exchange_alive (const exchange_t *exchange, const char **names,
+                         uint32_t max, int64_t now_us);
+
+/* exchange_host_load - requests in flight on HOST of all daemons.  False while
+   the host is not draining or some entry host has not told lately: it may
+   still send to HOST.  Any thread.  */
+bool exchange_host_load (exchange_t *exchange, const view_t *view,
+                         const char *host, int64_t now_us, uint32_t *load);
+
 /* exchange_ask_claim - ask OWNER for ID; loop_tell_claimed brings the answer
    to question NUMBER.  False when OWNER can't be reached.  Any thread.  */
 bool exchange_ask_claim (exchange_t *exchange, const char *owner,
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -22,6 +22,7 @@
   const settings_t *settings;
   loop_config_t *config;
   replica_t *replica;
+  hostload_t *loads;
   link_t *link;
   int64_t started_us;
   share_gate_t gate;
@@ -206,6 +207,20 @@
     link_send (exchange->link, peer, &msg);
 }
 
+#define TOTALS_MAX 64
+
+static void
+tell_loads (exchange_t *exchange, const view_t *view)
+{
+  msg_total_t totals[TOTALS_MAX];
+  msg_t msg = { .kind = MSG_TOTALS };
+
+  msg.u.totals.totals = totals;
+  msg.u.totals.count = hostload_list (view, totals, TOTALS_MAX);
+  if (msg.u.totals.count > 0)
+    link_send_all (exchange->link, &msg);
+}
+
 static void
 note_freshness (exchange_t *exchange, const view_t *view, int64_t now_us)
 {
@@ -254,6 +269,7 @@
     }
   shares_apply (view, judge_gate (exchange, view, now_us));
   ask_for_loans (exchange, view, now_us);
+  tell_loads (exchange, view);
   note_freshness (exchange, view, now_us);
 }
 
@@ -415,6 +431,8 @@
       replica_accept (exchange->replica, &msg->u.relay);
       return;
     case MSG_TOTALS:
+      hostload_note (exchange->loads, peer, &msg->u.totals, clock_mono_us ());
+      return;
     case MSG_HELLO:
     case MSG_PROOF:
     case MSG_BEAT:
@@ -443,6 +461,7 @@
   exchange->settings = settings;
   exchange->config = config;
   exchange->replica = replica;
+  exchange->loads = hostload_new ();
   exchange->started_us = clock_mono_us ();
   exchange->quarantined = true;
   exchange->stale = true;
@@ -450,6 +469,7 @@
   exchange->link = link_start (&link);
   if (!exchange->link)
     {
+      hostload_free (exchange->loads);
       g_free (exchange);
       return NULL;
     }
@@ -503,6 +523,7 @@
   live_upstreams (add_upstream, &usage);
   may_leave = share_may_leave (&exchange->gate, usage.in_use, usage.lent,
                                clock_mono_us ());
+  hostload_free (exchange->loads);
   g_free (exchange);
   return may_leave;
 }
@@ -513,6 +534,28 @@
   link_beat_now (exchange->link);
 }
 
+uint32_t
+exchange_alive (const exchange_t *exchange, const char **names, uint32_t max,
+                int64_t now_us)
+{
+  const member_list_t *members = link_members (exchange->link);
+  uint32_t count = 0;
+
+  names[count++] = g_intern_string (exchange->settings->name);
+  for (uint32_t i = 0; i < members->count && count < max; i++)
+    if (member_judge (&members->members[i], now_us) == MEMBER_ALIVE)
+      names[count++] = members->members[i].name;
+  return count;
+}
+
+bool
+exchange_host_load (exchange_t *exchange, const view_t *view, const char *host,
+                    int64_t now_us, uint32_t *load)
+{
+  return hostload_sum (exchange->loads, view, exchange->settings->name, host,
+                       now_us, load);
+}
+
 bool
 exchange_ask_claim (exchange_t *exchange, const char *owner, uint64_t number,
                     const once_id_t *id)
--- a/daemon/livereader.c
+++ b/daemon/livereader.c
@@ -7,6 +7,7 @@
 struct livereader
 {
   platform_t *platform;
+  maintenance_t *maintenance;
   waiter_t waiter;
   pthread_t thread;
   bool failing;
@@ -57,6 +58,8 @@
         event_log (EV_LIVE_LIST_FAILED, "status=%s", log_status_name (status));
       reader->failing = failing;
       note_list (&list, clock_mono_us ());
+      if (!failing)
+        maintenance_step (reader->maintenance, &list);
       live_list_clear (&list);
     }
   rcu_unregister_thread ();
@@ -64,12 +67,14 @@
 }
 
 livereader_t *
-livereader_start (const char *platform_url)
+livereader_start (const settings_t *settings, const char *platform_url,
+                  exchange_t *exchange)
 {
   livereader_t *reader = g_new0 (livereader_t, 1);
 
   waiter_init (&reader->waiter);
   reader->platform = platform_open (platform_url);
+  reader->maintenance = maintenance_new (settings, exchange, reader->platform);
   if (!reader->platform
       || pthread_create (&reader->thread, NULL, run, reader) != 0)
     return NULL;
@@ -82,6 +87,7 @@
   waiter_stop (&reader->waiter);
   platform_interrupt (reader->platform);
   pthread_join (reader->thread, NULL);
+  maintenance_free (reader->maintenance);
   platform_close (reader->platform);
   waiter_destroy (&reader->waiter);
   g_free (reader);
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -148,7 +148,8 @@
   replica_set_exchange (process->replica, process->config.exchange);
   process->reader
       = logreader_start (settings, process->replica, platform, incarnation);
-  process->live = livereader_start (platform);
+  process->live
+      = livereader_start (settings, platform, process->config.exchange);
   process->admin = admin_start (settings, &process->config);
   if (!process->reader || !process->live || !process->admin)
     return false;
--- /dev/null
+++ b/daemon/maintenance.c
@@ -0,0 +1,179 @@
+#include "daemon.h"
+#include "fleet.h"
+#include <string.h>
+
+#define APPEND_TIMEOUT_MS 2000
+#define REBOOT_TIMEOUT_MS 2000
+#define RECORDS_MAX 16
+
+struct maintenance
+{
+  const settings_t *settings;
+  exchange_t *exchange;
+  platform_t *platform;
+  watch_t *watch;
+  wave_times_t times;
+  GHashTable *rebooted; /* interned host name to its version when told */
+};
+
+maintenance_t *
+maintenance_new (const settings_t *settings, exchange_t *exchange,
+                 platform_t *platform)
+{
+  maintenance_t *maintenance = g_new0 (maintenance_t, 1);
+
+  maintenance->settings = settings;
+  maintenance->exchange = exchange;
+  maintenance->platform = platform;
+  maintenance->watch = watch_new ();
+  maintenance->rebooted = g_hash_table_new (g_str_hash, g_str_equal);
+  maintenance->times = (wave_times_t){
+    .settle_us = (int64_t)settings->host_settle_ms * 1000,
+    .quiet_us = (int64_t)settings->host_quiet_ms * 1000,
+    .stay_us = WAVE_STAY_US,
+    .return_us = WAVE_RETURN_US,
+  };
+  return maintenance;
+}
+
+void
+maintenance_free (maintenance_t *maintenance)
+{
+  g_hash_table_destroy (maintenance->rebooted);
+  watch_free (maintenance->watch);
+  g_free (maintenance);
+}
+
+static void
+note_list (maintenance_t *maintenance, const view_t *view,
+           const live_list_t *list, int64_t now_us)
+{
+  g_autofree host_report_t *reports = g_new0 (host_report_t, list->count);
+
+  for (uint32_t i = 0; i < list->count; i++)
+    {
+      reports[i].host = list->hosts[i].host;
+      reports[i].leaving = list->hosts[i].state == LIVE_LEAVING;
+      /* The platform lists a host as live when its own checks pass.  */
+      reports[i].verified = !reports[i].leaving;
+      reports[i].load_known
+          = exchange_host_load (maintenance->exchange, view,
+                                list->hosts[i].host, now_us, &reports[i].load);
+    }
+  watch_note (maintenance->watch, view->state, reports, list->count, now_us);
+}
+
+/* The platform reboots a host once for each token, so the host's version in
+   the state makes a repeated call harmless.  */
+static void
+reboot_hosts (maintenance_t *maintenance, const state_t *state,
+              const char *const *entries, uint32_t count)
+{
+  for (uint32_t i = 0; i < state->hosts.count; i++)
+    {
+      const host_state_t *host = table_at (&state->hosts, i);
+      gpointer told = g_hash_table_lookup (maintenance->rebooted, host->name);
+
+      if (host->phase != HOST_MAINTENANCE
+          || GPOINTER_TO_SIZE (told) == host->version
+          || strcmp (entries[wave_actor (host->name, entries, count)],
+                     maintenance->settings->name)
+                 != 0)
+        continue;
+      if (host_reboot (maintenance->platform, host->name, host->version,
+                       REBOOT_TIMEOUT_MS)
+          == LOG_OK)
+        g_hash_table_insert (maintenance->rebooted, (gpointer)host->name,
+                             GSIZE_TO_POINTER (host->version));
+    }
+}
+
+static void
+report (const rec_t *rec)
+{
+  switch (rec->kind)
+    {
+    case REC_DRAIN:
+      event_log (EV_HOST_DRAINING, "host=%s wave=%s", rec->u.drain.host,
+                 rec->u.drain.wave);
+      return;
+    case REC_HOST_STATE:
+      if (rec->u.host_state.phase == HOST_FAILED)
+        event_log (EV_HOST_FAILED, "host=%s", rec->u.host_state.host);
+      else if (rec->u.host_state.phase == HOST_IN_SERVICE)
+        event_log (EV_HOST_RETURNED, "host=%s", rec->u.host_state.host);
+      return;
+    case REC_WAVE:
+      event_log (EV_WAVE_DONE, "wave=%s", rec->u.wave.wave);
+      return;
+    case REC_CONFIG:
+    case REC_KEY_GRANT:
+    case REC_KEY_WITHDRAW:
+    case REC_JOIN:
+    case REC_LEAVE:
+    case REC_HOST_MOVE:
+    case REC_UNKNOWN:
+      return;
+    }
+}
+
+/* A record whose answer is lost is decided again from the state, so it needs
+   no repeat here.  */
+static void
+append_all (maintenance_t *maintenance, const rec_t *recs, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      g_autoptr (GBytes) bytes = wire_put_rec (&recs[i]);
+      uint64_t offset;
+      gsize len;
+      const void *data = g_bytes_get_data (bytes, &len);
+
+      counter_add (COUNT_LOG_APPENDS, 1);
+      if (log_append (maintenance->platform, STREAM_FLEET, data, len,
+                      APPEND_TIMEOUT_MS, &offset)
+          != LOG_OK)
+        return;
+      report (&recs[i]);
+    }
+}
+
+void
+maintenance_step (maintenance_t *maintenance, const live_list_t *list)
+{
+  int64_t now_us = clock_mono_us ();
+  const char *entries[LOOPS_MAX];
+  rec_t recs[RECORDS_MAX];
+  state_t *state = NULL;
+  const view_t *view;
+  uint32_t count = 0;
+  wave_input_t in = {
+    .watch = maintenance->watch,
+    .times = &maintenance->times,
+    .self = maintenance->settings->name,
+    .entries = entries,
+    .now_us = now_us,
+    .now_ms = clock_wall_ms (),
+  };
+
+  rcu_read_lock ();
+  view = view_get ();
+  if (view && view->state->config)
+    {
+      in.entries_count
+          = exchange_alive (maintenance->exchange, entries, LOOPS_MAX, now_us);
+      in.fresh = currency_judge (view, now_us, 0) == FRESH;
+      in.state = view->state;
+      note_list (maintenance, view, list, now_us);
+      count = wave_next (&in, recs, RECORDS_MAX);
+      /* Calls to the platform must not hold up a grace period of RCU.  */
+      state = state_copy (view->state);
+    }
+  rcu_read_unlock ();
+  if (!state)
+    return;
+  append_all (maintenance, recs, count);
+  if (in.fresh)
+    reboot_hosts (maintenance, state, entries, in.entries_count);
+  state_free (state);
+}
--- a/daemon/view.c
+++ b/daemon/view.c
@@ -109,7 +109,10 @@
 {
   const host_state_t *host = table_find (&state->hosts, name);
 
-  return host && host->phase == HOST_IN_SERVICE;
+  /* A host that the platform's list lacks is still tried: the list lags, and
+     health notices a host that is gone.  */
+  return host
+         && (host->phase == HOST_IN_SERVICE || host->phase == HOST_FAILED);
 }
 
 /* Connections that one event loop of this daemon may keep to an upstream that
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -175,7 +175,8 @@
 typedef enum total_kind
 {
   TOTAL_TEAM,
-  TOTAL_POOL
+  TOTAL_POOL,
+  TOTAL_HOST /* that is draining */
 } total_kind_t;
 
 typedef struct msg_total
--- a/wire/wiremsg.c
+++ b/wire/wiremsg.c
@@ -284,7 +284,7 @@
       fields_t entry = fields_open (&objects[i], "total");
       msg_total_t *total = &totals->totals[i];
 
-      total->kind = (total_kind_t)fields_u64 (&entry, "kind", TOTAL_POOL);
+      total->kind = (total_kind_t)fields_u64 (&entry, "kind", TOTAL_HOST);
       fields_name (&entry, "name", total->name);
       total->in_use = (uint32_t)fields_u64 (&entry, "in_use", UINT32_MAX);
       total->queued = (uint32_t)fields_u64 (&entry, "queued", UINT32_MAX);
