Name the run in a worker's reports

Cause: a report named the job and the worker. When a job was started again on the same worker, a late report of the first run ended the second, and its capacity was given away while it ran.

Change: each run has a number, which START carries and reports give back; numbers start above that of any earlier process.

--- a/fleet/ending.c
+++ b/fleet/ending.c
@@ -1,5 +1,4 @@
 #include "jobs.h"
-#include <string.h>
 
 static void
 unmark_worker (worker_t *worker, uint64_t job_number)
@@ -109,13 +108,12 @@
 }
 
 bool
-place_end (place_t *place, const char *id, const char *worker_name,
-           job_end_t how)
+place_end (place_t *place, const char *id, uint64_t run, job_end_t how)
 {
-  job_t *job = g_hash_table_lookup (place->jobs, id);
+  job_t *job = find_run (place, id, run);
   worker_t *worker;
 
-  if (!job || !job->run || strcmp (job->run->worker->name, worker_name) != 0)
+  if (!job)
     return false;
   workers_sort (place);
   worker = job->run->worker;
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -292,6 +292,7 @@
   step_kind_t kind;
   const char *job;
   const char *worker;
+  uint64_t run; /* the worker names it in its reports */
   resources_t resources;
   int64_t lease_end_us; /* START */
 } place_step_t;
@@ -327,7 +328,9 @@
 /* Jobs, teams and workers.  One thread, or a lock.  */
 typedef struct place place_t;
 
-place_t *place_new (void);
+/* place_new - nothing yet; runs are numbered above LAST_RUN, which must exceed
+   the numbers of any earlier process (its incarnation will do).  */
+place_t *place_new (uint64_t last_run);
 void place_free (place_t *place);
 
 /* place_set_team - the share of TEAM, and how many jobs it may run at once
@@ -361,14 +364,13 @@
    forgotten when it has ended.  False when there is none.  */
 bool place_cancel (place_t *place, const char *id);
 
-/* The reports of a worker.  False when job ID has no run on WORKER: a report
-   of an earlier run, which changes nothing.  */
-bool place_renew (place_t *place, const char *id, const char *worker,
+/* The reports of a worker on RUN of job ID.  False when that is not the job's
+   present run: a late report, which changes nothing.  */
+bool place_renew (place_t *place, const char *id, uint64_t run,
                   int64_t lease_end_us);
-bool place_use (place_t *place, const char *id, const char *worker,
+bool place_use (place_t *place, const char *id, uint64_t run,
                 resources_t used);
-bool place_end (place_t *place, const char *id, const char *worker,
-                job_end_t how);
+bool place_end (place_t *place, const char *id, uint64_t run, job_end_t how);
 
 /* place_next - up to MAX STEPS to take now; their number.  Urgent jobs come
    first, then the team with the least dominant share for its weight (Ghodsi et
@@ -380,6 +382,7 @@
 {
   job_phase_t phase;
   const char *worker; /* NULL: none */
+  uint64_t run;       /* 0: none */
   const char *reason; /* why it is held; NULL: it is not */
 } job_info_t;
 
--- a/fleet/jobs.h
+++ b/fleet/jobs.h
@@ -22,6 +22,7 @@
    the job's stay there when the worker is lost.  */
 typedef struct run
 {
+  uint64_t number;
   job_t *job; /* NULL: the job is queued again, the run may go on */
   team_jobs_t *team;
   worker_t *worker;
@@ -116,7 +117,8 @@
   GPtrArray *holds;     /* jobs with a worker kept free */
   GPtrArray *throttled; /* run_t */
   learn_t *learn;
-  uint64_t next_number;
+  uint64_t last_job;
+  uint64_t last_run;
 };
 
 /* Steps decided so far.  */
@@ -136,6 +138,7 @@
 void job_hold (place_t *place, job_t *job, worker_t *worker, int64_t now_us);
 void job_unhold (place_t *place, job_t *job);
 void job_start (place_t *place, job_t *job, worker_t *worker, steps_t *out);
+job_t *find_run (const place_t *place, const char *id, uint64_t run);
 void run_free (place_t *place, run_t *run);
 void steps_add (steps_t *out, step_kind_t kind, const run_t *run);
 
--- a/fleet/place.c
+++ b/fleet/place.c
@@ -26,10 +26,11 @@
 }
 
 place_t *
-place_new (void)
+place_new (uint64_t last_run)
 {
   place_t *place = g_new0 (place_t, 1);
 
+  place->last_run = last_run;
   place->jobs = g_hash_table_new (g_str_hash, g_str_equal);
   place->teams
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_team);
@@ -234,6 +235,7 @@
   job->phase = JOB_RUNNING;
   job->peak = (amounts_t){ 0 };
   job->run = run;
+  run->number = ++place->last_run;
   run->job = job;
   run->team = job->team;
   run->worker = worker;
@@ -333,7 +335,7 @@
   job->id = g_strdup (spec->id);
   job->kind = g_steal_pointer (&kind);
   job->kind_hash = hash_bytes (job->kind, strlen (job->kind), 0);
-  job->number = ++place->next_number;
+  job->number = ++place->last_job;
   job->team = team;
   job->declared = declared;
   job->need = need;
@@ -393,21 +395,19 @@
     }
 }
 
-static job_t *
-find_run (const place_t *place, const char *id, const char *worker)
+job_t *
+find_run (const place_t *place, const char *id, uint64_t run)
 {
   job_t *job = g_hash_table_lookup (place->jobs, id);
 
-  return job && job->run && strcmp (job->run->worker->name, worker) == 0
-             ? job
-             : NULL;
+  return job && job->run && job->run->number == run ? job : NULL;
 }
 
 bool
-place_renew (place_t *place, const char *id, const char *worker,
+place_renew (place_t *place, const char *id, uint64_t run,
              int64_t lease_end_us)
 {
-  job_t *job = find_run (place, id, worker);
+  job_t *job = find_run (place, id, run);
 
   if (!job || job->run->lease_end_us > lease_end_us)
     return false;
@@ -418,10 +418,9 @@
 }
 
 bool
-place_use (place_t *place, const char *id, const char *worker,
-           resources_t used)
+place_use (place_t *place, const char *id, uint64_t run, resources_t used)
 {
-  job_t *job = find_run (place, id, worker);
+  job_t *job = find_run (place, id, run);
   amounts_t seen = amounts_of (used);
   amounts_t more;
 
@@ -453,6 +452,7 @@
     return false;
   info->phase = job->phase;
   info->worker = job->run ? job->run->worker->name : NULL;
+  info->run = job->run ? job->run->number : 0;
   info->reason = job->reason;
   return true;
 }
--- a/fleet/schedule.c
+++ b/fleet/schedule.c
@@ -14,6 +14,7 @@
     .kind = kind,
     .job = run->job->id,
     .worker = run->worker->name,
+    .run = run->number,
     .resources = { .cpu_milli = (uint32_t)run->holds.cpu_milli,
                    .mem_mib = (uint32_t)run->holds.mem_mib,
                    .accels = (uint32_t)run->holds.accels },
--- a/fleet/test/ending_test.c
+++ b/fleet/test/ending_test.c
@@ -49,7 +49,8 @@
       g_snprintf (id, sizeof id, "j%u", i);
       farm_submit (farm, id, "a", 1, "o");
       ck_assert_uint_eq (farm_next (farm), i == 0 ? 1 : 2);
-      ck_assert (place_end (farm->place, id, "w0000", JOB_END_FAILED));
+      ck_assert_str_eq (farm_worker (farm, id), "w0000");
+      ck_assert (farm_end (farm, id, JOB_END_FAILED));
     }
   ck_assert (place_is_bad (farm->place, "w0000"));
   ck_assert_uint_eq (farm_next (farm), 1);
--- a/fleet/test/farm.h
+++ b/fleet/test/farm.h
@@ -24,7 +24,7 @@
 {
   farm_t *farm = g_new0 (farm_t, 1);
 
-  farm->place = place_new ();
+  farm->place = place_new (0);
   farm->now_us = 1000 * SECOND;
   for (uint32_t i = 0; i < workers; i++)
     {
@@ -98,6 +98,15 @@
   return place_job (farm->place, id, &info) && info.worker ? info.worker : "";
 }
 
+/* The number of the present run of job ID, or 0.  */
+static inline uint64_t
+farm_run (const farm_t *farm, const char *id)
+{
+  job_info_t info = { 0 };
+
+  return place_job (farm->place, id, &info) ? info.run : 0;
+}
+
 static inline job_phase_t
 farm_phase (const farm_t *farm, const char *id)
 {
@@ -110,7 +119,7 @@
 static inline bool
 farm_end (farm_t *farm, const char *id, job_end_t how)
 {
-  return place_end (farm->place, id, farm_worker (farm, id), how);
+  return place_end (farm->place, id, farm_run (farm, id), how);
 }
 
 static inline team_info_t
--- a/fleet/test/schedule_test.c
+++ b/fleet/test/schedule_test.c
@@ -116,7 +116,7 @@
           char other[8];
 
           g_snprintf (other, sizeof other, "a%u", j);
-          place_renew (farm->place, other, farm_worker (farm, other),
+          place_renew (farm->place, other, farm_run (farm, other),
                        farm->now_us + PLACE_LEASE_US);
         }
       farm_submit_many (farm, "a", next, next + 1, 1, "");
--- a/test/bench/fleet_scale.c
+++ b/test/bench/fleet_scale.c
@@ -95,7 +95,7 @@
 time_burst (uint32_t hosts, uint32_t jobs, uint32_t *started)
 {
   char reason[PLACE_REASON_BYTES];
-  place_t *place = place_new ();
+  place_t *place = place_new (0);
   int64_t start_us;
   uint32_t count;
 
--- a/test/bench/fleet_share.c
+++ b/test/bench/fleet_share.c
@@ -15,6 +15,7 @@
 {
   uint32_t team;
   uint32_t worker;
+  uint64_t run;
   resources_t size;
   int64_t end_s;
 } bench_job_t;
@@ -79,7 +80,7 @@
 {
   uint32_t hosts = sim->c->fleet.hosts;
 
-  sim->place = place_new ();
+  sim->place = place_new (0);
   sim->free = g_new0 (amounts_t, hosts);
   sim->running
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -132,7 +133,7 @@
 }
 
 static void
-start (sim_t *sim, const char *id, uint32_t worker)
+start (sim_t *sim, const char *id, uint32_t worker, uint64_t run)
 {
   char *key = NULL;
   bench_job_t *job = NULL;
@@ -142,6 +143,7 @@
                                (gpointer *)&job);
   size = amounts_of (job->size);
   job->worker = worker;
+  job->run = run;
   job->end_s
       = sim->now_s + JOB_MIN_S + fixture_below (&sim->seed, JOB_SPREAD_S);
   sim->backlog[job->team]--;
@@ -163,16 +165,14 @@
     {
       bench_job_t *job = value;
       amounts_t size = amounts_of (job->size);
-      char worker[8];
 
-      g_snprintf (worker, sizeof worker, "h%04u", job->worker);
       if (sim->fair && sim->now_s % RENEW_S == 0)
-        place_renew (sim->place, id, worker,
+        place_renew (sim->place, id, job->run,
                      sim->now_s * SECOND + PLACE_LEASE_US);
       if (job->end_s > sim->now_s)
         continue;
       if (sim->fair)
-        place_end (sim->place, id, worker, JOB_END_DONE);
+        place_end (sim->place, id, job->run, JOB_END_DONE);
       amounts_subtract (&sim->held[job->team], &size);
       amounts_add (&sim->free[job->worker], &size);
       fit_set (&sim->fit, job->worker, &sim->free[job->worker]);
@@ -191,7 +191,7 @@
       > 0)
     for (uint32_t i = 0; i < count; i++)
       start (sim, steps[i].job,
-             (uint32_t)strtoul (steps[i].worker + 1, NULL, 10));
+             (uint32_t)strtoul (steps[i].worker + 1, NULL, 10), steps[i].run);
 }
 
 static void
@@ -208,7 +208,7 @@
 
       if (worker != FIT_NONE)
         {
-          start (sim, link->data, worker);
+          start (sim, link->data, worker, 0);
           g_queue_delete_link (&sim->waiting, link);
         }
       link = next;
