Measure moves with a spare of no more than the buffer

Cause: the bench counted moves with all 10 hosts of the spare pool, but claimed a buffer of 7.

Change: the hosts of the spare beyond the buffer are out of service.

--- a/test/bench/fleet_moves.c
+++ b/test/bench/fleet_moves.c
@@ -204,6 +204,21 @@
   return sum;
 }
 
+/* Leaves the spare no more hosts than the buffer.  */
+static void
+cut_spare (sim_t *sim, uint32_t buffer)
+{
+  uint32_t kept = 0;
+
+  for (uint32_t i = 0; i < sim->state->hosts.count; i++)
+    {
+      const host_state_t *host = table_at (&sim->state->hosts, i);
+
+      if (strcmp (host->pool, "p0") == 0 && kept++ >= buffer)
+        fixture_host (sim->state, host->name, HOST_FAILED);
+    }
+}
+
 moves_result_t
 moves_run (const bench_case_t *c, bool planned, uint64_t seed)
 {
@@ -226,6 +241,7 @@
   result.buffer
       = plan_buffer (sim->state, sim->demands, c->fleet.pools, c->bursts);
   result.fixed_buffer = fixed_buffer (sim);
+  cut_spare (sim, result.buffer);
   while (sim->now_s < c->seconds)
     step (sim, planned);
   result.moves = sim->moved;
