Let another pool have an idle lent host after 10 s instead of 20

Cause: with a spare of no more than the buffer, the next pool to burst waited for the hosts lent to the last one.

--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -178,7 +178,7 @@
    PLAN_MARGIN_HOSTS - a pool keeps so many hosts above its need before it
    counts as having a surplus.  */
 #define PLAN_SHORT_US 5000000
-#define PLAN_SURPLUS_US 20000000
+#define PLAN_SURPLUS_US 10000000
 #define PLAN_RETURN_US 600000000
 #define PLAN_MARGIN_HOSTS 1
 
