route: prefer quick upstreams and eject slow ones

Cause: the choice looked at slots alone, and an upstream that answers, but far too slowly, was never ejected.

Change: the choice compares slots in use times average latency; module slow finds the slowest outlier of a service once a second and it is ejected and probed. An interrupted read at the stop is no longer logged as log-unreachable.

Measured: route/slow and route/choice pass; all route, daemon, paused and killed tests pass in the plain build (17 of 17). Goodput with a slow upstream has not been measured.

--- a/daemon/livereader.c
+++ b/daemon/livereader.c
@@ -41,6 +41,41 @@
   rcu_read_unlock ();
 }
 
+/* Ejects the slowest upstream of SERVICE if it is far slower than the others.
+ */
+static void
+eject_slow (const view_service_t *service, int64_t now_us)
+{
+  g_autofree uint32_t *latencies_us
+      = g_new (uint32_t, service->upstreams_count + 1);
+  upstream_live_t *slowest;
+  uint32_t index;
+
+  for (uint32_t i = 0; i < service->upstreams_count; i++)
+    latencies_us[i] = health_latency_us (&service->upstreams[i].live->health);
+  index = slow_find (latencies_us, service->upstreams_count);
+  if (index == SLOW_NONE)
+    return;
+  slowest = service->upstreams[index].live;
+  if (!health_eject (&slowest->health, now_us))
+    return;
+  counter_add (COUNT_UPSTREAM_EJECTED, 1);
+  event_log (EV_UPSTREAM_EJECTED, "upstream=%s result=slow latency_us=%u",
+             slowest->name, latencies_us[index]);
+}
+
+static void
+eject_all_slow (int64_t now_us)
+{
+  const view_t *view;
+
+  rcu_read_lock ();
+  view = view_get ();
+  for (uint32_t i = 0; view && i < view->services_count; i++)
+    eject_slow (&view->services[i], now_us);
+  rcu_read_unlock ();
+}
+
 static void *
 run (void *arg)
 {
@@ -58,6 +93,7 @@
         event_log (EV_LIVE_LIST_FAILED, "status=%s", log_status_name (status));
       reader->failing = failing;
       note_list (&list, clock_mono_us ());
+      eject_all_slow (clock_mono_us ());
       if (!failing)
         maintenance_step (reader->maintenance, &list);
       live_list_clear (&list);
--- a/daemon/logreader.c
+++ b/daemon/logreader.c
@@ -24,6 +24,7 @@
   rec_t join;
   bool joined; /* the JOIN was appended */
   bool reachable;
+  atomic_bool halting;
   pthread_t thread;
   waiter_t waiter;
 };
@@ -183,6 +184,8 @@
         loaded = load_snapshot (reader);
       if (loaded)
         status = follow (reader);
+      if (reader->halting)
+        break; /* the read was interrupted, which says nothing of the log */
       note_reachable (reader, status);
       if (status == LOG_OK)
         write_snapshot (reader);
@@ -235,6 +238,7 @@
 void
 logreader_halt (logreader_t *reader)
 {
+  atomic_store (&reader->halting, true);
   waiter_stop (&reader->waiter);
   platform_interrupt (reader->platform);
   pthread_join (reader->thread, NULL);
--- a/daemon/routing.c
+++ b/daemon/routing.c
@@ -30,6 +30,7 @@
       candidate->slots
           = left > 0 ? candidate->in_use + (uint32_t)left : candidate->in_use;
       candidate->local = upstream->local;
+      candidate->latency_us = health_latency_us (&upstream->live->health);
       candidate->tried = was_tried (req, upstream->live);
       candidate->verdict = upstream->in_service
                                ? health_judge (&upstream->live->health, now_us)
--- a/route/choice.c
+++ b/route/choice.c
@@ -23,16 +23,25 @@
   return CHOICE_NONE;
 }
 
-/* The one with the smaller part of its slots in use.  */
+/* Time that the slots of C are busy with what they have and one more request,
+   as far as its latency is known.  */
+static double
+expected_wait (const candidate_t *c, bool by_latency)
+{
+  double load = (double)(c->in_use + 1) / c->slots;
+
+  return by_latency ? load * c->latency_us : load;
+}
+
+/* The one with the shorter expected wait.  */
 static uint32_t
 less_loaded (const candidate_t *candidates, uint32_t a, uint32_t b)
 {
   const candidate_t *x = &candidates[a];
   const candidate_t *y = &candidates[b];
+  bool by_latency = x->latency_us > 0 && y->latency_us > 0;
 
-  if ((uint64_t)y->in_use * x->slots < (uint64_t)x->in_use * y->slots)
-    return b;
-  return a;
+  return expected_wait (y, by_latency) < expected_wait (x, by_latency) ? b : a;
 }
 
 static uint32_t
--- a/route/health.c
+++ b/route/health.c
@@ -33,12 +33,30 @@
   return MIN (length_us, EJECT_MAX_US);
 }
 
+bool
+health_eject (health_t *health, int64_t now_us)
+{
+  unsigned ejections = atomic_load (&health->ejections);
+  int_fast64_t none = 0;
+
+  if (!atomic_compare_exchange_strong (&health->until_us, &none,
+                                       now_us + ejection_us (ejections)))
+    return false;
+  atomic_fetch_add (&health->ejections, 1);
+  return true;
+}
+
+uint32_t
+health_latency_us (const health_t *health)
+{
+  return (uint32_t)atomic_load (&health->latency_us);
+}
+
 static bool
 note_failure (health_t *health, int64_t now_us)
 {
   unsigned ejections = atomic_load (&health->ejections);
   int64_t until_us = now_us + ejection_us (ejections);
-  int_fast64_t none = 0;
 
   if (atomic_load (&health->probing))
     {
@@ -53,10 +71,7 @@
     return false;
   /* Requests that were sent before the ejection fail after it; they don't
      make it longer.  */
-  if (!atomic_compare_exchange_strong (&health->until_us, &none, until_us))
-    return false;
-  atomic_fetch_add (&health->ejections, 1);
-  return true;
+  return health_eject (health, now_us);
 }
 
 static bool
@@ -71,6 +86,9 @@
   /* An answer to a request from before the ejection doesn't end it.  */
   if (!atomic_load (&health->probing))
     return false;
+  /* What was before the ejection says nothing of the upstream now.  */
+  atomic_store (&health->latency_us,
+                (uint32_t)CLAMP (latency_us, 1, UINT32_MAX));
   atomic_store (&health->ejections, 0);
   atomic_store (&health->until_us, 0);
   return atomic_exchange (&health->probing, false);
--- a/route/route.h
+++ b/route/route.h
@@ -1,12 +1,13 @@
 /* route - which upstream a request goes to, and whether it goes a second time
 
    NAME
-     choice, health, retry, once
+     choice, health, slow, retry, once
 
    DESCRIPTION
-     choice  the less loaded of two random upstreams (Mitzenmacher 2001), own
-             data centre first
+     choice  of two random upstreams the one with the shorter expected wait
+             (Mitzenmacher 2001), own data centre first
      health  ejection of failing, slow and leaving upstreams, and probes
+     slow    upstreams that take far longer than others of their service
      retry   retry budget and backoff with full jitter
      once    ids of non-idempotent requests and the claims that their owner
              grants
@@ -80,6 +81,23 @@
    itself, that it is leaving.  True when it is the first one.  */
 bool health_note_leaving (health_t *health, int64_t now_us);
 
+/* health_eject - eject an upstream that answers, but too slowly.  False when
+   it is ejected already.  */
+bool health_eject (health_t *health, int64_t now_us);
+
+/* health_latency_us - moving average of the time to an answer; 0: unknown.  */
+uint32_t health_latency_us (const health_t *health);
+
+#define SLOW_NONE UINT32_MAX
+#define SLOW_FACTOR 5     /* times the median of the service */
+#define SLOW_MIN_US 50000 /* less is never slow */
+#define SLOW_KNOWN_MIN 3  /* upstreams, for a median */
+
+/* slow_find - the index of the slowest upstream if it is an outlier, or
+   SLOW_NONE.  One at a time, so that a service that slows down as a whole
+   keeps its upstreams.  */
+uint32_t slow_find (const uint32_t *latencies_us, uint32_t count);
+
 /* An upstream as the choice sees it.  */
 typedef struct candidate
 {
@@ -88,6 +106,7 @@
   bool local; /* in this daemon's data centre */
   bool tried; /* by this request already */
   health_verdict_t verdict;
+  uint32_t latency_us; /* 0: unknown */
 } candidate_t;
 
 #define CHOICE_NONE UINT32_MAX
--- /dev/null
+++ b/route/slow.c
@@ -0,0 +1,42 @@
+#include "route.h"
+
+static gint
+compare (gconstpointer a, gconstpointer b)
+{
+  const uint32_t *left = a;
+  const uint32_t *right = b;
+
+  return (*left > *right) - (*left < *right);
+}
+
+/* The median of the known latencies; 0 when fewer than SLOW_KNOWN_MIN are
+   known.  */
+static uint32_t
+median (const uint32_t *latencies_us, uint32_t count)
+{
+  g_autoptr (GArray) known = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+
+  for (uint32_t i = 0; i < count; i++)
+    if (latencies_us[i] > 0)
+      g_array_append_val (known, latencies_us[i]);
+  if (known->len < SLOW_KNOWN_MIN)
+    return 0;
+  g_array_sort (known, compare);
+  return g_array_index (known, uint32_t, (known->len - 1) / 2);
+}
+
+uint32_t
+slow_find (const uint32_t *latencies_us, uint32_t count)
+{
+  uint64_t limit_us = median (latencies_us, count);
+  uint32_t slowest = SLOW_NONE;
+
+  if (limit_us == 0)
+    return SLOW_NONE;
+  limit_us = MAX (limit_us * SLOW_FACTOR, SLOW_MIN_US);
+  for (uint32_t i = 0; i < count; i++)
+    if (latencies_us[i] > limit_us
+        && (slowest == SLOW_NONE || latencies_us[i] > latencies_us[slowest]))
+      slowest = i;
+  return slowest;
+}
