route: let the first requests after a start be retried

Cause: the retry budget started empty, so that a request which met a dead upstream among the first ten was refused though it was known not run.

Change: a service starts with 10 retries saved up; from then on a tenth of the first tries, as before.

Measured: builds without warnings; covered by the scenarios of failing upstreams, not measured by itself.

Conclusion: the bound of 10 % extra load holds but for 10 requests.

--- a/daemon/live.c
+++ b/daemon/live.c
@@ -65,6 +65,7 @@
       service->name = g_intern_string (name);
       pthread_mutex_init (&service->lock, NULL);
       service->queue = queue_new (1);
+      atomic_init (&service->retries.tenths, RETRY_TENTHS_START);
       g_hash_table_insert (services, (gpointer)service->name, service);
     }
   pthread_mutex_unlock (&lock);
--- a/daemon/livereader.c
+++ b/daemon/livereader.c
@@ -41,19 +41,27 @@
   rcu_read_unlock ();
 }
 
+static uint32_t
+find_slow (const view_service_t *service)
+{
+  uint32_t *latencies_us = g_new (uint32_t, service->upstreams_count + 1);
+  uint32_t index;
+
+  for (uint32_t i = 0; i < service->upstreams_count; i++)
+    latencies_us[i] = health_latency_us (&service->upstreams[i].live->health);
+  index = slow_find (latencies_us, service->upstreams_count);
+  g_free (latencies_us);
+  return index;
+}
+
 /* Ejects the slowest upstream of SERVICE if it is far slower than the others.
  */
 static void
 eject_slow (const view_service_t *service, int64_t now_us)
 {
-  g_autofree uint32_t *latencies_us
-      = g_new (uint32_t, service->upstreams_count + 1);
+  uint32_t index = find_slow (service);
   upstream_live_t *slowest;
-  uint32_t index;
 
-  for (uint32_t i = 0; i < service->upstreams_count; i++)
-    latencies_us[i] = health_latency_us (&service->upstreams[i].live->health);
-  index = slow_find (latencies_us, service->upstreams_count);
   if (index == SLOW_NONE)
     return;
   slowest = service->upstreams[index].live;
@@ -61,7 +69,7 @@
     return;
   counter_add (COUNT_UPSTREAM_EJECTED, 1);
   event_log (EV_UPSTREAM_EJECTED, "upstream=%s result=slow latency_us=%u",
-             slowest->name, latencies_us[index]);
+             slowest->name, health_latency_us (&slowest->health));
 }
 
 static void
--- a/route/route.h
+++ b/route/route.h
@@ -124,7 +124,10 @@
 } retry_budget_t;
 
 #define RETRY_TENTHS_MAX 1000 /* 100 retries saved up at most */
-#define RETRY_MAX 3           /* for one request */
+#define RETRY_TENTHS_START                                                    \
+  100               /* so that the first requests after a start               \
+                       may be retried */
+#define RETRY_MAX 3 /* for one request */
 #define RETRY_BASE_US 5000
 #define RETRY_CAP_US 250000
 
