--- a/test/bench/worker.c
+++ b/test/bench/worker.c
@@ -156,7 +156,8 @@
 wait_events (worker_t *worker)
 {
   struct epoll_event events[EVENTS_MAX];
-  int64_t wait_us = MAX (next_turn_us (worker) - clock_mono_us (), 0);
+  int64_t left_us = next_turn_us (worker) - clock_mono_us ();
+  int64_t wait_us = MAX (left_us, 0);
   struct timespec timeout
       = { .tv_sec = wait_us / 1000000, .tv_nsec = wait_us % 1000000 * 1000 };
   int count
