peer: read the clock once when computing the wait

Cause: as in the load program, MAX evaluated its argument twice; a second reading past the due time gave a negative wait, with which epoll_wait waits without end, so that heartbeats could stop until a peer spoke.

Change: the difference is taken once.

Measured: found by reading; the peer tests pass. It was not seen to happen.

Conclusion: no other MAX, MIN or CLAMP reads a clock.

--- a/peer/hub.c
+++ b/peer/hub.c
@@ -320,11 +320,13 @@
 wait_ms (const link_t *link)
 {
   int64_t due_us = MIN (link->tick_us, targets_due_us (link));
+  int64_t left_us;
 
   for (guint i = 0; i < link->conns->len; i++)
     due_us = MIN (due_us, conn_due_us (g_ptr_array_index (link->conns, i)));
+  left_us = due_us - clock_mono_us ();
   /* Rounded up: a wait that ends too early would be repeated at once.  */
-  return (int)MAX (0, (due_us - clock_mono_us () + 999) / 1000);
+  return (int)((MAX (left_us, 0) + 999) / 1000);
 }
 
 void *APR_THREAD_FUNC
