daemon: name the process in its first log lines

Cause: a settings error was logged under the name of the command line.

Change: main sets the name before anything can fail.

Measured: cuminpind /nonexist logs 1003 as cuminpind.

Conclusion: none.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -203,6 +203,7 @@
   g_autoptr (GError) error = NULL;
   sigset_t signals;
 
+  event_open ("cuminpind", LEVEL_INFO);
   read_options (argc, argv, &options);
   process.settings = settings_read (options.settings, &error);
   free (options.settings);
