daemon: use peer/loans for loans and drop the second claims module

Cause: claims and loans were written twice, in peer/ and in the daemon; the daemon used its own versions, and peer/claims and peer/loans ran only in tests.

--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -4,7 +4,7 @@
    NAME
      live, view, shares, parse, authenticate, claims, admission, routing, send,
      answer, loop, replica, logreader, livereader, maintenance, hostload,
-     exchange, waiter, admin
+     gate, lending, exchange, waiter, admin
 
    DESCRIPTION
      A request passes through
@@ -72,6 +72,10 @@
 upstream_live_t *live_upstream (const char *name);
 service_live_t *live_service (const char *name);
 
+/* live_permits - permits of team NAME or slots of upstream NAME; NULL when
+   there are none by that name.  Any thread.  */
+escrow_t *live_permits (loan_kind_t kind, const char *name);
+
 /* live_teams, live_upstreams - call VISIT for each there is.  */
 void live_teams (void (*visit) (team_live_t *team, void *ctx), void *ctx);
 void live_upstreams (void (*visit) (upstream_live_t *upstream, void *ctx),
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -1,20 +1,9 @@
-#include "daemon.h"
+#include "exchange.h"
 #include <string.h>
 
-/* Of its free permits a lender keeps one in so many for its own clients.  */
-#define LEND_KEEP 8
-#define LOAN_ASK_MAX 1000
-#define ASKED_MAX 64
 /* Records are fetched from peers when the log was not read for so long.  */
 #define FETCH_AFTER_US 2000000
 
-/* A loan that was asked for.  */
-typedef struct asked
-{
-  uint64_t number; /* 0: none */
-  const char *peer;
-} asked_t;
-
 /* All but link and the strings is used by the peer thread only, after start.
  */
 struct exchange
@@ -24,152 +13,14 @@
   replica_t *replica;
   hostload_t *loads;
   link_t *link;
-  int64_t started_us;
-  share_gate_t gate;
+  gate_t gate;
+  lending_t *lending;
   uint64_t version; /* whose entry hosts the link was given */
   own_beat_t beat;  /* the last one */
-  uint64_t next_number;
-  asked_t asked[ASKED_MAX]; /* a ring, by number */
-  bool quarantined;
   bool stale;
   atomic_bool ready; /* link is set */
 };
 
-static const member_t *
-find_member (const member_list_t *members, const char *name)
-{
-  for (uint32_t i = 0; members && i < members->count; i++)
-    if (strcmp (members->members[i].name, name) == 0)
-      return &members->members[i];
-  return NULL;
-}
-
-/* A listed host that is gone counts as one that is not listed: it is stale by
-   now, or has ended.  */
-static share_report_t
-report_of (const member_list_t *members, const char *name, bool listed,
-           int64_t now_us)
-{
-  const member_t *member = find_member (members, name);
-
-  if (!member)
-    return (share_report_t){ 0 };
-  return member_report (
-      member, listed && member_judge (member, now_us) != MEMBER_GONE);
-}
-
-/* Reports of all other hosts that may hold shares; their number.  */
-static uint32_t
-list_reports (const exchange_t *exchange, const view_t *view,
-              share_report_t *reports, int64_t now_us)
-{
-  const member_list_t *members = link_members (exchange->link);
-  const char *self = exchange->settings->name;
-  uint32_t count = 0;
-
-  for (uint32_t i = 0; i < view->entry_hosts_count; i++)
-    if (strcmp (view->entry_hosts[i], self) != 0)
-      reports[count++]
-          = report_of (members, view->entry_hosts[i], true, now_us);
-  for (uint32_t i = 0; i < view->state->entries.count; i++)
-    {
-      const entry_state_t *entry = table_at (&view->state->entries, i);
-
-      if (entry->left || strcmp (entry->name, self) == 0
-          || fleet_find_entry_host (view->state->config->fleet, entry->name))
-        continue;
-      reports[count++] = report_of (members, entry->name, false, now_us);
-    }
-  return count;
-}
-
-/* Sets the gate to VIEW and the end of the quarantine.  */
-static void
-set_gate (exchange_t *exchange, const view_t *view, int64_t now_us)
-{
-  int64_t wait_us
-      = replica_quarantine_us (exchange->replica, view->run_max_ms * 1000);
-  int64_t hold_from_us
-      = wait_us == INT64_MAX ? INT64_MAX : exchange->started_us + wait_us;
-  bool quarantined = now_us < hold_from_us;
-
-  if (quarantined != exchange->quarantined && wait_us != INT64_MAX)
-    event_log (quarantined ? EV_QUARANTINE_BEGAN : EV_QUARANTINE_ENDED,
-               "wait_ms=%" PRId64, wait_us / 1000);
-  exchange->quarantined = quarantined;
-  share_gate_set (&exchange->gate, state_config_version (view->state),
-                  hold_from_us);
-}
-
-static bool
-judge_gate (exchange_t *exchange, const view_t *view, int64_t now_us)
-{
-  share_report_t *reports = g_new0 (
-      share_report_t, view->entry_hosts_count + view->state->entries.count);
-  uint32_t count = list_reports (exchange, view, reports, now_us);
-  bool open;
-
-  set_gate (exchange, view, now_us);
-  open = share_gate_judge (&exchange->gate, reports, count, now_us,
-                           share_wait_us (view->run_max_ms * 1000),
-                           view->grace_max_ms * 1000);
-  g_free (reports);
-  return open;
-}
-
-static void
-tick_team (team_live_t *team, void *ctx)
-{
-  const int64_t *now_us = ctx;
-
-  escrow_tick (team->permits, *now_us);
-}
-
-static void
-tick_upstream (upstream_live_t *upstream, void *ctx)
-{
-  const int64_t *now_us = ctx;
-
-  escrow_tick (upstream->slots, *now_us);
-}
-
-static void
-ask_peers (exchange_t *exchange, const char *team, uint32_t count,
-           int64_t now_us)
-{
-  const member_list_t *members = link_members (exchange->link);
-
-  for (uint32_t i = 0; i < members->count; i++)
-    {
-      const member_t *member = &members->members[i];
-      msg_t msg = { .kind = MSG_LOAN_ASK };
-      asked_t *slot;
-
-      if (member_judge (member, now_us) != MEMBER_ALIVE)
-        continue;
-      msg.u.loan_ask.number = ++exchange->next_number;
-      msg.u.loan_ask.kind = LOAN_TEAM;
-      msg.u.loan_ask.count = MIN (count, LOAN_ASK_MAX);
-      g_strlcpy (msg.u.loan_ask.name, team, REC_NAME_BYTES);
-      slot = &exchange->asked[msg.u.loan_ask.number % ASKED_MAX];
-      *slot = (asked_t){ msg.u.loan_ask.number, member->name };
-      link_send (exchange->link, member->name, &msg);
-    }
-}
-
-static void
-ask_for_loans (exchange_t *exchange, const view_t *view, int64_t now_us)
-{
-  for (uint32_t i = 0; i < view->teams_count; i++)
-    {
-      team_live_t *team = view->teams[i].live;
-      uint32_t wanted = atomic_exchange (&team->wanted, 0);
-
-      if (wanted > 0)
-        ask_peers (exchange, team->name, wanted, now_us);
-    }
-}
-
 /* A peer to fetch records from: one that is ahead, of this data centre if
    there is one.  */
 static const char *
@@ -242,7 +93,8 @@
     .log_read_us = atomic_load (&currency.log_read_us),
   };
 
-  if (view && shares_are_settled () && now_us >= exchange->gate.hold_from_us)
+  if (view && shares_are_settled ()
+      && now_us >= exchange->gate.share.hold_from_us)
     beat.settled_version = beat.config_version;
   link_set_beat (exchange->link, &beat);
   /* Peers wait for these versions before they raise their shares.  */
@@ -267,8 +119,8 @@
                       fleet->entry_hosts_count);
       exchange->version = version;
     }
-  shares_apply (view, judge_gate (exchange, view, now_us));
-  ask_for_loans (exchange, view, now_us);
+  shares_apply (view, gate_judge (&exchange->gate, view, now_us));
+  lending_ask (exchange->lending, view, now_us);
   tell_loads (exchange, view);
   note_freshness (exchange, view, now_us);
 }
@@ -281,8 +133,7 @@
 
   if (!atomic_load (&exchange->ready))
     return;
-  live_teams (tick_team, &now_us);
-  live_upstreams (tick_upstream, &now_us);
+  lending_tick (exchange->lending, now_us);
   rcu_read_lock ();
   view = view_get ();
   if (view)
@@ -340,56 +191,6 @@
   link_send (exchange->link, peer, &msg);
 }
 
-/* Lends what is asked for, as far as it is free, but for a small part that is
-   kept for this daemon's own clients.  */
-static void
-answer_loan_ask (exchange_t *exchange, const char *peer,
-                 const msg_loan_ask_t *ask)
-{
-  msg_t msg = { .kind = MSG_LOAN };
-  escrow_t *permits;
-  int64_t left;
-  int64_t keep;
-
-  if (ask->kind != LOAN_TEAM)
-    return;
-  permits = live_team (ask->name)->permits;
-  left = escrow_free_count (permits);
-  keep = escrow_in_use (permits) > 0 ? (left + LEND_KEEP - 1) / LEND_KEEP : 0;
-  if (left <= keep)
-    return;
-  msg.u.loan.number = ask->number;
-  msg.u.loan.kind = ask->kind;
-  msg.u.loan.expiry_ms = clock_wall_ms () + LOAN_US / 1000;
-  g_strlcpy (msg.u.loan.name, ask->name, REC_NAME_BYTES);
-  msg.u.loan.count
-      = escrow_lend (permits, (uint32_t)MIN (left - keep, ask->count),
-                     clock_mono_us () + LOAN_US);
-  if (msg.u.loan.count == 0)
-    return;
-  counter_add (COUNT_LOANS_GIVEN, msg.u.loan.count);
-  event_log (EV_LOAN_GIVEN, "team=%s peer=%s count=%u", ask->name, peer,
-             msg.u.loan.count);
-  link_send (exchange->link, peer, &msg);
-}
-
-static void
-take_loan (exchange_t *exchange, const char *peer, const msg_loan_t *loan)
-{
-  asked_t *slot = &exchange->asked[loan->number % ASKED_MAX];
-  int64_t left_us = (loan->expiry_ms - clock_wall_ms ()) * 1000;
-
-  if (loan->kind != LOAN_TEAM || loan->number == 0
-      || slot->number != loan->number || slot->peer != peer)
-    return;
-  slot->number = 0;
-  if (left_us <= 0 || left_us > LOAN_US + CLOCK_ERROR_MS * 1000)
-    return;
-  if (escrow_borrow (live_team (loan->name)->permits, loan->count,
-                     clock_mono_us () + left_us))
-    counter_add (COUNT_LOANS_TAKEN, loan->count);
-}
-
 static void
 answer_fetch (exchange_t *exchange, const char *peer, uint64_t from)
 {
@@ -419,10 +220,8 @@
                          claim_error (msg->u.claimed.verdict));
       return;
     case MSG_LOAN_ASK:
-      answer_loan_ask (exchange, peer, &msg->u.loan_ask);
-      return;
     case MSG_LOAN:
-      take_loan (exchange, peer, &msg->u.loan);
+      lending_take (exchange->lending, peer, msg);
       return;
     case MSG_FETCH:
       answer_fetch (exchange, peer, msg->u.fetch.offset);
@@ -462,10 +261,7 @@
   exchange->config = config;
   exchange->replica = replica;
   exchange->loads = hostload_new ();
-  exchange->started_us = clock_mono_us ();
-  exchange->quarantined = true;
   exchange->stale = true;
-  exchange->gate.hold_from_us = INT64_MAX;
   exchange->link = link_start (&link);
   if (!exchange->link)
     {
@@ -473,6 +269,8 @@
       g_free (exchange);
       return NULL;
     }
+  gate_init (&exchange->gate, settings, replica, exchange->link);
+  exchange->lending = lending_new (settings, config, exchange->link);
   link_set_seeds (exchange->link, (const char *const *)settings->seed_peers,
                   settings->seed_peers_count);
   currency.data_centre = settings->data_centre;
@@ -521,8 +319,9 @@
   link_stop (exchange->link);
   live_teams (add_team, &usage);
   live_upstreams (add_upstream, &usage);
-  may_leave = share_may_leave (&exchange->gate, usage.in_use, usage.lent,
+  may_leave = share_may_leave (&exchange->gate.share, usage.in_use, usage.lent,
                                clock_mono_us ());
+  lending_free (exchange->lending);
   hostload_free (exchange->loads);
   g_free (exchange);
   return may_leave;
--- a/daemon/live.c
+++ b/daemon/live.c
@@ -71,6 +71,28 @@
   return service;
 }
 
+escrow_t *
+live_permits (loan_kind_t kind, const char *name)
+{
+  const upstream_live_t *upstream = NULL;
+  const team_live_t *team = NULL;
+
+  pthread_mutex_lock (&lock);
+  switch (kind)
+    {
+    case LOAN_TEAM:
+      team = g_hash_table_lookup (names_of (&teams), name);
+      break;
+    case LOAN_UPSTREAM:
+      upstream = g_hash_table_lookup (names_of (&upstreams), name);
+      break;
+    }
+  pthread_mutex_unlock (&lock);
+  if (team)
+    return team->permits;
+  return upstream ? upstream->slots : NULL;
+}
+
 void
 live_teams (void (*visit) (team_live_t *team, void *ctx), void *ctx)
 {
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -1,13 +1,12 @@
 /* peer - connections between daemons, and who of them is alive
 
    NAME
-     member, link, claims, loans
+     member, link, loans
 
    DESCRIPTION
      member  what heartbeats say of the other daemons; pure
      link    one thread that keeps a TCP connection to each other daemon, sends
              and receives frames, and publishes the list of members
-     claims  asks the owner of a request id for its claim, and answers as owner
      loans   asks other daemons for permits when there are none left here, and
              lends to them
 
@@ -22,7 +21,6 @@
 #define CUMINPIN_PEER_H
 
 #include "admit.h"
-#include "route.h"
 #include "wire.h"
 #include <pthread.h>
 #include <urcu.h>
@@ -171,59 +169,6 @@
    rcu_read_unlock.  */
 const member_list_t *link_members (const link_t *link);
 
-/* Shortest time after which a question counts as unanswered; it is looked at
-   each BEAT_EVERY_US.  */
-#define CLAIM_TIMEOUT_US 500000
-
-/* A question to the owner of a request id; embedded in the asker's request. */
-typedef struct claim_ask
-{
-  once_id_t id;
-  const char *owner; /* interned */
-  uint64_t number;
-  int64_t due_us;
-  err_kind_t error; /* the answer */
-} claim_ask_t;
-
-typedef struct claims claims_t;
-
-typedef struct claims_config
-{
-  /* As link_send.  */
-  bool (*send) (void *ctx, const char *peer, const msg_t *msg);
-  /* On the peer thread: whether this daemon owns ID in its configuration and
-     its view is not stale.  */
-  bool (*may_grant) (void *ctx, const once_id_t *id);
-  /* On the peer thread: ASK->error is ERR_NONE, or why there is no claim.  */
-  void (*done) (void *ctx, claim_ask_t *ask);
-  void *ctx;
-  once_table_t *table;
-  pthread_mutex_t *table_lock;
-} claims_config_t;
-
-claims_t *claims_new (const claims_config_t *config);
-
-/* claims_free - no question may be under way.  */
-void claims_free (claims_t *claims);
-
-/* claims_ask - ask ASK->owner for ASK->id.  False when it can't be reached;
-   otherwise `done' is called once.  Any thread.  */
-bool claims_ask (claims_t *claims, claim_ask_t *ask, int64_t now_us);
-
-/* claims_cancel - forget ASK.  False when `done' was or is being called.  Any
-   thread.  */
-bool claims_cancel (claims_t *claims, claim_ask_t *ask);
-
-/* claims_take - MSG is a CLAIM or CLAIMED from PEER.  Peer thread.  */
-void claims_take (claims_t *claims, const char *peer, const msg_t *msg,
-                  int64_t now_ms);
-
-/* claims_tick - give up what was asked too long ago.  Peer thread.  */
-void claims_tick (claims_t *claims, int64_t now_us);
-
-/* claims_lost - PEER is no longer connected.  Peer thread.  */
-void claims_lost (claims_t *claims, const char *peer);
-
 #define LOAN_ASK_TIMEOUT_US 500000
 #define LOAN_PAUSE_US 1000000 /* after all peers were asked */
 
--- a/peer/test/pair.h
+++ b/peer/test/pair.h
@@ -1,4 +1,4 @@
-/* pair - two daemons' links with claims and loans, joined over loopback, as
+/* pair - two daemons' links with loans, joined over loopback, as
    cuminpind joins them  */
 
 #ifndef CUMINPIN_PEER_PAIR_H
@@ -13,15 +13,11 @@
 typedef struct side
 {
   link_t *link;
-  claims_t *claims;
   loans_t *loans;
-  once_table_t *table;
-  pthread_mutex_t table_lock;
   escrow_t *escrow;    /* of team "blue" */
   atomic_bool mute;    /* answers nothing */
-  atomic_bool refuses; /* grants and lends nothing */
+  atomic_bool refuses; /* lends nothing */
   bool up;
-  uint32_t done;
   uint32_t arrived;
 } side_t;
 
@@ -46,26 +42,12 @@
   return link_send (((side_t *)ctx)->link, peer, msg);
 }
 
-static bool
-side_may_grant (void *ctx, const once_id_t *id)
-{
-  (void)id;
-  return !((side_t *)ctx)->refuses;
-}
-
 static bool
 side_may_lend (void *ctx)
 {
   return !((side_t *)ctx)->refuses;
 }
 
-static void
-side_done (void *ctx, claim_ask_t *ask)
-{
-  (void)ask;
-  note (&((side_t *)ctx)->done);
-}
-
 static escrow_t *
 side_find (void *ctx, loan_kind_t kind, const char *name)
 {
@@ -91,7 +73,6 @@
   (void)incarnation;
   if (side->mute)
     return;
-  claims_take (side->claims, peer, msg, clock_wall_ms ());
   loans_take (side->loans, peer, msg, clock_mono_us (), clock_wall_ms ());
 }
 
@@ -100,8 +81,7 @@
 {
   side_t *side = ctx;
 
-  if (!connected)
-    claims_lost (side->claims, peer);
+  (void)peer;
   pthread_mutex_lock (&lock);
   side->up = connected;
   pthread_cond_broadcast (&changed);
@@ -115,18 +95,12 @@
 
   if (no_ticks)
     return;
-  claims_tick (side->claims, now_us);
   loans_tick (side->loans, now_us);
 }
 
 static void
 side_open (side_t *side, const char *name)
 {
-  claims_config_t claims = { .send = side_send,
-                             .may_grant = side_may_grant,
-                             .done = side_done,
-                             .ctx = side,
-                             .table_lock = &side->table_lock };
   loans_config_t loans = { .send = side_send,
                            .find = side_find,
                            .may_lend = side_may_lend,
@@ -143,10 +117,6 @@
                            .ctx = side };
 
   *side = (side_t){ .escrow = escrow_new () };
-  pthread_mutex_init (&side->table_lock, NULL);
-  side->table = once_new (clock_wall_ms () - ONCE_WINDOW_MS);
-  claims.table = side->table;
-  side->claims = claims_new (&claims);
   side->loans = loans_new (&loans);
   side->link = link_start (&config);
   ck_assert_ptr_nonnull (side->link);
@@ -156,9 +126,7 @@
 side_close (side_t *side)
 {
   link_stop (side->link);
-  claims_free (side->claims);
   loans_free (side->loans);
-  once_free (side->table);
   escrow_free (side->escrow);
 }
 
