--- a/admit/admit.h
+++ b/admit/admit.h
@@ -112,6 +112,14 @@
    share was lowered below what is in use.  */
 int64_t escrow_free_count (const escrow_t *escrow);
 
+/* escrow_available - permits that escrow_take could take now for work that has
+   surely ended at END_US, lent ones included.  Any thread.  */
+uint32_t escrow_available (const escrow_t *escrow, int64_t now_us,
+                           int64_t end_us);
+
+/* escrow_may_borrow - whether another loan can be opened.  Any thread.  */
+bool escrow_may_borrow (const escrow_t *escrow);
+
 /* escrow_lend - subtract up to COUNT free permits of the own share until
    EXPIRY_US; the number subtracted.  They are back after escrow_tick at a time
    past EXPIRY_US plus the clock error.  One thread.  */
--- a/admit/escrow.c
+++ b/admit/escrow.c
@@ -193,6 +193,30 @@
   return atomic_load (&escrow->free);
 }
 
+uint32_t
+escrow_available (const escrow_t *escrow, int64_t now_us, int64_t end_us)
+{
+  int64_t own = atomic_load (&escrow->free);
+  uint32_t count = own > 0 ? (uint32_t)own : 0;
+
+  if (atomic_load (&escrow->open_loans) == 0)
+    return count;
+  for (uint32_t i = 0; i < LOANS_MAX; i++)
+    {
+      int64_t expiry_us = atomic_load (&escrow->loans[i].expiry_us);
+
+      if (end_us <= expiry_us && now_us < expiry_us)
+        count += word_free (atomic_load (&escrow->loans[i].word));
+    }
+  return count;
+}
+
+bool
+escrow_may_borrow (const escrow_t *escrow)
+{
+  return atomic_load (&escrow->open_loans) < LOANS_MAX;
+}
+
 uint32_t
 escrow_lend (escrow_t *escrow, uint32_t count, int64_t expiry_us)
 {
--- a/daemon/admission.c
+++ b/daemon/admission.c
@@ -11,11 +11,16 @@
 static bool
 take_permit (req_t *req, int64_t now_us)
 {
-  if (!req->team
-      || escrow_take (req->team->permits, now_us, end_us (req), &req->permit))
-    return true;
-  atomic_fetch_add (&req->team->wanted, 1);
-  return false;
+  return !req->team
+         || escrow_take (req->team->permits, now_us, end_us (req),
+                         &req->permit);
+}
+
+/* Whether a loan that is asked for now could serve REQ.  */
+static bool
+can_use_loan (const req_t *req, int64_t now_us)
+{
+  return end_us (req) - now_us < LOAN_US;
 }
 
 static void
@@ -103,7 +108,7 @@
 {
   const view_service_t *service;
   int64_t now_us;
-  err_kind_t error;
+  int64_t no_slot_us; /* no slot is free for work that ends then or later */
 } grant_t;
 
 /* Whether the entry at the head of a team's queue can run: takes its permit
@@ -114,16 +119,25 @@
   grant_t *grant = ctx;
   req_t *req = caa_container_of (entry, req_t, queue_entry);
 
-  if (grant->error != ERR_NONE || !take_permit (req, grant->now_us))
+  err_kind_t error;
+
+  if (end_us (req) >= grant->no_slot_us)
     return false;
-  grant->error
-      = routing_take (req, grant->service, grant->now_us, end_us (req));
-  if (grant->error == ERR_NONE)
+  if (!take_permit (req, grant->now_us))
+    {
+      if (can_use_loan (req, grant->now_us))
+        atomic_fetch_add (&req->team->wanted, 1);
+      return false;
+    }
+  error = routing_take (req, grant->service, grant->now_us, end_us (req));
+  if (error == ERR_NONE)
     return true;
   give_permit (req);
-  /* Tried before by this request only: others may still find a slot.  */
-  if (req->tries > 0)
-    grant->error = ERR_NONE;
+  if (error == ERR_QUEUE_FULL && can_use_loan (req, grant->now_us))
+    atomic_store (&grant->service->live->slots_wanted, true);
+  /* A request that was tried before has fewer upstreams left than others.  */
+  if (req->tries == 0)
+    grant->no_slot_us = error == ERR_QUEUE_FULL ? end_us (req) : INT64_MIN;
   return false;
 }
 
@@ -134,7 +148,7 @@
 
   while (atomic_load (&live->queued) > 0)
     {
-      grant_t grant = { service, now_us, ERR_NONE };
+      grant_t grant = { service, now_us, INT64_MAX };
       queue_entry_t *entry;
       req_t *req;
 
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -48,7 +48,7 @@
   const char *name;
   escrow_t *permits;
   uint32_t part;      /* keeper only: of the limit, for this daemon */
-  atomic_uint wanted; /* permits missed since the keeper looked last */
+  atomic_uint wanted; /* permits missed since the peer thread looked last */
 } team_live_t;
 
 typedef struct upstream_live
@@ -64,7 +64,8 @@
   const char *name;
   pthread_mutex_t lock; /* guards queue and the stage of queued requests */
   fair_queue_t *queue;
-  atomic_uint queued; /* length of queue, read without the lock */
+  atomic_uint queued;       /* length of queue, read without the lock */
+  atomic_bool slots_wanted; /* missed since the peer thread looked last */
   retry_budget_t retries;
 } service_live_t;
 
--- a/daemon/lending.c
+++ b/daemon/lending.c
@@ -3,6 +3,8 @@
 
 #define LOAN_ASK_MAX 1000
 #define PEERS_MAX 64
+/* Upstreams of a service whose slots are asked for at once: a message each. */
+#define UPSTREAMS_ASKED_MAX 4
 
 struct lending
 {
@@ -10,6 +12,7 @@
   loop_config_t *config;
   link_t *link;
   loans_t *loans;
+  uint32_t turn; /* of the upstream that is asked for first */
 };
 
 static bool
@@ -25,6 +28,16 @@
   return live_permits (kind, name);
 }
 
+static uint32_t
+count_queued (const view_t *view)
+{
+  uint32_t queued = 0;
+
+  for (uint32_t i = 0; i < view->services_count; i++)
+    queued += atomic_load (&view->services[i].live->queued);
+  return queued;
+}
+
 static bool
 may_lend (void *ctx)
 {
@@ -40,19 +53,36 @@
   return may;
 }
 
-/* Requests that wait for it are granted at once.  */
+static bool
+has_queue (void *ctx)
+{
+  const view_t *view;
+  uint32_t queued;
+
+  (void)ctx;
+  rcu_read_lock ();
+  view = view_get ();
+  queued = view ? count_queued (view) : 0;
+  rcu_read_unlock ();
+  return queued > 0;
+}
+
+/* Requests that wait for it are granted at once; those that got a permit may
+   lack a slot next.  */
 static void
 arrived (void *ctx, loan_kind_t kind, const char *name)
 {
   const view_t *view;
 
-  (void)ctx;
   (void)kind;
   (void)name;
   rcu_read_lock ();
   view = view_get ();
   if (view)
-    admission_pump_all (view, clock_mono_us ());
+    {
+      admission_pump_all (view, clock_mono_us ());
+      lending_ask (ctx, view, clock_mono_us ());
+    }
   rcu_read_unlock ();
 }
 
@@ -63,6 +93,7 @@
   loans_config_t loans = { .send = send_to,
                            .find = find,
                            .may_lend = may_lend,
+                           .has_queue = has_queue,
                            .arrived = arrived,
                            .ctx = lending };
 
@@ -101,9 +132,11 @@
   return count;
 }
 
-void
-lending_ask (lending_t *lending, const view_t *view, int64_t now_us)
+static void
+ask_for_permits (lending_t *lending, const view_t *view, int64_t now_us)
 {
+  /* A request counts each time it is looked at.  */
+  uint32_t most = MIN (count_queued (view), LOAN_ASK_MAX);
   const char *peers[PEERS_MAX];
   uint32_t count
       = list_peers (lending, lending->settings->data_centre, peers, now_us);
@@ -111,14 +144,75 @@
   for (uint32_t i = 0; i < view->teams_count; i++)
     {
       team_live_t *team = view->teams[i].live;
-      uint32_t wanted = atomic_exchange (&team->wanted, 0);
+      uint32_t wanted = MIN (atomic_exchange (&team->wanted, 0), most);
 
       if (wanted > 0)
-        loans_want (lending->loans, LOAN_TEAM, team->name,
-                    MIN (wanted, LOAN_ASK_MAX), peers, count, now_us);
+        loans_want (lending->loans, LOAN_TEAM, team->name, wanted, peers,
+                    count, now_us);
     }
 }
 
+/* Asks the daemons of the data centre of UPSTREAM first: they hold its slots.
+ */
+static uint32_t
+ask_for_slots_of (lending_t *lending, const view_t *view,
+                  const view_upstream_t *upstream, uint32_t wanted,
+                  int64_t now_us)
+{
+  const char *place = fleet_upstream_data_centre (view->state->config->fleet,
+                                                  upstream->rule);
+  uint32_t ask = MIN (wanted, upstream->rule->slots);
+  const char *peers[PEERS_MAX];
+  uint32_t count = list_peers (lending, place, peers, now_us);
+
+  loans_want (lending->loans, LOAN_UPSTREAM, upstream->live->name, ask, peers,
+              count, now_us);
+  return ask;
+}
+
+static bool
+can_serve (const view_upstream_t *upstream, int64_t now_us)
+{
+  health_verdict_t verdict = health_judge (&upstream->live->health, now_us);
+
+  return upstream->in_service
+         && (verdict == HEALTH_OK || verdict == HEALTH_PROBE);
+}
+
+/* Upstreams of the own data centre first; which one comes first there changes
+   with each call, because its slots may all be in use.  */
+static void
+ask_for_slots (lending_t *lending, const view_t *view,
+               const view_service_t *service, int64_t now_us)
+{
+  uint32_t wanted = atomic_load (&service->live->queued);
+  uint32_t count = service->upstreams_count;
+  uint32_t asked = 0;
+
+  lending->turn++;
+  for (uint32_t pass = 0; pass < 2; pass++)
+    for (uint32_t i = 0;
+         i < count && wanted > 0 && asked < UPSTREAMS_ASKED_MAX; i++)
+      {
+        const view_upstream_t *upstream
+            = &service->upstreams[(lending->turn + i) % count];
+
+        if (upstream->local != (pass == 0) || !can_serve (upstream, now_us))
+          continue;
+        wanted -= ask_for_slots_of (lending, view, upstream, wanted, now_us);
+        asked++;
+      }
+}
+
+void
+lending_ask (lending_t *lending, const view_t *view, int64_t now_us)
+{
+  ask_for_permits (lending, view, now_us);
+  for (uint32_t i = 0; i < view->services_count; i++)
+    if (atomic_exchange (&view->services[i].live->slots_wanted, false))
+      ask_for_slots (lending, view, &view->services[i], now_us);
+}
+
 void
 lending_take (lending_t *lending, const char *peer, const msg_t *msg)
 {
--- a/daemon/routing.c
+++ b/daemon/routing.c
@@ -12,10 +12,11 @@
 }
 
 /* Fills CANDIDATES; the number of them.  *USABLE tells whether any could take
-   REQ once it has a slot free.  */
+   REQ once a slot of it is free here, be it a lent one.  */
 static uint32_t
 list_candidates (const req_t *req, const view_service_t *service,
-                 int64_t now_us, candidate_t *candidates, bool *usable)
+                 int64_t now_us, int64_t end_us, candidate_t *candidates,
+                 bool *usable)
 {
   uint32_t count = MIN (service->upstreams_count, CANDIDATES_MAX);
 
@@ -23,12 +24,12 @@
   for (uint32_t i = 0; i < count; i++)
     {
       const view_upstream_t *upstream = &service->upstreams[i];
-      int64_t left = escrow_free_count (upstream->live->slots);
       candidate_t *candidate = &candidates[i];
 
       candidate->in_use = escrow_in_use (upstream->live->slots);
       candidate->slots
-          = left > 0 ? candidate->in_use + (uint32_t)left : candidate->in_use;
+          = candidate->in_use
+            + escrow_available (upstream->live->slots, now_us, end_us);
       candidate->local = upstream->local;
       candidate->tried = was_tried (req, upstream->live);
       candidate->verdict = upstream->in_service
@@ -36,8 +37,7 @@
                                : HEALTH_LEAVING;
       if (!candidate->tried
           && (candidate->verdict == HEALTH_OK
-              || candidate->verdict == HEALTH_PROBE)
-          && escrow_share (upstream->live->slots) > 0)
+              || candidate->verdict == HEALTH_PROBE))
         *usable = true;
     }
   return count;
@@ -49,7 +49,8 @@
 {
   candidate_t candidates[CANDIDATES_MAX];
   bool usable;
-  uint32_t count = list_candidates (req, service, now_us, candidates, &usable);
+  uint32_t count
+      = list_candidates (req, service, now_us, end_us, candidates, &usable);
 
   if (!usable)
     return ERR_NO_UPSTREAM;
--- a/daemon/test/routing_test.c
+++ b/daemon/test/routing_test.c
@@ -22,6 +22,7 @@
   req_t *req = fixture_request ("closed", 0);
 
   req->tried[req->tries++] = live_upstream ("u1");
+  req->tried[req->tries++] = live_upstream ("u2");
   ck_assert_int_eq (routing_take (req, service, 0, FAR_US), ERR_NO_UPSTREAM);
 }
 END_TEST
@@ -46,6 +47,28 @@
 }
 END_TEST
 
+/* A daemon without slots of its own runs a request on a lent one, and only one
+   that ends with the loan; until then the request waits.  */
+START_TEST (lent_slots_serve_an_upstream_without_a_share)
+{
+  view_t *view = fixture_view ();
+  const view_service_t *service = view_service (view, "closed");
+  escrow_t *slots = live_upstream ("u2")->slots;
+  req_t *req = fixture_request ("closed", 0);
+
+  req->tried[req->tries++] = live_upstream ("u1");
+  ck_assert_uint_eq (escrow_share (slots), 0);
+  ck_assert_int_eq (routing_take (req, service, 0, 5), ERR_QUEUE_FULL);
+  ck_assert (escrow_borrow (slots, 1, 10));
+  ck_assert_int_eq (routing_take (req, service, 0, 11), ERR_QUEUE_FULL);
+  ck_assert_int_eq (routing_take (req, service, 0, 10), ERR_NONE);
+  ck_assert_str_eq (req->upstream->name, "u2");
+  escrow_give (slots, req->slot);
+  escrow_tick (slots, 10);
+  ck_assert_int_eq (routing_take (req, service, 10, 10), ERR_QUEUE_FULL);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -54,6 +77,7 @@
   /* In this order: the last one leaves the slots taken.  */
   tcase_add_test (tests, service_without_upstreams_has_none);
   tcase_add_test (tests, tried_upstream_is_not_tried_again);
+  tcase_add_test (tests, lent_slots_serve_an_upstream_without_a_share);
   tcase_add_test (tests, slots_are_never_exceeded);
   return fixture_run (tests);
 }
--- a/peer/loans.c
+++ b/peer/loans.c
@@ -85,7 +85,8 @@
 ask_next (loans_t *loans, want_t *want, int64_t now_us)
 {
   want->asked = NULL;
-  while (want->count > 0 && want->peers->len > 0)
+  while (want->count > 0 && want->peers->len > 0
+         && escrow_may_borrow (want->escrow))
     {
       const char *peer = g_ptr_array_steal_index (want->peers, 0);
       msg_t msg = { .kind = MSG_LOAN_ASK };
@@ -126,7 +127,8 @@
 }
 
 /* Lends at most half of what is free, so that two daemons which both run out
-   don't pass the same permits to and fro.  */
+   don't pass the same permits to and fro; the last one only if nothing is
+   queued here.  */
 static void
 lend (loans_t *loans, const char *peer, const msg_loan_ask_t *ask,
       int64_t now_us, int64_t now_ms)
@@ -134,12 +136,13 @@
   const loans_config_t *config = &loans->config;
   escrow_t *escrow = config->find (config->ctx, ask->kind, ask->name);
   msg_t msg = { .kind = MSG_LOAN };
-  int64_t half = escrow ? (escrow_free_count (escrow) + 1) / 2 : 0;
+  int64_t half = escrow ? escrow_free_count (escrow) : 0;
 
   msg.u.loan = (msg_loan_t){ .number = ask->number,
                              .kind = ask->kind,
                              .expiry_ms = now_ms + LOAN_US / 1000 };
   memcpy (msg.u.loan.name, ask->name, sizeof ask->name);
+  half = (half + !config->has_queue (config->ctx)) / 2;
   if (half > 0 && config->may_lend (config->ctx))
     {
       g_hash_table_add (loans->escrows, escrow);
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -184,6 +184,8 @@
   /* On the peer thread: whether lending is allowed: the view is not stale, the
      daemon does not stop.  */
   bool (*may_lend) (void *ctx);
+  /* On the peer thread: whether requests of this daemon are queued.  */
+  bool (*has_queue) (void *ctx);
   /* On the peer thread: permits of a resource have come.  */
   void (*arrived) (void *ctx, loan_kind_t kind, const char *name);
   void *ctx;
--- a/peer/test/pair.h
+++ b/peer/test/pair.h
@@ -17,6 +17,7 @@
   escrow_t *escrow;    /* of team "blue" */
   atomic_bool mute;    /* answers nothing */
   atomic_bool refuses; /* lends nothing */
+  atomic_bool queued;  /* has requests of its own waiting */
   bool up;
   uint32_t arrived;
 } side_t;
@@ -48,6 +49,12 @@
   return !((side_t *)ctx)->refuses;
 }
 
+static bool
+side_has_queue (void *ctx)
+{
+  return ((side_t *)ctx)->queued;
+}
+
 static escrow_t *
 side_find (void *ctx, loan_kind_t kind, const char *name)
 {
@@ -104,6 +111,7 @@
   loans_config_t loans = { .send = side_send,
                            .find = side_find,
                            .may_lend = side_may_lend,
+                           .has_queue = side_has_queue,
                            .arrived = side_arrived,
                            .ctx = side };
   link_config_t config = { .name = name,
