--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -4,7 +4,7 @@
    NAME
      live, view, shares, parse, authenticate, claims, admission, routing, send,
      answer, loop, replica, logreader, livereader, maintenance, hostload,
-     exchange, waiter, admin
+     gate, lending, exchange, waiter, admin
 
    DESCRIPTION
      A request passes through
@@ -48,7 +48,7 @@
   const char *name;
   escrow_t *permits;
   uint32_t part;      /* keeper only: of the limit, for this daemon */
-  atomic_uint wanted; /* permits missed since the keeper looked last */
+  atomic_uint wanted; /* permits missed since the peer thread looked last */
 } team_live_t;
 
 typedef struct upstream_live
@@ -64,7 +64,8 @@
   const char *name;
   pthread_mutex_t lock; /* guards queue and the stage of queued requests */
   fair_queue_t *queue;
-  atomic_uint queued; /* length of queue, read without the lock */
+  atomic_uint queued;       /* length of queue, read without the lock */
+  atomic_bool slots_wanted; /* missed since the peer thread looked last */
   retry_budget_t retries;
   estimate_t run_time;
 } service_live_t;
@@ -73,6 +74,10 @@
 upstream_live_t *live_upstream (const char *name);
 service_live_t *live_service (const char *name);
 
+/* live_permits - permits of team NAME or slots of upstream NAME; NULL when
+   there are none by that name.  Any thread.  */
+escrow_t *live_permits (loan_kind_t kind, const char *name);
+
 /* live_teams, live_upstreams - call VISIT for each there is.  */
 void live_teams (void (*visit) (team_live_t *team, void *ctx), void *ctx);
 void live_upstreams (void (*visit) (upstream_live_t *upstream, void *ctx),
--- /dev/null
+++ b/daemon/lending.c
@@ -0,0 +1,226 @@
+#include "exchange.h"
+#include <string.h>
+
+#define LOAN_ASK_MAX 1000
+#define PEERS_MAX 64
+/* Upstreams of a service whose slots are asked for at once: a message each. */
+#define UPSTREAMS_ASKED_MAX 4
+
+struct lending
+{
+  const settings_t *settings;
+  loop_config_t *config;
+  link_t *link;
+  loans_t *loans;
+  uint32_t turn; /* of the upstream that is asked for first */
+};
+
+static bool
+send_to (void *ctx, const char *peer, const msg_t *msg)
+{
+  return link_send (((lending_t *)ctx)->link, peer, msg);
+}
+
+static escrow_t *
+find (void *ctx, loan_kind_t kind, const char *name)
+{
+  (void)ctx;
+  return live_permits (kind, name);
+}
+
+static uint32_t
+count_queued (const view_t *view)
+{
+  uint32_t queued = 0;
+
+  for (uint32_t i = 0; i < view->services_count; i++)
+    queued += atomic_load (&view->services[i].live->queued);
+  return queued;
+}
+
+static bool
+may_lend (void *ctx)
+{
+  const lending_t *lending = ctx;
+  const view_t *view;
+  bool may;
+
+  rcu_read_lock ();
+  view = view_get ();
+  may = view && !atomic_load (&lending->config->stopping)
+        && currency_judge (view, clock_mono_us (), 0) != STALE;
+  rcu_read_unlock ();
+  return may;
+}
+
+static bool
+has_queue (void *ctx)
+{
+  const view_t *view;
+  uint32_t queued;
+
+  (void)ctx;
+  rcu_read_lock ();
+  view = view_get ();
+  queued = view ? count_queued (view) : 0;
+  rcu_read_unlock ();
+  return queued > 0;
+}
+
+/* Requests that wait for it are granted at once; those that got a permit may
+   lack a slot next.  */
+static void
+arrived (void *ctx, loan_kind_t kind, const char *name)
+{
+  const view_t *view;
+
+  (void)kind;
+  (void)name;
+  rcu_read_lock ();
+  view = view_get ();
+  if (view)
+    {
+      admission_pump_all (view, clock_mono_us ());
+      lending_ask (ctx, view, clock_mono_us ());
+    }
+  rcu_read_unlock ();
+}
+
+lending_t *
+lending_new (const settings_t *settings, loop_config_t *config, link_t *link)
+{
+  lending_t *lending = g_new0 (lending_t, 1);
+  loans_config_t loans = { .send = send_to,
+                           .find = find,
+                           .may_lend = may_lend,
+                           .has_queue = has_queue,
+                           .arrived = arrived,
+                           .ctx = lending };
+
+  lending->settings = settings;
+  lending->config = config;
+  lending->link = link;
+  lending->loans = loans_new (&loans);
+  return lending;
+}
+
+void
+lending_free (lending_t *lending)
+{
+  loans_free (lending->loans);
+  g_free (lending);
+}
+
+/* Fills PEERS with the live ones, those of DATA_CENTRE first; their number. */
+static uint32_t
+list_peers (const lending_t *lending, const char *data_centre,
+            const char **peers, int64_t now_us)
+{
+  const member_list_t *members = link_members (lending->link);
+  uint32_t count = 0;
+
+  for (uint32_t pass = 0; pass < 2; pass++)
+    for (uint32_t i = 0; i < members->count && count < PEERS_MAX; i++)
+      {
+        const member_t *member = &members->members[i];
+        bool near = strcmp (member->data_centre, data_centre) == 0;
+
+        if (near == (pass == 0)
+            && member_judge (member, now_us) == MEMBER_ALIVE)
+          peers[count++] = member->name;
+      }
+  return count;
+}
+
+static void
+ask_for_permits (lending_t *lending, const view_t *view, int64_t now_us)
+{
+  /* A request counts each time it is looked at.  */
+  uint32_t most = MIN (count_queued (view), LOAN_ASK_MAX);
+  const char *peers[PEERS_MAX];
+  uint32_t count
+      = list_peers (lending, lending->settings->data_centre, peers, now_us);
+
+  for (uint32_t i = 0; i < view->teams_count; i++)
+    {
+      team_live_t *team = view->teams[i].live;
+      uint32_t wanted = MIN (atomic_exchange (&team->wanted, 0), most);
+
+      if (wanted > 0)
+        loans_want (lending->loans, LOAN_TEAM, team->name, wanted, peers,
+                    count, now_us);
+    }
+}
+
+/* Asks the daemons of the data centre of UPSTREAM first: they hold its slots.
+ */
+static uint32_t
+ask_for_slots_of (lending_t *lending, const view_t *view,
+                  const view_upstream_t *upstream, uint32_t wanted,
+                  int64_t now_us)
+{
+  const char *place = fleet_upstream_data_centre (view->state->config->fleet,
+                                                  upstream->rule);
+  uint32_t ask = MIN (wanted, upstream->rule->slots);
+  const char *peers[PEERS_MAX];
+  uint32_t count = list_peers (lending, place, peers, now_us);
+
+  loans_want (lending->loans, LOAN_UPSTREAM, upstream->live->name, ask, peers,
+              count, now_us);
+  return ask;
+}
+
+static bool
+can_serve (const view_upstream_t *upstream, int64_t now_us)
+{
+  health_verdict_t verdict = health_judge (&upstream->live->health, now_us);
+
+  return upstream->in_service
+         && (verdict == HEALTH_OK || verdict == HEALTH_PROBE);
+}
+
+/* Upstreams of the own data centre first; which one comes first there changes
+   with each call, because its slots may all be in use.  */
+static void
+ask_for_slots (lending_t *lending, const view_t *view,
+               const view_service_t *service, int64_t now_us)
+{
+  uint32_t wanted = atomic_load (&service->live->queued);
+  uint32_t count = service->upstreams_count;
+  uint32_t asked = 0;
+
+  lending->turn++;
+  for (uint32_t pass = 0; pass < 2; pass++)
+    for (uint32_t i = 0;
+         i < count && wanted > 0 && asked < UPSTREAMS_ASKED_MAX; i++)
+      {
+        const view_upstream_t *upstream
+            = &service->upstreams[(lending->turn + i) % count];
+
+        if (upstream->local != (pass == 0) || !can_serve (upstream, now_us))
+          continue;
+        wanted -= ask_for_slots_of (lending, view, upstream, wanted, now_us);
+        asked++;
+      }
+}
+
+void
+lending_ask (lending_t *lending, const view_t *view, int64_t now_us)
+{
+  ask_for_permits (lending, view, now_us);
+  for (uint32_t i = 0; i < view->services_count; i++)
+    if (atomic_exchange (&view->services[i].live->slots_wanted, false))
+      ask_for_slots (lending, view, &view->services[i], now_us);
+}
+
+void
+lending_take (lending_t *lending, const char *peer, const msg_t *msg)
+{
+  loans_take (lending->loans, peer, msg, clock_mono_us (), clock_wall_ms ());
+}
+
+void
+lending_tick (lending_t *lending, int64_t now_us)
+{
+  loans_tick (lending->loans, now_us);
+}
