fleet: leave the spare the hosts that its own services need

Change: a host leaves the spare only while the spare has more than its need. The tests' scene gave the spare a demand and expected it to lend everything; that demand is now 0, and a test of its own holds the new rule.

Conclusion: callers that give the spare no demand see no change.

--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -215,9 +215,9 @@
 
 /* plan_moves - up to MAX moves to make now; their number.  In this order:
    hosts under way, hosts that the fleet file puts in another pool, hosts for
-   pools that are short (from the spare, then lent hosts of pools with a
-   surplus), lent hosts back to the spare.  Each stays within the budgets.
-   None when the view is not fresh.  */
+   pools that are short (from the spare, which keeps what it needs itself, then
+   lent hosts of pools with a surplus), lent hosts back to the spare.  Each
+   stays within the budgets. None when the view is not fresh.  */
 uint32_t plan_moves (const plan_t *plan, const plan_input_t *in,
                      host_move_t *moves, uint32_t max);
 
--- a/fleet/plan.c
+++ b/fleet/plan.c
@@ -366,10 +366,18 @@
          && has_lasted (d, pool->trend->surplus_since_us, time_us);
 }
 
+/* The spare may have services of its own.  */
+static bool
+spare_may_lend (const draft_t *d)
+{
+  return !d->spare->trend || d->spare->have > d->spare->trend->need;
+}
+
 static const host_state_t *
 find_host_for (draft_t *d, const pool_plan_t *to)
 {
-  const host_state_t *host = take_host (d, d->spare, to);
+  const host_state_t *host
+      = spare_may_lend (d) ? take_host (d, d->spare, to) : NULL;
 
   for (uint32_t i = 0; !host && i < d->pools_count; i++)
     if (has_surplus (d, &d->pools[i], PLAN_SURPLUS_US))
--- a/fleet/test/plan_test.c
+++ b/fleet/test/plan_test.c
@@ -39,6 +39,7 @@
   ck_assert_int_eq (fixture_publish (s->state, &fixture), VERDICT_APPLIED);
   for (uint32_t i = 0; i < 5; i++)
     s->demands[i] = (pool_demand_t){ .pool = pools[i], .now_milli = 3000 };
+  s->demands[0].now_milli = 0; /* the spare has no services of its own */
 }
 
 static void
@@ -118,6 +119,22 @@
 }
 END_TEST
 
+/* The services of the spare were left without hosts.  */
+START_TEST (the_spare_keeps_the_hosts_that_it_needs)
+{
+  scene_t s;
+
+  open_scene (&s);
+  s.demands[0].now_milli = 2500;
+  s.demands[1].now_milli = 9000;
+  run (&s, 30);
+  ck_assert_uint_eq (hosts_in (&s, "p0"), 3);
+  ck_assert_uint_eq (hosts_in (&s, "p1"), 5);
+  ck_assert_uint_eq (s.applied, 1);
+  close_scene (&s);
+}
+END_TEST
+
 /* Hosts went to and fro with every burst.  */
 START_TEST (alternating_bursts_do_not_move_hosts_back_and_forth)
 {
@@ -196,6 +213,7 @@
 {
   const TTest *const tests[] = {
     a_short_pool_gets_spare_hosts_within_the_budget,
+    the_spare_keeps_the_hosts_that_it_needs,
     alternating_bursts_do_not_move_hosts_back_and_forth,
     idle_lent_hosts_serve_the_next_pool,
     a_host_follows_the_fleet_file,
