daemon: plan moves of hosts between pools, and make them

Change: module demand measures what is in use and queued at each pool's services and tells the other daemons (TOTALS of kind pool, at most every 2 s and only when changed, every 4 s while in use). Module planner, on the thread that runs maintenance, gives it to plan_note, and appends the records of plan_moves if the setting move_hosts allows it and this daemon is the one that acts. One key is hashed for all moves: two daemons that choose by host could move two hosts for one shortage. GET /plan shows demand, moves with reasons, and the buffer. Not done: telling hosts that an operator drained by hand from those drained for a move; no verb drains by hand, and the state does not keep who did.

Conclusion: a daemon other than the first entry host may act, so all daemons need the same move_hosts.

--- a/conf/conf.h
+++ b/conf/conf.h
@@ -206,6 +206,7 @@
   uint32_t stop_ms;  /* longest graceful stop */
   uint32_t host_settle_ms; /* gone or back for so long before it counts */
   uint32_t host_quiet_ms;  /* no request for so long before it is drained */
+  bool move_hosts;         /* between pools, as the plan says */
   uint32_t seed_peers_count;
   char **seed_peers; /* IP:PORT, asked when the log is down at start */
 } settings_t;
--- a/conf/settings.c
+++ b/conf/settings.c
@@ -41,6 +41,7 @@
   UINT_FIELD (stop_ms),
   UINT_FIELD (host_settle_ms),
   UINT_FIELD (host_quiet_ms),
+  CYAML_FIELD_BOOL ("move_hosts", CYAML_FLAG_OPTIONAL, settings_t, move_hosts),
   CYAML_FIELD_SEQUENCE ("seed_peers", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
                         settings_t, seed_peers, &seed_schema, 0, 64),
   CYAML_FIELD_END,
--- a/conf/test/settings_test.c
+++ b/conf/test/settings_test.c
@@ -19,7 +19,7 @@
     "address, port, admin_port, peer_port, platform, secret, ready_file, "
     "threads, body_max_kib, connections_max, drain_ms, stop_ms, "
     "host_settle_ms, host_quiet_ms, "
-    "seed_peers" },
+    "move_hosts, seed_peers" },
   { "port: 0", "port: 65536",
     "s.yaml:4: port: expected a whole number from 0 to 65535, found "
     "\"65536\"" },
@@ -78,6 +78,7 @@
   ck_assert_uint_eq (s->body_max_kib, 1024);
   ck_assert_uint_eq (s->connections_max, 10000);
   ck_assert_uint_eq (s->stop_ms, 35000);
+  ck_assert (!s->move_hosts);
   ck_assert_ptr_null (s->ready_file);
   ck_assert_uint_eq (s->seed_peers_count, 1);
   ck_assert_str_eq (s->seed_peers[0], "127.0.0.1:9");
--- a/daemon/admin.c
+++ b/daemon/admin.c
@@ -1,4 +1,4 @@
-#include "daemon.h"
+#include "planner.h"
 #include <arpa/inet.h>
 #include <jansson.h>
 #include <string.h>
@@ -7,6 +7,7 @@
 {
   const settings_t *settings;
   loop_config_t *config;
+  planner_t *planner;
   struct MHD_Daemon *server;
 };
 
@@ -82,6 +83,60 @@
                     "hosts", hosts);
 }
 
+static json_t *
+dump_pools (const plan_report_t *report)
+{
+  json_t *pools = json_array ();
+
+  for (uint32_t i = 0; i < report->pools_count; i++)
+    {
+      const plan_pool_t *pool = &report->pools[i];
+
+      json_array_append_new (
+          pools, json_pack ("{s:s, s:b, s:I, s:I, s:I, s:I, s:I, s:I, s:I}",
+                            "pool", pool->load.pool, "spare", pool->spare,
+                            "hosts", (json_int_t)pool->hosts, "in_service",
+                            (json_int_t)pool->in_service, "home",
+                            (json_int_t)pool->home, "in_use",
+                            (json_int_t)pool->load.in_use, "queued",
+                            (json_int_t)pool->load.queued, "demand_milli",
+                            (json_int_t)pool->load.milli, "burst_milli",
+                            (json_int_t)pool->burst_milli));
+    }
+  return pools;
+}
+
+static json_t *
+dump_moves (const plan_report_t *report)
+{
+  json_t *moves = json_array ();
+
+  for (uint32_t i = 0; i < report->moves_count; i++)
+    {
+      const host_move_t *move = &report->moves[i];
+
+      json_array_append_new (
+          moves, json_pack ("{s:s, s:s, s:s, s:b, s:s}", "host", move->host,
+                            "from", move->from, "to", move->to, "under_way",
+                            move->under_way, "reason", move->reason));
+    }
+  return moves;
+}
+
+static json_t *
+dump_plan (const admin_t *admin)
+{
+  plan_report_t *report = planner_report (admin->planner);
+  json_t *plan = json_pack (
+      "{s:b, s:b, s:b, s:s?, s:I, s:o, s:o}", "known", report->known, "fresh",
+      report->fresh, "move_hosts", admin->settings->move_hosts, "actor",
+      report->actor, "buffer_hosts", (json_int_t)report->buffer_hosts, "pools",
+      dump_pools (report), "moves", dump_moves (report));
+
+  plan_report_free (report);
+  return plan;
+}
+
 static json_t *
 page (const admin_t *admin, const char *url)
 {
@@ -94,6 +149,8 @@
     object = dump_counters ();
   else if (strcmp (url, "/config") == 0)
     object = dump_config (admin, view);
+  else if (strcmp (url, "/plan") == 0)
+    object = dump_plan (admin);
   else if (strcmp (url, "/dump") == 0)
     object
         = json_pack ("{s:o, s:o, s:o}", "config", dump_config (admin, view),
@@ -159,13 +216,15 @@
 }
 
 admin_t *
-admin_start (const settings_t *settings, loop_config_t *config)
+admin_start (const settings_t *settings, loop_config_t *config,
+             planner_t *planner)
 {
   admin_t *admin = g_new0 (admin_t, 1);
   struct sockaddr_in address = { .sin_family = AF_INET };
 
   admin->settings = settings;
   admin->config = config;
+  admin->planner = planner;
   address.sin_port = htons (settings->admin_port);
   inet_pton (AF_INET, settings->address, &address.sin_addr);
   admin->server = MHD_start_daemon (
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -3,8 +3,8 @@
 
    NAME
      live, view, shares, parse, authenticate, claims, admission, routing, send,
-     answer, loop, replica, logreader, livereader, maintenance, hostload,
-     exchange, waiter, admin
+     answer, loop, replica, logreader, livereader, maintenance, planner,
+     hostload, demand, exchange, waiter, admin
 
    DESCRIPTION
      A request passes through
@@ -83,7 +83,8 @@
   const upstream_t *rule;
   uint32_t part;   /* of its slots, for this daemon */
   bool local;      /* in this daemon's data centre */
-  bool in_service; /* its host is not being drained or in maintenance */
+  bool in_service; /* its host is in the service's pool, and not being drained
+                      or in maintenance */
 } view_upstream_t;
 
 typedef struct view_service
@@ -407,13 +408,16 @@
 bool waiter_wait (waiter_t *waiter, uint32_t wait_ms);
 void waiter_stop (waiter_t *waiter);
 
+/* planner - plans moves of hosts between pools; see planner.h.  */
+typedef struct planner planner_t;
+
 /* livereader_start - a thread that reads the platform's list of hosts each
    second and marks upstreams on leaving hosts.  */
 typedef struct livereader livereader_t;
 
 livereader_t *livereader_start (const settings_t *settings,
-                                const char *platform_url,
-                                exchange_t *exchange);
+                                const char *platform_url, exchange_t *exchange,
+                                planner_t *planner);
 void livereader_stop (livereader_t *reader);
 
 /* hostload - requests on draining hosts, as each daemon tells the others.  Any
@@ -437,13 +441,45 @@
 bool hostload_sum (hostload_t *loads, const view_t *view, const char *self,
                    const char *host, int64_t now_us, uint32_t *load);
 
-/* maintenance - takes hosts through waves: decides by the state, the
-   platform's list and the load of draining hosts, and appends the records. The
-   live thread only.  */
+/* demand - requests at the services of each pool, as each daemon tells the
+   others.  demand_list on the peer thread only, the others on any.  */
+typedef struct demand demand_t;
+
+typedef struct pool_load
+{
+  const char *pool; /* interned */
+  uint32_t in_use;  /* slots, of all daemons */
+  uint32_t queued;  /* requests, of all daemons */
+  uint32_t milli;   /* both in thousandths of a host */
+  bool serves;      /* it has services with upstreams */
+} pool_load_t;
+
+demand_t *demand_new (void);
+void demand_free (demand_t *demand);
+
+/* demand_list - what this daemon has to tell: up to MAX TOTALS; their number.
+   A pool is told when it has changed, and every few seconds while it is in
+   use.  */
+uint32_t demand_list (demand_t *demand, const view_t *view,
+                      msg_total_t *totals, uint32_t max, int64_t now_us);
+
+/* demand_note - PEER has told TOTALS.  */
+void demand_note (demand_t *demand, const char *peer,
+                  const msg_totals_t *totals, int64_t now_us);
+
+/* demand_sum - the demand on POOL at all entry hosts, SELF included.  One that
+   has not told lately counts as having none.  */
+void demand_sum (demand_t *demand, const view_t *view, const char *self,
+                 const char *pool, int64_t now_us, pool_load_t *load);
+
+/* maintenance - takes hosts through waves and moves: decides by the state, the
+   platform's list, the demand and the load of draining hosts, and appends the
+   records.  The live thread only.  */
 typedef struct maintenance maintenance_t;
 
 maintenance_t *maintenance_new (const settings_t *settings,
-                                exchange_t *exchange, platform_t *platform);
+                                exchange_t *exchange, planner_t *planner,
+                                platform_t *platform);
 void maintenance_free (maintenance_t *maintenance);
 void maintenance_step (maintenance_t *maintenance, const live_list_t *list);
 
@@ -521,16 +557,20 @@
 bool exchange_host_load (exchange_t *exchange, const view_t *view,
                          const char *host, int64_t now_us, uint32_t *load);
 
+/* exchange_demand - what the daemons have told of the demand on pools.  */
+demand_t *exchange_demand (const exchange_t *exchange);
+
 /* exchange_ask_claim - ask OWNER for ID; loop_tell_claimed brings the answer
    to question NUMBER.  False when OWNER can't be reached.  Any thread.  */
 bool exchange_ask_claim (exchange_t *exchange, const char *owner,
                          uint64_t number, const once_id_t *id);
 
-/* admin_start - the operators' HTTP server: /counters, /dump, /config,
+/* admin_start - the operators' HTTP server: /counters, /dump, /config, /plan,
    /health.  */
 typedef struct admin admin_t;
 
-admin_t *admin_start (const settings_t *settings, loop_config_t *config);
+admin_t *admin_start (const settings_t *settings, loop_config_t *config,
+                      planner_t *planner);
 uint16_t admin_port (const admin_t *admin);
 void admin_stop (admin_t *admin);
 
--- /dev/null
+++ b/daemon/demand.c
@@ -0,0 +1,186 @@
+#include "daemon.h"
+#include <string.h>
+
+/* Moves follow demand that lasts for seconds, so a pool is told at most once
+   in TELL_US, and again after REPEAT_US for peers that missed it.  */
+#define TELL_US 2000000
+#define REPEAT_US 4000000
+#define TOLD_MAX_US 10000000
+#define MILLI 1000
+
+typedef struct told
+{
+  uint32_t in_use;
+  uint32_t queued;
+  int64_t at_us;
+} told_t;
+
+struct demand
+{
+  pthread_mutex_t lock;
+  GHashTable *heard; /* "PEER POOL" to told_t; under the lock */
+  GHashTable *told;  /* pool to told_t, told last; peer thread only */
+  int64_t next_us;   /* peer thread only */
+};
+
+demand_t *
+demand_new (void)
+{
+  demand_t *demand = g_new0 (demand_t, 1);
+
+  pthread_mutex_init (&demand->lock, NULL);
+  demand->heard
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  demand->told
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return demand;
+}
+
+void
+demand_free (demand_t *demand)
+{
+  g_hash_table_destroy (demand->heard);
+  g_hash_table_destroy (demand->told);
+  pthread_mutex_destroy (&demand->lock);
+  g_free (demand);
+}
+
+/* Requests of this daemon at the services of POOL.  */
+static told_t
+own_total (const view_t *view, const char *pool, int64_t now_us)
+{
+  told_t total = { .at_us = now_us };
+
+  for (uint32_t i = 0; i < view->services_count; i++)
+    {
+      const view_service_t *service = &view->services[i];
+
+      if (strcmp (service->rule->pool, pool) != 0)
+        continue;
+      total.queued += atomic_load (&service->live->queued);
+      for (uint32_t j = 0; j < service->upstreams_count; j++)
+        total.in_use += escrow_in_use (service->upstreams[j].live->slots);
+    }
+  return total;
+}
+
+static bool
+must_tell (const told_t *last, const told_t *own)
+{
+  bool busy = own->in_use > 0 || own->queued > 0;
+
+  if (!last)
+    return busy;
+  if (last->in_use != own->in_use || last->queued != own->queued)
+    return true;
+  return busy && own->at_us - last->at_us >= REPEAT_US;
+}
+
+uint32_t
+demand_list (demand_t *demand, const view_t *view, msg_total_t *totals,
+             uint32_t max, int64_t now_us)
+{
+  const fleet_t *fleet = view->state->config->fleet;
+  uint32_t count = 0;
+
+  if (now_us < demand->next_us)
+    return 0;
+  demand->next_us = now_us + TELL_US;
+  for (uint32_t i = 0; i < fleet->pools_count && count < max; i++)
+    {
+      const char *pool = fleet->pools[i].name;
+      told_t own = own_total (view, pool, now_us);
+      msg_total_t *total = &totals[count];
+
+      if (!must_tell (g_hash_table_lookup (demand->told, pool), &own))
+        continue;
+      total->kind = TOTAL_POOL;
+      total->in_use = own.in_use;
+      total->queued = own.queued;
+      g_strlcpy (total->name, pool, REC_NAME_BYTES);
+      g_hash_table_insert (demand->told, g_strdup (pool),
+                           g_memdup2 (&own, sizeof own));
+      count++;
+    }
+  return count;
+}
+
+void
+demand_note (demand_t *demand, const char *peer, const msg_totals_t *totals,
+             int64_t now_us)
+{
+  pthread_mutex_lock (&demand->lock);
+  for (uint32_t i = 0; i < totals->count; i++)
+    {
+      const msg_total_t *total = &totals->totals[i];
+      told_t told = { total->in_use, total->queued, now_us };
+
+      if (total->kind == TOTAL_POOL)
+        g_hash_table_insert (demand->heard,
+                             g_strdup_printf ("%s %s", peer, total->name),
+                             g_memdup2 (&told, sizeof told));
+    }
+  pthread_mutex_unlock (&demand->lock);
+}
+
+static void
+add_heard (const demand_t *demand, const char *peer, int64_t now_us,
+           pool_load_t *load)
+{
+  g_autofree char *key = g_strdup_printf ("%s %s", peer, load->pool);
+  const told_t *told = g_hash_table_lookup (demand->heard, key);
+
+  if (!told || now_us - told->at_us > TOLD_MAX_US)
+    return;
+  load->in_use += told->in_use;
+  load->queued += told->queued;
+}
+
+/* Slots of the upstreams of POOL's services, and the hosts that they are on,
+   whichever pool these are in now: a host that comes is worth as much as the
+   mean of them.  */
+static void
+measure_worth (const view_t *view, const char *pool, uint64_t *slots,
+               uint32_t *hosts)
+{
+  g_autoptr (GHashTable) seen = g_hash_table_new (g_str_hash, g_str_equal);
+
+  *slots = 0;
+  for (uint32_t i = 0; i < view->services_count; i++)
+    {
+      const view_service_t *service = &view->services[i];
+
+      if (strcmp (service->rule->pool, pool) != 0)
+        continue;
+      for (uint32_t j = 0; j < service->upstreams_count; j++)
+        {
+          *slots += service->upstreams[j].rule->slots;
+          g_hash_table_add (seen, service->upstreams[j].rule->host);
+        }
+    }
+  *hosts = g_hash_table_size (seen);
+}
+
+void
+demand_sum (demand_t *demand, const view_t *view, const char *self,
+            const char *pool, int64_t now_us, pool_load_t *load)
+{
+  told_t own = own_total (view, pool, now_us);
+  uint64_t slots;
+  uint64_t milli;
+  uint32_t hosts;
+
+  *load = (pool_load_t){ g_intern_string (pool), own.in_use, own.queued, 0,
+                         false };
+  pthread_mutex_lock (&demand->lock);
+  for (uint32_t i = 0; i < view->entry_hosts_count; i++)
+    if (strcmp (view->entry_hosts[i], self) != 0)
+      add_heard (demand, view->entry_hosts[i], now_us, load);
+  pthread_mutex_unlock (&demand->lock);
+  measure_worth (view, pool, &slots, &hosts);
+  if (slots == 0)
+    return;
+  load->serves = true;
+  milli = ((uint64_t)load->in_use + load->queued) * MILLI * hosts / slots;
+  load->milli = (uint32_t)MIN (milli, UINT32_MAX);
+}
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -23,6 +23,7 @@
   loop_config_t *config;
   replica_t *replica;
   hostload_t *loads;
+  demand_t *demand;
   link_t *link;
   int64_t started_us;
   share_gate_t gate;
@@ -210,13 +211,16 @@
 #define TOTALS_MAX 64
 
 static void
-tell_loads (exchange_t *exchange, const view_t *view)
+tell_loads (exchange_t *exchange, const view_t *view, int64_t now_us)
 {
   msg_total_t totals[TOTALS_MAX];
   msg_t msg = { .kind = MSG_TOTALS };
 
   msg.u.totals.totals = totals;
   msg.u.totals.count = hostload_list (view, totals, TOTALS_MAX);
+  msg.u.totals.count
+      += demand_list (exchange->demand, view, totals + msg.u.totals.count,
+                      TOTALS_MAX - msg.u.totals.count, now_us);
   if (msg.u.totals.count > 0)
     link_send_all (exchange->link, &msg);
 }
@@ -269,7 +273,7 @@
     }
   shares_apply (view, judge_gate (exchange, view, now_us));
   ask_for_loans (exchange, view, now_us);
-  tell_loads (exchange, view);
+  tell_loads (exchange, view, now_us);
   note_freshness (exchange, view, now_us);
 }
 
@@ -432,6 +436,7 @@
       return;
     case MSG_TOTALS:
       hostload_note (exchange->loads, peer, &msg->u.totals, clock_mono_us ());
+      demand_note (exchange->demand, peer, &msg->u.totals, clock_mono_us ());
       return;
     case MSG_HELLO:
     case MSG_PROOF:
@@ -462,6 +467,7 @@
   exchange->config = config;
   exchange->replica = replica;
   exchange->loads = hostload_new ();
+  exchange->demand = demand_new ();
   exchange->started_us = clock_mono_us ();
   exchange->quarantined = true;
   exchange->stale = true;
@@ -469,6 +475,7 @@
   exchange->link = link_start (&link);
   if (!exchange->link)
     {
+      demand_free (exchange->demand);
       hostload_free (exchange->loads);
       g_free (exchange);
       return NULL;
@@ -523,6 +530,7 @@
   live_upstreams (add_upstream, &usage);
   may_leave = share_may_leave (&exchange->gate, usage.in_use, usage.lent,
                                clock_mono_us ());
+  demand_free (exchange->demand);
   hostload_free (exchange->loads);
   g_free (exchange);
   return may_leave;
@@ -556,6 +564,12 @@
                        now_us, load);
 }
 
+demand_t *
+exchange_demand (const exchange_t *exchange)
+{
+  return exchange->demand;
+}
+
 bool
 exchange_ask_claim (exchange_t *exchange, const char *owner, uint64_t number,
                     const once_id_t *id)
--- a/daemon/livereader.c
+++ b/daemon/livereader.c
@@ -68,13 +68,14 @@
 
 livereader_t *
 livereader_start (const settings_t *settings, const char *platform_url,
-                  exchange_t *exchange)
+                  exchange_t *exchange, planner_t *planner)
 {
   livereader_t *reader = g_new0 (livereader_t, 1);
 
   waiter_init (&reader->waiter);
   reader->platform = platform_open (platform_url);
-  reader->maintenance = maintenance_new (settings, exchange, reader->platform);
+  reader->maintenance
+      = maintenance_new (settings, exchange, planner, reader->platform);
   if (!reader->platform
       || pthread_create (&reader->thread, NULL, run, reader) != 0)
     return NULL;
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,4 +1,4 @@
-#include "daemon.h"
+#include "planner.h"
 #include <argtable2.h>
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -30,6 +30,7 @@
   uint16_t port;
   replica_t *replica;
   logreader_t *reader;
+  planner_t *planner;
   livereader_t *live;
   admin_t *admin;
 } process_t;
@@ -148,9 +149,10 @@
   replica_set_exchange (process->replica, process->config.exchange);
   process->reader
       = logreader_start (settings, process->replica, platform, incarnation);
-  process->live
-      = livereader_start (settings, platform, process->config.exchange);
-  process->admin = admin_start (settings, &process->config);
+  process->planner = planner_new (settings);
+  process->live = livereader_start (
+      settings, platform, process->config.exchange, process->planner);
+  process->admin = admin_start (settings, &process->config, process->planner);
   if (!process->reader || !process->live || !process->admin)
     return false;
   for (uint32_t i = 0; i < settings->threads; i++)
@@ -177,6 +179,7 @@
     loop_join (config->loops[i]);
   livereader_stop (process->live);
   admin_stop (process->admin);
+  planner_free (process->planner);
   logreader_halt (process->reader);
   leaves = exchange_stop (config->exchange);
   logreader_close (process->reader, leaves);
--- a/daemon/maintenance.c
+++ b/daemon/maintenance.c
@@ -1,5 +1,4 @@
-#include "daemon.h"
-#include "fleet.h"
+#include "planner.h"
 #include <string.h>
 
 #define APPEND_TIMEOUT_MS 2000
@@ -10,6 +9,7 @@
 {
   const settings_t *settings;
   exchange_t *exchange;
+  planner_t *planner;
   platform_t *platform;
   watch_t *watch;
   wave_times_t times;
@@ -18,12 +18,13 @@
 
 maintenance_t *
 maintenance_new (const settings_t *settings, exchange_t *exchange,
-                 platform_t *platform)
+                 planner_t *planner, platform_t *platform)
 {
   maintenance_t *maintenance = g_new0 (maintenance_t, 1);
 
   maintenance->settings = settings;
   maintenance->exchange = exchange;
+  maintenance->planner = planner;
   maintenance->platform = platform;
   maintenance->watch = watch_new ();
   maintenance->rebooted = g_hash_table_new (g_str_hash, g_str_equal);
@@ -106,12 +107,15 @@
     case REC_WAVE:
       event_log (EV_WAVE_DONE, "wave=%s", rec->u.wave.wave);
       return;
+    case REC_HOST_MOVE:
+      event_log (EV_HOST_MOVED, "host=%s pool=%s", rec->u.host_move.host,
+                 rec->u.host_move.pool);
+      return;
     case REC_CONFIG:
     case REC_KEY_GRANT:
     case REC_KEY_WITHDRAW:
     case REC_JOIN:
     case REC_LEAVE:
-    case REC_HOST_MOVE:
     case REC_UNKNOWN:
       return;
     }
@@ -138,6 +142,25 @@
     }
 }
 
+/* Records of moves, up to MAX; their number.  */
+static uint32_t
+plan_next (const maintenance_t *maintenance, const view_t *view,
+           const wave_input_t *wave, rec_t *recs, uint32_t max)
+{
+  planner_input_t in = {
+    .view = view,
+    .watch = maintenance->watch,
+    .demand = exchange_demand (maintenance->exchange),
+    .entries = wave->entries,
+    .entries_count = wave->entries_count,
+    .fresh = wave->fresh,
+    .now_us = wave->now_us,
+    .now_ms = wave->now_ms,
+  };
+
+  return planner_step (maintenance->planner, &in, recs, max);
+}
+
 void
 maintenance_step (maintenance_t *maintenance, const live_list_t *list)
 {
@@ -166,6 +189,8 @@
       in.state = view->state;
       note_list (maintenance, view, list, now_us);
       count = wave_next (&in, recs, RECORDS_MAX);
+      count += plan_next (maintenance, view, &in, recs + count,
+                          RECORDS_MAX - count);
       /* Calls to the platform must not hold up a grace period of RCU.  */
       state = state_copy (view->state);
     }
--- /dev/null
+++ b/daemon/test/demand_test.c
@@ -0,0 +1,101 @@
+/* Guards against moves that are decided on a part of the demand or on old
+   figures, and against control traffic for pools that have not changed.  */
+
+#include "fixture.h"
+
+#define NOW_US INT64_C (10000000)
+#define S_US INT64_C (1000000)
+
+/* Pool p has 2 hosts with 2 slots each, so one slot is 500 thousandths.  */
+static const struct
+{
+  uint32_t own; /* slots that this daemon has in use */
+  uint32_t own_queued;
+  uint32_t told; /* slots and requests that e2 has told of */
+  uint32_t told_queued;
+  int64_t age_us;
+  uint32_t milli;
+} sums[] = {
+  { 0, 0, 0, 0, 0, 0 },           { 1, 0, 0, 0, 0, 500 },
+  { 1, 3, 0, 0, 0, 2000 },        { 1, 1, 2, 5, 0, 4500 },
+  { 1, 0, 2, 0, 9 * S_US, 1500 }, { 1, 0, 2, 0, 11 * S_US, 500 },
+};
+
+static void
+tell (demand_t *demand, const char *peer, uint32_t in_use, uint32_t queued)
+{
+  msg_total_t all[] = { { TOTAL_POOL, "p", in_use, queued },
+                        { TOTAL_HOST, "p", 1000, 1000 } };
+  msg_totals_t totals = { 2, all };
+
+  demand_note (demand, peer, &totals, NOW_US);
+}
+
+START_TEST (demand_is_that_of_all_daemons)
+{
+  view_t *view = fixture_view ();
+  escrow_t *slots = live_upstream ("u1")->slots;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (sums); i++)
+    {
+      demand_t *demand = demand_new ();
+      pool_load_t load;
+      permit_t permit = { 0 };
+
+      if (sums[i].own)
+        ck_assert (escrow_take (slots, 0, 1, &permit));
+      atomic_store (&live_service ("open")->queued, sums[i].own_queued);
+      tell (demand, "e2", sums[i].told, sums[i].told_queued);
+      tell (demand, "removed", 1000, 1000);
+      demand_sum (demand, view, "e1", "p", NOW_US + sums[i].age_us, &load);
+      ck_assert_msg (load.milli == sums[i].milli, "row %zu: %u", i,
+                     load.milli);
+      if (sums[i].own)
+        escrow_give (slots, permit);
+      demand_free (demand);
+    }
+  atomic_store (&live_service ("open")->queued, 0);
+}
+END_TEST
+
+/* One daemon's calls in order.  */
+static const struct
+{
+  int64_t at_us;
+  uint32_t queued;
+  uint32_t told;
+} calls[] = {
+  { 0, 0, 0 },         { 2 * S_US, 3, 1 },  { 3 * S_US, 4, 0 },
+  { 4 * S_US, 4, 1 },  { 6 * S_US, 4, 0 },  { 8 * S_US, 4, 1 },
+  { 10 * S_US, 0, 1 }, { 20 * S_US, 0, 0 },
+};
+
+START_TEST (pools_are_told_when_changed_or_in_use)
+{
+  view_t *view = fixture_view ();
+  demand_t *demand = demand_new ();
+  msg_total_t total;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (calls); i++)
+    {
+      atomic_store (&live_service ("open")->queued, calls[i].queued);
+      ck_assert_msg (
+          demand_list (demand, view, &total, 1, NOW_US + calls[i].at_us)
+              == calls[i].told,
+          "call %zu", i);
+      if (calls[i].told)
+        ck_assert_uint_eq (total.queued, calls[i].queued);
+    }
+  demand_free (demand);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tests = tcase_create ("demand");
+
+  tcase_add_test (tests, demand_is_that_of_all_daemons);
+  tcase_add_test (tests, pools_are_told_when_changed_or_in_use);
+  return fixture_run (tests);
+}
--- a/daemon/test/fixture.h
+++ b/daemon/test/fixture.h
@@ -41,9 +41,9 @@
 static const settings_t fixture_settings
     = { .name = "e1", .data_centre = "dc1", .threads = 2 };
 
-/* A view of the fleet above, as e1 sees it, in which team a has KEY.  */
+/* A view of the fleet file TEXT, as e1 sees it, in which team a has KEY.  */
 static inline view_t *
-fixture_view (void)
+fixture_view_of (const char *text)
 {
   state_t *state = state_new ();
   GError *error = NULL;
@@ -52,8 +52,8 @@
 
   rec_init (&rec, REC_CONFIG, "test", 0);
   rec.u.config.format = FLEET_FORMAT;
-  rec.u.config.text = g_strdup (fixture_text);
-  rec.u.config.len = strlen (fixture_text);
+  rec.u.config.text = g_strdup (text);
+  rec.u.config.len = strlen (text);
   ck_assert_msg (rec_check (&rec, &error), "%s", error ? error->message : "");
   ck_assert_int_eq (state_fold (state, &rec, 0), VERDICT_APPLIED);
   rec_clear (&rec);
@@ -67,6 +67,13 @@
   return view;
 }
 
+/* The same of the fleet above.  */
+static inline view_t *
+fixture_view (void)
+{
+  return fixture_view_of (fixture_text);
+}
+
 /* A request for SERVICE that arrived at NOW_US.  */
 static inline req_t *
 fixture_request (const char *service, int64_t now_us)
