--- a/cli/cli.h
+++ b/cli/cli.h
@@ -75,5 +75,6 @@
 cli_status_t verb_wave (const cli_t *cli);
 cli_status_t verb_dump (const cli_t *cli);
 cli_status_t verb_counters (const cli_t *cli);
+cli_status_t verb_plan (const cli_t *cli);
 
 #endif
--- a/cli/daemons.c
+++ b/cli/daemons.c
@@ -21,6 +21,65 @@
   fputc ('\n', cli->out);
 }
 
+/* Thousandths of a host as hosts.  */
+static void
+set_hosts (json_t *row, const char *column, const char *milli_field)
+{
+  json_int_t milli = json_integer_value (json_object_get (row, milli_field));
+  g_autofree char *text
+      = g_strdup_printf ("%" PRId64 ".%03" PRId64, (int64_t)(milli / 1000),
+                         (int64_t)(milli % 1000));
+
+  json_object_set_new (row, column, json_string (text));
+}
+
+/* Why the daemon proposes no moves, or none of them is made.  */
+static const char *
+plan_remark (const json_t *plan)
+{
+  if (!json_is_true (json_object_get (plan, "known")))
+    return "no plan was made yet: the daemon has no configuration, or can't "
+           "read the platform's list of hosts";
+  if (!json_is_true (json_object_get (plan, "fresh")))
+    return "the daemon's view is not fresh: no moves";
+  if (!json_is_true (json_object_get (plan, "move_hosts")))
+    return "moves are not allowed in this daemon's settings (move_hosts)";
+  return NULL;
+}
+
+static void
+print_plan (const cli_t *cli, json_t *plan)
+{
+  static const char *const pool_columns[]
+      = { "pool",   "hosts",  "in_service", "home", "in_use",
+          "queued", "demand", "burst",      NULL };
+  static const char *const move_columns[]
+      = { "host", "from", "to", "under_way", "reason", NULL };
+  const char *remark = plan_remark (plan);
+  const char *actor = json_string_value (json_object_get (plan, "actor"));
+  json_t *pools = json_object_get (plan, "pools");
+  json_t *moves = json_object_get (plan, "moves");
+  json_t *row;
+  size_t i;
+
+  if (remark)
+    fprintf (cli->out, "%s\n", remark);
+  fprintf (cli->out, "moves are made by %s\n", actor ? actor : "nobody");
+  fprintf (
+      cli->out, "the spare should hold %" PRId64 " idle hosts\n",
+      (int64_t)json_integer_value (json_object_get (plan, "buffer_hosts")));
+  json_array_foreach (pools, i, row)
+  {
+    set_hosts (row, "demand", "demand_milli");
+    set_hosts (row, "burst", "burst_milli");
+  }
+  if (json_array_size (pools) > 0)
+    fputc ('\n', cli->out);
+  output_table (cli, pools, pool_columns);
+  fputs (json_array_size (moves) > 0 ? "\n" : "\nno moves\n", cli->out);
+  output_table (cli, moves, move_columns);
+}
+
 static cli_status_t
 ask_one (const cli_t *cli, const char *path,
          void (*print) (const cli_t *, json_t *))
@@ -50,3 +109,9 @@
 {
   return ask_one (cli, "/counters", print_counters);
 }
+
+cli_status_t
+verb_plan (const cli_t *cli)
+{
+  return ask_one (cli, "/plan", print_plan);
+}
--- a/cli/verbs.c
+++ b/cli/verbs.c
@@ -20,6 +20,8 @@
     verb_dump },
   { "counters", "HOST:PORT", "print the counters of a daemon", 1, 1, false,
     verb_counters },
+  { "plan", "HOST:PORT", "print the moves that a daemon proposes", 1, 1, false,
+    verb_plan },
 };
 
 const verb_t *
