daemon: a host serves the services of its own pool only

Cause: an upstream took requests of its service whatever pool its host was in, so a move of a host changed nothing for its requests, and a host of the spare served a pool that it was not lent to.

Change: the view counts an upstream as in service only while its host is in the service's pool. A fleet file has to list upstreams of a pool's services on the hosts that the pool may get.

Conclusion: a host that a fleet file puts in another pool gets no requests of services there before it has been moved, which needs move_hosts.

--- a/daemon/test/view_test.c
+++ b/daemon/test/view_test.c
@@ -163,6 +163,39 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *pool;
+  host_phase_t phase;
+  bool in_service;
+} hosts[] = {
+  { "p", HOST_IN_SERVICE, true }, { "q", HOST_IN_SERVICE, false },
+  { "p", HOST_FAILED, true },     { "q", HOST_FAILED, false },
+  { "p", HOST_DRAINING, false },  { "p", HOST_MAINTENANCE, false },
+};
+
+/* A host that was moved went on serving the pool that it had left.  */
+START_TEST (a_host_serves_its_own_pool_only)
+{
+  view_t *view = view_from ("e1", "d1");
+  settings_t settings = { .name = "e1", .data_centre = "d1", .threads = 2 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (hosts); i++)
+    {
+      state_t *state = state_copy (view->state);
+      host_state_t *host = table_find (&state->hosts, "h0");
+      const view_service_t *service;
+
+      host->pool = hosts[i].pool;
+      host->phase = hosts[i].phase;
+      service = view_service (view_new (state, &settings), "s1");
+      ck_assert_str_eq (service->upstreams[0].rule->host, "h0");
+      ck_assert_msg (service->upstreams[0].in_service == hosts[i].in_service,
+                     "row %zu", i);
+    }
+}
+END_TEST
+
 START_TEST (view_without_a_configuration_is_empty)
 {
   settings_t settings = { .name = "e1", .data_centre = "d1", .threads = 2 };
@@ -196,6 +229,7 @@
       = { shares_of_all_entry_hosts_add_up_to_each_limit,
           daemon_that_is_not_listed_holds_nothing,
           indexes_find_what_the_fleet_lists,
+          a_host_serves_its_own_pool_only,
           view_without_a_configuration_is_empty,
           currency_follows_the_log,
           NULL };
--- a/daemon/view.c
+++ b/daemon/view.c
@@ -104,14 +104,16 @@
   return part;
 }
 
+/* Whether the host NAME serves POOL now: one that another pool has, or that is
+   on its way, gets no requests of it.  */
 static bool
-host_is_in_service (const state_t *state, const char *name)
+host_serves (const state_t *state, const char *name, const char *pool)
 {
   const host_state_t *host = table_find (&state->hosts, name);
 
   /* A host that the platform's list lacks is still tried: the list lags, and
      health notices a host that is gone.  */
-  return host
+  return host && strcmp (host->pool, pool) == 0
          && (host->phase == HOST_IN_SERVICE || host->phase == HOST_FAILED);
 }
 
@@ -143,7 +145,8 @@
       upstream = &service->upstreams[service->upstreams_count++];
       upstream->rule = listed;
       upstream->live = live_upstream (listed->name);
-      upstream->in_service = host_is_in_service (view->state, listed->host);
+      upstream->in_service
+          = host_serves (view->state, listed->host, rule->pool);
       upstream->local = strcmp (place, settings->data_centre) == 0;
       view->connections
           = MIN (view->connections, own_connections (fleet, settings->threads,
