Give all test programs one main function

Change: TEST_PROGRAM and TEST_PROGRAM_WITH in test/run_suite.h define main from a suite name and a list of tests; run_case runs a case with a loop test. fleet/test/runner.h is gone. Programs that prepare more in main keep it. No test body changes.

--- a/admit/test/escrow_test.c
+++ b/admit/test/escrow_test.c
@@ -2,10 +2,9 @@
    threads, after a lowered share, and around the end of a loan.  The model of
    several daemons is in share_test.c.  */
 
+#include "../../test/run_suite.h"
 #include "admit.h"
 #include <apr_thread_proc.h>
-#include <check.h>
-#include <stdlib.h>
 
 #define ERROR_US (CLOCK_ERROR_MS * INT64_C (1000))
 
@@ -213,24 +212,8 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  Suite *suite = suite_create ("escrow");
-  TCase *tests = tcase_create ("escrow");
-  SRunner *runner;
-  int failed;
-
-  tcase_add_test (tests, lower_share_counts_at_once);
-  tcase_add_test (tests, loan_serves_only_work_that_ends_before_it);
-  tcase_add_test (tests, late_permit_of_an_ended_loan_is_dropped);
-  tcase_add_test (tests, lender_has_permits_back_after_clock_error);
-  tcase_add_test (tests, number_of_open_loans_is_bounded);
-  tcase_add_test (tests, racing_threads_keep_the_books);
-  suite_add_tcase (suite, tests);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
-}
+TEST_PROGRAM ("escrow", lower_share_counts_at_once,
+              loan_serves_only_work_that_ends_before_it,
+              late_permit_of_an_ended_loan_is_dropped,
+              lender_has_permits_back_after_clock_error,
+              number_of_open_loans_is_bounded, racing_threads_keep_the_books)
--- a/admit/test/fresh_test.c
+++ b/admit/test/fresh_test.c
@@ -102,11 +102,4 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[]
-      = { freshness_follows_what_was_heard, grace_and_log_outage, NULL };
-
-  return run_suite ("fresh", tests);
-}
+TEST_PROGRAM ("fresh", freshness_follows_what_was_heard, grace_and_log_outage)
--- a/admit/test/key_test.c
+++ b/admit/test/key_test.c
@@ -71,12 +71,5 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[]
-      = { every_key_finds_its_team, withdrawn_and_missing_keys_find_nothing,
-          NULL };
-
-  return run_suite ("key", tests);
-}
+TEST_PROGRAM ("key", every_key_finds_its_team,
+              withdrawn_and_missing_keys_find_nothing)
--- a/admit/test/queue_test.c
+++ b/admit/test/queue_test.c
@@ -438,20 +438,9 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[] = {
-    shares_hold_in_every_window,
-    random_events_keep_the_invariants,
-    absence_gives_no_credit,
-    unqueued_work_is_charged,
-    late_requests_are_rejected_until_the_queue_empties,
-    shares_are_of_slot_time,
-    a_long_run_is_paid_for,
-    unexpected_run_times_starve_nobody,
-    NULL,
-  };
-
-  return run_suite ("queue", tests);
-}
+TEST_PROGRAM ("queue", shares_hold_in_every_window,
+              random_events_keep_the_invariants, absence_gives_no_credit,
+              unqueued_work_is_charged,
+              late_requests_are_rejected_until_the_queue_empties,
+              shares_are_of_slot_time, a_long_run_is_paid_for,
+              unexpected_run_times_starve_nobody)
--- a/admit/test/share_test.c
+++ b/admit/test/share_test.c
@@ -2,10 +2,8 @@
    a raise that comes before others have lowered theirs, and in the model of
    several daemons (model.h).  */
 
+#include "../../test/run_suite.h"
 #include "model.h"
-#include <check.h>
-#include <stdio.h>
-#include <stdlib.h>
 
 #define HOSTS 4
 #define RUNS 150
@@ -126,23 +124,8 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  Suite *suite = suite_create ("share");
-  TCase *tests = tcase_create ("share");
-  SRunner *runner;
-  int failed;
-
-  tcase_add_test (tests, parts_add_up_and_differ_by_one);
-  tcase_add_test (tests, raise_waits_for_the_other_hosts);
-  tcase_add_test (tests, new_incarnation_waits_for_its_predecessor);
-  tcase_add_test (tests, leave_waits_for_the_quarantine);
-  tcase_add_test (tests, running_work_never_exceeds_the_limit);
-  suite_add_tcase (suite, tests);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
-}
+TEST_PROGRAM ("share", parts_add_up_and_differ_by_one,
+              raise_waits_for_the_other_hosts,
+              new_incarnation_waits_for_its_predecessor,
+              leave_waits_for_the_quarantine,
+              running_work_never_exceeds_the_limit)
--- a/base/test/counter_test.c
+++ b/base/test/counter_test.c
@@ -51,11 +51,5 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[] = { sums_over_threads_are_exact,
-                                 each_counter_has_a_name_of_its_own, NULL };
-
-  return run_suite ("counter", tests);
-}
+TEST_PROGRAM ("counter", sums_over_threads_are_exact,
+              each_counter_has_a_name_of_its_own)
--- a/base/test/err_test.c
+++ b/base/test/err_test.c
@@ -58,12 +58,6 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[]
-      = { each_kind_has_its_own_row, not_run_only_where_nothing_can_have_run,
-          kind_outside_the_list_is_internal, NULL };
-
-  return run_suite ("err", tests);
-}
+TEST_PROGRAM ("err", each_kind_has_its_own_row,
+              not_run_only_where_nothing_can_have_run,
+              kind_outside_the_list_is_internal)
--- a/base/test/event_test.c
+++ b/base/test/event_test.c
@@ -1,10 +1,8 @@
 /* Guards against events in the code that operators can't look up in
    docs/events.md, and against catalogue entries that no code has.  */
 
+#include "../../test/run_suite.h"
 #include "base.h"
-#include <check.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 static char *
@@ -63,21 +61,5 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  Suite *suite = suite_create ("event");
-  TCase *tests = tcase_create ("event");
-  SRunner *runner;
-  int failed;
-
-  tcase_add_test (tests, every_event_is_in_the_catalogue);
-  tcase_add_test (tests, every_catalogue_row_is_an_event);
-  tcase_add_test (tests, numbers_rise_and_names_differ);
-  suite_add_tcase (suite, tests);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
-}
+TEST_PROGRAM ("event", every_event_is_in_the_catalogue,
+              every_catalogue_row_is_an_event, numbers_rise_and_names_differ)
--- a/base/test/hash_test.c
+++ b/base/test/hash_test.c
@@ -93,12 +93,5 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[]
-      = { removing_an_owner_moves_only_its_keys, owners_share_keys_evenly,
-          hash_is_the_published_one, NULL };
-
-  return run_suite ("hash", tests);
-}
+TEST_PROGRAM ("hash", removing_an_owner_moves_only_its_keys,
+              owners_share_keys_evenly, hash_is_the_published_one)
--- a/base/test/pack_test.c
+++ b/base/test/pack_test.c
@@ -50,11 +50,5 @@
 START_TEST (empty_input_is_no_value) { ck_assert (!pack_is_bounded ("", 0)); }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[]
-      = { claims_are_compared_with_the_input, empty_input_is_no_value, NULL };
-
-  return run_suite ("pack", tests);
-}
+TEST_PROGRAM ("pack", claims_are_compared_with_the_input,
+              empty_input_is_no_value)
--- a/base/test/pipe_test.c
+++ b/base/test/pipe_test.c
@@ -188,12 +188,5 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[]
-      = { many_writers_one_sleeping_reader, bound_holds_under_a_race,
-          reader_is_woken_once_for_a_batch, NULL };
-
-  return run_suite ("pipe", tests);
-}
+TEST_PROGRAM ("pipe", many_writers_one_sleeping_reader,
+              bound_holds_under_a_race, reader_is_woken_once_for_a_batch)
--- a/cli/test/config_test.c
+++ b/cli/test/config_test.c
@@ -229,17 +229,10 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[]
-      = { check_names_file_line_and_field,
-          publish_survives_a_lost_answer_and_a_dropped_append,
-          an_edit_of_an_old_version_is_refused_with_the_changes,
-          the_loser_of_a_race_is_told,
-          a_withdrawn_key_stays_withdrawn,
-          wait_tells_where_a_version_is_not_in_force,
-          NULL };
-
-  return run_suite_with ("config", tests, set_up, tear_down);
-}
+TEST_PROGRAM_WITH ("config", set_up, tear_down,
+                   check_names_file_line_and_field,
+                   publish_survives_a_lost_answer_and_a_dropped_append,
+                   an_edit_of_an_old_version_is_refused_with_the_changes,
+                   the_loser_of_a_race_is_told,
+                   a_withdrawn_key_stays_withdrawn,
+                   wait_tells_where_a_version_is_not_in_force)
--- a/cli/test/fleetverbs_test.c
+++ b/cli/test/fleetverbs_test.c
@@ -74,12 +74,6 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[]
-      = { a_wave_takes_only_allowed_steps,
-          status_shows_phases_and_the_budget_left, usage_is_checked, NULL };
-
-  return run_suite_with ("fleetverbs", tests, set_up, tear_down);
-}
+TEST_PROGRAM_WITH ("fleetverbs", set_up, tear_down,
+                   a_wave_takes_only_allowed_steps,
+                   status_shows_phases_and_the_budget_left, usage_is_checked)
--- a/cli/test/keys_test.c
+++ b/cli/test/keys_test.c
@@ -71,12 +71,5 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[]
-      = { a_granted_key_matches_its_digest, refusals_print_a_reason_and_no_key,
-          a_digest_needs_one_line, NULL };
-
-  return run_suite_with ("keys", tests, set_up, tear_down);
-}
+TEST_PROGRAM_WITH ("keys", set_up, tear_down, a_granted_key_matches_its_digest,
+                   refusals_print_a_reason_and_no_key, a_digest_needs_one_line)
--- a/cli/test/session_test.c
+++ b/cli/test/session_test.c
@@ -152,13 +152,7 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[]
-      = { a_record_takes_effect_once, of_two_writers_one_wins,
-          starts_from_the_newest_readable_snapshot,
-          a_newer_record_or_a_log_that_is_down_stops_it, NULL };
-
-  return run_suite_with ("session", tests, set_up, tear_down);
-}
+TEST_PROGRAM_WITH ("session", set_up, tear_down, a_record_takes_effect_once,
+                   of_two_writers_one_wins,
+                   starts_from_the_newest_readable_snapshot,
+                   a_newer_record_or_a_log_that_is_down_stops_it)
--- a/cli/test/textdiff_test.c
+++ b/cli/test/textdiff_test.c
@@ -63,11 +63,5 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[] = { changes_are_the_shortest,
-                                 very_large_changes_are_still_complete, NULL };
-
-  return run_suite ("textdiff", tests);
-}
+TEST_PROGRAM ("textdiff", changes_are_the_shortest,
+              very_large_changes_are_still_complete)
--- a/conf/test/check_test.c
+++ b/conf/test/check_test.c
@@ -104,11 +104,4 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[]
-      = { broken_rules_are_named_with_line_and_field, NULL };
-
-  return run_suite ("check", tests);
-}
+TEST_PROGRAM ("check", broken_rules_are_named_with_line_and_field)
--- a/conf/test/fleet_test.c
+++ b/conf/test/fleet_test.c
@@ -88,12 +88,6 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[]
-      = { fields_and_defaults_are_filled_in, oversized_text_is_rejected,
-          files_are_read_or_named, digest_of_a_key_is_stable, NULL };
-
-  return run_suite ("fleet", tests);
-}
+TEST_PROGRAM ("fleet", fields_and_defaults_are_filled_in,
+              oversized_text_is_rejected, files_are_read_or_named,
+              digest_of_a_key_is_stable)
--- a/conf/test/settings_test.c
+++ b/conf/test/settings_test.c
@@ -97,12 +97,5 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[]
-      = { bad_settings_are_named_with_line_and_field, defaults_are_filled_in,
-          files_are_read_or_named, NULL };
-
-  return run_suite ("settings", tests);
-}
+TEST_PROGRAM ("settings", bad_settings_are_named_with_line_and_field,
+              defaults_are_filled_in, files_are_read_or_named)
--- a/conf/test/shape_test.c
+++ b/conf/test/shape_test.c
@@ -99,12 +99,5 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[]
-      = { misfits_are_named_with_line_and_field, nul_byte_is_rejected,
-          no_cut_reads_past_the_end, NULL };
-
-  return run_suite ("shape", tests);
-}
+TEST_PROGRAM ("shape", misfits_are_named_with_line_and_field,
+              nul_byte_is_rejected, no_cut_reads_past_the_end)
--- a/conf/test/yamlload_test.c
+++ b/conf/test/yamlload_test.c
@@ -50,11 +50,5 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[] = { line_is_that_of_the_innermost_part_there_is,
-                                 control_characters_stay_out_of_errors, NULL };
-
-  return run_suite ("yamlload", tests);
-}
+TEST_PROGRAM ("yamlload", line_is_that_of_the_innermost_part_there_is,
+              control_characters_stay_out_of_errors)
--- a/daemon/test/fixture.h
+++ b/daemon/test/fixture.h
@@ -3,9 +3,8 @@
 #ifndef CUMINPIN_TEST_FIXTURE_H
 #define CUMINPIN_TEST_FIXTURE_H
 
+#include "../../test/run_suite.h"
 #include "daemon.h"
-#include <check.h>
-#include <stdlib.h>
 #include <string.h>
 
 #define KEY "team-a-key"
@@ -82,16 +81,7 @@
 static inline int
 fixture_run (TCase *tests)
 {
-  Suite *suite = suite_create ("daemon");
-  SRunner *runner;
-  int failed;
-
-  suite_add_tcase (suite, tests);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return run_case ("daemon", tests);
 }
 
 #endif
--- a/daemon/test/hostload_test.c
+++ b/daemon/test/hostload_test.c
@@ -61,12 +61,5 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  TCase *tests = tcase_create ("hostload");
-
-  tcase_add_test (tests, load_is_known_when_all_entry_hosts_have_told);
-  tcase_add_test (tests, own_requests_count);
-  return fixture_run (tests);
-}
+TEST_PROGRAM ("hostload", load_is_known_when_all_entry_hosts_have_told,
+              own_requests_count)
--- a/daemon/test/routing_test.c
+++ b/daemon/test/routing_test.c
@@ -46,14 +46,6 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  TCase *tests = tcase_create ("routing");
-
-  /* In this order: the last one leaves the slots taken.  */
-  tcase_add_test (tests, service_without_upstreams_has_none);
-  tcase_add_test (tests, tried_upstream_is_not_tried_again);
-  tcase_add_test (tests, slots_are_never_exceeded);
-  return fixture_run (tests);
-}
+/* In this order: the last one leaves the slots taken.  */
+TEST_PROGRAM ("routing", service_without_upstreams_has_none,
+              tried_upstream_is_not_tried_again, slots_are_never_exceeded)
--- a/daemon/test/shares_test.c
+++ b/daemon/test/shares_test.c
@@ -63,12 +63,5 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[]
-      = { lower_shares_count_at_once_and_higher_ones_wait,
-          excess_in_use_is_not_settled, NULL };
-
-  return run_suite ("shares", tests);
-}
+TEST_PROGRAM ("shares", lower_shares_count_at_once_and_higher_ones_wait,
+              excess_in_use_is_not_settled)
--- a/daemon/test/timers_test.c
+++ b/daemon/test/timers_test.c
@@ -77,12 +77,5 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[]
-      = { due_timers_come_in_order_of_time,
-          removed_timers_never_run_and_others_run_once, NULL };
-
-  return run_suite ("timers", tests);
-}
+TEST_PROGRAM ("timers", due_timers_come_in_order_of_time,
+              removed_timers_never_run_and_others_run_once)
--- a/daemon/test/view_test.c
+++ b/daemon/test/view_test.c
@@ -189,16 +189,7 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[]
-      = { shares_of_all_entry_hosts_add_up_to_each_limit,
-          daemon_that_is_not_listed_holds_nothing,
-          indexes_find_what_the_fleet_lists,
-          view_without_a_configuration_is_empty,
-          currency_follows_the_log,
-          NULL };
-
-  return run_suite ("view", tests);
-}
+TEST_PROGRAM ("view", shares_of_all_entry_hosts_add_up_to_each_limit,
+              daemon_that_is_not_listed_holds_nothing,
+              indexes_find_what_the_fleet_lists,
+              view_without_a_configuration_is_empty, currency_follows_the_log)
--- a/fleet/test/budget_test.c
+++ b/fleet/test/budget_test.c
@@ -1,7 +1,7 @@
 /* Guards against a plan that counts a budget other than the fold does.  */
 
+#include "../../test/run_suite.h"
 #include "fixture.h"
-#include "runner.h"
 
 START_TEST (agrees_with_the_fold)
 {
@@ -61,13 +61,4 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[] = {
-    agrees_with_the_fold,
-    taken_hosts_count,
-  };
-
-  return run_tests ("budget", tests, G_N_ELEMENTS (tests));
-}
+TEST_PROGRAM ("budget", agrees_with_the_fold, taken_hosts_count)
--- a/fleet/test/buffer_test.c
+++ b/fleet/test/buffer_test.c
@@ -1,8 +1,8 @@
 /* Guards against a buffer sized for the sum of peaks, or for less than a rack.
  */
 
+#include "../../test/run_suite.h"
 #include "fixture.h"
-#include "runner.h"
 
 START_TEST (buffer_covers_one_rack_and_the_bursts_at_once)
 {
@@ -23,11 +23,4 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[]
-      = { buffer_covers_one_rack_and_the_bursts_at_once };
-
-  return run_tests ("buffer", tests, G_N_ELEMENTS (tests));
-}
+TEST_PROGRAM ("buffer", buffer_covers_one_rack_and_the_bursts_at_once)
--- a/fleet/test/ending_test.c
+++ b/fleet/test/ending_test.c
@@ -111,16 +111,8 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[] = {
-    a_failing_job_is_held,
-    a_failing_job_is_held_on_few_workers,
-    a_failing_worker_is_taken_out,
-    a_broken_batch_takes_out_no_worker,
-    at_most_a_tenth_of_the_workers_is_taken_out,
-  };
-
-  return run_tests ("ending", tests, G_N_ELEMENTS (tests));
-}
+TEST_PROGRAM ("ending", a_failing_job_is_held,
+              a_failing_job_is_held_on_few_workers,
+              a_failing_worker_is_taken_out,
+              a_broken_batch_takes_out_no_worker,
+              at_most_a_tenth_of_the_workers_is_taken_out)
--- a/fleet/test/farm.h
+++ b/fleet/test/farm.h
@@ -3,8 +3,8 @@
 #ifndef CUMINPIN_FLEET_FARM_H
 #define CUMINPIN_FLEET_FARM_H
 
+#include "../../test/run_suite.h"
 #include "fleet.h"
-#include "runner.h"
 #include <string.h>
 
 #define STEPS_MAX 4096
--- a/fleet/test/fit_test.c
+++ b/fleet/test/fit_test.c
@@ -1,9 +1,9 @@
 /* Guards against an index that misses a worker with room, or finds one
    without.  */
 
+#include "../../test/run_suite.h"
 #include "fit.h"
 #include "fixture.h"
-#include "runner.h"
 
 #define WORKERS 50
 
@@ -37,10 +37,4 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[] = { finds_the_same_as_a_scan };
-
-  return run_tests ("fit", tests, G_N_ELEMENTS (tests));
-}
+TEST_PROGRAM ("fit", finds_the_same_as_a_scan)
--- a/fleet/test/place_test.c
+++ b/fleet/test/place_test.c
@@ -3,7 +3,6 @@
 
 #include "farm.h"
 #include "fixture.h"
-#include <stdio.h>
 
 #define WORKERS 6
 #define RUNS_MAX 4096
@@ -298,17 +297,9 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[] = {
-    refuses_at_once_what_no_worker_can_hold,
-    limit_holds_through_the_loss_of_a_worker,
-    restarts_a_non_idempotent_job_only_after_its_lease,
-    cancelled_jobs_are_stopped_and_forgotten,
-    learned_use_is_bounded_by_the_declaration,
-    random_sequences_hold_the_invariants,
-  };
-
-  return run_tests ("place", tests, G_N_ELEMENTS (tests));
-}
+TEST_PROGRAM ("place", refuses_at_once_what_no_worker_can_hold,
+              limit_holds_through_the_loss_of_a_worker,
+              restarts_a_non_idempotent_job_only_after_its_lease,
+              cancelled_jobs_are_stopped_and_forgotten,
+              learned_use_is_bounded_by_the_declaration,
+              random_sequences_hold_the_invariants)
--- a/fleet/test/plan_test.c
+++ b/fleet/test/plan_test.c
@@ -1,8 +1,8 @@
 /* Guards against moves that break a budget, go back and forth, or ignore the
    fleet file.  */
 
+#include "../../test/run_suite.h"
 #include "fixture.h"
-#include "runner.h"
 
 #define SECOND INT64_C (1000000)
 #define MOVES_MAX 32
@@ -191,16 +191,7 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[] = {
-    a_short_pool_gets_spare_hosts_within_the_budget,
-    alternating_bursts_do_not_move_hosts_back_and_forth,
-    idle_lent_hosts_serve_the_next_pool,
-    a_host_follows_the_fleet_file,
-    a_move_that_is_not_needed_ends,
-  };
-
-  return run_tests ("plan", tests, G_N_ELEMENTS (tests));
-}
+TEST_PROGRAM ("plan", a_short_pool_gets_spare_hosts_within_the_budget,
+              alternating_bursts_do_not_move_hosts_back_and_forth,
+              idle_lent_hosts_serve_the_next_pool,
+              a_host_follows_the_fleet_file, a_move_that_is_not_needed_ends)
--- a/fleet/test/reclaim_test.c
+++ b/fleet/test/reclaim_test.c
@@ -122,17 +122,8 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[] = {
-    throttles_then_restores,
-    checkpoints_and_keeps_the_room,
-    stops_what_does_not_checkpoint_in_time,
-    never_stops_a_non_idempotent_job,
-    takes_only_what_was_lent,
-    takes_back_for_many_at_once,
-  };
-
-  return run_tests ("reclaim", tests, G_N_ELEMENTS (tests));
-}
+TEST_PROGRAM ("reclaim", throttles_then_restores,
+              checkpoints_and_keeps_the_room,
+              stops_what_does_not_checkpoint_in_time,
+              never_stops_a_non_idempotent_job, takes_only_what_was_lent,
+              takes_back_for_many_at_once)
--- a/fleet/test/schedule_test.c
+++ b/fleet/test/schedule_test.c
@@ -1,7 +1,6 @@
 /* Guards against unfair, idle or slow placement.  */
 
 #include "farm.h"
-#include <stdio.h>
 
 /* Ghodsi et al. 2011, section 4.1: 9 CPUs and 18 GB; A's tasks need 1 and 4,
    B's 3 and 1.  A gets three tasks, B two.  */
@@ -172,17 +171,7 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[] = {
-    shares_as_in_the_paper,
-    weights_and_idle_shares,
-    jobs_without_accelerators_leave_those_free,
-    small_jobs_above_the_share_leave_room,
-    a_large_job_gets_its_turn,
-    places_a_burst_in_time,
-  };
-
-  return run_tests ("schedule", tests, G_N_ELEMENTS (tests));
-}
+TEST_PROGRAM ("schedule", shares_as_in_the_paper, weights_and_idle_shares,
+              jobs_without_accelerators_leave_those_free,
+              small_jobs_above_the_share_leave_room, a_large_job_gets_its_turn,
+              places_a_burst_in_time)
--- a/fleet/test/wave_test.c
+++ b/fleet/test/wave_test.c
@@ -2,9 +2,8 @@
    single decisions, and random sequences of failures, delayed and repeated
    records and racing operators.  CUMINPIN_SEED gives the seed of one.  */
 
-#include "runner.h"
+#include "../../test/run_suite.h"
 #include "scene.h"
-#include <stdio.h>
 
 static const char *const entries[] = { "e1", "e2", "e3" };
 static const fixture_t small = { .hosts = 20,
@@ -421,18 +420,9 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[] = {
-    drains_spare_then_racks_then_emptiest,
-    starts_nothing_that_it_cannot_see,
-    drained_only_when_surely_empty,
-    a_lost_host_uses_the_budget_until_it_is_back,
-    fails_a_host_that_does_not_return,
-    one_daemon_acts_for_each_host,
-    random_sequences_hold_the_invariants,
-  };
-
-  return run_tests ("wave", tests, G_N_ELEMENTS (tests));
-}
+TEST_PROGRAM ("wave", drains_spare_then_racks_then_emptiest,
+              starts_nothing_that_it_cannot_see,
+              drained_only_when_surely_empty,
+              a_lost_host_uses_the_budget_until_it_is_back,
+              fails_a_host_that_does_not_return, one_daemon_acts_for_each_host,
+              random_sequences_hold_the_invariants)
--- a/peer/test/member_test.c
+++ b/peer/test/member_test.c
@@ -131,15 +131,7 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[] = { phase_follows_from_the_last_beat,
-                                 late_beat_is_heard_at_the_time_it_echoes,
-                                 replaced_daemon_is_not_heard,
-                                 beats_out_of_order_take_nothing_back,
-                                 suspect_is_told_once,
-                                 NULL };
-
-  return run_suite ("member", tests);
-}
+TEST_PROGRAM ("member", phase_follows_from_the_last_beat,
+              late_beat_is_heard_at_the_time_it_echoes,
+              replaced_daemon_is_not_heard,
+              beats_out_of_order_take_nothing_back, suspect_is_told_once)
--- a/route/test/choice_test.c
+++ b/route/test/choice_test.c
@@ -74,11 +74,4 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[]
-      = { only_a_permitted_upstream_is_picked, load_stays_even, NULL };
-
-  return run_suite ("choice", tests);
-}
+TEST_PROGRAM ("choice", only_a_permitted_upstream_is_picked, load_stays_even)
--- a/route/test/health_test.c
+++ b/route/test/health_test.c
@@ -86,12 +86,5 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[]
-      = { failures_in_a_row_eject, probes_decide_on_return,
-          early_answers_and_leaving, NULL };
-
-  return run_suite ("health", tests);
-}
+TEST_PROGRAM ("health", failures_in_a_row_eject, probes_decide_on_return,
+              early_answers_and_leaving)
--- a/route/test/once_test.c
+++ b/route/test/once_test.c
@@ -151,13 +151,6 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[]
-      = { only_uuids_of_version_7_parse, owner_is_independent_of_order,
-          window_bounds_ids_and_memory,  no_id_is_granted_twice,
-          start_moves_forward_only,      NULL };
-
-  return run_suite ("once", tests);
-}
+TEST_PROGRAM ("once", only_uuids_of_version_7_parse,
+              owner_is_independent_of_order, window_bounds_ids_and_memory,
+              no_id_is_granted_twice, start_moves_forward_only)
--- a/route/test/retry_test.c
+++ b/route/test/retry_test.c
@@ -102,12 +102,5 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[]
-      = { only_safe_requests_are_repeated, retries_add_at_most_a_tenth,
-          delays_are_spread_and_end_in_time, NULL };
-
-  return run_suite ("retry", tests);
-}
+TEST_PROGRAM ("retry", only_safe_requests_are_repeated,
+              retries_add_at_most_a_tenth, delays_are_spread_and_end_in_time)
--- a/state/test/disrupt_test.c
+++ b/state/test/disrupt_test.c
@@ -1,9 +1,8 @@
 /* Guards against disruption that the fold lets through although a budget, a
    wave or a pool rules it out.  */
 
+#include "../../test/run_suite.h"
 #include "state.h"
-#include <check.h>
-#include <stdlib.h>
 #include <string.h>
 
 static uint64_t offset;
@@ -239,23 +238,8 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  Suite *suite = suite_create ("disrupt");
-  TCase *tc = tcase_create ("disrupt");
-  SRunner *runner = srunner_create (suite);
-  int failed;
-
-  tcase_add_test (tc, budgets_of_pool_and_rack_bound_drains);
-  tcase_add_test (tc, config_does_not_move_a_host_in_use);
-  tcase_add_test (tc, drain_for_a_wave_keeps_its_rules);
-  tcase_add_test (tc, unfinished_waves_do_not_share_hosts);
-  tcase_add_test (tc, waves_enter_phases_in_order);
-  tcase_add_test (tc, listed_again_gets_a_new_version);
-  suite_add_tcase (suite, tc);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
-}
+TEST_PROGRAM ("disrupt", budgets_of_pool_and_rack_bound_drains,
+              config_does_not_move_a_host_in_use,
+              drain_for_a_wave_keeps_its_rules,
+              unfinished_waves_do_not_share_hosts, waves_enter_phases_in_order,
+              listed_again_gets_a_new_version)
--- a/state/test/fold_test.c
+++ b/state/test/fold_test.c
@@ -387,20 +387,11 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[] = { conditions_of_each_kind_hold,
-                                 nothing_applies_before_a_configuration,
-                                 withdrawn_key_never_returns,
-                                 withdrawal_covers_all_ids_of_a_digest,
-                                 key_missing_from_a_configuration_is_withdrawn,
-                                 second_of_two_racing_configurations_is_stale,
-                                 repeated_id_and_offset_change_nothing,
-                                 records_of_newer_versions,
-                                 failed_host_uses_up_the_budget,
-                                 readers_of_one_log_agree,
-                                 NULL };
-
-  return run_suite ("fold", tests);
-}
+TEST_PROGRAM ("fold", conditions_of_each_kind_hold,
+              nothing_applies_before_a_configuration,
+              withdrawn_key_never_returns,
+              withdrawal_covers_all_ids_of_a_digest,
+              key_missing_from_a_configuration_is_withdrawn,
+              second_of_two_racing_configurations_is_stale,
+              repeated_id_and_offset_change_nothing, records_of_newer_versions,
+              failed_host_uses_up_the_budget, readers_of_one_log_agree)
--- a/state/test/record_test.c
+++ b/state/test/record_test.c
@@ -90,12 +90,5 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[] = { records_without_what_they_need_are_rejected,
-                                 config_is_loaded_or_rejected_whole,
-                                 ids_differ_and_names_are_cut, NULL };
-
-  return run_suite ("record", tests);
-}
+TEST_PROGRAM ("record", records_without_what_they_need_are_rejected,
+              config_is_loaded_or_rejected_whole, ids_differ_and_names_are_cut)
--- a/state/test/table_test.c
+++ b/state/test/table_test.c
@@ -83,10 +83,4 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[] = { random_changes_match_a_model, NULL };
-
-  return run_suite ("table", tests);
-}
+TEST_PROGRAM ("table", random_changes_match_a_model)
--- a/test/run_suite.h
+++ b/test/run_suite.h
@@ -1,5 +1,8 @@
-/* run_suite - main part of a test program: runs TESTS, NULL-terminated.
-   run_suite_with - the same, with SET_UP before and TEAR_DOWN after each.
+/* TEST_PROGRAM (NAME, TEST...) - the main function of a test program.
+   TEST_PROGRAM_WITH - the same, with SET_UP before and TEAR_DOWN after each.
+   run_suite, run_suite_with - their parts, for programs that prepare more;
+   TESTS is NULL-terminated.
+   run_case - runs one case that the program has put together itself.
    run_seed - a seed for random tests: that in CUMINPIN_SEED, or always the
    same one, so that each run has the same verdict; printed.  */
 
@@ -13,18 +16,24 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#define TEST_PROGRAM(name, ...)                                               \
+  TEST_PROGRAM_WITH (name, NULL, NULL, __VA_ARGS__)
+
+#define TEST_PROGRAM_WITH(name, set_up, tear_down, ...)                       \
+  int main (void)                                                             \
+  {                                                                           \
+    const TTest *const tests[] = { __VA_ARGS__, NULL };                       \
+                                                                              \
+    return run_suite_with (name, tests, set_up, tear_down);                   \
+  }
+
 static inline int
-run_suite_with (const char *name, const TTest *const *tests,
-                void (*set_up) (void), void (*tear_down) (void))
+run_case (const char *name, TCase *tcase)
 {
   Suite *suite = suite_create (name);
-  TCase *tcase = tcase_create (name);
   SRunner *runner = srunner_create (suite);
   int failed;
 
-  tcase_add_checked_fixture (tcase, set_up, tear_down);
-  for (; *tests; tests++)
-    tcase_add_test (tcase, *tests);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
@@ -32,6 +41,18 @@
   return failed ? EXIT_FAILURE : EXIT_SUCCESS;
 }
 
+static inline int
+run_suite_with (const char *name, const TTest *const *tests,
+                void (*set_up) (void), void (*tear_down) (void))
+{
+  TCase *tcase = tcase_create (name);
+
+  tcase_add_checked_fixture (tcase, set_up, tear_down);
+  for (; *tests; tests++)
+    tcase_add_test (tcase, *tests);
+  return run_case (name, tcase);
+}
+
 static inline int
 run_suite (const char *name, const TTest *const *tests)
 {
--- a/wire/test/wirefold_test.c
+++ b/wire/test/wirefold_test.c
@@ -56,10 +56,4 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[] = { each_case_has_one_verdict, NULL };
-
-  return run_suite ("wirefold", tests);
-}
+TEST_PROGRAM ("wirefold", each_case_has_one_verdict)
--- a/wire/test/wiremsg_test.c
+++ b/wire/test/wiremsg_test.c
@@ -171,16 +171,7 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[] = { each_message_comes_back_the_same,
-                                 truncated_message_is_an_error,
-                                 malformed_message_is_an_error,
-                                 oversized_message_is_an_error,
-                                 further_fields_are_ignored,
-                                 random_bytes_never_crash,
-                                 NULL };
-
-  return run_suite ("wiremsg", tests);
-}
+TEST_PROGRAM ("wiremsg", each_message_comes_back_the_same,
+              truncated_message_is_an_error, malformed_message_is_an_error,
+              oversized_message_is_an_error, further_fields_are_ignored,
+              random_bytes_never_crash)
--- a/wire/test/wirerec_test.c
+++ b/wire/test/wirerec_test.c
@@ -203,12 +203,6 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[]
-      = { each_kind_comes_back_the_same, cut_or_changed_bytes_never_crash,
-          payloads_of_other_versions, oversized_input_is_rejected, NULL };
-
-  return run_suite ("wirerec", tests);
-}
+TEST_PROGRAM ("wirerec", each_kind_comes_back_the_same,
+              cut_or_changed_bytes_never_crash, payloads_of_other_versions,
+              oversized_input_is_rejected)
