test: run maintenance waves and racing operators as scenarios

Cause: waves were tested as decisions only; no run with real processes showed that a wave keeps to the budgets, survives a failed host, a log outage and a killed daemon, or that of two operators at once only one succeeds.

Change: the scenario language has the words wave, race and fleet; fleet watches the budgets of pools at each look at the folded log. The stand-in platform answers GET /reboots with the number of reboots of each host. What operators do has moved from control.c to operator.c.

--- a/test/scenario/control.c
+++ b/test/scenario/control.c
@@ -8,75 +8,8 @@
 #include "support.h"
 #include <poll.h>
 
-#define TOOL_MAX_US 30000000
 #define CONTROL_MS 5000
 
-/* The operators' command, which is to end with STATUS; its output goes to
- *OUTPUT.  */
-static bool
-run_tool (const char **argv, int status, char **output, GError **error)
-{
-  static uint32_t runs;
-  g_autofree char *name = g_strdup_printf ("cuminpin-%u", ++runs);
-  proc_t *proc = proc_start (PROC_TOOL, name, "cuminpin", argv, false, error);
-
-  if (!proc || !proc_wait (proc, clock_mono_us () + TOOL_MAX_US, error))
-    return false;
-  if (!g_file_get_contents (proc->log_path, output, NULL, error))
-    return false;
-  if (proc->status == status)
-    return true;
-  return scenario_fail (error, "cuminpin ended with status %d: %s",
-                        proc->status, *output);
-}
-
-/* The platform that the operator reaches: log=PROCESS or the first log.  */
-static const char *
-operator_url (const cmd_t *cmd)
-{
-  const proc_t *log = proc_at (PROC_LOG, 0);
-
-  return script_get (script_option (cmd, "log", log ? log->name : ""), "url");
-}
-
-bool
-control_publish (const cmd_t *cmd, GError **error)
-{
-  g_autofree char *source = words_path (cmd, cmd->args[0]);
-  g_autofree char *path
-      = g_strdup_printf ("%s/%s", procs_dir (), cmd->args[0]);
-  g_autofree char *text = NULL;
-  g_autofree char *filled = NULL;
-  g_autofree char *output = NULL;
-  const char *url = operator_url (cmd);
-  const char *argv[] = { NULL, "--platform", url, "publish", path, NULL };
-  bool fails = cmd->args_count > 1 && strcmp (cmd->args[1], "fails") == 0;
-
-  if (!url)
-    return scenario_fail (error, "no log was started");
-  if (!g_file_get_contents (source, &text, NULL, error))
-    return false;
-  filled = script_fill (text, NULL, error);
-  if (!filled || !g_file_set_contents (path, filled, -1, error)
-      || !run_tool (argv, fails ? 1 : 0, &output, error))
-    return false;
-  if (fails && !strstr (output, script_rest (cmd, 2)))
-    return scenario_fail (error, "expected an error with \"%s\", found: %s",
-                          script_rest (cmd, 2), output);
-  return true;
-}
-
-bool
-control_withdraw (const cmd_t *cmd, GError **error)
-{
-  g_autofree char *output = NULL;
-  const char *url = operator_url (cmd);
-  const char *argv[]
-      = { NULL, "--platform", url, "withdraw", cmd->args[0], NULL };
-
-  return run_tool (argv, 0, &output, error);
-}
-
 bool
 control_fault (const cmd_t *cmd, GError **error)
 {
--- a/test/scenario/script.c
+++ b/test/scenario/script.c
@@ -13,6 +13,8 @@
   [WORD_DAEMON] = "daemon",
   [WORD_PUBLISH] = "publish",
   [WORD_WITHDRAW] = "withdraw",
+  [WORD_WAVE] = "wave",
+  [WORD_RACE] = "race",
   [WORD_FAULT] = "fault",
   [WORD_LOGFAULT] = "logfault",
   [WORD_PROXYFAULT] = "proxyfault",
@@ -28,6 +30,7 @@
   [WORD_LOAD] = "load",
   [WORD_ENDLOAD] = "endload",
   [WORD_CHECK] = "check",
+  [WORD_FLEET] = "fleet",
   [WORD_NO_DOUBLE_RUNS] = "no-double-runs",
   [WORD_WITHIN] = "within",
 };
--- a/test/scenario/verify.c
+++ b/test/scenario/verify.c
@@ -204,8 +204,9 @@
 {
   bool is_daemon = proc->kind == PROC_DAEMON;
   const char *port = is_daemon ? "admin_port" : "port";
+  const char *path = proc->kind == PROC_LOG ? "/reboots" : "/_runs";
   g_autofree char *url
-      = words_url (proc->name, port, is_daemon ? "/config" : "/_runs", error);
+      = words_url (proc->name, port, is_daemon ? "/config" : path, error);
   g_autofree char *more = words_url (proc->name, port, "/counters", error);
   json_t *facts = url ? http_json (url, error) : NULL;
   json_t *counters;
@@ -268,15 +269,24 @@
                            expression, json_integer_value (fact));
 }
 
+bool
+verify_facts (const cmd_t *cmd, uint32_t index, const json_t *facts,
+              GError **error)
+{
+  bool holds = true;
+
+  for (uint32_t i = index; i < cmd->args_count && holds; i++)
+    holds = fact_holds (facts, cmd->args[i], error);
+  return holds;
+}
+
 bool
 verify_check (const cmd_t *cmd, GError **error)
 {
   const proc_t *proc = proc_find (cmd->args[0], error);
   json_t *facts = proc ? read_facts (proc, error) : NULL;
-  bool holds = facts != NULL;
+  bool holds = facts && verify_facts (cmd, 1, facts, error);
 
-  for (uint32_t i = 1; i < cmd->args_count && holds; i++)
-    holds = fact_holds (facts, cmd->args[i], error);
   json_decref (facts);
   return holds;
 }
--- a/test/scenario/words.c
+++ b/test/scenario/words.c
@@ -10,17 +10,31 @@
   uint32_t args;
   bool acts;
 } rows[WORD_COUNT] = {
-  [WORD_LOG] = { 1, true },          [WORD_UPSTREAM] = { 1, true },
-  [WORD_PROXY] = { 2, true },        [WORD_DAEMON] = { 1, true },
-  [WORD_PUBLISH] = { 1, true },      [WORD_WITHDRAW] = { 1, true },
-  [WORD_FAULT] = { 2, true },        [WORD_LOGFAULT] = { 1, true },
-  [WORD_PROXYFAULT] = { 2, true },   [WORD_LIVE] = { 2, true },
-  [WORD_APPEND] = { 2, true },       [WORD_SIGNAL] = { 2, true },
-  [WORD_STOPPED_FOR] = { 2, false }, [WORD_EXPECT_EXIT] = { 2, false },
-  [WORD_REQUEST] = { 3, false },     [WORD_SEND] = { 3, true },
-  [WORD_ANSWERS] = { 1, false },     [WORD_REFUSED] = { 1, false },
-  [WORD_LOAD] = { 3, true },         [WORD_ENDLOAD] = { 1, false },
-  [WORD_CHECK] = { 2, false },       [WORD_NO_DOUBLE_RUNS] = { 0, false },
+  [WORD_LOG] = { 1, true },
+  [WORD_UPSTREAM] = { 1, true },
+  [WORD_PROXY] = { 2, true },
+  [WORD_DAEMON] = { 1, true },
+  [WORD_PUBLISH] = { 1, true },
+  [WORD_WITHDRAW] = { 1, true },
+  [WORD_WAVE] = { 2, true },
+  [WORD_RACE] = { 5, true },
+  [WORD_FLEET] = { 1, false },
+  [WORD_FAULT] = { 2, true },
+  [WORD_LOGFAULT] = { 1, true },
+  [WORD_PROXYFAULT] = { 2, true },
+  [WORD_LIVE] = { 2, true },
+  [WORD_APPEND] = { 2, true },
+  [WORD_SIGNAL] = { 2, true },
+  [WORD_STOPPED_FOR] = { 2, false },
+  [WORD_EXPECT_EXIT] = { 2, false },
+  [WORD_REQUEST] = { 3, false },
+  [WORD_SEND] = { 3, true },
+  [WORD_ANSWERS] = { 1, false },
+  [WORD_REFUSED] = { 1, false },
+  [WORD_LOAD] = { 3, true },
+  [WORD_ENDLOAD] = { 1, false },
+  [WORD_CHECK] = { 2, false },
+  [WORD_NO_DOUBLE_RUNS] = { 0, false },
   [WORD_WITHIN] = { 2, false },
 };
 
@@ -90,9 +104,13 @@
     case WORD_DAEMON:
       return start_daemon (cmd, error);
     case WORD_PUBLISH:
-      return control_publish (cmd, error);
+      return operator_publish (cmd, error);
     case WORD_WITHDRAW:
-      return control_withdraw (cmd, error);
+      return operator_withdraw (cmd, error);
+    case WORD_WAVE:
+      return operator_wave (cmd, error);
+    case WORD_RACE:
+      return operator_race (cmd, error);
     case WORD_FAULT:
       return control_fault (cmd, error);
     case WORD_LOGFAULT:
@@ -123,6 +141,8 @@
       return verify_endload (cmd, error);
     case WORD_CHECK:
       return verify_check (cmd, error);
+    case WORD_FLEET:
+      return operator_fleet (cmd, fatal, error);
     case WORD_NO_DOUBLE_RUNS:
       return verify_no_double_runs (cmd, error);
     case WORD_WITHIN:
--- a/test/scenario/words.h
+++ b/test/scenario/words.h
@@ -14,9 +14,17 @@
 bool start_proxy (const cmd_t *cmd, GError **error);
 bool start_daemon (const cmd_t *cmd, GError **error);
 
-/* control.c: what operators and faults do */
-bool control_publish (const cmd_t *cmd, GError **error);
-bool control_withdraw (const cmd_t *cmd, GError **error);
+/* operator.c: what operators do */
+bool operator_publish (const cmd_t *cmd, GError **error);
+bool operator_withdraw (const cmd_t *cmd, GError **error);
+bool operator_wave (const cmd_t *cmd, GError **error);
+bool operator_race (const cmd_t *cmd, GError **error);
+
+/* operator_fleet - check expressions of the folded log.  *FATAL when a pool
+   lost hosts beyond its budget.  */
+bool operator_fleet (const cmd_t *cmd, bool *fatal, GError **error);
+
+/* control.c: faults and signals */
 bool control_fault (const cmd_t *cmd, GError **error);
 bool control_logfault (const cmd_t *cmd, GError **error);
 bool control_proxyfault (const cmd_t *cmd, GError **error);
@@ -33,6 +41,10 @@
 bool verify_refused (const cmd_t *cmd, GError **error);
 bool verify_endload (const cmd_t *cmd, GError **error);
 bool verify_check (const cmd_t *cmd, GError **error);
+
+/* verify_facts - whether the arguments of CMD from INDEX on hold of FACTS.  */
+bool verify_facts (const cmd_t *cmd, uint32_t index, const json_t *facts,
+                   GError **error);
 bool verify_no_double_runs (const cmd_t *cmd, GError **error);
 
 /* words_path - FILE beside the script that CMD is in.  */
