scenario: wait until a stopped process has stopped

Cause: scenario/runner failed at line 48 in one sanitizer run of ctest: the upstream answered a request with 200 although "signal u1 STOP" came before it. kill returns before the threads of the process have taken SIGSTOP.

Change: proc_signal waits with waitid for the stop that the kernel reports; it leaves the status to be read later. No script changes.

--- a/test/scenario/proc.c
+++ b/test/scenario/proc.c
@@ -205,6 +205,8 @@
 bool
 proc_signal (proc_t *proc, int number, GError **error)
 {
+  siginfo_t stop;
+
   if (proc->ended)
     return scenario_fail (error, "%s has ended", proc->name);
   if (number == SIGTERM || number == SIGKILL)
@@ -213,6 +215,12 @@
     proc->stopped_us = clock_mono_us ();
   if (kill (proc->pid, number) != 0)
     return scenario_fail (error, "%s: %s", proc->name, g_strerror (errno));
+  /* Its threads run on until each has taken the signal; the kernel reports
+     the stop when the last one has.  */
+  if (number == SIGSTOP
+      && waitid (P_PID, (id_t)proc->pid, &stop, WSTOPPED | WEXITED | WNOWAIT)
+             != 0)
+    return scenario_fail (error, "%s: %s", proc->name, g_strerror (errno));
   return true;
 }
 
