Set up and release links and HTTP servers of tests in fixtures

Cause: link_test and pair.h each had the macro wait_until with its lock; each test of parse and answer started and stopped the server, and each test of links stopped its links; three programs kept a main for one call.

Change: peer/test/wait.h has wait_until; http_start and http_stop, and the links' tear_down, run around each test; replies are released by g_auto; the mains of answer, parse, link and wiresnap are TEST_PROGRAM_WITH.

Measured: non-blank test lines fall by 49.

--- a/daemon/test/answer_test.c
+++ b/daemon/test/answer_test.c
@@ -49,16 +49,13 @@
 {
   static const char *const headers[] = { "X-Request-Id: r1", NULL };
 
-  http_start ();
   http.fill = refuse;
   for (kind = ERR_NONE + 1; kind < ERR_KIND_COUNT; kind++)
     {
-      http_reply_t reply = http_ask ("GET", "/v1/s", headers, NULL);
+      g_auto (http_reply_t) reply = http_ask ("GET", "/v1/s", headers, NULL);
 
       assert_refusal (&reply, err_answer (kind));
-      http_reply_clear (&reply);
     }
-  http_stop ();
 }
 END_TEST
 
@@ -74,13 +71,17 @@
   g_byte_array_append (req->reply.body, (const uint8_t *)"a\0b", 3);
 }
 
+static http_reply_t
+ask_with (void (*fill) (req_t *req))
+{
+  http.fill = fill;
+  return http_ask ("GET", "/v1/s", NULL, NULL);
+}
+
 START_TEST (answer_of_the_upstream_is_passed_on_whole)
 {
-  http_reply_t reply;
+  g_auto (http_reply_t) reply = ask_with (answer);
 
-  http_start ();
-  http.fill = answer;
-  reply = http_ask ("GET", "/v1/s", NULL, NULL);
   ck_assert_int_eq (reply.status, 418);
   ck_assert (http_has (&reply, "X-One: a: b"));
   ck_assert (http_has (&reply, "X-One: c"));
@@ -89,8 +90,6 @@
   ck_assert (!strstr (reply.head->str, "X-Outcome"));
   ck_assert_uint_eq (reply.body->len, 3);
   ck_assert_mem_eq (reply.body->str, "a\0b", 3);
-  http_reply_clear (&reply);
-  http_stop ();
 }
 END_TEST
 
@@ -98,29 +97,19 @@
    about to close.  */
 START_TEST (closing_is_announced)
 {
-  http_reply_t reply;
-
-  http_start ();
-  http.fill = NULL;
   for (int closing = 0; closing < 2; closing++)
     {
+      g_auto (http_reply_t) reply = { 0 };
+
       http.closing = closing;
-      reply = http_ask ("GET", "/v1/s", NULL, NULL);
+      reply = ask_with (NULL);
       ck_assert_int_eq (reply.status, 200);
       ck_assert_int_eq (http_has (&reply, "Connection: close"), closing);
-      http_reply_clear (&reply);
     }
-  http_stop ();
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[] = { each_error_kind_has_its_status_and_headers,
-                                 answer_of_the_upstream_is_passed_on_whole,
-                                 closing_is_announced, NULL };
-
-  curl_global_init (CURL_GLOBAL_DEFAULT);
-  return run_suite ("answer", tests);
-}
+TEST_PROGRAM_WITH ("answer", http_start, http_stop,
+                   each_error_kind_has_its_status_and_headers,
+                   answer_of_the_upstream_is_passed_on_whole,
+                   closing_is_announced)
--- a/daemon/test/http.h
+++ b/daemon/test/http.h
@@ -78,6 +78,7 @@
       = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
   const union MHD_DaemonInfo *info;
 
+  curl_global_init (CURL_GLOBAL_DEFAULT);
   http.server = MHD_start_daemon (
       MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL, NULL, http_access, NULL,
       MHD_OPTION_SOCK_ADDR, &addr, MHD_OPTION_URI_LOG_CALLBACK, http_begin,
@@ -150,4 +151,6 @@
   g_string_free (reply->body, TRUE);
 }
 
+G_DEFINE_AUTO_CLEANUP_CLEAR_FUNC (http_reply_t, http_reply_clear)
+
 #endif
--- a/daemon/test/parse_test.c
+++ b/daemon/test/parse_test.c
@@ -51,20 +51,18 @@
 
 START_TEST (malformed_requests_are_refused_with_their_kind)
 {
-  http_start ();
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       const parse_case_t *c = &cases[i];
-      http_reply_t reply = http_ask ("GET", c->path, c->headers, NULL);
+      g_auto (http_reply_t) reply
+          = http_ask ("GET", c->path, c->headers, NULL);
 
       ck_assert_msg (http.parsed == c->expected, "%s %s: %s, expected %s",
                      c->path, c->headers[0] ? c->headers[0] : "",
                      err_answer (http.parsed)->name,
                      err_answer (c->expected)->name);
       ck_assert_uint_eq (reply.status, err_answer (c->expected)->status);
-      http_reply_clear (&reply);
     }
-  http_stop ();
 }
 END_TEST
 
@@ -73,10 +71,8 @@
   static const char *const headers[]
       = { "Authorization: bearer the-key ", id_header, "X-Deadline-Ms: 250",
           "X-Idempotent: no", NULL };
-  http_reply_t reply;
-
-  http_start ();
-  reply = http_ask ("PUT", "/v1/s.1/a/../b%20c?d=%2F&e", headers, "text");
+  g_auto (http_reply_t) reply
+      = http_ask ("PUT", "/v1/s.1/a/../b%20c?d=%2F&e", headers, "text");
   ck_assert_int_eq (http.parsed, ERR_NONE);
   ck_assert_str_eq (http.req->method, "PUT");
   ck_assert_str_eq (http.req->service_name, "s.1");
@@ -88,8 +84,6 @@
   ck_assert_int_eq (http.req->arrived_us, 1000);
   ck_assert_uint_eq (http.req->body->len, 4);
   ck_assert_mem_eq (http.req->body->data, "text", 4);
-  http_reply_clear (&reply);
-  http_stop ();
 }
 END_TEST
 
@@ -97,11 +91,9 @@
    from another's.  */
 START_TEST (requests_without_an_id_get_different_ones)
 {
+  http_reply_t reply = http_ask ("GET", "/v1/s", NULL, NULL);
   char first[ID_BYTES];
-  http_reply_t reply;
 
-  http_start ();
-  reply = http_ask ("GET", "/v1/s", NULL, NULL);
   ck_assert_uint_eq (strlen (http.req->id), 32);
   g_strlcpy (first, http.req->id, sizeof first);
   http_reply_clear (&reply);
@@ -110,7 +102,6 @@
   ck_assert_ptr_null (http.req->key);
   ck_assert (http.req->idempotent);
   http_reply_clear (&reply);
-  http_stop ();
 }
 END_TEST
 
@@ -135,10 +126,7 @@
                                          "X-Empty;",
                                          "Accept: text/plain",
                                          NULL };
-  http_reply_t reply;
-
-  http_start ();
-  reply = http_ask ("GET", "/v1/s", headers, NULL);
+  g_auto (http_reply_t) reply = http_ask ("GET", "/v1/s", headers, NULL);
   ck_assert (passes_on ("X-Own: 1"));
   ck_assert (passes_on ("X-Empty;"));
   ck_assert (passes_on ("Accept: text/plain"));
@@ -150,8 +138,6 @@
                          && !g_str_has_prefix (h->data, "TE:"),
                      "passed on: %s", h->data);
     }
-  http_reply_clear (&reply);
-  http_stop ();
 }
 END_TEST
 
@@ -160,32 +146,21 @@
   static const char *const chunked[] = { "Transfer-Encoding: chunked", NULL };
   g_autofree char *body = g_strnfill (HTTP_BODY_KIB * 1024 + 1, 'x');
 
-  http_start ();
   for (uint32_t i = 0; i < 4; i++)
     {
       /* Announced, and found only while the body comes in.  */
-      http_reply_t reply
+      g_auto (http_reply_t) reply
           = http_ask ("POST", "/v1/s", i % 2 ? chunked : NULL, body + i / 2);
 
       ck_assert_int_eq (http.parsed, i < 2 ? ERR_BODY_TOO_LARGE : ERR_NONE);
       ck_assert_uint_eq (reply.status, i < 2 ? 413 : 200);
-      http_reply_clear (&reply);
     }
-  http_stop ();
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[]
-      = { malformed_requests_are_refused_with_their_kind,
-          parts_of_a_request_are_found,
-          requests_without_an_id_get_different_ones,
-          only_headers_for_the_upstream_are_passed_on,
-          bodies_above_the_limit_are_refused,
-          NULL };
-
-  curl_global_init (CURL_GLOBAL_DEFAULT);
-  return run_suite ("parse", tests);
-}
+TEST_PROGRAM_WITH ("parse", http_start, http_stop,
+                   malformed_requests_are_refused_with_their_kind,
+                   parts_of_a_request_are_found,
+                   requests_without_an_id_get_different_ones,
+                   only_headers_for_the_upstream_are_passed_on,
+                   bodies_above_the_limit_are_refused)
--- a/peer/test/link_test.c
+++ b/peer/test/link_test.c
@@ -4,15 +4,14 @@
 
 #include "../../test/run_suite.h"
 #include "peer.h"
+#include "wait.h"
 #include <arpa/inet.h>
 #include <poll.h>
-#include <pthread.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #define NODES 3
-#define WAIT_S 20 /* for what takes milliseconds to 4 s */
 
 typedef struct node
 {
@@ -24,8 +23,6 @@
   bool hold;         /* its peer thread stops in the next claim */
 } node_t;
 
-static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
-static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
 static node_t nodes[NODES];
 
 static void
@@ -108,28 +105,26 @@
 }
 
 static void
-stop (uint32_t count)
+stop (int i)
 {
-  for (uint32_t i = 0; i < count; i++)
-    link_stop (nodes[i].link);
+  link_stop (nodes[i].link);
+  nodes[i].link = NULL;
+}
+
+static void
+stop_all (void)
+{
+  for (int i = 0; i < NODES; i++)
+    if (nodes[i].link)
+      stop (i);
 }
 
-/* Waits until CONDITION holds.  The links' callbacks wake it.  */
-#define wait_until(condition)                                                 \
-  do                                                                          \
-    {                                                                         \
-      struct timespec end;                                                    \
-      int late = 0;                                                           \
-                                                                              \
-      clock_gettime (CLOCK_REALTIME, &end);                                   \
-      end.tv_sec += WAIT_S;                                                   \
-      pthread_mutex_lock (&lock);                                             \
-      while (!(condition) && late == 0)                                       \
-        late = pthread_cond_timedwait (&changed, &lock, &end);                \
-      pthread_mutex_unlock (&lock);                                           \
-      ck_assert_msg (late == 0, "in vain: %s", #condition);                   \
-    }                                                                         \
-  while (0)
+static void
+tear_down (void)
+{
+  stop_all ();
+  rcu_unregister_thread ();
+}
 
 /* What node I knows of PEER.  */
 static member_t
@@ -197,7 +192,6 @@
   ck_assert (link_send (nodes[0].link, "e2", &claim));
   ck_assert_uint_eq (link_send_all (nodes[0].link, &claim), 1);
   wait_until (nodes[1].claims == 2 && nodes[0].verdicts == 2);
-  stop (2);
 }
 END_TEST
 
@@ -208,13 +202,12 @@
   start (2, 5, "secret");
   introduce (3);
   wait_until (nodes[0].up == 2 && nodes[1].up == 2 && nodes[2].up == 2);
-  link_stop (nodes[2].link);
+  stop (2);
   wait_until (nodes[0].up == 1 && nodes[1].up == 1);
   start (2, 6, "secret");
   introduce (3);
   wait_until (nodes[0].up == 2 && nodes[1].up == 2 && nodes[2].up == 2);
   ck_assert_uint_eq (member_of (0, "e3").incarnation, 6);
-  stop (3);
 }
 END_TEST
 
@@ -226,13 +219,12 @@
   start (1, 5, "secret");
   introduce (2);
   wait_until (nodes[0].up == 1);
-  link_stop (nodes[1].link);
+  stop (1);
   wait_until (nodes[0].up == 0);
   start (1, 4, "secret");
   introduce (2);
   wait_until (counter_read (COUNT_PEER_REFUSED) > refused);
   ck_assert_uint_eq (nodes[0].up, 0);
-  stop (2);
 }
 END_TEST
 
@@ -246,7 +238,6 @@
   wait_until (counter_read (COUNT_PEER_REFUSED) > refused);
   ck_assert_uint_eq (nodes[0].up + nodes[1].up, 0);
   ck_assert (!link_send (nodes[0].link, "e2", &(msg_t){ MSG_FETCH }));
-  stop (2);
 }
 END_TEST
 
@@ -261,7 +252,6 @@
   self = g_strdup_printf ("127.0.0.1:%u", link_port (nodes[1].link));
   link_set_seeds (nodes[1].link, (const char *[]){ self, seed, "bad" }, 3);
   wait_until (nodes[0].up == 1 && nodes[1].up == 1);
-  stop (2);
 }
 END_TEST
 
@@ -288,7 +278,7 @@
       ck_assert_uint_eq (link_send_all (nodes[1].link, &claim), 1);
       wait_until (nodes[0].verdicts == 1 && nodes[1].verdicts == 1);
       wait_until (nodes[0].up == 1 && nodes[1].up == 1);
-      stop (2);
+      stop_all ();
     }
 }
 END_TEST
@@ -338,7 +328,6 @@
   start (1, 1, "secret");
   introduce (2);
   wait_until (nodes[0].up == 1);
-  stop (2);
 }
 END_TEST
 
@@ -373,27 +362,13 @@
   pthread_mutex_unlock (&lock);
   wait_until (nodes[0].up == 1 && nodes[1].up == 1);
   wait_until (member_of (1, "e1").heard_us > held_us + GONE_US);
-  stop (2);
 }
 END_TEST
 
-int
-main (void)
-{
-  const TTest *const tests[]
-      = { two_daemons_exchange_beats_and_messages,
-          daemons_find_each_other_again,
-          replaced_daemon_is_refused,
-          wrong_secret_is_refused,
-          seed_is_enough_to_connect,
-          daemons_that_connect_at_once_keep_one_connection,
-          strangers_are_turned_away,
-          paused_daemon_is_given_up_and_comes_back,
-          NULL };
-  int status;
-
-  rcu_register_thread ();
-  status = run_suite ("link", tests);
-  rcu_unregister_thread ();
-  return status;
-}
+TEST_PROGRAM_WITH ("link", rcu_register_thread, tear_down,
+                   two_daemons_exchange_beats_and_messages,
+                   daemons_find_each_other_again, replaced_daemon_is_refused,
+                   wrong_secret_is_refused, seed_is_enough_to_connect,
+                   daemons_that_connect_at_once_keep_one_connection,
+                   strangers_are_turned_away,
+                   paused_daemon_is_given_up_and_comes_back)
--- a/peer/test/pair.h
+++ b/peer/test/pair.h
@@ -6,10 +6,9 @@
 
 #include "../../test/run_suite.h"
 #include "peer.h"
+#include "wait.h"
 #include <string.h>
 
-#define WAIT_S 20 /* for what takes milliseconds to a second */
-
 typedef struct side
 {
   link_t *link;
@@ -27,8 +26,6 @@
 
 static side_t sides[2];
 static bool no_ticks; /* for tests that set the time; before pair_open */
-static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
-static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
 
 /* Counts one more in *COUNT and wakes the test.  */
 static void
@@ -162,23 +159,6 @@
   escrow_free (side->escrow);
 }
 
-/* Waits until CONDITION holds.  */
-#define wait_until(condition)                                                 \
-  do                                                                          \
-    {                                                                         \
-      struct timespec end;                                                    \
-      int late = 0;                                                           \
-                                                                              \
-      clock_gettime (CLOCK_REALTIME, &end);                                   \
-      end.tv_sec += WAIT_S;                                                   \
-      pthread_mutex_lock (&lock);                                             \
-      while (!(condition) && late == 0)                                       \
-        late = pthread_cond_timedwait (&changed, &lock, &end);                \
-      pthread_mutex_unlock (&lock);                                           \
-      ck_assert_msg (late == 0, "in vain: %s", #condition);                   \
-    }                                                                         \
-  while (0)
-
 static void
 pair_open (void)
 {
--- /dev/null
+++ b/peer/test/wait.h
@@ -0,0 +1,32 @@
+/* wait - waiting for what the threads of links do  */
+
+#ifndef CUMINPIN_PEER_WAIT_H
+#define CUMINPIN_PEER_WAIT_H
+
+#include <check.h>
+#include <pthread.h>
+#include <time.h>
+
+#define WAIT_S 20 /* for what takes milliseconds to 4 s */
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
+
+/* Waits until CONDITION holds; callbacks of the links signal CHANGED.  */
+#define wait_until(condition)                                                 \
+  do                                                                          \
+    {                                                                         \
+      struct timespec end;                                                    \
+      int late = 0;                                                           \
+                                                                              \
+      clock_gettime (CLOCK_REALTIME, &end);                                   \
+      end.tv_sec += WAIT_S;                                                   \
+      pthread_mutex_lock (&lock);                                             \
+      while (!(condition) && late == 0)                                       \
+        late = pthread_cond_timedwait (&changed, &lock, &end);                \
+      pthread_mutex_unlock (&lock);                                           \
+      ck_assert_msg (late == 0, "in vain: %s", #condition);                   \
+    }                                                                         \
+  while (0)
+
+#endif
--- a/wire/test/wiresnap_test.c
+++ b/wire/test/wiresnap_test.c
@@ -258,14 +258,13 @@
 }
 END_TEST
 
-int
-main (void)
+static void
+set_up (void)
 {
-  const TTest *const tests[]
-      = { snapshot_and_tail_equal_the_whole_log, any_changed_byte_is_found,
-          damaged_body_with_valid_checksum_never_crashes, NULL };
-
-  if (sodium_init () < 0)
-    return EXIT_FAILURE;
-  return run_suite ("wiresnap", tests);
+  ck_assert_int_ge (sodium_init (), 0);
 }
+
+TEST_PROGRAM_WITH ("wiresnap", set_up, NULL,
+                   snapshot_and_tail_equal_the_whole_log,
+                   any_changed_byte_is_found,
+                   damaged_body_with_valid_checksum_never_crashes)
