--- /dev/null
+++ b/daemon/test/claims_test.c
@@ -0,0 +1,115 @@
+/* Guards against two daemons that grant the same id: by an owner that is not
+   one, by a change of entry hosts, and on a view that may be old.  */
+
+#include "fixture.h"
+
+#define NOW_MS INT64_C (1700000000000)
+#define NOW_US INT64_C (60000000)
+
+/* An id issued at TIME_MS that e1 owns, or e2 if MINE is false.  */
+static once_id_t
+id_at (const view_t *view, int64_t time_ms, bool mine)
+{
+  once_id_t id = { { 0 } };
+
+  for (int i = 0; i < 6; i++)
+    id.bytes[i] = (uint8_t)(time_ms >> (40 - 8 * i));
+  id.bytes[6] = 0x70;
+  id.bytes[8] = 0x80;
+  while ((strcmp (claims_owner (view, &id), "e1") == 0) != mine)
+    id.bytes[15]++;
+  return id;
+}
+
+static err_kind_t
+grant (claims_t *claims, const view_t *view, const once_id_t *id,
+       int64_t now_ms)
+{
+  return claims_grant (claims, view, "e1", id, NOW_US, now_ms);
+}
+
+static void
+open_fresh (claims_t *claims, const view_t *view)
+{
+  atomic_store (&currency.log_read_us, NOW_US);
+  claims_open (claims, NOW_MS - ONCE_WINDOW_MS);
+  claims_follow (claims, view, NOW_MS);
+}
+
+START_TEST (owner_grants_an_id_once_and_others_never)
+{
+  view_t *view = fixture_view ();
+  once_id_t mine = id_at (view, NOW_MS, true);
+  once_id_t other = id_at (view, NOW_MS, false);
+  claims_t claims;
+
+  open_fresh (&claims, view);
+  ck_assert_int_eq (grant (&claims, view, &mine, NOW_MS), ERR_NONE);
+  ck_assert_int_eq (grant (&claims, view, &mine, NOW_MS), ERR_ID_REPEATED);
+  ck_assert_int_eq (grant (&claims, view, &other, NOW_MS), ERR_ID_OWNER_AWAY);
+  ck_assert_uint_eq (once_count (claims.table), 1);
+  claims_close (&claims);
+}
+END_TEST
+
+START_TEST (stale_daemon_grants_nothing)
+{
+  view_t *view = fixture_view ();
+  once_id_t mine = id_at (view, NOW_MS, true);
+  claims_t claims;
+
+  open_fresh (&claims, view);
+  atomic_store (&currency.log_read_us, NOW_US - FRESH_MAX_US - 1);
+  ck_assert_int_eq (grant (&claims, view, &mine, NOW_MS), ERR_ID_OWNER_AWAY);
+  ck_assert_uint_eq (once_count (claims.table), 0);
+  claims_close (&claims);
+}
+END_TEST
+
+START_TEST (view_without_entry_hosts_has_no_owner)
+{
+  view_t *view = view_new (state_new (), &fixture_settings);
+  once_id_t id = { { 0 } };
+  claims_t claims;
+
+  open_fresh (&claims, view);
+  ck_assert_ptr_null (claims_owner (view, &id));
+  ck_assert_int_eq (grant (&claims, view, &id, NOW_MS), ERR_ID_OWNER_AWAY);
+  claims_close (&claims);
+}
+END_TEST
+
+/* The owner before this one may have granted ids until its view was stale.  */
+START_TEST (new_owner_refuses_ids_of_the_one_before)
+{
+  view_t *view = fixture_view ();
+  const int64_t late_ms
+      = NOW_MS + FRESH_MAX_US / 1000 + 2 * CLOCK_ERROR_MS + 1;
+  once_id_t early = id_at (view, NOW_MS + FRESH_MAX_US / 1000, true);
+  once_id_t late = id_at (view, late_ms, true);
+  claims_t claims;
+
+  open_fresh (&claims, view);
+  view->entry_hosts_count = 1;
+  claims_follow (&claims, view, NOW_MS);
+  ck_assert_int_ne (grant (&claims, view, &early, late_ms), ERR_NONE);
+  ck_assert_int_eq (grant (&claims, view, &late, late_ms), ERR_NONE);
+  /* The same hosts again change nothing.  */
+  claims_follow (&claims, view, late_ms);
+  late.bytes[15]++;
+  ck_assert_int_eq (grant (&claims, view, &late, late_ms), ERR_NONE);
+  claims_close (&claims);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tests = tcase_create ("claims");
+
+  tcase_add_test (tests, owner_grants_an_id_once_and_others_never);
+  tcase_add_test (tests, stale_daemon_grants_nothing);
+  tcase_add_test (tests, view_without_entry_hosts_has_no_owner);
+  tcase_add_test (tests, new_owner_refuses_ids_of_the_one_before);
+  return fixture_run (tests);
+}
--- a/daemon/test/fixture.h
+++ b/daemon/test/fixture.h
@@ -41,6 +41,25 @@
 static const settings_t fixture_settings
     = { .name = "e1", .data_centre = "dc1", .threads = 2 };
 
+static inline void
+fixture_config (rec_t *rec)
+{
+  rec_init (rec, REC_CONFIG, "test", 0);
+  rec->u.config.format = FLEET_FORMAT;
+  rec->u.config.text = g_strdup (fixture_text);
+  rec->u.config.len = strlen (fixture_text);
+}
+
+/* Gives team a KEY.  */
+static inline void
+fixture_key (rec_t *rec)
+{
+  rec_init (rec, REC_KEY_GRANT, "test", 0);
+  g_strlcpy (rec->u.key.id, "k1", sizeof rec->u.key.id);
+  g_strlcpy (rec->u.key.team, "a", sizeof rec->u.key.team);
+  key_digest (KEY, strlen (KEY), rec->u.key.digest);
+}
+
 /* A view of the fleet above, as e1 sees it, in which team a has KEY.  */
 static inline view_t *
 fixture_view (void)
@@ -50,17 +69,11 @@
   view_t *view;
   rec_t rec;
 
-  rec_init (&rec, REC_CONFIG, "test", 0);
-  rec.u.config.format = FLEET_FORMAT;
-  rec.u.config.text = g_strdup (fixture_text);
-  rec.u.config.len = strlen (fixture_text);
+  fixture_config (&rec);
   ck_assert_msg (rec_check (&rec, &error), "%s", error ? error->message : "");
   ck_assert_int_eq (state_fold (state, &rec, 0), VERDICT_APPLIED);
   rec_clear (&rec);
-  rec_init (&rec, REC_KEY_GRANT, "test", 0);
-  g_strlcpy (rec.u.key.id, "k1", sizeof rec.u.key.id);
-  g_strlcpy (rec.u.key.team, "a", sizeof rec.u.key.team);
-  key_digest (KEY, strlen (KEY), rec.u.key.digest);
+  fixture_key (&rec);
   ck_assert_int_eq (state_fold (state, &rec, 1), VERDICT_APPLIED);
   view = view_new (state, &fixture_settings);
   shares_apply (view, true);
