--- a/test/bench/test/answer_test.c
+++ b/bench/test/answer_test.c
@@ -1,7 +1,7 @@
 /* Guards against answers that are taken for whole or correct when they are
    cut, of unknown length, or another request's.  */
 
-#include "../../run_suite.h"
+#include "../../test/run_suite.h"
 #include "load.h"
 #include <string.h>
 
--- a/test/bench/test/latency_test.c
+++ b/bench/test/latency_test.c
@@ -1,7 +1,7 @@
 /* Guards against quantiles that are off by more than the histogram's error,
    and against latencies that are lost in a merge.  */
 
-#include "../../run_suite.h"
+#include "../../test/run_suite.h"
 #include "load.h"
 
 static int
--- a/test/bench/test/tally_test.c
+++ b/bench/test/tally_test.c
@@ -1,7 +1,7 @@
 /* Guards against a run that passes although an answer was lost, wrong or
    counted twice.  */
 
-#include "../../run_suite.h"
+#include "../../test/run_suite.h"
 #include "load.h"
 
 START_TEST (what_makes_a_run_bad)
