--- a/daemon/admission.c
+++ b/daemon/admission.c
@@ -8,6 +8,12 @@
   return req->deadline_us + (int64_t)req->overrun_ms * 1000;
 }
 
+/* Set aside beyond the usual run time.  A request that expires in the queue a
+   little early costs nothing while others wait; one that times out at its
+   upstream costs the slot for overrun_ms.  */
+#define RUN_MARGIN 2
+#define SEND_MARGIN_US 20000
+
 /* A request whose time is too short for the usual run time is still tried when
    a slot is free: only half of its time is set aside.  */
 int64_t
@@ -16,7 +22,8 @@
   int64_t time_us = req->deadline_us - req->arrived_us;
   int64_t run_us = estimate_bound_us (&req->service->run_time);
 
-  return req->deadline_us - MIN (run_us, time_us / 2);
+  return req->deadline_us
+         - MIN (RUN_MARGIN * run_us + SEND_MARGIN_US, time_us / 2);
 }
 
 static bool
