--- a/base/event.c
+++ b/base/event.c
@@ -14,7 +14,7 @@
   { EV_STOP_FORCED, LEVEL_WARN, "stop-forced" },
   { EV_REQUEST_REFUSED, LEVEL_DEBUG, "request-refused" },
   { EV_REQUEST_UNKNOWN, LEVEL_WARN, "request-unknown" },
-  { EV_CONFIG_IN_FORCE, LEVEL_INFO, "config-in-force" },
+  { EV_CONFIG_IN_EFFECT, LEVEL_INFO, "config-in-effect" },
   { EV_RECORD_REJECTED, LEVEL_WARN, "record-rejected" },
   { EV_LOG_UNREACHABLE, LEVEL_WARN, "log-unreachable" },
   { EV_LOG_REACHED, LEVEL_INFO, "log-reached" },
--- a/cli/config.c
+++ b/cli/config.c
@@ -87,7 +87,7 @@
       return CLI_REFUSED;
     }
   output_fail (cli,
-               "not published: version %" PRIu64 " by %s is in force, "
+               "not published: version %" PRIu64 " by %s is in effect, "
                "the file was made from version %" PRIu64,
                now->version, now->author, base_version);
   if (base)
@@ -133,17 +133,17 @@
                             "in_force", all, "daemons",
                             admin_report (answers, cli->admins_count)));
   else if (all)
-    fprintf (cli->out, "in force at %u daemons\n", cli->admins_count);
+    fprintf (cli->out, "in effect at %u daemons\n", cli->admins_count);
   for (uint32_t i = 0; i < cli->admins_count && !cli->json; i++)
     {
       uint64_t found = admin_version (&answers[i]);
 
       if (answers[i].problem)
-        fprintf (cli->err, "cuminpin: not yet in force at %s: %s\n",
+        fprintf (cli->err, "cuminpin: not yet in effect at %s: %s\n",
                  answers[i].address, answers[i].problem);
       else if (found < version)
         fprintf (cli->err,
-                 "cuminpin: not yet in force at %s: version %" PRIu64 "\n",
+                 "cuminpin: not yet in effect at %s: version %" PRIu64 "\n",
                  answers[i].address, found);
     }
   admin_clear (answers, cli->admins_count);
--- a/cli/main.c
+++ b/cli/main.c
@@ -80,7 +80,7 @@
     .json = arg_lit0 (NULL, "json", "output for scripts"),
     .base = arg_int0 (NULL, "base", "N",
                       "publish: version that the file was made from"),
-    .wait = arg_lit0 (NULL, "wait", "publish: until it is in force"),
+    .wait = arg_lit0 (NULL, "wait", "publish: until it is in effect"),
     .wait_ms = arg_int0 (NULL, "wait-ms", "MS", "publish: longest wait"),
     .help = arg_lit0 ("h", "help", "print this text"),
     .words = arg_strn (NULL, NULL, "VERB", 0, ARGS_MAX, "verb and arguments"),
--- a/cli/test/config_test.c
+++ b/cli/test/config_test.c
@@ -216,7 +216,7 @@
   cli.wait = true;
   cli.wait_ms = 5000;
   ck_assert_int_eq (call_with ("publish", cli, " "), CLI_OK);
-  ck_assert_str_eq (out, "version 1\nin force at 2 daemons\n");
+  ck_assert_str_eq (out, "version 1\nin effect at 2 daemons\n");
   cli.wait_ms = 300;
   ck_assert_int_eq (call_with ("publish", cli, " "), CLI_REFUSED);
   ck_assert_ptr_null (strstr (err, slow_address));
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -154,6 +154,24 @@
    appends JOIN, LEAVE and snapshots, until logreader_halt.  */
 typedef struct logreader logreader_t;
 
+/* What was read since the newest snapshot.  */
+typedef struct tail
+{
+  uint64_t records;
+  uint64_t bytes;
+  int64_t since_us;
+} tail_t;
+
+#define SNAPSHOT_RECORDS 512
+#define SNAPSHOT_BYTES (4 * 1024 * 1024)
+#define SNAPSHOT_AGE_US INT64_C (3600000000)
+
+/* snapshot_is_due - whether the daemon with RANK among the entry hosts is to
+   write a snapshot.  Whoever starts from the newest one reads the tail behind
+   it, so TAIL is bounded in records, bytes and age.  Each later rank waits a
+   quarter longer, so that one daemon writes and the others find it.  */
+bool snapshot_is_due (const tail_t *tail, uint32_t rank, int64_t now_us);
+
 logreader_t *logreader_start (const settings_t *settings, replica_t *replica,
                               const char *platform_url, uint64_t incarnation);
 
@@ -173,7 +191,7 @@
    have ended.  */
 bool exchange_stop (exchange_t *exchange);
 
-/* exchange_follow - a new view is in force; any thread.  */
+/* exchange_follow - a new view is in effect; any thread.  */
 void exchange_follow (exchange_t *exchange);
 
 /* exchange_alive - interned names of the entry hosts with current heartbeats,
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -103,7 +103,7 @@
   uint32_t part; /* of its limit, for this daemon */
 } view_team_t;
 
-/* What is in force, immutable.  */
+/* What is in effect, immutable.  */
 typedef struct view
 {
   struct rcu_head rcu;
@@ -122,7 +122,7 @@
   uint32_t connections; /* to one upstream from one event loop */
 } view_t;
 
-/* view_get - the view in force; NULL before the first.  Between
+/* view_get - the view in effect; NULL before the first.  Between
    rcu_read_lock and rcu_read_unlock.  */
 const view_t *view_get (void);
 
@@ -130,7 +130,7 @@
    sees it.  */
 view_t *view_new (state_t *state, const settings_t *settings);
 
-/* view_publish - put VIEW in force.  One thread.  */
+/* view_publish - put VIEW in effect.  One thread.  */
 void view_publish (view_t *view);
 
 const view_service_t *view_service (const view_t *view, const char *name);
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -59,7 +59,7 @@
     link_send (exchange->link, peer, &msg);
 }
 
-#define TOTALS_MAX 64
+#define TOTALS_MAX 256
 
 static void
 tell_loads (exchange_t *exchange, const view_t *view, int64_t now_us)
--- a/daemon/logreader.c
+++ b/daemon/logreader.c
@@ -10,7 +10,6 @@
 #define APPEND_TIMEOUT_MS 2000
 #define BACKOFF_MIN_MS 100
 #define BACKOFF_MAX_MS 500
-#define SNAPSHOT_RECORDS 512
 #define LEAVE_TRIES 3
 
 struct logreader
@@ -20,7 +19,8 @@
   platform_t *platform; /* log thread only */
   platform_t *writer;   /* stopping thread only */
   uint64_t incarnation;
-  uint64_t snapshot_offset; /* of the newest snapshot */
+  tail_t tail;
+  uint64_t snapshots; /* end of the snapshot stream when last seen */
   rec_t join;
   bool joined; /* the JOIN was appended */
   bool reachable;
@@ -76,18 +76,79 @@
   return status;
 }
 
+/* How many entry hosts come before this one in writing snapshots.  */
+static uint32_t
+snapshot_rank (const logreader_t *reader)
+{
+  const char *self = reader->settings->name;
+  const char *key = STREAM_SNAPSHOT;
+  uint64_t own = hash_score (key, strlen (key), self);
+  const view_t *view;
+  uint32_t rank = 0;
+
+  rcu_read_lock ();
+  view = view_get ();
+  for (uint32_t i = 0; view && i < view->entry_hosts_count; i++)
+    rank += hash_score (key, strlen (key), view->entry_hosts[i]) > own;
+  rcu_read_unlock ();
+  return rank;
+}
+
+bool
+snapshot_is_due (const tail_t *tail, uint32_t rank, int64_t now_us)
+{
+  uint64_t quarters = 4 + rank;
+
+  if (tail->records == 0)
+    return false;
+  return tail->records * 4 >= SNAPSHOT_RECORDS * quarters
+         || tail->bytes * 4 >= SNAPSHOT_BYTES * quarters
+         || (now_us - tail->since_us) * 4
+                >= SNAPSHOT_AGE_US * (int64_t)quarters;
+}
+
+static void
+begin_tail (logreader_t *reader, uint64_t snapshots)
+{
+  reader->tail = (tail_t){ .since_us = clock_mono_us () };
+  reader->snapshots = snapshots;
+}
+
+/* The end of the snapshot stream; that known before when it can't be read.  */
+static uint64_t
+count_snapshots (logreader_t *reader)
+{
+  log_batch_t batch = { 0 };
+  uint64_t next = reader->snapshots;
+
+  if (log_read (reader->platform, STREAM_SNAPSHOT, reader->snapshots, 0, 0,
+                READ_TIMEOUT_MS, &batch)
+      == LOG_OK)
+    next = batch.next;
+  log_batch_clear (&batch);
+  return next;
+}
+
 static void
 write_snapshot (logreader_t *reader)
 {
   g_autoptr (GBytes) bytes = NULL;
-  uint64_t offset = atomic_load (&currency.offset);
+  uint64_t snapshots;
+  uint64_t offset;
 
-  if (offset < reader->snapshot_offset + SNAPSHOT_RECORDS)
+  if (!snapshot_is_due (&reader->tail, snapshot_rank (reader),
+                        clock_mono_us ()))
     return;
+  snapshots = count_snapshots (reader);
+  if (snapshots > reader->snapshots)
+    {
+      begin_tail (reader, snapshots); /* another daemon was first */
+      return;
+    }
   bytes = replica_snapshot (reader->replica, &offset);
   if (append (reader->platform, STREAM_SNAPSHOT, bytes) != LOG_OK)
     return;
-  reader->snapshot_offset = offset;
+  begin_tail (reader, snapshots + 1);
   event_log (EV_SNAPSHOT_WRITTEN, "offset=%" PRIu64 " bytes=%zu", offset,
              g_bytes_get_size (bytes));
 }
@@ -99,6 +160,7 @@
 {
   log_batch_t batch = { 0 };
   uint64_t from;
+  uint64_t offset;
   bool taken = false;
 
   if (log_read (reader->platform, STREAM_SNAPSHOT, 0, 0, 0, READ_TIMEOUT_MS,
@@ -107,6 +169,7 @@
     return false;
   from = batch.next > 2 ? MAX (batch.first_kept, batch.next - 2)
                         : batch.first_kept;
+  begin_tail (reader, batch.next);
   log_batch_clear (&batch);
   if (log_read (reader->platform, STREAM_SNAPSHOT, from, 2, 0, READ_TIMEOUT_MS,
                 &batch)
@@ -117,13 +180,20 @@
       gsize len;
       const void *data = g_bytes_get_data (batch.entries[i - 1].data, &len);
 
-      taken = replica_take_snapshot (reader->replica, data, len,
-                                     &reader->snapshot_offset);
+      taken = replica_take_snapshot (reader->replica, data, len, &offset);
     }
   log_batch_clear (&batch);
   return true;
 }
 
+static void
+note_tail (logreader_t *reader, const log_batch_t *batch)
+{
+  reader->tail.records += batch->count;
+  for (uint32_t i = 0; i < batch->count; i++)
+    reader->tail.bytes += g_bytes_get_size (batch->entries[i].data);
+}
+
 /* One read of the tail.  */
 static log_status_t
 follow (logreader_t *reader)
@@ -150,6 +220,7 @@
       return status;
     }
   taken = replica_take (reader->replica, &batch);
+  note_tail (reader, &batch);
   at_end = taken && atomic_load (&currency.offset) >= batch.next;
   log_batch_clear (&batch);
   /* The time of asking, since the answer may have been long on its way.  */
--- a/daemon/replica.c
+++ b/daemon/replica.c
@@ -68,7 +68,7 @@
   atomic_store (&currency.offset, replica->state->offset);
   exchange_follow (replica->exchange);
   if (version != old_version)
-    event_log (EV_CONFIG_IN_FORCE, "version=%" PRIu64 " offset=%" PRIu64,
+    event_log (EV_CONFIG_IN_EFFECT, "version=%" PRIu64 " offset=%" PRIu64,
                version, replica->state->offset);
 }
 
