--- a/daemon/test/admission_test.c
+++ b/daemon/test/admission_test.c
@@ -96,6 +96,24 @@
 }
 END_TEST
 
+/* Guards against queued requests that are sent so late that they time out at
+   their upstream and keep a slot for the overrun.  */
+START_TEST (queued_request_leaves_time_to_run)
+{
+  req_t *req = keyed_request ("a", 1000000);
+  int64_t bound_us;
+
+  estimate_note (&req->service->run_time, 10000);
+  bound_us = estimate_bound_us (&req->service->run_time);
+  ck_assert_int_gt (bound_us, 0);
+  ck_assert_int_le (admission_latest_us (req), 1000000 - 2 * bound_us);
+  ck_assert_int_ge (admission_latest_us (req), 500000);
+  /* A request with less time than it usually takes may still be tried.  */
+  req->deadline_us = 2000;
+  ck_assert_int_eq (admission_latest_us (req), 1000);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -103,9 +121,10 @@
 
   if (!pipe_open (&test_loop.pipe, 16))
     return EXIT_FAILURE;
-  /* In this order: the last one leaves slots taken.  */
+  /* In this order: the third leaves slots taken.  */
   tcase_add_test (tests, queued_request_is_granted_when_a_slot_comes_free);
   tcase_add_test (tests, team_limit_holds_though_slots_are_free);
   tcase_add_test (tests, full_queue_and_late_requests_are_refused);
+  tcase_add_test (tests, queued_request_leaves_time_to_run);
   return fixture_run (tests);
 }
