base: one rendezvous order for all who need one

Cause: share_split, once_owner and wave_actor each had a loop over scores; that of wave_actor let the order of the list decide between equal scores.

Change: hash_rank and hash_owner, which order equal scores by name.

Conclusion: owners and ranks are as before but for equal scores in waves.

--- a/admit/share.c
+++ b/admit/share.c
@@ -1,33 +1,18 @@
 #include "admit.h"
 #include <string.h>
 
-/* Whether A comes before B in the rendezvous order for RESOURCE.  */
-static bool
-ranks_before (const char *resource, const char *a, const char *b)
-{
-  size_t len = strlen (resource);
-  uint64_t score_a = hash_score (resource, len, a);
-  uint64_t score_b = hash_score (resource, len, b);
-
-  if (score_a != score_b)
-    return score_a > score_b;
-  return strcmp (a, b) < 0;
-}
-
 uint32_t
 share_split (const char *resource, uint32_t limit, const char *const *hosts,
              uint32_t count, const char *self)
 {
-  uint32_t rank = 0;
+  uint32_t rank;
   bool listed = false;
 
-  for (uint32_t i = 0; i < count; i++)
-    if (strcmp (hosts[i], self) == 0)
-      listed = true;
-    else if (ranks_before (resource, hosts[i], self))
-      rank++;
+  for (uint32_t i = 0; i < count && !listed; i++)
+    listed = strcmp (hosts[i], self) == 0;
   if (!listed)
     return 0;
+  rank = hash_rank (resource, strlen (resource), hosts, count, self);
   return limit / count + (rank < limit % count ? 1 : 0);
 }
 
--- a/base/base.h
+++ b/base/base.h
@@ -246,6 +246,17 @@
    one with the highest score (Thaler and Ravishankar 1998).  */
 uint64_t hash_score (const void *key, size_t key_len, const char *owner);
 
+/* hash_rank - how many of the COUNT OWNERS, which may include SELF, come
+   before SELF in the rendezvous order for KEY.  Equal scores are ordered by
+   name, so that the order of the list never matters.  */
+uint32_t hash_rank (const void *key, size_t key_len, const char *const *owners,
+                    uint32_t count, const char *self);
+
+/* hash_owner - the index of the first of the COUNT OWNERS in that order; COUNT
+   must not be 0.  */
+uint32_t hash_owner (const void *key, size_t key_len,
+                     const char *const *owners, uint32_t count);
+
 /* Deepest nesting that pack_is_bounded accepts.  */
 #define PACK_DEPTH_MAX 8
 
--- a/base/hash.c
+++ b/base/hash.c
@@ -15,3 +15,37 @@
 
   return XXH64 (key, key_len, seed);
 }
+
+static bool
+comes_before (const void *key, size_t key_len, const char *a, const char *b)
+{
+  uint64_t score_a = hash_score (key, key_len, a);
+  uint64_t score_b = hash_score (key, key_len, b);
+
+  if (score_a != score_b)
+    return score_a > score_b;
+  return strcmp (a, b) < 0;
+}
+
+uint32_t
+hash_rank (const void *key, size_t key_len, const char *const *owners,
+           uint32_t count, const char *self)
+{
+  uint32_t rank = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    rank += comes_before (key, key_len, owners[i], self);
+  return rank;
+}
+
+uint32_t
+hash_owner (const void *key, size_t key_len, const char *const *owners,
+            uint32_t count)
+{
+  uint32_t first = 0;
+
+  for (uint32_t i = 1; i < count; i++)
+    if (comes_before (key, key_len, owners[i], owners[first]))
+      first = i;
+  return first;
+}
--- a/fleet/wave.c
+++ b/fleet/wave.c
@@ -38,19 +38,7 @@
 uint32_t
 wave_actor (const char *key, const char *const *entries, uint32_t count)
 {
-  uint64_t best_score = 0;
-  uint32_t best = 0;
-
-  for (uint32_t i = 0; i < count; i++)
-    {
-      uint64_t score = hash_score (key, strlen (key), entries[i]);
-
-      if (i > 0 && score <= best_score)
-        continue;
-      best_score = score;
-      best = i;
-    }
-  return best;
+  return hash_owner (key, strlen (key), entries, count);
 }
 
 static bool
--- a/route/once.c
+++ b/route/once.c
@@ -129,23 +129,7 @@
 once_owner (const once_id_t *id, const char *const *entry_hosts,
             uint32_t count)
 {
-  uint32_t owner = 0;
-  uint64_t best = 0;
-
-  for (uint32_t i = 0; i < count; i++)
-    {
-      uint64_t score = hash_score (id, sizeof *id, entry_hosts[i]);
-
-      /* Equal scores must not make the order of the list matter.  */
-      if (i > 0
-          && (score < best
-              || (score == best
-                  && strcmp (entry_hosts[i], entry_hosts[owner]) > 0)))
-        continue;
-      best = score;
-      owner = i;
-    }
-  return owner;
+  return hash_owner (id, sizeof *id, entry_hosts, count);
 }
 
 once_table_t *
