daemon: keep what peers tell in one place

Cause: demand and hostload had the same table of totals by peer and name.

Change: module heard; both use it. Their interfaces stay.

Conclusion: demand.c and hostload.c are 64 lines shorter together; the table stands once.

--- a/daemon/demand.c
+++ b/daemon/demand.c
@@ -1,4 +1,4 @@
-#include "control.h"
+#include "heard.h"
 #include <string.h>
 
 /* Moves follow demand that lasts for seconds, so a pool is told at most once
@@ -17,10 +17,9 @@
 
 struct demand
 {
-  pthread_mutex_t lock;
-  GHashTable *heard; /* "PEER POOL" to told_t; under the lock */
-  GHashTable *told;  /* pool to told_t, told last; peer thread only */
-  int64_t next_us;   /* peer thread only */
+  heard_t heard;
+  GHashTable *told; /* pool to told_t, told last; peer thread only */
+  int64_t next_us;  /* peer thread only */
 };
 
 demand_t *
@@ -28,9 +27,7 @@
 {
   demand_t *demand = g_new0 (demand_t, 1);
 
-  pthread_mutex_init (&demand->lock, NULL);
-  demand->heard
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  heard_open (&demand->heard, TOTAL_POOL);
   demand->told
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return demand;
@@ -39,9 +36,8 @@
 void
 demand_free (demand_t *demand)
 {
-  g_hash_table_destroy (demand->heard);
+  heard_close (&demand->heard);
   g_hash_table_destroy (demand->told);
-  pthread_mutex_destroy (&demand->lock);
   g_free (demand);
 }
 
@@ -109,31 +105,7 @@
 demand_note (demand_t *demand, const char *peer, const msg_totals_t *totals,
              int64_t now_us)
 {
-  pthread_mutex_lock (&demand->lock);
-  for (uint32_t i = 0; i < totals->count; i++)
-    {
-      const msg_total_t *total = &totals->totals[i];
-      told_t told = { total->in_use, total->queued, now_us };
-
-      if (total->kind == TOTAL_POOL)
-        g_hash_table_insert (demand->heard,
-                             g_strdup_printf ("%s %s", peer, total->name),
-                             g_memdup2 (&told, sizeof told));
-    }
-  pthread_mutex_unlock (&demand->lock);
-}
-
-static void
-add_heard (const demand_t *demand, const char *peer, int64_t now_us,
-           pool_load_t *load)
-{
-  g_autofree char *key = g_strdup_printf ("%s %s", peer, load->pool);
-  const told_t *told = g_hash_table_lookup (demand->heard, key);
-
-  if (!told || now_us - told->at_us > TOLD_MAX_US)
-    return;
-  load->in_use += told->in_use;
-  load->queued += told->queued;
+  heard_note (&demand->heard, peer, totals, now_us);
 }
 
 /* Slots of the upstreams of POOL's services, and the hosts that they are on,
@@ -172,11 +144,10 @@
 
   *load = (pool_load_t){ g_intern_string (pool), own.in_use, own.queued, 0,
                          false };
-  pthread_mutex_lock (&demand->lock);
   for (uint32_t i = 0; i < view->entry_hosts_count; i++)
     if (strcmp (view->entry_hosts[i], self) != 0)
-      add_heard (demand, view->entry_hosts[i], now_us, load);
-  pthread_mutex_unlock (&demand->lock);
+      heard_add (&demand->heard, view->entry_hosts[i], load->pool, now_us,
+                 TOLD_MAX_US, &load->in_use, &load->queued);
   measure_worth (view, pool, &slots, &hosts);
   if (slots == 0)
     return;
--- a/daemon/hostload.c
+++ b/daemon/hostload.c
@@ -1,20 +1,13 @@
-#include "control.h"
+#include "heard.h"
 #include <string.h>
 
 /* A daemon tells of each draining host with each beat; what is older than a
    few of them may no longer be so.  */
 #define TOLD_MAX_US 2000000
 
-typedef struct told
-{
-  uint32_t in_use;
-  int64_t at_us;
-} told_t;
-
 struct hostload
 {
-  pthread_mutex_t lock;
-  GHashTable *told; /* "PEER HOST" to told_t */
+  heard_t heard;
 };
 
 hostload_t *
@@ -22,17 +15,14 @@
 {
   hostload_t *loads = g_new0 (hostload_t, 1);
 
-  pthread_mutex_init (&loads->lock, NULL);
-  loads->told
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  heard_open (&loads->heard, TOTAL_HOST);
   return loads;
 }
 
 void
 hostload_free (hostload_t *loads)
 {
-  g_hash_table_destroy (loads->told);
-  pthread_mutex_destroy (&loads->lock);
+  heard_close (&loads->heard);
   g_free (loads);
 }
 
@@ -84,32 +74,7 @@
 hostload_note (hostload_t *loads, const char *peer, const msg_totals_t *totals,
                int64_t now_us)
 {
-  pthread_mutex_lock (&loads->lock);
-  for (uint32_t i = 0; i < totals->count; i++)
-    {
-      const msg_total_t *total = &totals->totals[i];
-      told_t told = { total->in_use, now_us };
-
-      if (total->kind == TOTAL_HOST)
-        g_hash_table_insert (loads->told,
-                             g_strdup_printf ("%s %s", peer, total->name),
-                             g_memdup2 (&told, sizeof told));
-    }
-  pthread_mutex_unlock (&loads->lock);
-}
-
-/* False when PEER has not told of HOST lately.  */
-static bool
-add_told (const hostload_t *loads, const char *peer, const char *host,
-          int64_t now_us, uint32_t *load)
-{
-  g_autofree char *key = g_strdup_printf ("%s %s", peer, host);
-  const told_t *told = g_hash_table_lookup (loads->told, key);
-
-  if (!told || now_us - told->at_us > TOLD_MAX_US)
-    return false;
-  *load += told->in_use;
-  return true;
+  heard_note (&loads->heard, peer, totals, now_us);
 }
 
 bool
@@ -117,12 +82,12 @@
               const char *host, int64_t now_us, uint32_t *load)
 {
   bool known = is_draining (view, host);
+  uint32_t queued = 0; /* of a host nothing is queued */
 
   *load = own_load (view, host);
-  pthread_mutex_lock (&loads->lock);
   for (uint32_t i = 0; i < view->entry_hosts_count && known; i++)
     if (strcmp (view->entry_hosts[i], self) != 0)
-      known = add_told (loads, view->entry_hosts[i], host, now_us, load);
-  pthread_mutex_unlock (&loads->lock);
+      known = heard_add (&loads->heard, view->entry_hosts[i], host, now_us,
+                         TOLD_MAX_US, load, &queued);
   return known;
 }
