--- a/daemon/control.h
+++ b/daemon/control.h
@@ -175,6 +175,9 @@
 logreader_t *logreader_start (const settings_t *settings, replica_t *replica,
                               const char *platform_url, uint64_t incarnation);
 
+/* append_record - append REC to the fleet's stream; one client, one thread. */
+log_status_t append_record (platform_t *platform, const rec_t *rec);
+
 /* logreader_halt - end the thread; logreader_close - append LEAVE if LEAVES.
  */
 void logreader_halt (logreader_t *reader);
--- a/daemon/logreader.c
+++ b/daemon/logreader.c
@@ -65,31 +65,38 @@
   return log_append (platform, stream, data, len, APPEND_TIMEOUT_MS, &offset);
 }
 
-static log_status_t
-append_rec (platform_t *platform, const rec_t *rec)
+log_status_t
+append_record (platform_t *platform, const rec_t *rec)
 {
   g_autoptr (GBytes) bytes = wire_put_rec (rec);
-  log_status_t status = append (platform, STREAM_FLEET, bytes);
+
+  return append (platform, STREAM_FLEET, bytes);
+}
+
+/* JOIN and LEAVE are repeated under the same id until they are there.  */
+static bool
+append_own (platform_t *platform, const rec_t *rec)
+{
+  log_status_t status = append_record (platform, rec);
 
   if (status == LOG_UNCERTAIN)
     event_log (EV_APPEND_UNCERTAIN, "kind=%s", rec_kind_name (rec->kind));
-  return status;
+  return status == LOG_OK;
 }
 
 /* How many entry hosts come before this one in writing snapshots.  */
 static uint32_t
 snapshot_rank (const logreader_t *reader)
 {
-  const char *self = reader->settings->name;
-  const char *key = STREAM_SNAPSHOT;
-  uint64_t own = hash_score (key, strlen (key), self);
   const view_t *view;
   uint32_t rank = 0;
 
   rcu_read_lock ();
   view = view_get ();
-  for (uint32_t i = 0; view && i < view->entry_hosts_count; i++)
-    rank += hash_score (key, strlen (key), view->entry_hosts[i]) > own;
+  if (view)
+    rank = hash_rank (STREAM_SNAPSHOT, strlen (STREAM_SNAPSHOT),
+                      view->entry_hosts, view->entry_hosts_count,
+                      reader->settings->name);
   rcu_read_unlock ();
   return rank;
 }
@@ -227,7 +234,7 @@
   if (at_end)
     atomic_store (&currency.log_read_us, asked_us);
   if (at_end && !reader->joined)
-    reader->joined = append_rec (reader->platform, &reader->join) == LOG_OK;
+    reader->joined = append_own (reader->platform, &reader->join);
   return taken ? LOG_OK : LOG_BAD_ANSWER;
 }
 
@@ -302,7 +309,7 @@
 
   init_entry_rec (reader, &leave, REC_LEAVE);
   for (uint32_t i = 0; i < LEAVE_TRIES; i++)
-    if (append_rec (reader->writer, &leave) == LOG_OK)
+    if (append_own (reader->writer, &leave))
       return;
 }
 
--- a/daemon/maintenance.c
+++ b/daemon/maintenance.c
@@ -1,9 +1,10 @@
 #include "planner.h"
 #include <string.h>
 
-#define APPEND_TIMEOUT_MS 2000
 #define REBOOT_TIMEOUT_MS 2000
 #define RECORDS_MAX 16
+#define REBOOTS_MAX 64
+#define ENTRIES_MAX 64
 
 struct maintenance
 {
@@ -64,29 +65,50 @@
   watch_note (maintenance->watch, view->state, reports, list->count, now_us);
 }
 
-/* The platform reboots a host once for each token, so the host's version in
-   the state makes a repeated call harmless.  */
-static void
-reboot_hosts (maintenance_t *maintenance, const state_t *state,
-              const char *const *entries, uint32_t count)
+/* A host that this daemon has to have rebooted.  */
+typedef struct reboot
+{
+  const char *host; /* interned */
+  uint64_t version;
+} reboot_t;
+
+static uint32_t
+list_reboots (const maintenance_t *maintenance, const wave_input_t *in,
+              reboot_t *reboots, uint32_t max)
 {
-  for (uint32_t i = 0; i < state->hosts.count; i++)
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < in->state->hosts.count && count < max; i++)
     {
-      const host_state_t *host = table_at (&state->hosts, i);
-      gpointer told = g_hash_table_lookup (maintenance->rebooted, host->name);
+      const host_state_t *host = table_at (&in->state->hosts, i);
+      gpointer told;
 
-      if (host->phase != HOST_MAINTENANCE
-          || GPOINTER_TO_SIZE (told) == host->version
-          || strcmp (entries[wave_actor (host->name, entries, count)],
-                     maintenance->settings->name)
+      if (host->phase != HOST_MAINTENANCE)
+        continue;
+      told = g_hash_table_lookup (maintenance->rebooted, host->name);
+      if (GPOINTER_TO_SIZE (told) == host->version
+          || strcmp (in->entries[wave_actor (host->name, in->entries,
+                                             in->entries_count)],
+                     in->self)
                  != 0)
         continue;
-      if (host_reboot (maintenance->platform, host->name, host->version,
-                       REBOOT_TIMEOUT_MS)
-          == LOG_OK)
-        g_hash_table_insert (maintenance->rebooted, (gpointer)host->name,
-                             GSIZE_TO_POINTER (host->version));
+      reboots[count++] = (reboot_t){ host->name, host->version };
     }
+  return count;
+}
+
+/* The platform reboots a host once for each token, so the host's version in
+   the state makes a repeated call harmless.  */
+static void
+reboot_hosts (maintenance_t *maintenance, const reboot_t *reboots,
+              uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    if (host_reboot (maintenance->platform, reboots[i].host,
+                     reboots[i].version, REBOOT_TIMEOUT_MS)
+        == LOG_OK)
+      g_hash_table_insert (maintenance->rebooted, (gpointer)reboots[i].host,
+                           GSIZE_TO_POINTER (reboots[i].version));
 }
 
 static void
@@ -128,15 +150,7 @@
 {
   for (uint32_t i = 0; i < count; i++)
     {
-      g_autoptr (GBytes) bytes = wire_put_rec (&recs[i]);
-      uint64_t offset;
-      gsize len;
-      const void *data = g_bytes_get_data (bytes, &len);
-
-      counter_add (COUNT_LOG_APPENDS, 1);
-      if (log_append (maintenance->platform, STREAM_FLEET, data, len,
-                      APPEND_TIMEOUT_MS, &offset)
-          != LOG_OK)
+      if (append_record (maintenance->platform, &recs[i]) != LOG_OK)
         return;
       report (&recs[i]);
     }
@@ -165,9 +179,10 @@
 maintenance_step (maintenance_t *maintenance, const live_list_t *list)
 {
   int64_t now_us = clock_mono_us ();
-  const char *entries[LOOPS_MAX];
+  const char *entries[ENTRIES_MAX];
   rec_t recs[RECORDS_MAX];
-  state_t *state = NULL;
+  reboot_t reboots[REBOOTS_MAX];
+  uint32_t reboots_count = 0;
   const view_t *view;
   uint32_t count = 0;
   wave_input_t in = {
@@ -183,22 +198,19 @@
   view = view_get ();
   if (view && view->state->config)
     {
-      in.entries_count
-          = exchange_alive (maintenance->exchange, entries, LOOPS_MAX, now_us);
+      in.entries_count = exchange_alive (maintenance->exchange, entries,
+                                         ENTRIES_MAX, now_us);
       in.fresh = currency_judge (view, now_us, 0) == FRESH;
       in.state = view->state;
       note_list (maintenance, view, list, now_us);
       count = wave_next (&in, recs, RECORDS_MAX);
       count += plan_next (maintenance, view, &in, recs + count,
                           RECORDS_MAX - count);
-      /* Calls to the platform must not hold up a grace period of RCU.  */
-      state = state_copy (view->state);
+      if (in.fresh)
+        reboots_count = list_reboots (maintenance, &in, reboots, REBOOTS_MAX);
     }
   rcu_read_unlock ();
-  if (!state)
-    return;
+  /* Calls to the platform must not hold up a grace period of RCU.  */
   append_all (maintenance, recs, count);
-  if (in.fresh)
-    reboot_hosts (maintenance, state, entries, in.entries_count);
-  state_free (state);
+  reboot_hosts (maintenance, reboots, reboots_count);
 }
