--- a/daemon/admission.c
+++ b/daemon/admission.c
@@ -1,9 +1,8 @@
 #include "daemon.h"
 #include <string.h>
 
-/* When work that REQ starts has surely ended.  */
-static int64_t
-end_us (const req_t *req)
+int64_t
+admission_end_us (const req_t *req)
 {
   return req->deadline_us + (int64_t)req->overrun_ms * 1000;
 }
@@ -30,7 +29,7 @@
 take_permit (req_t *req, int64_t now_us)
 {
   return !req->team
-         || escrow_take (req->team->permits, now_us, end_us (req),
+         || escrow_take (req->team->permits, now_us, admission_end_us (req),
                          &req->permit);
 }
 
@@ -38,7 +37,7 @@
 static bool
 can_use_loan (const req_t *req, int64_t now_us)
 {
-  return end_us (req) - now_us < LOAN_US;
+  return admission_end_us (req) - now_us < LOAN_US;
 }
 
 static void
@@ -107,7 +106,7 @@
     return refuse (req, ERR_EXPIRED_QUEUED);
   if (atomic_load (&service->live->queued) == 0 && take_permit (req, now_us))
     {
-      error = routing_take (req, service, now_us, end_us (req));
+      error = routing_take (req, service, now_us, admission_end_us (req));
       if (error == ERR_NONE)
         return ADMIT_RUN;
       give_permit (req);
@@ -139,7 +138,7 @@
 
   err_kind_t error;
 
-  if (end_us (req) >= grant->no_slot_us)
+  if (admission_end_us (req) >= grant->no_slot_us)
     return false;
   if (!take_permit (req, grant->now_us))
     {
@@ -147,7 +146,8 @@
         atomic_fetch_add (&req->team->wanted, 1);
       return false;
     }
-  error = routing_take (req, grant->service, grant->now_us, end_us (req));
+  error = routing_take (req, grant->service, grant->now_us,
+                        admission_end_us (req));
   if (error == ERR_NONE)
     return true;
   give_permit (req);
@@ -155,7 +155,8 @@
     atomic_store (&grant->service->live->slots_wanted, true);
   /* A request that was tried before has fewer upstreams left than others.  */
   if (req->tries == 0)
-    grant->no_slot_us = error == ERR_QUEUE_FULL ? end_us (req) : INT64_MIN;
+    grant->no_slot_us
+        = error == ERR_QUEUE_FULL ? admission_end_us (req) : INT64_MIN;
   return false;
 }
 
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -294,6 +294,9 @@
   ADMIT_REFUSED /* req->error says why */
 } admission_t;
 
+/* admission_end_us - when work that REQ starts now has surely ended.  */
+int64_t admission_end_us (const req_t *req);
+
 /* admission_latest_us - when REQ has to be sent at the latest, so that it can
    be expected to be answered by its deadline.  */
 int64_t admission_latest_us (const req_t *req);
--- a/daemon/flow.c
+++ b/daemon/flow.c
@@ -12,16 +12,21 @@
   req->error = req->past_error;
 }
 
+static void
+stop_timer (req_t *req)
+{
+  if (!req->timer)
+    return;
+  timers_remove (req->timer);
+  req->timer = NULL;
+}
+
 static void
 finish (req_t *req)
 {
   req->stage = REQ_ANSWERED;
   keep_outcome (req);
-  if (req->timer)
-    {
-      timers_remove (req->timer);
-      req->timer = NULL;
-    }
+  stop_timer (req);
   if (!req->client_gone && req->error != ERR_NONE)
     counter_add (err_is_not_run (req->error) ? COUNT_REFUSED_NOT_RUN
                                              : COUNT_REFUSED_UNKNOWN,
@@ -42,12 +47,6 @@
   finish (req);
 }
 
-static int64_t
-end_us (const req_t *req)
-{
-  return req->deadline_us + (int64_t)req->overrun_ms * 1000;
-}
-
 static void
 give_back (team_live_t *team, permit_t permit, upstream_live_t *upstream,
            permit_t slot)
@@ -88,7 +87,7 @@
 {
   timer_entry_t entry = {
     .kind = TIMER_HOLD,
-    .at_us = end_us (req),
+    .at_us = admission_end_us (req),
     .u.hold = { .team = req->team,
                 .upstream = req->upstream,
                 .service = req->service,
@@ -111,15 +110,6 @@
   req->timer = timers_add (loop, &entry);
 }
 
-static void
-stop_timer (req_t *req)
-{
-  if (!req->timer)
-    return;
-  timers_remove (req->timer);
-  req->timer = NULL;
-}
-
 static void
 admit (loop_t *loop, req_t *req, int64_t now_us)
 {
