logstore: give the request path's log client a folder of its own

platform/ is to hold the adapter to the users' platform only. The client of the project's own log and its stand-in move to logstore/ unchanged. TESTS=OFF builds without the test library. conf reads floating-point fields; the log can be sent to a descriptor without waiting for its reader; new events are in the catalogue.

--- a/base/base.h
+++ b/base/base.h
@@ -93,7 +93,7 @@
 
 /* Event numbers never change meaning and are never used again.
    1000 process, 1100 requests, 1200 configuration and log, 1300 peers,
-   1400 upstreams, 1500 fleet.  */
+   1400 upstreams, 1500 fleet, 1600 jobs, 1700 ownership and workers.  */
 typedef enum event_id
 {
   EV_STARTED = 1000,
@@ -102,6 +102,7 @@
   EV_SETTINGS_REJECTED = 1003,
   EV_LISTEN_FAILED = 1004,
   EV_STOP_FORCED = 1005,
+  EV_SETTINGS_READ = 1006,
   EV_REQUEST_REFUSED = 1100,
   EV_REQUEST_UNKNOWN = 1101,
   EV_CONFIG_IN_EFFECT = 1200,
@@ -136,7 +137,25 @@
   EV_WAVE_STARTED = 1504,
   EV_WAVE_WAITING = 1505,
   EV_WAVE_DONE = 1506,
-  EV_WAVE_ABANDONED = 1507
+  EV_WAVE_ABANDONED = 1507,
+  EV_JOB_ACCEPTED = 1600,
+  EV_JOB_REFUSED = 1601,
+  EV_JOB_FINAL = 1602,
+  EV_JOB_CANCELLED = 1603,
+  EV_TASK_STARTED = 1604,
+  EV_TASK_ENDED = 1605,
+  EV_TASK_RETURNED = 1606,
+  EV_OWNER_GAINED = 1700,
+  EV_OWNER_LOST = 1701,
+  EV_OWNER_RELEASED = 1702,
+  EV_OWNER_PROBED = 1703,
+  EV_PROCESS_PAUSED = 1704,
+  EV_WORKER_LISTED = 1705,
+  EV_WORKER_GONE = 1706,
+  EV_WORKER_SUSPECT = 1707,
+  EV_WORKER_REJECTED = 1708,
+  EV_HOST_ORDERED = 1709,
+  EV_LINES_DROPPED = 1710
 } event_id_t;
 
 /* A row of the event catalogue.  */
@@ -154,7 +173,11 @@
    written.  NAME must outlive the process's last event.  */
 void event_open (const char *name, event_level_t level);
 
-/* event_log - write one line to standard error:
+/* event_to - write lines to FD, standard error until then, without waiting for
+   its reader: lines that can't be written at once are counted and left out. */
+void event_to (int fd);
+
+/* event_log - write one line:
    TIME PROCESS NUMBER LEVEL NAME text
    FORMAT gives the text as KEY=VALUE pairs.  Safe from any thread.  */
 void event_log (event_id_t id, const char *format, ...) G_GNUC_PRINTF (2, 3);
@@ -269,6 +292,10 @@
 /* clock_mono_us - monotonic time; never set back, has no fixed origin.  */
 int64_t clock_mono_us (void);
 
+/* clock_boot_us - as clock_mono_us, but goes on while the machine is
+   suspended: for what other machines measure meanwhile, such as leases.  */
+int64_t clock_boot_us (void);
+
 /* clock_wall_ms - milliseconds since 1970, for times that two processes
    compare.  */
 int64_t clock_wall_ms (void);
--- a/base/event.c
+++ b/base/event.c
@@ -1,4 +1,5 @@
 #include "base.h"
+#include <fcntl.h>
 #include <stdio.h>
 #include <time.h>
 #include <unistd.h>
@@ -12,6 +13,7 @@
   { EV_SETTINGS_REJECTED, LEVEL_ERROR, "settings-rejected" },
   { EV_LISTEN_FAILED, LEVEL_ERROR, "listen-failed" },
   { EV_STOP_FORCED, LEVEL_WARN, "stop-forced" },
+  { EV_SETTINGS_READ, LEVEL_INFO, "settings-read" },
   { EV_REQUEST_REFUSED, LEVEL_DEBUG, "request-refused" },
   { EV_REQUEST_UNKNOWN, LEVEL_WARN, "request-unknown" },
   { EV_CONFIG_IN_EFFECT, LEVEL_INFO, "config-in-effect" },
@@ -47,12 +49,32 @@
   { EV_WAVE_WAITING, LEVEL_WARN, "wave-waiting" },
   { EV_WAVE_DONE, LEVEL_INFO, "wave-done" },
   { EV_WAVE_ABANDONED, LEVEL_WARN, "wave-abandoned" },
+  { EV_JOB_ACCEPTED, LEVEL_INFO, "job-accepted" },
+  { EV_JOB_REFUSED, LEVEL_INFO, "job-refused" },
+  { EV_JOB_FINAL, LEVEL_INFO, "job-final" },
+  { EV_JOB_CANCELLED, LEVEL_INFO, "job-cancelled" },
+  { EV_TASK_STARTED, LEVEL_INFO, "task-started" },
+  { EV_TASK_ENDED, LEVEL_INFO, "task-ended" },
+  { EV_TASK_RETURNED, LEVEL_WARN, "task-returned" },
+  { EV_OWNER_GAINED, LEVEL_INFO, "owner-gained" },
+  { EV_OWNER_LOST, LEVEL_WARN, "owner-lost" },
+  { EV_OWNER_RELEASED, LEVEL_INFO, "owner-released" },
+  { EV_OWNER_PROBED, LEVEL_INFO, "owner-probed" },
+  { EV_PROCESS_PAUSED, LEVEL_WARN, "process-paused" },
+  { EV_WORKER_LISTED, LEVEL_INFO, "worker-listed" },
+  { EV_WORKER_GONE, LEVEL_INFO, "worker-gone" },
+  { EV_WORKER_SUSPECT, LEVEL_WARN, "worker-suspect" },
+  { EV_WORKER_REJECTED, LEVEL_WARN, "worker-rejected" },
+  { EV_HOST_ORDERED, LEVEL_INFO, "host-ordered" },
+  { EV_LINES_DROPPED, LEVEL_WARN, "lines-dropped" },
 };
 
 static const char *const level_names[] = { "debug", "info", "warn", "error" };
 
 static const char *process_name = "cuminpin";
 static event_level_t lowest = LEVEL_INFO;
+static int log_fd = STDERR_FILENO;
+static atomic_uint_fast64_t dropped; /* lines since the last one written */
 
 const event_row_t *
 event_table (size_t *count)
@@ -68,6 +90,16 @@
   lowest = level;
 }
 
+void
+event_to (int fd)
+{
+  int flags = fcntl (fd, F_GETFL);
+
+  if (flags >= 0)
+    fcntl (fd, F_SETFL, flags | O_NONBLOCK);
+  log_fd = fd;
+}
+
 static const event_row_t *
 find_row (event_id_t id)
 {
@@ -105,6 +137,12 @@
     len = (int)sizeof line - 2;
   line[len++] = '\n';
   /* One write for each line keeps lines of several threads whole.  */
-  if (write (STDERR_FILENO, line, (size_t)len) < 0)
-    return;
+  if (write (log_fd, line, (size_t)len) < 0)
+    {
+      atomic_fetch_add (&dropped, 1);
+      return;
+    }
+  if (id != EV_LINES_DROPPED && atomic_load (&dropped) > 0)
+    event_log (EV_LINES_DROPPED, "lines=%" PRIu64,
+               (uint64_t)atomic_exchange (&dropped, 0));
 }
--- a/cli/session.h
+++ b/cli/session.h
@@ -5,7 +5,7 @@
 #ifndef CUMINPIN_SESSION_H
 #define CUMINPIN_SESSION_H
 
-#include "platform.h"
+#include "logstore.h"
 #include "wire.h"
 
 #define SESSION_ERROR (session_error_quark ())
--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -17,7 +17,7 @@
 # module_test (PACKAGE MODULE): registers PACKAGE/test/MODULE_test.c, if any.
 function (module_test name module)
   set (source ${CMAKE_CURRENT_SOURCE_DIR}/test/${module}_test.c)
-  if (NOT EXISTS ${source})
+  if (NOT TESTS OR NOT EXISTS ${source})
     return ()
   endif ()
   set (target ${name}_${module}_test)
--- a/conf/shape.c
+++ b/conf/shape.c
@@ -231,6 +231,22 @@
   return reject_kind (shape, node, place, "true or false");
 }
 
+static bool
+check_float (const shape_t *shape, const yaml_node_t *node,
+             const place_t *place)
+{
+  const char *text = (const char *)node->data.scalar.value;
+  char *rest = NULL;
+
+  if (node->type == YAML_SCALAR_NODE && text[0] != '\0')
+    {
+      g_ascii_strtod (text, &rest);
+      if (*rest == '\0')
+        return true;
+    }
+  return reject_kind (shape, node, place, "a number");
+}
+
 static bool
 check_string (const shape_t *shape, const cyaml_schema_value_t *schema,
               const yaml_node_t *node, const place_t *place)
@@ -265,12 +281,13 @@
       return check_number (shape, schema->data_size, node, place);
     case CYAML_BOOL:
       return check_bool (shape, node, place);
+    case CYAML_FLOAT:
+      return check_float (shape, node, place);
     case CYAML_STRING:
       return check_string (shape, schema, node, place);
     case CYAML_INT:
     case CYAML_ENUM:
     case CYAML_FLAGS:
-    case CYAML_FLOAT:
     case CYAML_BITFIELD:
     case CYAML_SEQUENCE_FIXED:
     case CYAML_IGNORE:
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -25,8 +25,8 @@
 #define CUMINPIN_DAEMON_H
 
 #include "admit.h"
+#include "logstore.h"
 #include "peer.h"
-#include "platform.h"
 #include "route.h"
 #include <curl/curl.h>
 #include <microhttpd.h>
--- a/platform/devstore.h
+++ b/logstore/devstore.h
@@ -6,7 +6,7 @@
 #ifndef CUMINPIN_DEVSTORE_H
 #define CUMINPIN_DEVSTORE_H
 
-#include "platform.h"
+#include "logstore.h"
 
 typedef struct devstore devstore_t;
 
--- a/platform/logclient.c
+++ b/logstore/logclient.c
@@ -1,4 +1,4 @@
-#include "platform.h"
+#include "logstore.h"
 #include <curl/curl.h>
 #include <inttypes.h>
 #include <jansson.h>
--- a/platform/platform.h
+++ b/logstore/logstore.h
@@ -1,4 +1,4 @@
-/* platform - client of the platform's log and of its list of hosts, and a
+/* logstore - client of the platform's log and of its list of hosts, and a
    stand-in of both
 
    NAME
--- a/platform/test/devlog_test.c
+++ b/logstore/test/devlog_test.c
@@ -2,7 +2,7 @@
    tests ask for: those tests would pass for nothing.  */
 
 #include "../../test/run_suite.h"
-#include "platform.h"
+#include "logstore.h"
 #include <curl/curl.h>
 #include <string.h>
 
--- a/platform/test/logclient_test.c
+++ b/logstore/test/logclient_test.c
@@ -2,7 +2,7 @@
    that holds up a stop, and answers that crash the reader.  */
 
 #include "../../test/run_suite.h"
-#include "platform.h"
+#include "logstore.h"
 #include <arpa/inet.h>
 #include <string.h>
 #include <sys/socket.h>
--- a/test/standin/log_main.c
+++ b/test/standin/log_main.c
@@ -4,7 +4,7 @@
 
    Writes "port N" to FILE when it serves; ends on SIGTERM.  */
 
-#include "platform.h"
+#include "logstore.h"
 #include "support.h"
 #include <argtable2.h>
 #include <stdio.h>
