--- /dev/null
+++ b/jobs/jobtab.h
@@ -0,0 +1,90 @@
+/* jobtab - the fold of the job log
+
+   NAME
+     jobtab_fold, jobtab_pack, jobtab_unpack
+
+   DESCRIPTION
+     All jobs that daemons accepted, how far they are, and who owns the
+     decisions, as the records say.  Every daemon that has folded the same
+     records holds the same table.  A snapshot of it stands in for the records
+     before it.
+
+     Progress counts only when it comes from the owner of the present epoch, so
+     what a replaced owner still appends changes nothing.  */
+
+#ifndef CUMINPIN_JOBTAB_H
+#define CUMINPIN_JOBTAB_H
+
+#include "job.h"
+
+/* What is known of one task.  */
+typedef struct task_mark
+{
+  uint32_t last_failed; /* highest attempt that failed */
+  uint8_t failed;       /* attempts that failed; stays at 255 */
+  bool done;
+} task_mark_t;
+
+typedef struct job_entry
+{
+  job_desc_t *desc; /* without steps once the state is final */
+  job_state_t state;
+  int64_t since_ms;   /* of the present state, since 1970 */
+  task_mark_t *marks; /* by task number; NULL once the state is final */
+  uint32_t marks_count;
+} job_entry_t;
+
+typedef struct ownership
+{
+  uint64_t epoch; /* 0: nobody has owned the decisions yet */
+  char *holder;
+  bool released;
+} ownership_t;
+
+typedef struct job_table
+{
+  GHashTable *jobs; /* id -> job_entry_t */
+  ownership_t owner;
+  uint64_t next; /* offset of the first record that is not folded */
+} jobtab_t;
+
+typedef enum fold_kind
+{
+  FOLD_NOTHING,   /* changed nothing: repeated, or of a replaced owner */
+  FOLD_SUBMITTED, /* entry is new */
+  FOLD_CANCELLED, /* entry is cancelled now */
+  FOLD_CLAIMED,   /* the decisions have another owner */
+  FOLD_RELEASED,  /* the owner has given them up */
+  FOLD_RENEWED,   /* the owner is there */
+  FOLD_PROBED,    /* a daemon asks for a sign of the owner */
+  FOLD_PROGRESS   /* the owner's progress was taken in */
+} fold_kind_t;
+
+typedef struct folded
+{
+  fold_kind_t kind;
+  job_entry_t *entry; /* SUBMITTED, CANCELLED */
+} folded_t;
+
+jobtab_t *jobtab_new (void);
+void jobtab_free (jobtab_t *table);
+
+/* jobtab_fold - take in REC, which TABLE may keep parts of, at NOW_MS since
+   1970.  The caller advances table->next.  */
+folded_t jobtab_fold (jobtab_t *table, job_rec_t *rec, int64_t now_ms);
+
+job_entry_t *jobtab_find (const jobtab_t *table, const char *id);
+
+/* jobtab_purge - forget the jobs that have been final for KEEP_MS; DROP is
+   called before each.  */
+void jobtab_purge (jobtab_t *table, int64_t now_ms, int64_t keep_ms,
+                   void (*drop) (const job_entry_t *entry, void *ctx),
+                   void *ctx);
+
+GBytes *jobtab_pack (const jobtab_t *table);
+
+/* jobtab_unpack - NULL, with *ERROR set, when the LEN bytes of DATA are no
+   snapshot.  */
+jobtab_t *jobtab_unpack (const void *data, size_t len, GError **error);
+
+#endif
--- /dev/null
+++ b/jobs/owner.c
@@ -0,0 +1,121 @@
+#include "owner.h"
+#include <string.h>
+
+/* A host with less of a core than this waits no longer.  */
+#define CPU_SHARE_MIN 0.1
+
+void
+owner_init (owner_t *owner, const char *self, double cpu_share,
+            uint32_t jitter_us)
+{
+  double share = MAX (cpu_share, CPU_SHARE_MIN);
+
+  memset (owner, 0, sizeof *owner);
+  owner->self = self;
+  owner->stagger_us = (int64_t)(OWNER_STAGGER_US / share) + jitter_us;
+  owner->standing = true;
+}
+
+bool
+owner_is_self (const owner_t *owner, const jobtab_t *table)
+{
+  return table->owner.holder && !table->owner.released && !owner->deposed
+         && strcmp (table->owner.holder, owner->self) == 0;
+}
+
+void
+owner_note (owner_t *owner, const jobtab_t *table, fold_kind_t kind,
+            const char *holder, int64_t now_us)
+{
+  if (owner->sign_us == 0)
+    return; /* still reading what was before */
+  if (owner->epoch != table->owner.epoch)
+    {
+      owner->epoch = table->owner.epoch;
+      owner->deposed = false;
+      owner->probed_us = 0;
+    }
+  switch (kind)
+    {
+    case FOLD_CLAIMED:
+    case FOLD_RENEWED:
+    case FOLD_PROGRESS:
+    case FOLD_RELEASED:
+      owner->sign_us = now_us;
+      owner->probed_us = 0;
+      return;
+    case FOLD_PROBED:
+      if (holder && strcmp (holder, owner->self) == 0)
+        owner->probed_us = now_us;
+      else if (owner_is_self (owner, table))
+        owner->own_us = 0; /* renews at once */
+      return;
+    case FOLD_NOTHING:
+    case FOLD_SUBMITTED:
+    case FOLD_CANCELLED:
+      return;
+    }
+}
+
+static bool
+has_asked (const owner_t *owner, int64_t now_us)
+{
+  return owner->asked_us != 0 && now_us - owner->asked_us < OWNER_RETRY_US;
+}
+
+static owner_act_t
+ask (owner_t *owner, owner_act_t act, int64_t now_us)
+{
+  if (has_asked (owner, now_us))
+    return OWNER_NONE;
+  owner->asked_us = now_us;
+  return act;
+}
+
+owner_act_t
+owner_next (owner_t *owner, const jobtab_t *table, int64_t now_us)
+{
+  if (owner_is_self (owner, table))
+    {
+      if (owner->own_us != 0 && now_us - owner->own_us < OWNER_RENEW_US)
+        return OWNER_NONE;
+      owner->own_us = now_us;
+      return OWNER_RENEW;
+    }
+  if (!owner->standing || owner->sign_us == 0)
+    return OWNER_NONE;
+  if (table->owner.epoch == 0 || table->owner.released)
+    return now_us - owner->sign_us >= owner->stagger_us
+               ? ask (owner, OWNER_CLAIM, now_us)
+               : OWNER_NONE;
+  if (owner->probed_us != 0)
+    {
+      if (now_us - owner->probed_us < OWNER_ANSWER_US + owner->stagger_us)
+        return OWNER_NONE;
+      owner->probed_us = 0;
+      owner->asked_us = now_us;
+      return OWNER_CLAIM;
+    }
+  if (now_us - owner->sign_us < OWNER_SILENCE_US)
+    return OWNER_NONE;
+  return ask (owner, OWNER_PROBE, now_us);
+}
+
+void
+owner_caught_up (owner_t *owner, const jobtab_t *table, int64_t now_us)
+{
+  if (owner->sign_us != 0)
+    return;
+  owner->epoch = table->owner.epoch;
+  /* A daemon that has just started asks for the owner at once: after the loss
+     of all daemons there is none.  */
+  owner->sign_us = MAX (now_us - OWNER_SILENCE_US, 1);
+}
+
+void
+owner_paused (owner_t *owner, int64_t now_us)
+{
+  owner->sign_us = owner->sign_us ? now_us : 0;
+  owner->probed_us = 0;
+  owner->asked_us = 0;
+}
--- /dev/null
+++ b/jobs/place.c
@@ -0,0 +1,317 @@
+#include "schedint.h"
+#include <math.h>
+#include <stdlib.h>
+
+/* A job that can't meet its objective any more still earns something up to so
+   many times its objective.  */
+#define LATE_TIMES 3
+
+typedef enum rank
+{
+  RANK_LASTING, /* serves users all the time */
+  RANK_TIMELY,  /* can meet its objective */
+  RANK_LATE,    /* can still be of some use */
+  RANK_HOPELESS
+} rank_t;
+
+/* A stage and its place in the order of starts.  */
+typedef struct turn
+{
+  stage_t *stage;
+  rank_t rank;
+  uint32_t priority;
+  double cost; /* lower first */
+} turn_t;
+
+static int64_t
+objective_us (const sjob_t *job, const rules_queue_t *queue)
+{
+  return job->chain_ms * queue->stretch_milli
+         + (int64_t)queue->latency_ms * 1000;
+}
+
+static rank_t
+rank_of (const stage_t *stage, const rules_queue_t *queue, int64_t now_us)
+{
+  const sjob_t *job = stage->job;
+  int64_t ends_us = now_us + job->tail_ms[stage->step] * 1000;
+  int64_t allowed_us;
+
+  if (stage->spec->lasts)
+    return RANK_LASTING;
+  if (!queue)
+    return RANK_LATE;
+  allowed_us = objective_us (job, queue);
+  if (ends_us <= job->accepted_us + allowed_us)
+    return RANK_TIMELY;
+  if (ends_us <= job->accepted_us + allowed_us * LATE_TIMES)
+    return RANK_LATE;
+  return RANK_HOPELESS;
+}
+
+static int
+compare_turns (const void *a, const void *b)
+{
+  const turn_t *l = a;
+  const turn_t *r = b;
+
+  if (l->rank != r->rank)
+    return l->rank < r->rank ? -1 : 1;
+  if (l->priority != r->priority)
+    return l->priority < r->priority ? -1 : 1;
+  if (l->cost != r->cost)
+    return l->cost < r->cost ? -1 : 1;
+  return 0;
+}
+
+/* Work that the job still has before it, in milli-core ms.  */
+static double
+work_left (const sjob_t *job, const stage_t *stage)
+{
+  const stage_t *stages = job->occurrences[stage->occurrence].stages;
+  double work = 0;
+
+  for (uint32_t i = 0; i < job->desc->steps_count; i++)
+    work += (double)stages[i].undone * (double)stages[i].spec->need.cpu_milli
+            * MAX (stages[i].spec->estimate_ms, 1);
+  return work;
+}
+
+static bool
+has_label (const worker_t *worker, const char *label)
+{
+  return !label
+         || g_strv_contains ((const char *const *)worker->labels, label);
+}
+
+static uint32_t
+count_of_stage (const worker_t *worker, const stage_t *stage)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < worker->runs->len; i++)
+    {
+      const run_t *run = g_ptr_array_index (worker->runs, i);
+
+      count += run->task->stage == stage;
+    }
+  return count;
+}
+
+static amounts_t
+need_on_worker (const job_step_t *spec)
+{
+  amounts_t need = spec->need;
+
+  if (spec->fills)
+    need.cpu_milli = 0;
+  return need;
+}
+
+static bool
+fits (const worker_t *worker, const amounts_t *need)
+{
+  amounts_t left = worker->room;
+
+  amounts_subtract (&left, &worker->used);
+  return amounts_cover (&left, need);
+}
+
+/* How good WORKER is for a task; higher is better.  The emptiest worker keeps
+   disturbance between tasks low.  */
+static double
+value_of (const worker_t *worker, const stage_t *stage, const task_t *task)
+{
+  double value = (double)(worker->room.cpu_milli - worker->used.cpu_milli)
+                 / (double)MAX (worker->room.cpu_milli, 1);
+
+  if (stage->spec->rack && worker->rack
+      && g_strcmp0 (stage->spec->rack, worker->rack) == 0)
+    value += 2;
+  if (task->avoid == worker->interned)
+    value -= 4;
+  return value;
+}
+
+static worker_t *
+find_worker (const pool_t *pool, const stage_t *stage, const task_t *task,
+             sched_now_t now)
+{
+  amounts_t need = need_on_worker (stage->spec);
+  worker_t *best = NULL;
+  double best_value = -HUGE_VAL;
+
+  for (uint32_t i = 0; i < pool->workers->len; i++)
+    {
+      worker_t *worker = g_ptr_array_index (pool->workers, i);
+      double value;
+
+      if (!worker_is_open (worker, now.us) || !fits (worker, &need)
+          || !has_label (worker, stage->spec->label)
+          || (stage->spec->spread_max > 0
+              && count_of_stage (worker, stage) >= stage->spec->spread_max))
+        continue;
+      value = value_of (worker, stage, task);
+      if (value <= best_value)
+        continue;
+      best = worker;
+      best_value = value;
+    }
+  return best;
+}
+
+static bool
+cap_allows_one (int64_t cap, int64_t used, int64_t need)
+{
+  return cap == 0 || used + need <= cap;
+}
+
+static bool
+cap_allows (const sched_t *sched, const sjob_t *job, const amounts_t *need)
+{
+  const rules_workspace_t *rule
+      = rules_workspace (sched->rules, job->space->name);
+  const amounts_t *used = &job->space->used;
+
+  return !rule
+         || (cap_allows_one (rule->cap.cpu_milli, used->cpu_milli,
+                             need->cpu_milli)
+             && cap_allows_one (rule->cap.mem_mib, used->mem_mib,
+                                need->mem_mib)
+             && cap_allows_one (rule->cap.accels, used->accels, need->accels));
+}
+
+static void
+start_run (sched_t *sched, run_t *run, sched_now_t now)
+{
+  worker_t *worker = run->worker;
+  const task_t *task = run->task;
+  order_t order = { .kind = ORDER_START,
+                    .worker = worker->interned,
+                    .address = worker->address,
+                    .task = task_ref (task),
+                    .attempt = run->attempt,
+                    .payload = task->stage->job->desc->payload,
+                    .checkpoint = task->checkpoint };
+
+  order.deadline_ms
+      = worker_clock_at (worker, now.us) + sched->limits.lease_ms;
+  worker->lease_ms = MAX (worker->lease_ms, order.deadline_ms);
+  order_add (sched, order);
+}
+
+/* Starts the tasks of a gang together, or none.  */
+static void
+place_gang (sched_t *sched, pool_t *pool, stage_t *stage, sched_now_t now)
+{
+  g_autoptr (GPtrArray) runs = g_ptr_array_new ();
+  uint32_t attempt = 0;
+
+  if (stage->waiting < stage->undone)
+    return; /* members of the last attempt are still there */
+  for (uint32_t i = 0; i < stage->spec->count; i++)
+    attempt = MAX (attempt, task_next_attempt (sched, &stage->tasks[i]));
+  for (uint32_t i = 0; i < stage->spec->count; i++)
+    {
+      task_t *task = &stage->tasks[i];
+      worker_t *worker;
+
+      if (task->done)
+        continue;
+      worker = task->not_before_us <= now.us
+                       && cap_allows (sched, stage->job, &stage->spec->need)
+                   ? find_worker (pool, stage, task, now)
+                   : NULL;
+      if (!worker)
+        break;
+      g_ptr_array_add (runs, run_new (sched, task, worker, attempt, now));
+    }
+  if (runs->len == stage->undone)
+    {
+      for (uint32_t i = 0; i < runs->len; i++)
+        start_run (sched, g_ptr_array_index (runs, i), now);
+      return;
+    }
+  while (runs->len > 0)
+    run_close (sched, g_ptr_array_steal_index (runs, runs->len - 1), now);
+}
+
+static void
+place_stage (sched_t *sched, pool_t *pool, stage_t *stage, sched_now_t now)
+{
+  if (stage->spec->gang)
+    {
+      place_gang (sched, pool, stage, now);
+      return;
+    }
+  for (uint32_t i = 0; i < stage->spec->count && stage->waiting > 0; i++)
+    {
+      task_t *task = &stage->tasks[i];
+      worker_t *worker;
+
+      if (task->done || task->run)
+        continue;
+      if (task->not_before_us > now.us)
+        {
+          sched_wake_at (sched, task->not_before_us);
+          continue;
+        }
+      if (!cap_allows (sched, stage->job, &stage->spec->need))
+        return;
+      worker = find_worker (pool, stage, task, now);
+      if (!worker)
+        return;
+      start_run (
+          sched,
+          run_new (sched, task, worker, task_next_attempt (sched, task), now),
+          now);
+    }
+}
+
+static void
+place_pool (sched_t *sched, pool_t *pool, sched_now_t now)
+{
+  g_autofree turn_t *turns = NULL;
+  uint32_t count = 0;
+
+  if (pool->stages->len == 0)
+    return;
+  if (!pool_is_settled (sched, pool, now))
+    {
+      sched_wake_at (sched, now.us + HOLD_RETRY_US);
+      return;
+    }
+  turns = g_new (turn_t, pool->stages->len);
+  for (uint32_t i = pool->stages->len; i-- > 0;)
+    {
+      stage_t *stage = g_ptr_array_index (pool->stages, i);
+      const rules_queue_t *queue
+          = rules_queue (sched->rules, stage->job->desc->queue);
+
+      if (stage->waiting == 0)
+        {
+          stage->listed = false;
+          g_ptr_array_remove_index_fast (pool->stages, i);
+          continue;
+        }
+      turns[count++]
+          = (turn_t){ .stage = stage,
+                      .rank = rank_of (stage, queue, now.us),
+                      .priority = queue ? queue->priority : UINT32_MAX,
+                      .cost = work_left (stage->job, stage) };
+    }
+  qsort (turns, count, sizeof *turns, compare_turns);
+  for (uint32_t i = 0; i < count; i++)
+    place_stage (sched, pool, turns[i].stage, now);
+}
+
+void
+place_pools (sched_t *sched, sched_now_t now)
+{
+  GHashTableIter iter;
+  gpointer pool;
+
+  g_hash_table_iter_init (&iter, sched->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &pool))
+    place_pool (sched, pool, now);
+}
--- /dev/null
+++ b/jobs/record.c
@@ -0,0 +1,402 @@
+#include "codec.h"
+#include <string.h>
+
+/* A record holds one batch of what the owner decided at most.  */
+#define RECORD_BYTES_MAX (256 * 1024)
+
+#define STEP_FIELDS 13
+#define DESC_FIELDS 9
+#define FLAGS_MAX 63
+
+typedef enum step_flag
+{
+  FLAG_CHECKPOINTS = 1,
+  FLAG_GANG = 2,
+  FLAG_SAME_RACK = 4,
+  FLAG_SPECULATIVE = 8,
+  FLAG_LASTS = 16,
+  FLAG_FILLS = 32
+} step_flag_t;
+
+void
+job_rec_clear (job_rec_t *rec)
+{
+  switch (rec->kind)
+    {
+    case JREC_SUBMIT:
+      job_desc_free (rec->u.submit);
+      break;
+    case JREC_CANCEL:
+      break;
+    case JREC_CLAIM:
+    case JREC_RENEW:
+    case JREC_PROBE:
+    case JREC_RELEASE:
+      g_free (rec->u.owner.holder);
+      break;
+    case JREC_PROGRESS:
+      if (rec->u.progress.ends)
+        g_array_free (rec->u.progress.ends, TRUE);
+      if (rec->u.progress.changes)
+        g_array_free (rec->u.progress.changes, TRUE);
+      break;
+    }
+  memset (rec, 0, sizeof *rec);
+}
+
+static uint32_t
+step_flags (const job_step_t *step)
+{
+  return (step->checkpoints ? FLAG_CHECKPOINTS : 0)
+         | (step->gang ? FLAG_GANG : 0)
+         | (step->same_rack ? FLAG_SAME_RACK : 0)
+         | (step->speculative ? FLAG_SPECULATIVE : 0)
+         | (step->lasts ? FLAG_LASTS : 0) | (step->fills ? FLAG_FILLS : 0);
+}
+
+static void
+pack_step (msgpack_packer *pk, const job_step_t *step)
+{
+  msgpack_pack_array (pk, STEP_FIELDS);
+  msgpack_pack_uint32 (pk, step->count);
+  msgpack_pack_int64 (pk, step->need.cpu_milli);
+  msgpack_pack_int64 (pk, step->need.mem_mib);
+  msgpack_pack_int64 (pk, step->need.accels);
+  msgpack_pack_uint32 (pk, step->estimate_ms);
+  msgpack_pack_array (pk, step->after_count);
+  for (uint32_t i = 0; i < step->after_count; i++)
+    msgpack_pack_uint32 (pk, step->after[i]);
+  pack_name (pk, step->label);
+  pack_name (pk, step->rack);
+  pack_name (pk, step->image);
+  msgpack_pack_uint32 (pk, step->spread_max);
+  msgpack_pack_uint32 (pk, step->target_ms);
+  msgpack_pack_uint32 (pk, step->may_miss);
+  msgpack_pack_uint32 (pk, step_flags (step));
+}
+
+void
+desc_pack (msgpack_packer *pk, const job_desc_t *desc)
+{
+  msgpack_pack_array (pk, DESC_FIELDS);
+  pack_name (pk, desc->id);
+  pack_name (pk, desc->workspace);
+  pack_name (pk, desc->queue);
+  pack_name (pk, desc->service);
+  pack_bin (pk, desc->payload, strlen (desc->payload));
+  msgpack_pack_array (pk, desc->steps_count);
+  for (uint32_t i = 0; i < desc->steps_count; i++)
+    pack_step (pk, &desc->steps[i]);
+  msgpack_pack_uint32 (pk, desc->repeats);
+  msgpack_pack_array (pk, 2);
+  msgpack_pack_int64 (pk, desc->start_ms);
+  msgpack_pack_int64 (pk, desc->interval_ms);
+  msgpack_pack_int64 (pk, desc->accepted_ms);
+}
+
+static void
+pack_progress (msgpack_packer *pk, const job_rec_t *rec)
+{
+  const GArray *ends = rec->u.progress.ends;
+  const GArray *changes = rec->u.progress.changes;
+
+  msgpack_pack_uint64 (pk, rec->u.progress.epoch);
+  msgpack_pack_array (pk, ends->len);
+  for (uint32_t i = 0; i < ends->len; i++)
+    {
+      const task_end_t *end = &g_array_index (ends, task_end_t, i);
+
+      msgpack_pack_array (pk, 6);
+      pack_name (pk, end->task.id);
+      msgpack_pack_uint32 (pk, end->task.occurrence);
+      msgpack_pack_uint32 (pk, end->task.step);
+      msgpack_pack_uint32 (pk, end->task.index);
+      msgpack_pack_uint32 (pk, end->attempt);
+      msgpack_pack_uint32 (pk, end->done);
+    }
+  msgpack_pack_array (pk, changes->len);
+  for (uint32_t i = 0; i < changes->len; i++)
+    {
+      const job_change_t *change = &g_array_index (changes, job_change_t, i);
+
+      msgpack_pack_array (pk, 2);
+      pack_name (pk, change->id);
+      msgpack_pack_uint32 (pk, change->state);
+    }
+}
+
+GBytes *
+job_rec_pack (const job_rec_t *rec)
+{
+  msgpack_sbuffer buf;
+  msgpack_packer pk;
+
+  msgpack_sbuffer_init (&buf);
+  msgpack_packer_init (&pk, &buf, msgpack_sbuffer_write);
+  msgpack_pack_array (&pk, rec->kind == JREC_SUBMIT || rec->kind == JREC_CANCEL
+                               ? 2
+                           : rec->kind == JREC_PROGRESS ? 4
+                                                        : 3);
+  msgpack_pack_uint32 (&pk, rec->kind);
+  switch (rec->kind)
+    {
+    case JREC_SUBMIT:
+      desc_pack (&pk, rec->u.submit);
+      break;
+    case JREC_CANCEL:
+      pack_name (&pk, rec->u.cancel);
+      break;
+    case JREC_CLAIM:
+    case JREC_RENEW:
+    case JREC_PROBE:
+    case JREC_RELEASE:
+      msgpack_pack_uint64 (&pk, rec->u.owner.epoch);
+      pack_name (&pk, rec->u.owner.holder);
+      break;
+    case JREC_PROGRESS:
+      pack_progress (&pk, rec);
+      break;
+    }
+  return pack_take (&buf);
+}
+
+char *
+text_read (fields_t *f, const char *name)
+{
+  size_t len = 0;
+  const char *text;
+
+  if (f->left > 0 && f->at->type == MSGPACK_OBJECT_NIL)
+    {
+      fields_next (f, name);
+      return NULL;
+    }
+  text = fields_text (f, name, JOB_NAME_MAX, &len);
+  return text ? g_strndup (text, len) : NULL;
+}
+
+static const char *
+interned_text (fields_t *f, const char *name)
+{
+  g_autofree char *text = text_read (f, name);
+
+  return g_intern_string (text ? text : "");
+}
+
+void
+id_read (fields_t *f, char id[JOB_ID_BYTES])
+{
+  size_t len = 0;
+  const char *text = fields_text (f, "id", JOB_ID_LEN, &len);
+
+  memset (id, 0, JOB_ID_BYTES);
+  if (text && len == JOB_ID_LEN)
+    memcpy (id, text, len);
+  else if (!f->bad)
+    f->bad = "id";
+}
+
+uint32_t
+array_read (fields_t *f, const char *name, const msgpack_object **items)
+{
+  const msgpack_object *object = fields_next (f, name);
+
+  *items = NULL;
+  if (object && object->type != MSGPACK_OBJECT_ARRAY)
+    f->bad = name;
+  if (f->bad || !object)
+    return 0;
+  *items = object->via.array.ptr;
+  return object->via.array.size;
+}
+
+static void
+read_after (fields_t *f, job_step_t *step)
+{
+  const msgpack_object *items;
+  uint32_t count = array_read (f, "after", &items);
+
+  if (f->bad)
+    return;
+  step->after = g_new0 (uint32_t, count);
+  step->after_count = count;
+  for (uint32_t i = 0; i < count; i++)
+    if (items[i].type == MSGPACK_OBJECT_POSITIVE_INTEGER
+        && items[i].via.u64 < JOB_STEPS_MAX)
+      step->after[i] = (uint32_t)items[i].via.u64;
+    else
+      f->bad = "after";
+}
+
+static const char *
+read_step (const msgpack_object *object, job_step_t *step)
+{
+  fields_t f = fields_open (object, "step");
+  uint32_t flags;
+
+  step->count = (uint32_t)fields_u64 (&f, "count", JOB_TASKS_MAX);
+  step->need.cpu_milli = fields_i64 (&f, "cpu");
+  step->need.mem_mib = fields_i64 (&f, "mem");
+  step->need.accels = fields_i64 (&f, "accels");
+  step->estimate_ms = (uint32_t)fields_u64 (&f, "estimate", UINT32_MAX);
+  read_after (&f, step);
+  step->label = text_read (&f, "label");
+  step->rack = text_read (&f, "rack");
+  step->image = text_read (&f, "image");
+  step->spread_max = (uint32_t)fields_u64 (&f, "spread", UINT32_MAX);
+  step->target_ms = (uint32_t)fields_u64 (&f, "target", UINT32_MAX);
+  step->may_miss = (uint32_t)fields_u64 (&f, "may_miss", UINT32_MAX);
+  flags = (uint32_t)fields_u64 (&f, "flags", FLAGS_MAX);
+  step->checkpoints = flags & FLAG_CHECKPOINTS;
+  step->gang = flags & FLAG_GANG;
+  step->same_rack = flags & FLAG_SAME_RACK;
+  step->speculative = flags & FLAG_SPECULATIVE;
+  step->lasts = flags & FLAG_LASTS;
+  step->fills = flags & FLAG_FILLS;
+  return f.bad;
+}
+
+static void
+read_steps (fields_t *f, job_desc_t *desc)
+{
+  const msgpack_object *items;
+  uint32_t count = array_read (f, "steps", &items);
+
+  if (f->bad || count > JOB_STEPS_MAX)
+    {
+      f->bad = "steps";
+      return;
+    }
+  desc->steps = g_new0 (job_step_t, count);
+  desc->steps_count = count;
+  for (uint32_t i = 0; i < count && !f->bad; i++)
+    f->bad = read_step (&items[i], &desc->steps[i]);
+}
+
+job_desc_t *
+desc_read (fields_t *outer)
+{
+  const msgpack_object *object = fields_next (outer, "submit");
+  job_desc_t *desc = g_new0 (job_desc_t, 1);
+  const msgpack_object *times;
+  const uint8_t *payload;
+  size_t len = 0;
+  fields_t f;
+
+  if (!object)
+    return desc;
+  f = fields_open (object, "submit");
+  id_read (&f, desc->id);
+  desc->workspace = interned_text (&f, "workspace");
+  desc->queue = interned_text (&f, "queue");
+  desc->service = interned_text (&f, "service");
+  payload = fields_bin (&f, "payload", &len);
+  desc->payload = g_strndup (payload ? (const char *)payload : "", len);
+  read_steps (&f, desc);
+  desc->repeats = (uint32_t)fields_u64 (&f, "repeats", JOB_TASKS_MAX);
+  if (array_read (&f, "times", &times) == 2
+      && times[0].type == MSGPACK_OBJECT_POSITIVE_INTEGER
+      && times[1].type == MSGPACK_OBJECT_POSITIVE_INTEGER)
+    {
+      desc->start_ms = times[0].via.i64;
+      desc->interval_ms = times[1].via.i64;
+    }
+  else if (!f.bad)
+    f.bad = "times";
+  desc->accepted_ms = fields_i64 (&f, "accepted");
+  if (f.bad)
+    outer->bad = f.bad;
+  return desc;
+}
+
+static void
+read_ends (fields_t *f, GArray *ends)
+{
+  const msgpack_object *items;
+  uint32_t count = array_read (f, "ends", &items);
+
+  for (uint32_t i = 0; i < count && !f->bad; i++)
+    {
+      fields_t row = fields_open (&items[i], "end");
+      task_end_t end = { 0 };
+
+      id_read (&row, end.task.id);
+      end.task.occurrence = (uint32_t)fields_u64 (&row, "k", UINT32_MAX);
+      end.task.step = (uint32_t)fields_u64 (&row, "step", UINT32_MAX);
+      end.task.index = (uint32_t)fields_u64 (&row, "index", UINT32_MAX);
+      end.attempt = (uint32_t)fields_u64 (&row, "attempt", UINT32_MAX);
+      end.done = fields_u64 (&row, "done", 1);
+      f->bad = row.bad;
+      g_array_append_val (ends, end);
+    }
+}
+
+static void
+read_changes (fields_t *f, GArray *changes)
+{
+  const msgpack_object *items;
+  uint32_t count = array_read (f, "changes", &items);
+
+  for (uint32_t i = 0; i < count && !f->bad; i++)
+    {
+      fields_t row = fields_open (&items[i], "change");
+      job_change_t change = { 0 };
+
+      id_read (&row, change.id);
+      change.state
+          = (job_state_t)fields_u64 (&row, "state", JOB_STATE_CANCELLED);
+      f->bad = row.bad;
+      g_array_append_val (changes, change);
+    }
+}
+
+bool
+job_rec_unpack (const void *data, size_t len, job_rec_t *rec, GError **error)
+{
+  msgpack_unpacked msg;
+  fields_t f;
+  bool ok = pack_open (data, len, RECORD_BYTES_MAX, "job record", &msg, error);
+
+  memset (rec, 0, sizeof *rec);
+  if (!ok)
+    {
+      msgpack_unpacked_destroy (&msg);
+      return false;
+    }
+  f = fields_open (&msg.data, "job record");
+  rec->kind = (job_rec_kind_t)fields_u64 (&f, "kind", JREC_PROGRESS);
+  switch (rec->kind)
+    {
+    case JREC_SUBMIT:
+      rec->u.submit = desc_read (&f);
+      if (!f.bad && job_check (rec->u.submit))
+        f.bad = "submit";
+      break;
+    case JREC_CANCEL:
+      id_read (&f, rec->u.cancel);
+      break;
+    case JREC_CLAIM:
+    case JREC_RENEW:
+    case JREC_PROBE:
+    case JREC_RELEASE:
+      rec->u.owner.epoch = fields_u64 (&f, "epoch", UINT64_MAX);
+      rec->u.owner.holder = text_read (&f, "holder");
+      break;
+    case JREC_PROGRESS:
+      rec->u.progress.epoch = fields_u64 (&f, "epoch", UINT64_MAX);
+      rec->u.progress.ends = g_array_new (FALSE, FALSE, sizeof (task_end_t));
+      rec->u.progress.changes
+          = g_array_new (FALSE, FALSE, sizeof (job_change_t));
+      read_ends (&f, rec->u.progress.ends);
+      read_changes (&f, rec->u.progress.changes);
+      break;
+    default:
+      f.bad = "kind";
+      break;
+    }
+  ok = fields_ok (&f, "job record", error);
+  msgpack_unpacked_destroy (&msg);
+  if (!ok)
+    job_rec_clear (rec);
+  return ok;
+}
--- /dev/null
+++ b/jobs/sched.c
@@ -0,0 +1,666 @@
+#include "schedint.h"
+#include <string.h>
+
+static void
+stage_clear (stage_t *stage)
+{
+  for (uint32_t i = 0; i < stage->spec->count; i++)
+    g_free (stage->tasks[i].checkpoint);
+  g_free (stage->tasks);
+}
+
+static void
+sjob_free (gpointer data)
+{
+  sjob_t *job = data;
+
+  for (uint32_t k = 0; k < job_occurrences (job->desc); k++)
+    {
+      stage_t *stages = job->occurrences[k].stages;
+
+      for (uint32_t i = 0; stages && i < job->desc->steps_count; i++)
+        stage_clear (&stages[i]);
+      g_free (stages);
+    }
+  g_free (job->occurrences);
+  g_free (job->tail_ms);
+  job_desc_free (job->desc);
+  g_free (job);
+}
+
+static void
+pool_free (gpointer data)
+{
+  pool_t *pool = data;
+
+  g_ptr_array_free (pool->workers, TRUE);
+  g_ptr_array_free (pool->stages, TRUE);
+  g_free (pool);
+}
+
+pool_t *
+sched_pool (sched_t *sched, const char *name)
+{
+  pool_t *pool = g_hash_table_lookup (sched->pools, name);
+
+  if (pool)
+    return pool;
+  pool = g_new0 (pool_t, 1);
+  pool->name = g_intern_string (name);
+  pool->workers = g_ptr_array_new ();
+  pool->stages = g_ptr_array_new ();
+  g_hash_table_insert (sched->pools, (gpointer)pool->name, pool);
+  return pool;
+}
+
+static space_t *
+find_space (sched_t *sched, const char *name)
+{
+  space_t *space = g_hash_table_lookup (sched->spaces, name);
+
+  if (space)
+    return space;
+  space = g_new0 (space_t, 1);
+  space->name = name;
+  g_hash_table_insert (sched->spaces, (gpointer)name, space);
+  return space;
+}
+
+/* Where the queue of STAGE leads now; a queue that was removed leads where it
+   last did.  */
+pool_t *
+stage_pool (sched_t *sched, const stage_t *stage)
+{
+  const job_desc_t *desc = stage->job->desc;
+  const rules_queue_t *queue = rules_queue (sched->rules, desc->queue);
+
+  return sched_pool (sched, queue ? queue->service : desc->service);
+}
+
+task_ref_t
+task_ref (const task_t *task)
+{
+  const stage_t *stage = task->stage;
+  task_ref_t ref = { .occurrence = stage->occurrence,
+                     .step = stage->step,
+                     .index = task->index };
+
+  memcpy (ref.id, stage->job->desc->id, sizeof ref.id);
+  return ref;
+}
+
+task_t *
+sched_task (const sched_t *sched, const task_ref_t *ref)
+{
+  sjob_t *job = g_hash_table_lookup (sched->jobs, ref->id);
+  stage_t *stage;
+
+  if (!job || job_task_number (job->desc, ref) == UINT32_MAX
+      || !job->occurrences[ref->occurrence].stages)
+    return NULL;
+  stage = &job->occurrences[ref->occurrence].stages[ref->step];
+  return &stage->tasks[ref->index];
+}
+
+static void
+stage_list (sched_t *sched, stage_t *stage)
+{
+  if (stage->listed || stage->waits_on > 0 || stage->waiting == 0
+      || stage->job->ended)
+    return;
+  stage->listed = true;
+  g_ptr_array_add (stage_pool (sched, stage)->stages, stage);
+  sched->dirty = true;
+}
+
+void
+task_waits (sched_t *sched, task_t *task)
+{
+  stage_t *stage = task->stage;
+
+  stage->waiting++;
+  stage_list (sched, stage);
+}
+
+uint32_t
+task_next_attempt (const sched_t *sched, const task_t *task)
+{
+  uint32_t least = (uint32_t)((sched->epoch - 1) * EPOCH_ATTEMPTS);
+  uint32_t last = MAX (task->attempt, task->last_failed);
+
+  if (task->stage->spec->gang)
+    last = MAX (last, task->stage->attempt);
+  return MAX (last, least) + 1;
+}
+
+static void
+add_change (sched_t *sched, const sjob_t *job, job_state_t state)
+{
+  job_change_t change = { .state = state };
+
+  memcpy (change.id, job->desc->id, sizeof change.id);
+  g_array_append_val (sched->changes, change);
+}
+
+void
+job_begin (sched_t *sched, sjob_t *job)
+{
+  if (job->begun)
+    return;
+  job->begun = true;
+  add_change (sched, job, JOB_STATE_RUNNING);
+}
+
+/* Calls VISIT for each task of JOB that is due.  */
+static void
+job_tasks_do (sjob_t *job, void (*visit) (task_t *task))
+{
+  for (uint32_t k = 0; k < job->next_occurrence; k++)
+    for (uint32_t i = 0; i < job->desc->steps_count; i++)
+      {
+        stage_t *stage = &job->occurrences[k].stages[i];
+
+        for (uint32_t t = 0; t < stage->spec->count; t++)
+          visit (&stage->tasks[t]);
+      }
+}
+
+static void
+stop_task (task_t *task)
+{
+  if (task->run)
+    run_stop (task->run);
+}
+
+static void
+unlist_job (sched_t *sched, const sjob_t *job)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, sched->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      pool_t *pool = value;
+
+      for (uint32_t i = pool->stages->len; i-- > 0;)
+        {
+          stage_t *stage = g_ptr_array_index (pool->stages, i);
+
+          if (stage->job != job)
+            continue;
+          stage->listed = false;
+          g_ptr_array_remove_index_fast (pool->stages, i);
+        }
+    }
+}
+
+void
+job_end (sched_t *sched, sjob_t *job)
+{
+  if (job->ended)
+    return;
+  job->ended = true;
+  unlist_job (sched, job);
+  g_ptr_array_remove_fast (sched->timed, job);
+  job_tasks_do (job, stop_task);
+  sched->dirty = true;
+}
+
+void
+job_settle (sched_t *sched, sjob_t *job)
+{
+  if (job->ended && job->runs == 0)
+    g_hash_table_remove (sched->jobs, job->desc->id);
+}
+
+static void
+stage_done (sched_t *sched, sjob_t *job, const stage_t *stage)
+{
+  stage_t *stages = job->occurrences[stage->occurrence].stages;
+
+  for (uint32_t i = stage->step + 1; i < job->desc->steps_count; i++)
+    for (uint32_t a = 0; a < stages[i].spec->after_count; a++)
+      if (stages[i].spec->after[a] == stage->step && --stages[i].waits_on == 0)
+        stage_list (sched, &stages[i]);
+}
+
+static void
+mark_done (sched_t *sched, task_t *task)
+{
+  stage_t *stage = task->stage;
+  sjob_t *job = stage->job;
+  occurrence_t *occurrence = &job->occurrences[stage->occurrence];
+
+  task->done = true;
+  if (!task->run)
+    stage->waiting--;
+  if (--stage->undone == 0)
+    stage_done (sched, job, stage);
+  if (--occurrence->undone > 0 || --job->undone > 0)
+    return;
+  add_change (sched, job, JOB_STATE_COMPLETE);
+  job_end (sched, job);
+}
+
+static void
+add_end (sched_t *sched, const task_t *task, uint32_t attempt, bool done)
+{
+  task_end_t end
+      = { .task = task_ref (task), .attempt = attempt, .done = done };
+
+  g_array_append_val (sched->ends, end);
+}
+
+/* One end of a gang stands for all its members.  */
+static void
+gang_end (sched_t *sched, stage_t *stage, uint32_t attempt, bool done)
+{
+  for (uint32_t i = 0; i < stage->spec->count; i++)
+    {
+      task_t *task = &stage->tasks[i];
+
+      if (done && !task->done)
+        {
+          add_end (sched, task, attempt, true);
+          mark_done (sched, task);
+        }
+    }
+}
+
+static uint32_t
+max_attempts_of (const sched_t *sched, const sjob_t *job)
+{
+  const rules_queue_t *queue = rules_queue (sched->rules, job->desc->queue);
+
+  return queue && queue->max_attempts > 0 ? queue->max_attempts : 1;
+}
+
+void
+task_end (sched_t *sched, task_t *task, uint32_t attempt, bool done,
+          sched_now_t now)
+{
+  stage_t *stage = task->stage;
+  sjob_t *job = stage->job;
+
+  (void)now;
+  if (job->ended || task->done)
+    return;
+  if (done && !stage->spec->lasts)
+    {
+      if (stage->spec->gang)
+        {
+          gang_end (sched, stage, attempt, true);
+          return;
+        }
+      add_end (sched, task, attempt, true);
+      mark_done (sched, task);
+      return;
+    }
+  if (stage->spec->lasts || attempt <= task->last_failed)
+    return;
+  task->last_failed = attempt;
+  if (stage->spec->gang && attempt <= stage->gang_failed)
+    return; /* counted for another member */
+  stage->gang_failed = attempt;
+  task->failed++;
+  add_end (sched, task, attempt, false);
+  if (stage->spec->gang)
+    for (uint32_t i = 0; i < stage->spec->count; i++)
+      stage->tasks[i].failed = task->failed;
+  if (task->failed < max_attempts_of (sched, job))
+    return;
+  add_change (sched, job, JOB_STATE_FAILED);
+  job_end (sched, job);
+}
+
+static void
+open_stage (sched_t *sched, sjob_t *job, uint32_t k, uint32_t step,
+            uint32_t first_mark, sched_now_t now)
+{
+  stage_t *stage = &job->occurrences[k].stages[step];
+  const job_entry_t *entry = job->entry;
+
+  *stage = (stage_t){
+    .job = job, .occurrence = k, .step = step, .spec = &job->desc->steps[step]
+  };
+  stage->tasks = g_new0 (task_t, stage->spec->count);
+  stage->undone = stage->spec->count;
+  stage->waiting = stage->spec->count;
+  stage->waits_on = stage->spec->after_count;
+  for (uint32_t i = 0; i < stage->spec->count; i++)
+    {
+      task_t *task = &stage->tasks[i];
+      const task_mark_t *mark
+          = entry && entry->marks ? &entry->marks[first_mark + i] : NULL;
+
+      task->stage = stage;
+      task->index = i;
+      task->away_since_us = now.us;
+      if (!mark)
+        continue;
+      task->failed = mark->failed;
+      task->last_failed = mark->last_failed;
+      stage->gang_failed = MAX (stage->gang_failed, mark->last_failed);
+      if (mark->done)
+        {
+          task->done = true;
+          stage->undone--;
+          stage->waiting--;
+        }
+    }
+  (void)sched;
+}
+
+static void
+open_occurrence (sched_t *sched, sjob_t *job, uint32_t k, sched_now_t now)
+{
+  occurrence_t *occurrence = &job->occurrences[k];
+  uint32_t steps = job->desc->steps_count;
+  uint32_t mark = k * job_tasks_each (job->desc);
+
+  occurrence->stages = g_new0 (stage_t, steps);
+  for (uint32_t i = 0; i < steps; i++)
+    {
+      open_stage (sched, job, k, i, mark, now);
+      mark += job->desc->steps[i].count;
+      occurrence->undone += occurrence->stages[i].undone;
+    }
+  for (uint32_t i = 0; i < steps; i++)
+    if (occurrence->stages[i].undone == 0)
+      stage_done (sched, job, &occurrence->stages[i]);
+  for (uint32_t i = 0; i < steps; i++)
+    stage_list (sched, &occurrence->stages[i]);
+  if (occurrence->undone == 0)
+    job->undone--;
+}
+
+static int64_t
+due_ms (const job_desc_t *desc, uint32_t k)
+{
+  return desc->start_ms + (int64_t)k * desc->interval_ms;
+}
+
+void
+job_open_due (sched_t *sched, sjob_t *job, sched_now_t now)
+{
+  uint32_t count = job_occurrences (job->desc);
+
+  while (job->next_occurrence < count
+         && (job->desc->repeats == 0
+             || due_ms (job->desc, job->next_occurrence) <= now.wall_ms))
+    open_occurrence (sched, job, job->next_occurrence++, now);
+  if (job->next_occurrence < count)
+    sched_wake_at (
+        sched,
+        now.us
+            + (due_ms (job->desc, job->next_occurrence) - now.wall_ms) * 1000);
+}
+
+/* Longest chains of estimates, from the last step back.  */
+static void
+measure_chains (sjob_t *job)
+{
+  const job_desc_t *desc = job->desc;
+
+  job->tail_ms = g_new0 (int64_t, desc->steps_count);
+  for (uint32_t i = desc->steps_count; i-- > 0;)
+    {
+      const job_step_t *step = &desc->steps[i];
+
+      job->tail_ms[i] += step->estimate_ms;
+      job->chain_ms = MAX (job->chain_ms, job->tail_ms[i]);
+      for (uint32_t a = 0; a < step->after_count; a++)
+        job->tail_ms[step->after[a]]
+            = MAX (job->tail_ms[step->after[a]], job->tail_ms[i]);
+      job->work += (int64_t)step->count * step->need.cpu_milli
+                   * MAX (step->estimate_ms, 1);
+    }
+}
+
+void
+sched_add_job (sched_t *sched, const job_entry_t *entry, sched_now_t now)
+{
+  sjob_t *job;
+  uint32_t count;
+
+  if (job_state_is_final (entry->state)
+      || g_hash_table_contains (sched->jobs, entry->desc->id))
+    return;
+  count = job_occurrences (entry->desc);
+  job = g_new0 (sjob_t, 1);
+  job->desc = job_desc_share (entry->desc);
+  job->space = find_space (sched, job->desc->workspace);
+  job->occurrences = g_new0 (occurrence_t, count);
+  job->undone = count;
+  job->begun = entry->state != JOB_STATE_QUEUED;
+  job->accepted_us
+      = now.us
+        - CLAMP (now.wall_ms - entry->desc->accepted_ms, 0, 60000) * 1000;
+  job->entry = entry;
+  measure_chains (job);
+  g_hash_table_insert (sched->jobs, job->desc->id, job);
+  job_open_due (sched, job, now);
+  job->entry = NULL;
+  if (job->next_occurrence < count)
+    g_ptr_array_add (sched->timed, job);
+  if (job->undone > 0)
+    return;
+  add_change (sched, job, JOB_STATE_COMPLETE);
+  job_end (sched, job);
+  job_settle (sched, job);
+}
+
+void
+sched_cancel_job (sched_t *sched, const char *id, sched_now_t now)
+{
+  sjob_t *job = g_hash_table_lookup (sched->jobs, id);
+
+  (void)now;
+  if (!job)
+    return;
+  job_end (sched, job);
+  job_settle (sched, job);
+}
+
+sched_t *
+sched_new (const jobtab_t *table, uint64_t epoch, const sched_limits_t *limits,
+           const rules_t *rules, sched_now_t now)
+{
+  sched_t *sched = g_new0 (sched_t, 1);
+  GHashTableIter iter;
+  gpointer entry;
+
+  sched->epoch = epoch;
+  sched->limits = *limits;
+  sched->rules = rules;
+  sched->since_us = now.us;
+  sched->next_us = now.us;
+  sched->batch = 1;
+  sched->jobs
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, sjob_free);
+  sched->workers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, worker_free);
+  sched->pools
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, pool_free);
+  sched->spaces
+      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+  sched->timed = g_ptr_array_new ();
+  sched->orders = g_array_new (FALSE, TRUE, sizeof (order_t));
+  sched->ends = g_array_new (FALSE, TRUE, sizeof (task_end_t));
+  sched->changes = g_array_new (FALSE, TRUE, sizeof (job_change_t));
+  g_hash_table_iter_init (&iter, table->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &entry))
+    sched_add_job (sched, entry, now);
+  return sched;
+}
+
+void
+sched_free (sched_t *sched)
+{
+  GHashTableIter iter;
+  gpointer worker;
+
+  if (!sched)
+    return;
+  g_hash_table_iter_init (&iter, sched->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &worker))
+    g_ptr_array_set_free_func (((worker_t *)worker)->runs, g_free);
+  g_hash_table_destroy (sched->jobs);
+  g_hash_table_destroy (sched->workers);
+  g_hash_table_destroy (sched->pools);
+  g_hash_table_destroy (sched->spaces);
+  g_ptr_array_free (sched->timed, TRUE);
+  g_array_free (sched->orders, TRUE);
+  g_array_free (sched->ends, TRUE);
+  g_array_free (sched->changes, TRUE);
+  g_free (sched);
+}
+
+/* Queues may lead to other services now, and lists of stages are by
+   service.  */
+void
+sched_set_rules (sched_t *sched, const rules_t *rules)
+{
+  g_autoptr (GPtrArray) all = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  sched->rules = rules;
+  g_hash_table_iter_init (&iter, sched->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      pool_t *pool = value;
+
+      for (uint32_t i = 0; i < pool->stages->len; i++)
+        g_ptr_array_add (all, g_ptr_array_index (pool->stages, i));
+      g_ptr_array_set_size (pool->stages, 0);
+    }
+  for (uint32_t i = 0; i < all->len; i++)
+    {
+      stage_t *stage = g_ptr_array_index (all, i);
+
+      stage->listed = false;
+      stage_list (sched, stage);
+    }
+  sched->dirty = true;
+}
+
+bool
+sched_has_progress (const sched_t *sched)
+{
+  return sched->ends->len > 0 || sched->changes->len > 0
+         || sched->ends_unwritten;
+}
+
+job_rec_t *
+sched_progress (sched_t *sched, uint64_t *batch)
+{
+  job_rec_t *rec;
+
+  sched->ends_unwritten = false;
+  if (sched->ends->len == 0 && sched->changes->len == 0)
+    {
+      sched_durable (sched, sched->batch);
+      return NULL;
+    }
+  rec = g_new0 (job_rec_t, 1);
+  rec->kind = JREC_PROGRESS;
+  rec->u.progress.epoch = sched->epoch;
+  rec->u.progress.ends = sched->ends;
+  rec->u.progress.changes = sched->changes;
+  sched->ends = g_array_new (FALSE, TRUE, sizeof (task_end_t));
+  sched->changes = g_array_new (FALSE, TRUE, sizeof (job_change_t));
+  *batch = sched->batch++;
+  return rec;
+}
+
+void
+sched_durable (sched_t *sched, uint64_t batch)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, sched->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      worker_t *worker = value;
+
+      if (worker->last_seen == worker->seen || worker->seen_batch > batch)
+        continue;
+      worker->last_seen = worker->seen;
+      worker->hold_due_us = 0;
+      sched->next_us = 0;
+    }
+}
+
+void
+sched_wake_at (sched_t *sched, int64_t at_us)
+{
+  sched->next_us = MIN (sched->next_us, at_us);
+}
+
+int64_t
+sched_next_us (const sched_t *sched)
+{
+  return sched->dirty ? 0 : sched->next_us;
+}
+
+GArray *
+sched_plan (sched_t *sched, sched_now_t now)
+{
+  GHashTableIter iter;
+  gpointer worker;
+
+  sched->next_us = INT64_MAX;
+  for (uint32_t i = sched->timed->len; i-- > 0;)
+    {
+      sjob_t *job = g_ptr_array_index (sched->timed, i);
+
+      job_open_due (sched, job, now);
+      if (job->next_occurrence == job_occurrences (job->desc))
+        g_ptr_array_remove_index_fast (sched->timed, i);
+    }
+  workers_advance (sched, now);
+  sched->dirty = false;
+  place_pools (sched, now);
+  g_hash_table_iter_init (&iter, sched->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &worker))
+    worker_orders (sched, worker, now);
+  return sched->orders;
+}
+
+void
+sched_dump (const sched_t *sched, GString *out, sched_now_t now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_string_append_printf (out, "epoch %" PRIu64 "\njobs %u\n", sched->epoch,
+                          g_hash_table_size (sched->jobs));
+  g_hash_table_iter_init (&iter, sched->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const pool_t *pool = value;
+
+      g_string_append_printf (out, "pool %s workers %u waiting-stages %u\n",
+                              pool->name, pool->workers->len,
+                              pool->stages->len);
+    }
+  g_hash_table_iter_init (&iter, sched->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const worker_t *worker = value;
+
+      g_string_append_printf (
+          out,
+          "worker %s pool %s runs %u cpu-used %" G_GINT64_FORMAT
+          " cpu %" G_GINT64_FORMAT " answered-ms-ago %" G_GINT64_FORMAT
+          "%s%s\n",
+          worker->id, worker->pool->name, worker->runs->len,
+          worker->used.cpu_milli, worker->room.cpu_milli,
+          (now.us - worker->answered_us) / 1000,
+          worker->listed ? "" : " unlisted",
+          worker->state == WORKER_DRAINING ? " draining" : "");
+    }
+}
--- /dev/null
+++ b/jobs/schedint.h
@@ -0,0 +1,221 @@
+/* schedint - the data of sched, workers and plan; private to the package  */
+
+#ifndef CUMINPIN_SCHEDINT_H
+#define CUMINPIN_SCHEDINT_H
+
+#include "scheduler.h"
+
+/* Clocks of workers may be 2 % slow; one more for rounding.  */
+#define CLOCK_SLOW_PERCENT 3
+/* Added to a lease's end: a worker acts on it a little later.  */
+#define LEASE_MARGIN_US 100000
+/* A stop that was not confirmed is repeated after so long.  */
+#define STOP_RETRY_US 400000
+/* Added to the grace of a stop before a confirmed one counts as done though no
+   end is listed: one round trip and the worker's own delay.  */
+#define STOP_MARGIN_US 100000
+/* A worker answers a held look after so long when nothing ends.  */
+#define HOLD_WAIT_MS 1000
+/* Looks at a worker whose ends can't be made durable, or that did not
+   answer.  */
+#define HOLD_RETRY_US 250000
+/* A worker that has not answered for so long gets no new tasks: it missed a
+   held look and the time allowed for its answer.  */
+#define WORKER_SILENT_US 1700000
+/* Attempts of an epoch are numbered from EPOCH_ATTEMPTS times the earlier
+   epochs: an owner does not know all attempts of those before it, and workers
+   refuse a number that is not higher.  */
+#define EPOCH_ATTEMPTS 1000
+
+typedef struct sjob sjob_t;
+typedef struct stage stage_t;
+typedef struct task task_t;
+typedef struct run run_t;
+typedef struct worker worker_t;
+typedef struct pool pool_t;
+typedef struct space space_t;
+
+typedef enum run_phase
+{
+  RUN_ORDERED, /* its start was sent */
+  RUN_ACTIVE,  /* the worker has it */
+  RUN_STOPPING /* it is to end */
+} run_phase_t;
+
+/* One attempt at a task, until it is certainly over.  */
+struct run
+{
+  task_t *task;
+  worker_t *worker;
+  uint32_t attempt;
+  run_phase_t phase;
+  amounts_t holds; /* on the worker */
+  amounts_t quota; /* of its workspace */
+  int64_t since_us;
+  int64_t active_us;  /* first known to run */
+  int64_t stop_us;    /* stop sent last; 0: has to be sent */
+  int64_t stopped_us; /* stop confirmed; 0: not yet */
+  uint32_t percent;
+  uint32_t load;
+};
+
+struct task
+{
+  stage_t *stage;
+  uint32_t index;
+  uint32_t attempt; /* last one used */
+  uint32_t last_failed;
+  uint32_t failed;
+  bool done;
+  char *checkpoint;
+  run_t *run;
+  int64_t not_before_us;
+  const char *avoid;     /* interned id of the worker of its last bad end */
+  int64_t away_since_us; /* a lasting task: not at work since */
+};
+
+/* The tasks of one step in one occurrence.  */
+struct stage
+{
+  sjob_t *job;
+  uint32_t occurrence;
+  uint32_t step;
+  const job_step_t *spec;
+  task_t *tasks;
+  uint32_t undone;
+  uint32_t waits_on; /* steps before it that are not done */
+  uint32_t waiting;  /* tasks without a run */
+  uint32_t attempt;  /* of a gang */
+  uint32_t gang_failed;
+  bool listed; /* among its pool's stages */
+};
+
+typedef struct occurrence
+{
+  stage_t *stages; /* NULL: not due yet */
+  uint32_t undone; /* tasks */
+} occurrence_t;
+
+struct sjob
+{
+  job_desc_t *desc;
+  space_t *space;
+  occurrence_t *occurrences;
+  uint32_t next_occurrence; /* first that is not due yet */
+  uint32_t undone;          /* occurrences */
+  uint32_t runs;
+  bool begun;
+  bool ended; /* final: only its runs have to stop */
+  int64_t accepted_us;
+  int64_t *tail_ms; /* by step: longest chain of estimates from it on */
+  int64_t chain_ms; /* the longest of all */
+  int64_t work;     /* of all tasks of an occurrence, milli-core ms */
+  const job_entry_t *entry; /* marks to start from; only while it is added */
+};
+
+struct worker
+{
+  char *id;
+  const char *interned;
+  const char *address;     /* interned */
+  const char *data_centre; /* interned */
+  const char *rack;        /* interned or NULL */
+  char **labels;
+  pool_t *pool;
+  amounts_t room;
+  amounts_t used;
+  int64_t born_ms;
+  worker_state_t state;
+  bool listed;
+  bool synced; /* has answered in this epoch */
+  bool has_clock;
+  bool cordoned; /* is to be emptied */
+  int64_t clock_ms;
+  int64_t clock_at_us;
+  int64_t lease_ms; /* latest deadline given, on its clock */
+  int64_t answered_us;
+  bool unreachable;
+  bool hold_out;
+  int64_t hold_due_us;
+  uint64_t seen;       /* ends up to this were taken in */
+  uint64_t seen_batch; /* in which they become durable */
+  uint64_t last_seen;  /* durable */
+  GPtrArray *runs;
+  uint32_t fails_in_row;
+  int64_t suspect_until_us;
+};
+
+struct pool
+{
+  const char *name;
+  GPtrArray *workers;
+  GPtrArray *stages; /* open, with waiting tasks */
+};
+
+/* A workspace.  */
+struct space
+{
+  const char *name;
+  amounts_t used;
+};
+
+struct sched
+{
+  uint64_t epoch;
+  sched_limits_t limits;
+  const rules_t *rules;
+  GHashTable *jobs;    /* id -> sjob_t */
+  GHashTable *workers; /* id -> worker_t */
+  GHashTable *pools;   /* name -> pool_t */
+  GHashTable *spaces;  /* name -> space_t */
+  GPtrArray *timed;    /* sjob_t with occurrences to come */
+  GArray *orders;      /* of the present plan */
+  GArray *ends;        /* progress to append */
+  GArray *changes;
+  uint64_t batch; /* the one being gathered */
+  int64_t since_us;
+  int64_t next_us;
+  bool ends_unwritten; /* ends were listed since the last batch */
+  bool dirty;          /* something changed that may let a task start */
+};
+
+/* sched.c: jobs and their stages */
+pool_t *sched_pool (sched_t *sched, const char *name);
+pool_t *stage_pool (sched_t *sched, const stage_t *stage);
+task_t *sched_task (const sched_t *sched, const task_ref_t *ref);
+task_ref_t task_ref (const task_t *task);
+void job_begin (sched_t *sched, sjob_t *job);
+void job_end (sched_t *sched, sjob_t *job);
+/* job_settle - free JOB when it has ended and nothing of it runs.  */
+void job_settle (sched_t *sched, sjob_t *job);
+void job_open_due (sched_t *sched, sjob_t *job, sched_now_t now);
+/* task_end - take in that ATTEMPT of TASK ended as done or failed.  */
+void task_end (sched_t *sched, task_t *task, uint32_t attempt, bool done,
+               sched_now_t now);
+void task_waits (sched_t *sched, task_t *task);
+uint32_t task_next_attempt (const sched_t *sched, const task_t *task);
+
+/* workers.c: workers and runs */
+run_t *run_new (sched_t *sched, task_t *task, worker_t *worker,
+                uint32_t attempt, sched_now_t now);
+/* run_close - RUN is certainly over; its task waits again unless it is
+   done.  */
+void run_close (sched_t *sched, run_t *run, sched_now_t now);
+void run_stop (run_t *run);
+void worker_clear (sched_t *sched, worker_t *worker, sched_now_t now);
+int64_t worker_lease_end_us (const worker_t *worker);
+int64_t worker_clock_at (const worker_t *worker, int64_t now_us);
+bool worker_is_open (const worker_t *worker, int64_t now_us);
+void worker_free (gpointer data);
+/* workers_advance - what time alone brings about.  */
+void workers_advance (sched_t *sched, sched_now_t now);
+void worker_orders (sched_t *sched, worker_t *worker, sched_now_t now);
+bool pool_is_settled (const sched_t *sched, const pool_t *pool,
+                      sched_now_t now);
+void order_add (sched_t *sched, order_t order);
+void sched_wake_at (sched_t *sched, int64_t at_us);
+
+/* place.c: which task starts where */
+void place_pools (sched_t *sched, sched_now_t now);
+
+#endif
--- /dev/null
+++ b/jobs/workers.c
@@ -0,0 +1,643 @@
+#include "schedint.h"
+#include <string.h>
+
+/* Attempts that failed one after another on a worker before it gets nothing
+   new for SUSPECT_US: a job's own fault seldom shows twice in a row.  */
+#define SUSPECT_FAILS 2
+#define SUSPECT_US 3000000
+/* Pause after a worker had no room or was unhealthy.  */
+#define REJECTED_PAUSE_US 250000
+/* Pause before a task that could not start is tried again.  */
+#define TASK_PAUSE_US 50000
+/* A worker gives at most so many ends in one answer.  */
+#define ENDS_AT_ONCE 500
+
+void
+worker_free (gpointer data)
+{
+  worker_t *worker = data;
+
+  g_free (worker->id);
+  g_strfreev (worker->labels);
+  g_ptr_array_free (worker->runs, TRUE);
+  g_free (worker);
+}
+
+void
+order_add (sched_t *sched, order_t order)
+{
+  order.token = sched->epoch;
+  g_array_append_val (sched->orders, order);
+}
+
+/* The earliest that WORKER's clock can show at NOW_US.  */
+int64_t
+worker_clock_at (const worker_t *worker, int64_t now_us)
+{
+  return worker->clock_ms + (now_us - worker->clock_at_us) / 1000;
+}
+
+/* When all leases on WORKER have surely ended.  */
+int64_t
+worker_lease_end_us (const worker_t *worker)
+{
+  int64_t left_us = (worker->lease_ms - worker->clock_ms) * 1000;
+
+  return worker->clock_at_us + left_us + left_us * CLOCK_SLOW_PERCENT / 100
+         + LEASE_MARGIN_US;
+}
+
+bool
+worker_is_open (const worker_t *worker, int64_t now_us)
+{
+  return worker->listed && worker->synced && worker->has_clock
+         && worker->state == WORKER_READY && !worker->cordoned
+         && !worker->unreachable && worker->suspect_until_us <= now_us
+         && now_us - worker->answered_us < WORKER_SILENT_US;
+}
+
+/* Whether nothing that an earlier owner ordered can be unknown: all workers
+   have shown their lists, or the leases that it gave have ended.  */
+bool
+pool_is_settled (const sched_t *sched, const pool_t *pool, sched_now_t now)
+{
+  int64_t lease_us = (int64_t)sched->limits.lease_ms * 1000;
+
+  if (sched->epoch == 1
+      || now.us - sched->since_us > lease_us
+                                        + lease_us * CLOCK_SLOW_PERCENT / 100
+                                        + LEASE_MARGIN_US)
+    return true;
+  for (uint32_t i = 0; i < pool->workers->len; i++)
+    if (!((const worker_t *)g_ptr_array_index (pool->workers, i))->synced)
+      return false;
+  return true;
+}
+
+run_t *
+run_new (sched_t *sched, task_t *task, worker_t *worker, uint32_t attempt,
+         sched_now_t now)
+{
+  const job_step_t *spec = task->stage->spec;
+  run_t *run = g_new0 (run_t, 1);
+
+  (void)sched;
+  run->task = task;
+  run->worker = worker;
+  run->attempt = attempt;
+  run->holds = spec->need;
+  run->quota = spec->need;
+  if (spec->fills)
+    run->holds.cpu_milli = 0;
+  run->since_us = now.us;
+  run->percent = 0;
+  task->run = run;
+  task->attempt = MAX (task->attempt, attempt);
+  task->stage->attempt = MAX (task->stage->attempt, attempt);
+  task->stage->waiting--;
+  task->stage->job->runs++;
+  amounts_add (&worker->used, &run->holds);
+  amounts_add (&task->stage->job->space->used, &run->quota);
+  g_ptr_array_add (worker->runs, run);
+  return run;
+}
+
+void
+run_close (sched_t *sched, run_t *run, sched_now_t now)
+{
+  task_t *task = run->task;
+  sjob_t *job = task->stage->job;
+
+  amounts_subtract (&run->worker->used, &run->holds);
+  amounts_subtract (&job->space->used, &run->quota);
+  g_ptr_array_remove_fast (run->worker->runs, run);
+  g_free (run);
+  task->run = NULL;
+  task->away_since_us = now.us;
+  job->runs--;
+  sched->dirty = true;
+  if (!task->done && !job->ended)
+    task_waits (sched, task);
+  else
+    job_settle (sched, job);
+}
+
+void
+run_stop (run_t *run)
+{
+  run->phase = RUN_STOPPING;
+}
+
+static void
+close_all (sched_t *sched, worker_t *worker, sched_now_t now)
+{
+  for (uint32_t i = worker->runs->len; i-- > 0;)
+    run_close (sched, g_ptr_array_index (worker->runs, i), now);
+}
+
+/* WORKER is another boot now: nothing of before runs there.  */
+void
+worker_clear (sched_t *sched, worker_t *worker, sched_now_t now)
+{
+  close_all (sched, worker, now);
+  worker->seen = worker->last_seen = worker->seen_batch = 0;
+  worker->has_clock = false;
+  worker->lease_ms = 0;
+  worker->synced = false;
+  worker->fails_in_row = 0;
+  worker->suspect_until_us = 0;
+  worker->hold_due_us = now.us;
+}
+
+static void
+worker_remove (sched_t *sched, worker_t *worker, sched_now_t now)
+{
+  close_all (sched, worker, now);
+  g_ptr_array_remove_fast (worker->pool->workers, worker);
+  g_hash_table_remove (sched->workers, worker->id);
+}
+
+static worker_t *
+worker_add (sched_t *sched, const worker_info_t *info, sched_now_t now)
+{
+  worker_t *worker = g_new0 (worker_t, 1);
+
+  worker->id = g_strdup (info->id);
+  worker->interned = g_intern_string (info->id);
+  worker->runs = g_ptr_array_new ();
+  worker->pool = sched_pool (sched, info->service);
+  worker->hold_due_us = now.us;
+  g_ptr_array_add (worker->pool->workers, worker);
+  g_hash_table_insert (sched->workers, worker->id, worker);
+  return worker;
+}
+
+/* Tasks that last would end with a worker that leaves; they start again
+   elsewhere while it is still there.  */
+static void
+move_lasting (worker_t *worker)
+{
+  for (uint32_t i = 0; i < worker->runs->len; i++)
+    {
+      run_t *run = g_ptr_array_index (worker->runs, i);
+
+      if (run->task->stage->spec->lasts)
+        run_stop (run);
+    }
+}
+
+void
+sched_set_worker (sched_t *sched, const worker_info_t *info, sched_now_t now)
+{
+  worker_t *worker = g_hash_table_lookup (sched->workers, info->id);
+  pool_t *pool = sched_pool (sched, info->service);
+
+  if (!worker)
+    worker = worker_add (sched, info, now);
+  if (info->born_ms && worker->born_ms && info->born_ms != worker->born_ms)
+    worker_clear (sched, worker, now);
+  if (info->born_ms)
+    worker->born_ms = info->born_ms;
+  if (pool != worker->pool)
+    {
+      g_ptr_array_remove_fast (worker->pool->workers, worker);
+      g_ptr_array_add (pool->workers, worker);
+      worker->pool = pool;
+    }
+  worker->address = g_intern_string (info->address);
+  if (!worker->labels)
+    worker->labels = g_strdupv ((char **)info->labels);
+  worker->data_centre = g_intern_string (info->data_centre);
+  worker->rack = info->rack ? g_intern_string (info->rack) : NULL;
+  worker->room = info->room;
+  if (!worker->listed || worker->state != info->state)
+    sched->dirty = true;
+  worker->listed = true;
+  if (info->state == WORKER_DRAINING && worker->state != WORKER_DRAINING)
+    move_lasting (worker);
+  worker->state = info->state;
+  sched_wake_at (sched, now.us);
+}
+
+void
+sched_drop_worker (sched_t *sched, const char *id, sched_now_t now)
+{
+  worker_t *worker = g_hash_table_lookup (sched->workers, id);
+
+  if (!worker)
+    return;
+  worker->listed = false;
+  sched_wake_at (sched, now.us);
+}
+
+void
+sched_keep_workers (sched_t *sched, GHashTable *ids, sched_now_t now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, sched->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      worker_t *worker = value;
+
+      if (!g_hash_table_contains (ids, worker->id))
+        worker->listed = false;
+    }
+  sched_wake_at (sched, now.us);
+}
+
+static void
+note_clock (worker_t *worker, const worker_reply_t *reply, sched_now_t now)
+{
+  if (!reply->has_clock)
+    return;
+  worker->clock_ms = reply->clock_ms;
+  worker->clock_at_us = now.us;
+  worker->has_clock = true;
+}
+
+static void
+note_failure (worker_t *worker, sched_now_t now)
+{
+  if (++worker->fails_in_row >= SUSPECT_FAILS)
+    worker->suspect_until_us = now.us + SUSPECT_US;
+}
+
+static void
+set_checkpoint (task_t *task, const char *checkpoint)
+{
+  if (!checkpoint || !checkpoint[0]
+      || g_strcmp0 (task->checkpoint, checkpoint) == 0)
+    return;
+  g_free (task->checkpoint);
+  task->checkpoint = g_strdup (checkpoint);
+}
+
+static void
+take_end (sched_t *sched, worker_t *worker, const end_row_t *end,
+          sched_now_t now)
+{
+  task_t *task = sched_task (sched, &end->task);
+  run_t *run;
+
+  if (!task)
+    return;
+  run = task->run;
+  set_checkpoint (task, end->checkpoint);
+  switch (end->how)
+    {
+    case RUN_DONE:
+      worker->fails_in_row = 0;
+      task_end (sched, task, end->attempt, true, now);
+      break;
+    case RUN_FAILED:
+      if (!task->stage->spec->lasts)
+        note_failure (worker, now);
+      task->avoid = worker->interned;
+      task_end (sched, task, end->attempt, false, now);
+      break;
+    case RUN_STOPPED:
+    case RUN_LAPSED:
+    case RUN_BROKEN:
+    case RUN_ALONE:
+      break;
+    }
+  if (run && run->worker == worker && run->attempt == end->attempt)
+    run_close (sched, run, now);
+  else if (run && task->done)
+    run_stop (run);
+}
+
+static void
+stop_unknown (sched_t *sched, const worker_t *worker, const run_row_t *row)
+{
+  order_add (sched, (order_t){ .kind = ORDER_STOP,
+                               .worker = worker->interned,
+                               .address = worker->address,
+                               .task = row->task,
+                               .attempt = row->attempt });
+}
+
+static void
+note_active (sched_t *sched, run_t *run, sched_now_t now)
+{
+  if (run->phase == RUN_ORDERED)
+    run->phase = RUN_ACTIVE;
+  if (run->active_us == 0)
+    run->active_us = now.us;
+  run->task->away_since_us = 0;
+  job_begin (sched, run->task->stage->job);
+}
+
+static void
+take_run (sched_t *sched, worker_t *worker, const run_row_t *row,
+          sched_now_t now)
+{
+  task_t *task = sched_task (sched, &row->task);
+
+  if (!task || task->done || task->stage->job->ended
+      || (task->run
+          && (task->run->worker != worker
+              || task->run->attempt != row->attempt)))
+    {
+      /* The run that is to stop anyway is told so by worker_orders.  */
+      if (!task || !task->run || task->run->worker != worker
+          || task->run->attempt != row->attempt)
+        stop_unknown (sched, worker, row);
+      return;
+    }
+  if (!task->run)
+    run_new (sched, task, worker, row->attempt, now);
+  task->run->percent = row->percent;
+  task->run->load = row->load;
+  set_checkpoint (task, row->checkpoint);
+  note_active (sched, task->run, now);
+}
+
+/* Closes runs that WORKER had before it was asked and now says nothing of. */
+static void
+close_forgotten (sched_t *sched, worker_t *worker, const worker_lists_t *lists,
+                 int64_t sent_us, sched_now_t now)
+{
+  if (lists->ends_count >= ENDS_AT_ONCE)
+    return;
+  for (uint32_t i = worker->runs->len; i-- > 0;)
+    {
+      run_t *run = g_ptr_array_index (worker->runs, i);
+      task_ref_t ref = task_ref (run->task);
+      bool found = false;
+
+      if (run->active_us == 0 || run->active_us >= sent_us)
+        continue;
+      for (uint32_t r = 0; r < lists->runs_count && !found; r++)
+        found = task_ref_equal (&lists->runs[r].task, &ref)
+                && lists->runs[r].attempt == run->attempt;
+      if (!found)
+        run_close (sched, run, now);
+    }
+}
+
+static void
+take_lists (sched_t *sched, worker_t *worker, const worker_lists_t *lists,
+            int64_t sent_us, sched_now_t now)
+{
+  for (uint32_t i = 0; i < lists->ends_count; i++)
+    {
+      const end_row_t *end = &lists->ends[i];
+
+      if (end->number <= worker->seen)
+        continue;
+      worker->seen = end->number;
+      worker->seen_batch = sched->batch;
+      sched->ends_unwritten = true;
+      take_end (sched, worker, end, now);
+    }
+  for (uint32_t i = 0; i < lists->runs_count; i++)
+    take_run (sched, worker, &lists->runs[i], now);
+  close_forgotten (sched, worker, lists, sent_us, now);
+}
+
+static bool
+hold_failed (sched_t *sched, worker_t *worker, reply_kind_t kind,
+             sched_now_t now)
+{
+  worker->hold_due_us = now.us + HOLD_RETRY_US;
+  switch (kind)
+    {
+    case REPLY_FENCED:
+      return false;
+    case REPLY_OTHER_BOOT:
+      worker_clear (sched, worker, now);
+      worker->unreachable = true;
+      return true;
+    case REPLY_BUSY:
+      worker->suspect_until_us = now.us + REJECTED_PAUSE_US;
+      return true;
+    case REPLY_OK:
+    case REPLY_OLD:
+    case REPLY_LATE:
+    case REPLY_NO_ROOM:
+    case REPLY_NO_TICKET:
+    case REPLY_BAD:
+    case REPLY_REFUSED:
+    case REPLY_LOST:
+      worker->unreachable = true;
+      return true;
+    }
+  return true;
+}
+
+bool
+sched_hold_reply (sched_t *sched, const char *id, const worker_reply_t *reply,
+                  const worker_lists_t *lists, sched_now_t now)
+{
+  worker_t *worker = g_hash_table_lookup (sched->workers, id);
+
+  sched_wake_at (sched, now.us);
+  if (!worker)
+    return reply->kind != REPLY_FENCED;
+  worker->hold_out = false;
+  if (reply->kind != REPLY_OK || !lists)
+    return hold_failed (sched, worker, reply->kind, now);
+  if (lists->born_ms && worker->born_ms && lists->born_ms != worker->born_ms)
+    worker_clear (sched, worker, now);
+  if (lists->born_ms)
+    worker->born_ms = lists->born_ms;
+  note_clock (worker, reply, now);
+  worker->answered_us = now.us;
+  if (worker->unreachable || !worker->synced)
+    sched->dirty = true;
+  worker->unreachable = false;
+  worker->synced = true;
+  take_lists (sched, worker, lists, reply->sent_us, now);
+  worker->hold_due_us
+      = worker->seen > worker->last_seen ? now.us + HOLD_RETRY_US : now.us;
+  return true;
+}
+
+static void
+start_failed (sched_t *sched, run_t *run, int64_t pause_us, sched_now_t now)
+{
+  run->task->not_before_us = now.us + pause_us;
+  sched_wake_at (sched, run->task->not_before_us);
+  run_close (sched, run, now);
+}
+
+static void
+take_start_reply (sched_t *sched, run_t *run, reply_kind_t kind,
+                  sched_now_t now)
+{
+  worker_t *worker = run->worker;
+
+  switch (kind)
+    {
+    case REPLY_OK:
+      note_active (sched, run, now);
+      return;
+    case REPLY_NO_ROOM:
+    case REPLY_BUSY:
+    case REPLY_REFUSED:
+      worker->suspect_until_us
+          = MAX (worker->suspect_until_us, now.us + REJECTED_PAUSE_US);
+      start_failed (sched, run, 0, now);
+      return;
+    case REPLY_OLD:
+    case REPLY_LATE:
+    case REPLY_NO_TICKET:
+    case REPLY_BAD:
+      start_failed (sched, run, TASK_PAUSE_US, now);
+      return;
+    case REPLY_LOST:
+      run_stop (run);
+      return;
+    case REPLY_FENCED:
+    case REPLY_OTHER_BOOT:
+      return;
+    }
+}
+
+static void
+take_order_reply (sched_t *sched, const order_t *order, run_t *run,
+                  reply_kind_t kind, sched_now_t now)
+{
+  switch (order->kind)
+    {
+    case ORDER_START:
+      if (run->active_us == 0)
+        take_start_reply (sched, run, kind, now);
+      return;
+    case ORDER_STOP:
+      if (kind == REPLY_OK)
+        run->stopped_us = now.us;
+      return;
+    case ORDER_HOLD:
+    case ORDER_PACE:
+      return;
+    }
+}
+
+bool
+sched_order_reply (sched_t *sched, const order_t *order,
+                   const worker_reply_t *reply, sched_now_t now)
+{
+  worker_t *worker = g_hash_table_lookup (sched->workers, order->worker);
+  task_t *task;
+
+  if (reply->kind == REPLY_FENCED)
+    return false;
+  if (!worker)
+    return true;
+  sched_wake_at (sched, now.us);
+  if (reply->kind == REPLY_OTHER_BOOT)
+    {
+      worker_clear (sched, worker, now);
+      worker->unreachable = true;
+      return true;
+    }
+  note_clock (worker, reply, now);
+  task = sched_task (sched, &order->task);
+  if (task && task->run && task->run->worker == worker
+      && task->run->attempt == order->attempt)
+    take_order_reply (sched, order, task->run, reply->kind, now);
+  return true;
+}
+
+/* Whether RUN's confirmed stop has had its time.  An end would have been
+   listed meanwhile, as WORKER answers.  */
+static bool
+stop_is_over (const sched_t *sched, const worker_t *worker, const run_t *run,
+              int64_t now_us)
+{
+  int64_t over_us = run->stopped_us
+                    + (int64_t)sched->limits.stop_grace_ms * 1000
+                    + STOP_MARGIN_US;
+
+  return run->phase == RUN_STOPPING && run->stopped_us != 0
+         && !worker->unreachable && now_us >= over_us;
+}
+
+static void
+advance_worker (sched_t *sched, worker_t *worker, sched_now_t now)
+{
+  for (uint32_t i = worker->runs->len; i-- > 0;)
+    {
+      run_t *run = g_ptr_array_index (worker->runs, i);
+
+      if (stop_is_over (sched, worker, run, now.us))
+        run_close (sched, run, now);
+      else if (run->stopped_us != 0)
+        sched_wake_at (sched, now.us + STOP_MARGIN_US);
+    }
+  if (worker->runs->len > 0 && worker_lease_end_us (worker) < now.us)
+    close_all (sched, worker, now);
+}
+
+void
+workers_advance (sched_t *sched, sched_now_t now)
+{
+  g_autoptr (GPtrArray) gone = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, sched->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      worker_t *worker = value;
+
+      advance_worker (sched, worker, now);
+      if (!worker->listed && worker->runs->len == 0)
+        g_ptr_array_add (gone, worker);
+    }
+  for (uint32_t i = 0; i < gone->len; i++)
+    worker_remove (sched, g_ptr_array_index (gone, i), now);
+}
+
+static void
+add_hold (sched_t *sched, worker_t *worker, sched_now_t now)
+{
+  order_t order = { .kind = ORDER_HOLD,
+                    .worker = worker->interned,
+                    .address = worker->address,
+                    .last_seen = worker->last_seen };
+
+  if (worker->has_clock)
+    {
+      order.deadline_ms
+          = worker_clock_at (worker, now.us) + sched->limits.lease_ms;
+      worker->lease_ms = MAX (worker->lease_ms, order.deadline_ms);
+    }
+  if (worker->synced && !worker->unreachable
+      && worker->last_seen == worker->seen)
+    order.wait_ms = HOLD_WAIT_MS;
+  worker->hold_out = true;
+  order_add (sched, order);
+}
+
+void
+worker_orders (sched_t *sched, worker_t *worker, sched_now_t now)
+{
+  for (uint32_t i = 0; i < worker->runs->len; i++)
+    {
+      run_t *run = g_ptr_array_index (worker->runs, i);
+
+      if (run->phase != RUN_STOPPING || run->stopped_us != 0)
+        continue;
+      if (run->stop_us == 0 || now.us - run->stop_us >= STOP_RETRY_US)
+        {
+          run->stop_us = now.us;
+          order_add (sched, (order_t){ .kind = ORDER_STOP,
+                                       .worker = worker->interned,
+                                       .address = worker->address,
+                                       .task = task_ref (run->task),
+                                       .attempt = run->attempt });
+        }
+      sched_wake_at (sched, run->stop_us + STOP_RETRY_US);
+    }
+  if (worker->hold_out)
+    return;
+  if (worker->hold_due_us <= now.us)
+    add_hold (sched, worker, now);
+  else
+    sched_wake_at (sched, worker->hold_due_us);
+}
