--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,3 +1,4 @@
+#include "entry.h"
 #include "planner.h"
 #include <argtable2.h>
 #include <arpa/inet.h>
@@ -12,12 +13,15 @@
 
 #define LISTEN_BACKLOG 4096
 #define EXIT_USAGE 2
+/* Holds the path of the settings where the platform starts the daemon.  */
+#define ENTRY_SETTINGS_VARIABLE "CUMINPIN_SETTINGS"
 
 typedef struct options
 {
   char *settings;
   bool check;
   bool dev;
+  bool entry;
   bool verbose;
 } options_t;
 
@@ -58,6 +62,36 @@
   return -1;
 }
 
+static const char *
+settings_path (const struct arg_file *given, bool entry)
+{
+  if (given->count > 0)
+    return given->filename[0];
+  return entry ? getenv (ENTRY_SETTINGS_VARIABLE) : NULL;
+}
+
+static int
+check_entry_settings (const char *path)
+{
+  g_autoptr (GError) error = NULL;
+  entry_settings_t *settings = entry_settings_read (path, &error);
+
+  if (!settings)
+    event_log (EV_SETTINGS_REJECTED, "%s", error->message);
+  entry_settings_free (settings);
+  return error ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+static int
+run_entry (options_t *options)
+{
+  int status = options->check ? check_entry_settings (options->settings)
+                              : entry_run (options->settings);
+
+  free (options->settings);
+  return status;
+}
+
 /* Returns EXIT_SUCCESS to go on, else the exit status.  */
 static int
 read_options (int argc, char **argv, options_t *options)
@@ -67,14 +101,19 @@
       = arg_lit0 (NULL, "check", "check the settings file and exit");
   struct arg_lit *dev = arg_lit0 (
       NULL, "dev", "embed a stand-in of the platform; nothing lasts");
+  struct arg_lit *entry
+      = arg_lit0 (NULL, "entry",
+                  "run jobs as an entry host of the users' platform; "
+                  "SETTINGS may come from " ENTRY_SETTINGS_VARIABLE);
   struct arg_lit *verbose
       = arg_lit0 ("v", "verbose", "write debug events too");
   struct arg_file *settings
-      = arg_file1 (NULL, NULL, "SETTINGS", "the daemon's settings (YAML)");
+      = arg_file0 (NULL, NULL, "SETTINGS", "the daemon's settings (YAML)");
   struct arg_end *end = arg_end (8);
-  void *table[] = { help, check, dev, verbose, settings, end };
+  void *table[] = { help, check, dev, entry, verbose, settings, end };
   int errors = arg_parse (argc, argv, table);
-  bool usage = help->count > 0 || errors > 0;
+  const char *path = settings_path (settings, entry->count > 0);
+  bool usage = help->count > 0 || errors > 0 || !path;
 
   if (errors > 0 && help->count == 0)
     arg_print_errors (stderr, end, "cuminpind");
@@ -89,8 +128,8 @@
   options->check = check->count > 0;
   options->dev = dev->count > 0;
   options->verbose = verbose->count > 0;
-  options->settings
-      = settings->count > 0 ? strdup (settings->filename[0]) : NULL;
+  options->entry = entry->count > 0;
+  options->settings = path ? strdup (path) : NULL;
   if (!usage)
     {
       arg_freetable (table, G_N_ELEMENTS (table));
@@ -208,6 +247,8 @@
 
   event_open ("cuminpind", LEVEL_INFO);
   read_options (argc, argv, &options);
+  if (options.entry)
+    return run_entry (&options);
   process.settings = settings_read (options.settings, &error);
   free (options.settings);
   if (!process.settings)
--- /dev/null
+++ b/entry/calls.c
@@ -0,0 +1,274 @@
+#include "entry.h"
+#include <curl/curl.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+/* A connection within a data centre or to its neighbours takes 2 ms; a lost
+   opening packet is repeated after a second.  */
+#define CONNECT_TIMEOUT_MS 1300
+/* To one address: a worker's held look and a few orders beside it; the store's
+   long polls and an append.  */
+#define ADDRESS_CONNECTIONS_MAX 8
+#define CONNECTIONS_KEPT_MAX 4096
+#define EASY_IDLE_MAX 64
+#define BODY_BYTES_MAX (16 * 1024 * 1024)
+
+typedef struct call
+{
+  CURL *easy;
+  struct curl_slist *headers;
+  GBytes *body;
+  call_result_t result;
+  call_done_t done;
+  void *ctx;
+} call_t;
+
+struct calls
+{
+  CURLM *multi;
+  int epoll_fd;
+  int64_t due_us;
+  GPtrArray *idle;     /* CURL handles between calls */
+  GByteArray *watched; /* by descriptor: in the epoll set */
+};
+
+static void
+watch_set (calls_t *calls, int fd, bool on)
+{
+  if ((guint)fd >= calls->watched->len)
+    {
+      guint old = calls->watched->len;
+
+      g_byte_array_set_size (calls->watched, (guint)fd + 64);
+      memset (calls->watched->data + old, 0, calls->watched->len - old);
+    }
+  calls->watched->data[fd] = on;
+}
+
+static bool
+is_watched (const calls_t *calls, int fd)
+{
+  return (guint)fd < calls->watched->len && calls->watched->data[fd];
+}
+
+static int
+on_socket (CURL *easy, curl_socket_t fd, int what, void *cls, void *ctx)
+{
+  calls_t *calls = cls;
+  struct epoll_event event = { .data.fd = fd };
+
+  (void)easy;
+  (void)ctx;
+  if (what == CURL_POLL_REMOVE)
+    {
+      if (is_watched (calls, fd))
+        epoll_ctl (calls->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
+      watch_set (calls, fd, false);
+      return 0;
+    }
+  if (what & CURL_POLL_IN)
+    event.events |= EPOLLIN;
+  if (what & CURL_POLL_OUT)
+    event.events |= EPOLLOUT;
+  epoll_ctl (calls->epoll_fd,
+             is_watched (calls, fd) ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd,
+             &event);
+  watch_set (calls, fd, true);
+  return 0;
+}
+
+static int
+on_timer (CURLM *multi, long timeout_ms, void *cls)
+{
+  calls_t *calls = cls;
+
+  (void)multi;
+  calls->due_us = timeout_ms < 0
+                      ? INT64_MAX
+                      : clock_boot_us () + (int64_t)timeout_ms * 1000;
+  return 0;
+}
+
+calls_t *
+calls_open (int epoll_fd)
+{
+  calls_t *calls = g_new0 (calls_t, 1);
+
+  calls->epoll_fd = epoll_fd;
+  calls->due_us = INT64_MAX;
+  calls->idle = g_ptr_array_new_with_free_func (curl_easy_cleanup);
+  calls->watched = g_byte_array_new ();
+  calls->multi = curl_multi_init ();
+  curl_multi_setopt (calls->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+  curl_multi_setopt (calls->multi, CURLMOPT_SOCKETDATA, calls);
+  curl_multi_setopt (calls->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+  curl_multi_setopt (calls->multi, CURLMOPT_TIMERDATA, calls);
+  curl_multi_setopt (calls->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                     (long)ADDRESS_CONNECTIONS_MAX);
+  curl_multi_setopt (calls->multi, CURLMOPT_MAXCONNECTS,
+                     (long)CONNECTIONS_KEPT_MAX);
+  return calls;
+}
+
+void
+calls_close (calls_t *calls)
+{
+  g_ptr_array_unref (calls->idle);
+  curl_multi_cleanup (calls->multi);
+  g_byte_array_unref (calls->watched);
+  g_free (calls);
+}
+
+static size_t
+keep_body (char *data, size_t size, size_t count, void *to)
+{
+  GByteArray *body = to;
+
+  if (body->len + size * count > BODY_BYTES_MAX)
+    return 0;
+  g_byte_array_append (body, (const guint8 *)data, (guint)(size * count));
+  return size * count;
+}
+
+static CURL *
+take_easy (calls_t *calls)
+{
+  CURL *easy;
+
+  if (calls->idle->len > 0)
+    return g_ptr_array_steal_index_fast (calls->idle, calls->idle->len - 1);
+  easy = curl_easy_init ();
+  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, keep_body);
+  return easy;
+}
+
+static struct curl_slist *
+headers_of (const site_req_t *req)
+{
+  /* The other side may not know 100-continue, and libcurl waits for it.  */
+  struct curl_slist *list = curl_slist_append (NULL, "Expect:");
+
+  for (uint32_t i = 0; i < SITE_HEADERS_MAX && req->headers[i]; i++)
+    list = curl_slist_append (list, req->headers[i]);
+  return list;
+}
+
+void
+calls_send (calls_t *calls, const char *address, site_req_t *req,
+            uint32_t timeout_ms, call_done_t done, void *ctx)
+{
+  g_autofree char *url = g_strdup_printf ("http://%s%s", address, req->path);
+  call_t *call = g_new0 (call_t, 1);
+  gsize len = 0;
+  const void *data;
+
+  call->easy = take_easy (calls);
+  call->headers = headers_of (req);
+  call->done = done;
+  call->ctx = ctx;
+  call->result.sent_us = clock_boot_us ();
+  call->result.body = g_byte_array_new ();
+  curl_easy_setopt (call->easy, CURLOPT_URL, url);
+  curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
+  curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
+  curl_easy_setopt (call->easy, CURLOPT_WRITEDATA, call->result.body);
+  curl_easy_setopt (call->easy, CURLOPT_PRIVATE, call);
+  if (req->post)
+    {
+      call->body = req->body ? g_bytes_ref (req->body) : g_bytes_new (NULL, 0);
+      data = g_bytes_get_data (call->body, &len);
+      curl_easy_setopt (call->easy, CURLOPT_POST, 1L);
+      curl_easy_setopt (call->easy, CURLOPT_POSTFIELDS, data ? data : "");
+      curl_easy_setopt (call->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                        (curl_off_t)len);
+    }
+  else
+    curl_easy_setopt (call->easy, CURLOPT_HTTPGET, 1L);
+  site_req_clear (req);
+  curl_multi_add_handle (calls->multi, call->easy);
+}
+
+static void
+finish (calls_t *calls, call_t *call, CURLcode code)
+{
+  long status = 0;
+  curl_off_t uploaded = 0;
+  long request_bytes = 0;
+
+  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_getinfo (call->easy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
+  curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+  if (code == CURLE_OK)
+    call->result.status = (uint32_t)status;
+  call->result.refused
+      = code == CURLE_COULDNT_CONNECT
+        || (code != CURLE_OK && uploaded == 0 && request_bytes == 0);
+  curl_multi_remove_handle (calls->multi, call->easy);
+  if (calls->idle->len < EASY_IDLE_MAX)
+    g_ptr_array_add (calls->idle, call->easy);
+  else
+    curl_easy_cleanup (call->easy);
+  call->done (call->ctx, &call->result);
+  curl_slist_free_all (call->headers);
+  if (call->body)
+    g_bytes_unref (call->body);
+  g_byte_array_unref (call->result.body);
+  g_free (call);
+}
+
+static void
+act (calls_t *calls, curl_socket_t fd, int events)
+{
+  CURLMsg *message;
+  int left;
+
+  curl_multi_socket_action (calls->multi, fd, events, &left);
+  while ((message = curl_multi_info_read (calls->multi, &left)))
+    {
+      CURLcode code = message->data.result;
+      char *private = NULL;
+
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &private);
+      finish (calls, (call_t *)(void *)private, code);
+    }
+}
+
+void
+calls_ready (calls_t *calls, int fd, uint32_t ready)
+{
+  int events = 0;
+
+  if (!is_watched (calls, fd))
+    return; /* closed earlier on this turn */
+  if (ready & EPOLLIN)
+    events |= CURL_CSELECT_IN;
+  if (ready & EPOLLOUT)
+    events |= CURL_CSELECT_OUT;
+  if (ready & (EPOLLERR | EPOLLHUP))
+    events |= CURL_CSELECT_ERR;
+  act (calls, fd, events);
+}
+
+void
+calls_run_due (calls_t *calls, int64_t now_us)
+{
+  if (calls->due_us > now_us)
+    return;
+  calls->due_us = INT64_MAX;
+  act (calls, CURL_SOCKET_TIMEOUT, 0);
+}
+
+int64_t
+calls_due_us (const calls_t *calls)
+{
+  return calls->due_us;
+}
--- /dev/null
+++ b/entry/settings.c
@@ -0,0 +1,113 @@
+#include "entry.h"
+#include "yamlload.h"
+#include <arpa/inet.h>
+#include <string.h>
+
+#define TEXT_MAX 256
+
+#define TEXT_FIELD(field, low)                                                \
+  CYAML_FIELD_STRING_PTR (#field, CYAML_FLAG_POINTER, entry_settings_t,       \
+                          field, low, TEXT_MAX)
+#define UINT_FIELD(field)                                                     \
+  CYAML_FIELD_UINT (#field, CYAML_FLAG_DEFAULT, entry_settings_t, field)
+
+static const cyaml_schema_field_t fields[] = {
+  TEXT_FIELD (name, 1),
+  TEXT_FIELD (data_centre, 1),
+  TEXT_FIELD (front, 1),
+  TEXT_FIELD (ready, 1),
+  TEXT_FIELD (store, 1),
+  TEXT_FIELD (hosts_api, 0),
+  CYAML_FIELD_FLOAT ("cpu_share", CYAML_FLAG_DEFAULT, entry_settings_t,
+                     cpu_share),
+  UINT_FIELD (revoke_ms),
+  UINT_FIELD (hold_max_ms),
+  UINT_FIELD (stop_grace_ms),
+  UINT_FIELD (notice_ms),
+  UINT_FIELD (host_lease_ms),
+  UINT_FIELD (status_s),
+  UINT_FIELD (grace_s),
+  UINT_FIELD (keep_s),
+  CYAML_FIELD_END,
+};
+
+static const cyaml_schema_value_t schema
+    = { CYAML_VALUE_MAPPING (CYAML_FLAG_POINTER, entry_settings_t, fields) };
+
+static bool
+is_endpoint (const char *text)
+{
+  const char *colon = strrchr (text, ':');
+  g_autofree char *address
+      = colon ? g_strndup (text, (gsize)(colon - text)) : NULL;
+  struct in_addr addr;
+
+  return colon && inet_pton (AF_INET, address, &addr) == 1
+         && g_ascii_string_to_unsigned (colon + 1, 10, 1, 65535, NULL, NULL);
+}
+
+static bool
+check (const entry_settings_t *s, const char *file, const char *text,
+       size_t len, GError **error)
+{
+  const char *field = NULL;
+  const char *expected = "IP:PORT";
+
+  if (!is_endpoint (s->front))
+    field = "front";
+  else if (!is_endpoint (s->ready))
+    field = "ready";
+  else if (!is_endpoint (s->store))
+    field = "store";
+  else if (s->hosts_api[0] && !is_endpoint (s->hosts_api))
+    field = "hosts_api", expected = "IP:PORT, or nothing";
+  else if (s->cpu_share <= 0)
+    field = "cpu_share", expected = "a number above 0";
+  else if (s->revoke_ms < 1000)
+    field = "revoke_ms", expected = "a number from 1000";
+  else if (s->hold_max_ms < 500)
+    field = "hold_max_ms", expected = "a number from 500";
+  else if (s->grace_s == 0)
+    field = "grace_s", expected = "a number from 1";
+  else if (s->keep_s == 0)
+    field = "keep_s", expected = "a number from 1";
+  if (!field)
+    return true;
+  g_set_error (error, CONF_ERROR, CONF_ERROR_CHECK, "%s:%u: %s: expected %s",
+               file, yaml_line (text, len, field, 0, NULL), field, expected);
+  return false;
+}
+
+entry_settings_t *
+entry_settings_load (const char *file, const char *text, size_t len,
+                     GError **error)
+{
+  entry_settings_t *settings = yaml_load (&schema, file, text, len, error);
+
+  if (settings)
+    entry_settings_fill (settings);
+  if (!settings || check (settings, file, text, len, error))
+    return settings;
+  entry_settings_free (settings);
+  return NULL;
+}
+
+entry_settings_t *
+entry_settings_read (const char *path, GError **error)
+{
+  g_autofree char *text = NULL;
+  g_autoptr (GError) cause = NULL;
+  gsize len = 0;
+
+  if (g_file_get_contents (path, &text, &len, &cause))
+    return entry_settings_load (path, text, len, error);
+  g_set_error (error, CONF_ERROR, CONF_ERROR_READ, "%s", cause->message);
+  return NULL;
+}
+
+void
+entry_settings_free (entry_settings_t *settings)
+{
+  if (settings)
+    yaml_unload (&schema, settings);
+}
