--- a/entry/appends.c
+++ b/entry/appends.c
@@ -57,14 +57,12 @@
 }
 
 void
-appends_add (core_t *core, GBytes *record, ask_t *ask, uint64_t batch)
+appends_add (core_t *core, GBytes *record, ask_t *ask)
 {
   outgoing_t *out = g_new0 (outgoing_t, 1);
 
   out->record = record;
   out->ask = ask;
-  out->batch = batch;
-  out->epoch = core->tab->owner.epoch;
   g_ptr_array_add (core->waiting, out);
 }
 
@@ -79,8 +77,6 @@
 static void
 note_stored (core_t *core, outgoing_t *out)
 {
-  if (out->batch != 0 && core->sched && out->epoch == core->tab->owner.epoch)
-    sched_durable (core->sched, out->batch);
   if (!out->ask)
     return;
   if (out->ask->is_cancel)
--- a/entry/core.c
+++ b/entry/core.c
@@ -77,7 +77,8 @@
   sched_limits_t limits = { .lease_ms = MIN (s->hold_max_ms, SCHED_LEASE_MS),
                             .stop_grace_ms = s->stop_grace_ms,
                             .notice_ms = s->notice_ms,
-                            .host_lease_ms = s->host_lease_ms };
+                            .host_lease_ms = s->host_lease_ms,
+                            .lists_hosts = s->hosts_api[0] != '\0' };
 
   event_log (EV_OWNER_GAINED, "epoch=%" PRIu64 " jobs=%u",
              core->tab->owner.epoch, g_hash_table_size (core->tab->jobs));
@@ -85,6 +86,7 @@
                            core->rules, core_now ());
   core->progress_due_us = now_us;
   feeds_watch_workers (core, now_us);
+  hostcalls_restart (core);
 }
 
 static void
@@ -141,6 +143,8 @@
       return;
     case FOLD_PROGRESS:
       show_changes (core, rec);
+      if (core->sched)
+        sched_durable (core->sched, rec->u.progress.batch);
       return;
     case FOLD_NOTHING:
     case FOLD_RENEWED:
@@ -156,6 +160,8 @@
   owner_caught_up (&core->owner, core->tab, now_us);
   if (sent_us >= core->paused_us)
     core->unsure_since_pause = false;
+  if (core->sched)
+    sched_confirm (core->sched, sent_us);
 }
 
 static void
@@ -194,7 +200,7 @@
 
   rec.u.owner.epoch = epoch;
   rec.u.owner.holder = core->self;
-  appends_add (core, job_rec_pack (&rec), NULL, 0);
+  appends_add (core, job_rec_pack (&rec), NULL);
 }
 
 static void
@@ -225,12 +231,11 @@
 static void
 append_progress (core_t *core, int64_t now_us)
 {
-  uint64_t batch = 0;
-  job_rec_t *rec = sched_progress (core->sched, &batch);
+  job_rec_t *rec = sched_progress (core->sched);
 
   if (!rec)
     return;
-  appends_add (core, job_rec_pack (rec), NULL, batch);
+  appends_add (core, job_rec_pack (rec), NULL);
   job_rec_clear (rec);
   g_free (rec);
   core->owner.own_us = now_us;
@@ -244,6 +249,7 @@
     return;
   if (sched_next_us (core->sched) <= now_us)
     orders_send (core, sched_plan (core->sched, core_now ()));
+  hostcalls_run (core, now_us);
   if (core->progress_due_us <= now_us)
     append_progress (core, now_us);
 }
@@ -357,7 +363,7 @@
     {
       ask_t *ask = caa_container_of (node, ask_t, node);
 
-      appends_add (core, g_bytes_ref (ask->record), ask, 0);
+      appends_add (core, g_bytes_ref (ask->record), ask);
     }
 }
 
@@ -477,6 +483,7 @@
               (uint32_t)(hash_bytes (core->self, strlen (core->self), 0)
                          % OWNER_JITTER_US));
   appends_open (core);
+  hostcalls_open (core);
   feeds_open (core, now_us);
   if (pthread_create (&core->thread, NULL, run, core) != 0)
     return NULL;
@@ -502,6 +509,7 @@
   pthread_join (core->thread, NULL);
   appends_close (core);
   drop_sched (core);
+  hostcalls_close (core);
   feeds_close (core);
   calls_close (core->calls);
   pipe_close (&core->pipe);
--- a/entry/core.h
+++ b/entry/core.h
@@ -3,6 +3,7 @@
    feeds    reading the job log, the rules and the workers' reports
    appends  group commit of records to the job log
    orders   carrying the scheduler's orders to workers
+   hostcalls  the same for hosts, and the records of waves
    core     the loop, ownership  */
 
 #ifndef CUMINPIN_CORE_H
@@ -27,10 +28,8 @@
 typedef struct outgoing
 {
   GBytes *record;
-  ask_t *ask;     /* NULL: none waits for it */
-  uint64_t batch; /* of the scheduler's progress; 0: none */
-  uint64_t epoch; /* of that progress */
-  bool tried;     /* it may be in the log already */
+  ask_t *ask; /* NULL: none waits for it */
+  bool tried; /* it may be in the log already */
 } outgoing_t;
 
 struct core
@@ -63,6 +62,18 @@
   feed_t workers_feed;
   GHashTable *seen_workers; /* ids in the pages of newest records so far */
 
+  GArray *waves;   /* operators' records of waves */
+  bool marks_read; /* what earlier owners recorded of waves is here */
+  bool marks_out;
+  int64_t marks_due_us;
+  char *marks_after;
+  bool hosts_out;
+  int64_t hosts_due_us;
+  int64_t hosts_sent_us;
+  GArray *hosts_page; /* host_info_t of the pages read so far */
+  GArray *news_again; /* records of waves that the store did not take */
+  int64_t news_due_us;
+
   GPtrArray *waiting; /* outgoing_t */
   GPtrArray *sent;    /* outgoing_t of the call under way */
   GPtrArray *cancels; /* ask_t whose record has to be folded */
@@ -92,7 +103,7 @@
 void appends_open (core_t *core);
 void appends_close (core_t *core);
 /* appends_add - RECORD is taken over.  */
-void appends_add (core_t *core, GBytes *record, ask_t *ask, uint64_t batch);
+void appends_add (core_t *core, GBytes *record, ask_t *ask);
 void appends_run (core_t *core, int64_t now_us);
 int64_t appends_due_us (const core_t *core, int64_t now_us);
 /* appends_seen - REC of the log is folded: asks for it are answered.  */
@@ -102,6 +113,16 @@
 /* orders.c */
 void orders_send (core_t *core, GArray *orders);
 
+/* hostcalls.c */
+void hostcalls_open (core_t *core);
+void hostcalls_close (core_t *core);
+/* hostcalls_add_wave - an operator's record of a wave.  */
+void hostcalls_add_wave (core_t *core, const void *data, size_t len);
+/* hostcalls_restart - this daemon has just become the owner.  */
+void hostcalls_restart (core_t *core);
+/* hostcalls_run - owner only.  */
+void hostcalls_run (core_t *core, int64_t now_us);
+
 /* core.c */
 void core_folded (core_t *core, const job_rec_t *rec, folded_t folded,
                   const char *holder, int64_t now_us);
--- a/entry/feeds.c
+++ b/entry/feeds.c
@@ -106,6 +106,9 @@
   if (key_len == strlen (SITE_KEY_RULES)
       && memcmp (key, SITE_KEY_RULES, key_len) == 0)
     take_rules (core, data, len);
+  else if (key_len > strlen (SITE_KEY_WAVE)
+           && memcmp (key, SITE_KEY_WAVE, strlen (SITE_KEY_WAVE)) == 0)
+    hostcalls_add_wave (core, data, len);
 }
 
 static void
--- /dev/null
+++ b/entry/hostcalls.c
@@ -0,0 +1,321 @@
+#include "core.h"
+#include <string.h>
+
+/* The service that knows hosts may be slow or down; orders are repeated.  */
+#define CALL_TIMEOUT_MS 1500
+#define RETRY_US 300000
+
+typedef struct sent_host_order
+{
+  core_t *core;
+  host_order_t order;
+} sent_host_order_t;
+
+/* Waves of the operators.  */
+
+/* A wave's record, and since when it is known here.  */
+typedef struct wave_record
+{
+  GBytes *record;
+  int64_t known_us;
+} wave_record_t;
+
+static void
+clear_wave_record (gpointer data)
+{
+  g_bytes_unref (((wave_record_t *)data)->record);
+}
+
+static void
+hand_over_wave (core_t *core, const wave_record_t *known)
+{
+  g_autoptr (GError) error = NULL;
+  gsize len;
+  const void *data = g_bytes_get_data (known->record, &len);
+  wave_info_t wave;
+
+  if (site_wave (data, len, &wave, &error))
+    hosts_set_wave (core->sched, &wave, known->known_us, core_now ());
+  else
+    event_log (EV_RECORD_REJECTED, "topic=%s error=\"%s\"", SITE_TOPIC_RULES,
+               error->message);
+}
+
+void
+hostcalls_add_wave (core_t *core, const void *data, size_t len)
+{
+  wave_record_t known = { g_bytes_new (data, len), clock_boot_us () };
+
+  for (uint32_t i = 0; i < core->waves->len; i++)
+    if (g_bytes_equal (g_array_index (core->waves, wave_record_t, i).record,
+                       known.record))
+      {
+        g_bytes_unref (known.record);
+        return; /* read again after the store forgot its history */
+      }
+  g_array_append_val (core->waves, known);
+  if (core->sched && core->marks_read)
+    hand_over_wave (core, &known);
+}
+
+/* What earlier owners recorded.  */
+
+static void
+on_marks (void *ctx, const call_result_t *result)
+{
+  core_t *core = ctx;
+  g_autoptr (GArray) items = g_array_new (FALSE, TRUE, sizeof (site_item_t));
+  bool more = false;
+  uint64_t end = 0;
+  store_reply_t reply
+      = site_newest_reply (result->status, result->body, items, &more, &end);
+
+  g_array_set_clear_func (items, site_item_clear);
+  core->marks_out = false;
+  /* A topic that nobody has used yet is not found.  */
+  if (!core->sched || (reply != STORE_OK && result->status != 404))
+    {
+      core->marks_due_us = clock_boot_us () + RETRY_US;
+      return;
+    }
+  for (uint32_t i = 0; i < items->len; i++)
+    {
+      const site_item_t *item = &g_array_index (items, site_item_t, i);
+      uint64_t number;
+      const char *host;
+
+      if (site_wave_mark_read (item->key, &number, &host))
+        hosts_mark (core->sched, number, host);
+    }
+  g_free (core->marks_after);
+  core->marks_after
+      = more && items->len > 0
+            ? g_strdup (g_array_index (items, site_item_t, items->len - 1).key)
+            : NULL;
+  if (core->marks_after)
+    return;
+  core->marks_read = true;
+  for (uint32_t i = 0; i < core->waves->len; i++)
+    hand_over_wave (core, &g_array_index (core->waves, wave_record_t, i));
+}
+
+static void
+read_marks (core_t *core)
+{
+  site_req_t req = site_newest (SITE_TOPIC_WAVES, core->marks_after);
+
+  core->marks_out = true;
+  calls_send (core->calls, core->settings->store, &req, CALL_TIMEOUT_MS,
+              on_marks, core);
+}
+
+/* The list of hosts.  */
+
+static void read_hosts (core_t *core, const char *page);
+
+static void
+on_hosts (void *ctx, const call_result_t *result)
+{
+  core_t *core = ctx;
+  g_autoptr (GError) error = NULL;
+  site_hosts_t page;
+
+  core->hosts_out = false;
+  core->hosts_due_us = clock_boot_us () + RETRY_US;
+  if (!core->sched)
+    return;
+  if (!site_hosts_reply (result->status, result->body, &page, &error))
+    {
+      event_log (EV_LIVE_LIST_FAILED, "%s", error->message);
+      return;
+    }
+  for (uint32_t i = 0; i < page.hosts->len; i++)
+    {
+      host_info_t *info = &g_array_index (page.hosts, host_info_t, i);
+
+      /* The pages of one reading are joined, so names outlast their page.  */
+      info->host = g_intern_string (info->host);
+      info->pool = g_intern_string (info->pool);
+      info->worker = g_intern_string (info->worker);
+      g_array_append_val (core->hosts_page, *info);
+    }
+  if (page.next)
+    read_hosts (core, page.next);
+  else
+    hosts_set (core->sched, core->hosts_page, core->hosts_sent_us,
+               core_now ());
+  site_hosts_clear (&page);
+}
+
+static void
+read_hosts (core_t *core, const char *page)
+{
+  site_req_t req = site_hosts_req (page);
+
+  if (!page)
+    {
+      g_array_set_size (core->hosts_page, 0);
+      core->hosts_sent_us = clock_boot_us ();
+    }
+  core->hosts_out = true;
+  calls_send (core->calls, core->settings->hosts_api, &req, CALL_TIMEOUT_MS,
+              on_hosts, core);
+}
+
+/* Orders.  */
+
+static void
+on_host_order (void *ctx, const call_result_t *result)
+{
+  sent_host_order_t *sent = ctx;
+  core_t *core = sent->core;
+  host_reply_t reply
+      = result->refused ? HOST_REFUSED
+                        : site_host_order_reply (result->status, result->body);
+
+  if (core->sched && sent->order.token == core->tab->owner.epoch
+      && !hosts_reply (core->sched, &sent->order, reply, core_now ()))
+    core_depose (core, sent->order.host);
+  g_free (sent);
+}
+
+static void
+send_orders (core_t *core, GArray *orders)
+{
+  for (uint32_t i = 0; i < orders->len; i++)
+    {
+      sent_host_order_t *sent = g_new0 (sent_host_order_t, 1);
+      site_req_t req;
+
+      sent->core = core;
+      sent->order = g_array_index (orders, host_order_t, i);
+      sent->order.holder = core->settings->name;
+      req = site_host_order (&sent->order);
+      calls_send (core->calls, core->settings->hosts_api, &req,
+                  CALL_TIMEOUT_MS, on_host_order, sent);
+    }
+  g_array_set_size (orders, 0);
+}
+
+/* Records about waves.  */
+
+typedef struct sent_news
+{
+  core_t *core;
+  GBytes *record;
+  const char *topic;
+} sent_news_t;
+
+static void send_news (core_t *core, const char *topic, GBytes *record);
+
+static void
+on_news (void *ctx, const call_result_t *result)
+{
+  sent_news_t *sent = ctx;
+
+  if (site_append_reply (result->status, result->body) == STORE_OK
+      || !sent->core->sched)
+    g_bytes_unref (sent->record);
+  else
+    g_array_append_val (sent->core->news_again, *sent);
+  g_free (sent);
+}
+
+static void
+send_news (core_t *core, const char *topic, GBytes *record)
+{
+  g_autoptr (GPtrArray) records = g_ptr_array_new ();
+  sent_news_t *sent = g_new0 (sent_news_t, 1);
+  site_req_t req;
+
+  g_ptr_array_add (records, record);
+  *sent = (sent_news_t){ core, record, topic };
+  req = site_append (topic, records);
+  calls_send (core->calls, core->settings->store, &req, CALL_TIMEOUT_MS,
+              on_news, sent);
+}
+
+static void
+record_news (core_t *core, GArray *news, int64_t now_us)
+{
+  if (core->news_again->len > 0 && core->news_due_us <= now_us)
+    {
+      g_autoptr (GArray) again = core->news_again;
+
+      core->news_again = g_array_new (FALSE, FALSE, sizeof (sent_news_t));
+      core->news_due_us = now_us + RETRY_US;
+      for (uint32_t i = 0; i < again->len; i++)
+        {
+          const sent_news_t *sent = &g_array_index (again, sent_news_t, i);
+
+          send_news (core, sent->topic, sent->record);
+        }
+    }
+  for (uint32_t i = 0; i < news->len; i++)
+    {
+      const wave_news_t *row = &g_array_index (news, wave_news_t, i);
+
+      switch (row->kind)
+        {
+        case WAVE_NEWS_RUNNING:
+        case WAVE_NEWS_COMPLETE:
+          send_news (
+              core, SITE_TOPIC_STATUS,
+              site_wave_status (row->number, row->kind == WAVE_NEWS_COMPLETE));
+          break;
+        case WAVE_NEWS_MARK:
+          send_news (core, SITE_TOPIC_WAVES,
+                     site_wave_mark (row->number, row->host));
+          break;
+        }
+    }
+  g_array_set_size (news, 0);
+}
+
+void
+hostcalls_open (core_t *core)
+{
+  core->waves = g_array_new (FALSE, FALSE, sizeof (wave_record_t));
+  g_array_set_clear_func (core->waves, clear_wave_record);
+  core->hosts_page = g_array_new (FALSE, TRUE, sizeof (host_info_t));
+  core->news_again = g_array_new (FALSE, FALSE, sizeof (sent_news_t));
+}
+
+void
+hostcalls_close (core_t *core)
+{
+  for (uint32_t i = 0; i < core->news_again->len; i++)
+    g_bytes_unref (g_array_index (core->news_again, sent_news_t, i).record);
+  g_array_free (core->news_again, TRUE);
+  g_array_free (core->waves, TRUE);
+  g_array_free (core->hosts_page, TRUE);
+  g_free (core->marks_after);
+}
+
+void
+hostcalls_restart (core_t *core)
+{
+  core->marks_read = false;
+  core->hosts_due_us = 0;
+  core->marks_due_us = 0;
+  g_clear_pointer (&core->marks_after, g_free);
+}
+
+void
+hostcalls_run (core_t *core, int64_t now_us)
+{
+  sched_now_t now = core_now ();
+
+  if (!core->settings->hosts_api[0])
+    return;
+  if (!core->hosts_out && core->hosts_due_us <= now_us
+      && hosts_wanted (core->sched, now))
+    read_hosts (core, NULL);
+  if (!core->marks_read && !core->marks_out && core->marks_due_us <= now_us
+      && core->waves->len > 0)
+    read_marks (core);
+  if (!core->marks_read)
+    return;
+  send_orders (core, hosts_plan (core->sched, now));
+  record_news (core, hosts_news (core->sched), now_us);
+}
--- /dev/null
+++ b/jobs/hosts.h
@@ -0,0 +1,114 @@
+/* hosts - maintenance waves and moves of the hosts that workers run on
+
+   NAME
+     hosts
+
+   DESCRIPTION
+     A part of the scheduler.  A wave's hosts are emptied a few at a time, no
+     faster than it takes to finish in time, and go into maintenance when what
+     runs there may end: tasks that can end soon have ended, and no lasting
+   step would miss more tasks than it may.
+
+     A host counts as down from the order on until it is listed as up again. An
+     order without an answer may have been carried out: it is repeated until
+     there is one, and the host counts as down meanwhile.  */
+
+#ifndef CUMINPIN_HOSTS_H
+#define CUMINPIN_HOSTS_H
+
+#include "scheduler.h"
+
+typedef enum host_state_seen
+{
+  HOST_SEEN_UP,
+  HOST_SEEN_MOVING,
+  HOST_SEEN_UPKEEP,
+  HOST_SEEN_DOWN
+} host_state_seen_t;
+
+/* A host as the platform lists it.  */
+typedef struct host_info
+{
+  const char *host;
+  const char *pool;
+  const char *worker; /* "" when none runs there */
+  host_state_seen_t state;
+  amounts_t room;
+} host_info_t;
+
+typedef struct wave_info
+{
+  uint64_t number;
+  char **hosts; /* NULL-terminated; the reader owns them */
+  uint32_t duration_s;
+  uint32_t at_once; /* hosts down for it at a time */
+} wave_info_t;
+
+typedef enum host_order_kind
+{
+  HOST_ORDER_MOVE,
+  HOST_ORDER_UPKEEP
+} host_order_kind_t;
+
+typedef struct host_order
+{
+  host_order_kind_t kind;
+  const char *host; /* interned */
+  const char *holder;
+  uint64_t token;
+  const char *pool; /* MOVE; interned */
+  uint64_t wave;    /* UPKEEP */
+} host_order_t;
+
+typedef enum host_reply
+{
+  HOST_OK,
+  HOST_FENCED,  /* another holder used a higher token */
+  HOST_BUSY,    /* not up, or leaving */
+  HOST_REFUSED, /* nothing was done */
+  HOST_LOST     /* no answer; it may be done */
+} host_reply_t;
+
+/* hosts_set - the platform's list, read by a call that was sent at SENT_US. */
+void hosts_set (sched_t *sched, const GArray *infos, int64_t sent_us,
+                sched_now_t now);
+
+/* hosts_set_wave - an operator's wave, known since KNOWN_US; takes over its
+   hosts' names.
+   hosts_mark - HOST has begun its maintenance in wave NUMBER, as an earlier
+   owner recorded.  */
+void hosts_set_wave (sched_t *sched, wave_info_t *wave, int64_t known_us,
+                     sched_now_t now);
+void hosts_mark (sched_t *sched, uint64_t number, const char *host);
+
+/* hosts_wanted - whether the list of hosts is needed now.  */
+bool hosts_wanted (const sched_t *sched, sched_now_t now);
+
+/* hosts_plan - the orders to give now, of host_order_t, without holder.  The
+   caller sends all and empties the array.  */
+GArray *hosts_plan (sched_t *sched, sched_now_t now);
+
+/* hosts_reply - the answer to ORDER.  False: another owner has given orders
+   for the host; the caller gives the decisions up.  */
+bool hosts_reply (sched_t *sched, const host_order_t *order,
+                  host_reply_t reply, sched_now_t now);
+
+typedef enum wave_news_kind
+{
+  WAVE_NEWS_RUNNING, /* the wave is under way */
+  WAVE_NEWS_MARK,    /* a host has begun its maintenance */
+  WAVE_NEWS_COMPLETE /* all have */
+} wave_news_kind_t;
+
+/* What has to be recorded about waves.  */
+typedef struct wave_news
+{
+  wave_news_kind_t kind;
+  uint64_t number;
+  const char *host; /* MARK; interned */
+} wave_news_t;
+
+/* hosts_news - of wave_news_t, since the last call; the caller empties it.  */
+GArray *hosts_news (sched_t *sched);
+
+#endif
--- a/jobs/job.c
+++ b/jobs/job.c
@@ -130,6 +130,21 @@
   return ref->occurrence * job_tasks_each (desc) + number + ref->index;
 }
 
+bool
+fails_add (fails_t *fails, uint32_t attempt)
+{
+  for (uint32_t i = 0; i < MIN (fails->count, FAILS_KEPT); i++)
+    if (fails->attempts[i] == attempt)
+      return false;
+  if (fails->count >= FAILS_KEPT && attempt <= fails->highest)
+    return false;
+  if (fails->count < FAILS_KEPT)
+    fails->attempts[fails->count] = attempt;
+  fails->count++;
+  fails->highest = MAX (fails->highest, attempt);
+  return true;
+}
+
 bool
 job_state_is_final (job_state_t state)
 {
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -96,6 +96,21 @@
    it has none.  */
 uint32_t job_task_number (const job_desc_t *desc, const task_ref_t *ref);
 
+/* Attempts of a task that failed.  Workers list ends again until they are
+   durable, and in any order, so each attempt is counted once by its number.
+   Beyond FAILS_KEPT only higher numbers count.  */
+#define FAILS_KEPT 6
+
+typedef struct fails
+{
+  uint32_t count;
+  uint32_t attempts[FAILS_KEPT];
+  uint32_t highest;
+} fails_t;
+
+/* fails_add - count ATTEMPT; false when it was counted before.  */
+bool fails_add (fails_t *fails, uint32_t attempt);
+
 typedef enum job_state
 {
   JOB_STATE_QUEUED,
@@ -148,6 +163,7 @@
     struct
     {
       uint64_t epoch;
+      uint64_t batch;  /* counts the owner's records of progress */
       GArray *ends;    /* of task_end_t */
       GArray *changes; /* of job_change_t */
     } progress;
--- a/jobs/jobtab.c
+++ b/jobs/jobtab.c
@@ -4,8 +4,9 @@
 
 #define SNAPSHOT_FORMAT 1
 #define SNAPSHOT_BYTES_MAX (64 * 1024 * 1024)
-#define MARK_BYTES 6
-#define FAILED_MAX UINT8_MAX
+/* Done, number of failures, the highest of them, and the first ones.  */
+#define MARK_WORDS (3 + FAILS_KEPT)
+#define MARK_BYTES (MARK_WORDS * sizeof (uint32_t))
 
 static void
 entry_free (gpointer data)
@@ -139,11 +140,8 @@
   mark = &entry->marks[number];
   if (end->done)
     mark->done = true;
-  else if (end->attempt > mark->last_failed)
-    {
-      mark->last_failed = end->attempt;
-      mark->failed += mark->failed < FAILED_MAX;
-    }
+  else
+    fails_add (&mark->fails, end->attempt);
 }
 
 static folded_t
@@ -219,7 +217,7 @@
 marks_are_clear (const job_entry_t *entry)
 {
   for (uint32_t i = 0; i < entry->marks_count; i++)
-    if (entry->marks[i].done || entry->marks[i].failed > 0)
+    if (entry->marks[i].done || entry->marks[i].fails.count > 0)
       return false;
   return true;
 }
@@ -227,24 +225,27 @@
 static void
 pack_marks (msgpack_packer *pk, const job_entry_t *entry)
 {
-  g_autofree uint8_t *bytes = NULL;
+  g_autofree uint32_t *words = NULL;
+  uint32_t *at;
 
   if (marks_are_clear (entry))
     {
       msgpack_pack_nil (pk);
       return;
     }
-  bytes = g_malloc ((size_t)entry->marks_count * MARK_BYTES);
+  words = g_new (uint32_t, (size_t)entry->marks_count * MARK_WORDS);
+  at = words;
   for (uint32_t i = 0; i < entry->marks_count; i++)
     {
       const task_mark_t *mark = &entry->marks[i];
-      uint32_t attempt = GUINT32_TO_LE (mark->last_failed);
 
-      bytes[i * MARK_BYTES] = mark->done;
-      bytes[i * MARK_BYTES + 1] = mark->failed;
-      memcpy (&bytes[i * MARK_BYTES + 2], &attempt, sizeof attempt);
+      *at++ = GUINT32_TO_LE (mark->done);
+      *at++ = GUINT32_TO_LE (mark->fails.count);
+      *at++ = GUINT32_TO_LE (mark->fails.highest);
+      for (uint32_t f = 0; f < FAILS_KEPT; f++)
+        *at++ = GUINT32_TO_LE (mark->fails.attempts[f]);
     }
-  pack_bin (pk, bytes, (size_t)entry->marks_count * MARK_BYTES);
+  pack_bin (pk, words, (size_t)entry->marks_count * MARK_BYTES);
 }
 
 GBytes *
@@ -300,12 +301,14 @@
   for (uint32_t i = 0; i < entry->marks_count; i++)
     {
       task_mark_t *mark = &entry->marks[i];
-      uint32_t attempt;
-
-      mark->done = bytes[i * MARK_BYTES] != 0;
-      mark->failed = bytes[i * MARK_BYTES + 1];
-      memcpy (&attempt, &bytes[i * MARK_BYTES + 2], sizeof attempt);
-      mark->last_failed = GUINT32_FROM_LE (attempt);
+      uint32_t words[MARK_WORDS];
+
+      memcpy (words, bytes + (size_t)i * MARK_BYTES, sizeof words);
+      mark->done = words[0] != 0;
+      mark->fails.count = GUINT32_FROM_LE (words[1]);
+      mark->fails.highest = GUINT32_FROM_LE (words[2]);
+      for (uint32_t a = 0; a < FAILS_KEPT; a++)
+        mark->fails.attempts[a] = GUINT32_FROM_LE (words[3 + a]);
     }
 }
 
--- a/jobs/jobtab.h
+++ b/jobs/jobtab.h
@@ -20,8 +20,7 @@
 /* What is known of one task.  */
 typedef struct task_mark
 {
-  uint32_t last_failed; /* highest attempt that failed */
-  uint8_t failed;       /* attempts that failed; stays at 255 */
+  fails_t fails;
   bool done;
 } task_mark_t;
 
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -194,9 +194,7 @@
                     .payload = task->stage->job->desc->payload,
                     .checkpoint = task->checkpoint };
 
-  order.deadline_ms
-      = worker_clock_at (worker, now.us) + sched->limits.lease_ms;
-  worker->lease_ms = MAX (worker->lease_ms, order.deadline_ms);
+  order.deadline_ms = worker_deadline_ms (sched, worker, now.us);
   order_add (sched, order);
 }
 
@@ -233,7 +231,8 @@
       return;
     }
   while (runs->len > 0)
-    run_close (sched, g_ptr_array_steal_index (runs, runs->len - 1), now);
+    run_close (sched, g_ptr_array_steal_index (runs, runs->len - 1),
+               "gang-does-not-fit", now);
 }
 
 static void
@@ -272,15 +271,15 @@
 place_pool (sched_t *sched, pool_t *pool, sched_now_t now)
 {
   g_autofree turn_t *turns = NULL;
+  bool settled = pool_is_settled (sched, pool, now);
   uint32_t count = 0;
 
   if (pool->stages->len == 0)
     return;
-  if (!pool_is_settled (sched, pool, now))
-    {
-      sched_wake_at (sched, now.us + HOLD_RETRY_US);
-      return;
-    }
+  if (sched->granted_until_us <= now.us)
+    return;
+  if (!settled)
+    sched_wake_at (sched, now.us + HOLD_RETRY_US);
   turns = g_new (turn_t, pool->stages->len);
   for (uint32_t i = pool->stages->len; i-- > 0;)
     {
@@ -294,6 +293,8 @@
           g_ptr_array_remove_index_fast (pool->stages, i);
           continue;
         }
+      if (!settled && stage->job->inherited)
+        continue;
       turns[count++]
           = (turn_t){ .stage = stage,
                       .rank = rank_of (stage, queue, now.us),
--- a/jobs/record.c
+++ b/jobs/record.c
@@ -101,6 +101,7 @@
   const GArray *changes = rec->u.progress.changes;
 
   msgpack_pack_uint64 (pk, rec->u.progress.epoch);
+  msgpack_pack_uint64 (pk, rec->u.progress.batch);
   msgpack_pack_array (pk, ends->len);
   for (uint32_t i = 0; i < ends->len; i++)
     {
@@ -135,7 +136,7 @@
   msgpack_packer_init (&pk, &buf, msgpack_sbuffer_write);
   msgpack_pack_array (&pk, rec->kind == JREC_SUBMIT || rec->kind == JREC_CANCEL
                                ? 2
-                           : rec->kind == JREC_PROGRESS ? 4
+                           : rec->kind == JREC_PROGRESS ? 5
                                                         : 3);
   msgpack_pack_uint32 (&pk, rec->kind);
   switch (rec->kind)
@@ -384,6 +385,7 @@
       break;
     case JREC_PROGRESS:
       rec->u.progress.epoch = fields_u64 (&f, "epoch", UINT64_MAX);
+      rec->u.progress.batch = fields_u64 (&f, "batch", UINT64_MAX);
       rec->u.progress.ends = g_array_new (FALSE, FALSE, sizeof (task_end_t));
       rec->u.progress.changes
           = g_array_new (FALSE, FALSE, sizeof (job_change_t));
--- a/jobs/sched.c
+++ b/jobs/sched.c
@@ -126,7 +126,7 @@
 task_next_attempt (const sched_t *sched, const task_t *task)
 {
   uint32_t least = (uint32_t)((sched->epoch - 1) * EPOCH_ATTEMPTS);
-  uint32_t last = MAX (task->attempt, task->last_failed);
+  uint32_t last = MAX (task->attempt, task->fails.highest);
 
   if (task->stage->spec->gang)
     last = MAX (last, task->stage->attempt);
@@ -297,18 +297,13 @@
       mark_done (sched, task);
       return;
     }
-  if (stage->spec->lasts || attempt <= task->last_failed)
+  if (stage->spec->lasts || !fails_add (&task->fails, attempt))
     return;
-  task->last_failed = attempt;
-  if (stage->spec->gang && attempt <= stage->gang_failed)
-    return; /* counted for another member */
-  stage->gang_failed = attempt;
-  task->failed++;
   add_end (sched, task, attempt, false);
   if (stage->spec->gang)
-    for (uint32_t i = 0; i < stage->spec->count; i++)
-      stage->tasks[i].failed = task->failed;
-  if (task->failed < max_attempts_of (sched, job))
+    fails_add (&stage->gang_fails, attempt);
+  if ((stage->spec->gang ? stage->gang_fails.count : task->fails.count)
+      < max_attempts_of (sched, job))
     return;
   add_change (sched, job, JOB_STATE_FAILED);
   job_end (sched, job);
@@ -339,9 +334,9 @@
       task->away_since_us = now.us;
       if (!mark)
         continue;
-      task->failed = mark->failed;
-      task->last_failed = mark->last_failed;
-      stage->gang_failed = MAX (stage->gang_failed, mark->last_failed);
+      task->fails = mark->fails;
+      for (uint32_t f = 0; f < MIN (mark->fails.count, FAILS_KEPT); f++)
+        fails_add (&stage->gang_fails, mark->fails.attempts[f]);
       if (mark->done)
         {
           task->done = true;
@@ -489,9 +484,23 @@
   sched->orders = g_array_new (FALSE, TRUE, sizeof (order_t));
   sched->ends = g_array_new (FALSE, TRUE, sizeof (task_end_t));
   sched->changes = g_array_new (FALSE, TRUE, sizeof (job_change_t));
+  sched->hosts = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL,
+                                        host_discard);
+  sched->waves = g_ptr_array_new_with_free_func (wave_discard);
+  sched->host_orders = g_array_new (FALSE, TRUE, sizeof (host_order_t));
+  sched->wave_news = g_array_new (FALSE, TRUE, sizeof (wave_news_t));
+  sched->granted_until_us = now.us;
   g_hash_table_iter_init (&iter, table->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &entry))
-    sched_add_job (sched, entry, now);
+    {
+      const char *id = ((const job_entry_t *)entry)->desc->id;
+      sjob_t *job;
+
+      sched_add_job (sched, entry, now);
+      job = g_hash_table_lookup (sched->jobs, id);
+      if (job)
+        job->inherited = true;
+    }
   return sched;
 }
 
@@ -511,12 +520,23 @@
   g_hash_table_destroy (sched->pools);
   g_hash_table_destroy (sched->spaces);
   g_ptr_array_free (sched->timed, TRUE);
+  g_hash_table_destroy (sched->hosts);
+  g_ptr_array_free (sched->waves, TRUE);
+  g_array_free (sched->host_orders, TRUE);
+  g_array_free (sched->wave_news, TRUE);
   g_array_free (sched->orders, TRUE);
   g_array_free (sched->ends, TRUE);
   g_array_free (sched->changes, TRUE);
   g_free (sched);
 }
 
+void
+sched_confirm (sched_t *sched, int64_t confirmed_us)
+{
+  sched->granted_until_us = MAX (
+      sched->granted_until_us, confirmed_us + (int64_t)SCHED_GRANT_MS * 1000);
+}
+
 /* Queues may lead to other services now, and lists of stages are by
    service.  */
 void
@@ -553,25 +573,43 @@
          || sched->ends_unwritten;
 }
 
+/* Ends that need no record wait for the records before them only.  */
+static void
+skip_batch (sched_t *sched)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, sched->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      worker_t *worker = value;
+
+      if (worker->seen_batch == sched->batch)
+        worker->seen_batch = sched->batch - 1;
+    }
+  sched_durable (sched, sched->durable);
+}
+
 job_rec_t *
-sched_progress (sched_t *sched, uint64_t *batch)
+sched_progress (sched_t *sched)
 {
   job_rec_t *rec;
 
   sched->ends_unwritten = false;
   if (sched->ends->len == 0 && sched->changes->len == 0)
     {
-      sched_durable (sched, sched->batch);
+      skip_batch (sched);
       return NULL;
     }
   rec = g_new0 (job_rec_t, 1);
   rec->kind = JREC_PROGRESS;
   rec->u.progress.epoch = sched->epoch;
+  rec->u.progress.batch = sched->batch++;
   rec->u.progress.ends = sched->ends;
   rec->u.progress.changes = sched->changes;
   sched->ends = g_array_new (FALSE, TRUE, sizeof (task_end_t));
   sched->changes = g_array_new (FALSE, TRUE, sizeof (job_change_t));
-  *batch = sched->batch++;
   return rec;
 }
 
@@ -581,6 +619,7 @@
   GHashTableIter iter;
   gpointer value;
 
+  sched->durable = MAX (sched->durable, batch);
   g_hash_table_iter_init (&iter, sched->workers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -3,7 +3,7 @@
 #ifndef CUMINPIN_SCHEDINT_H
 #define CUMINPIN_SCHEDINT_H
 
-#include "scheduler.h"
+#include "hosts.h"
 
 /* Clocks of workers may be 2 % slow; one more for rounding.  */
 #define CLOCK_SLOW_PERCENT 3
@@ -34,6 +34,8 @@
 typedef struct worker worker_t;
 typedef struct pool pool_t;
 typedef struct space space_t;
+typedef struct host host_t;
+typedef struct wave wave_t;
 
 typedef enum run_phase
 {
@@ -64,8 +66,7 @@
   stage_t *stage;
   uint32_t index;
   uint32_t attempt; /* last one used */
-  uint32_t last_failed;
-  uint32_t failed;
+  fails_t fails;
   bool done;
   char *checkpoint;
   run_t *run;
@@ -83,11 +84,11 @@
   const job_step_t *spec;
   task_t *tasks;
   uint32_t undone;
-  uint32_t waits_on; /* steps before it that are not done */
-  uint32_t waiting;  /* tasks without a run */
-  uint32_t attempt;  /* of a gang */
-  uint32_t gang_failed;
-  bool listed; /* among its pool's stages */
+  uint32_t waits_on;  /* steps before it that are not done */
+  uint32_t waiting;   /* tasks without a run */
+  uint32_t attempt;   /* of a gang */
+  fails_t gang_fails; /* of the gang as a whole */
+  bool listed;        /* among its pool's stages */
 };
 
 typedef struct occurrence
@@ -104,6 +105,8 @@
   uint32_t next_occurrence; /* first that is not due yet */
   uint32_t undone;          /* occurrences */
   uint32_t runs;
+  bool inherited; /* accepted before this epoch: an earlier owner may have
+                     started its tasks */
   bool begun;
   bool ended; /* final: only its runs have to stop */
   int64_t accepted_us;
@@ -172,9 +175,17 @@
   GArray *orders;      /* of the present plan */
   GArray *ends;        /* progress to append */
   GArray *changes;
-  uint64_t batch; /* the one being gathered */
+  GHashTable *hosts;   /* interned name -> host_t */
+  GPtrArray *waves;    /* wave_t */
+  GArray *host_orders; /* to be sent */
+  GArray *wave_news;   /* to be recorded */
+  int64_t hosts_read_us;
+  int64_t hosts_plan_us;    /* next plan of waves */
+  int64_t granted_until_us; /* no lease goes beyond */
+  uint64_t batch;           /* the one being gathered */
   int64_t since_us;
   int64_t next_us;
+  uint64_t durable;    /* the last one in the log */
   bool ends_unwritten; /* ends were listed since the last batch */
   bool dirty;          /* something changed that may let a task start */
 };
@@ -198,9 +209,9 @@
 /* workers.c: workers and runs */
 run_t *run_new (sched_t *sched, task_t *task, worker_t *worker,
                 uint32_t attempt, sched_now_t now);
-/* run_close - RUN is certainly over; its task waits again unless it is
-   done.  */
-void run_close (sched_t *sched, run_t *run, sched_now_t now);
+/* run_close - RUN is certainly over, because of WHY; its task waits again
+   unless it is done.  */
+void run_close (sched_t *sched, run_t *run, const char *why, sched_now_t now);
 void run_stop (run_t *run);
 void worker_clear (sched_t *sched, worker_t *worker, sched_now_t now);
 int64_t worker_lease_end_us (const worker_t *worker);
@@ -210,11 +221,26 @@
 /* workers_advance - what time alone brings about.  */
 void workers_advance (sched_t *sched, sched_now_t now);
 void worker_orders (sched_t *sched, worker_t *worker, sched_now_t now);
+/* worker_deadline_ms - the end of a lease given now, on WORKER's clock; 0 when
+   none may be given.  */
+int64_t worker_deadline_ms (const sched_t *sched, worker_t *worker,
+                            int64_t now_us);
 bool pool_is_settled (const sched_t *sched, const pool_t *pool,
                       sched_now_t now);
 void order_add (sched_t *sched, order_t order);
 void sched_wake_at (sched_t *sched, int64_t at_us);
 
+/* task_is_at_work - whether a lasting task does its work.  */
+bool task_is_at_work (const task_t *task, int64_t now_us);
+
+/* hosts.c */
+void host_discard (gpointer data);
+void wave_discard (gpointer data);
+/* hosts_hide_workers - whether hosts of POOL may have workers that are not
+   listed: they are cut off from the store, or the list of hosts was not read
+   yet.  */
+bool hosts_hide_workers (const sched_t *sched, const char *pool);
+
 /* place.c: which task starts where */
 void place_pools (sched_t *sched, sched_now_t now);
 
--- a/jobs/scheduler.h
+++ b/jobs/scheduler.h
@@ -37,12 +37,20 @@
    short enough that tasks of a lost worker start again soon.  */
 #define SCHED_LEASE_MS 3000
 
+/* SCHED_GRANT_MS - an owner gives no lease that ends later than this after it
+   last knew from the log that it was the owner.  A new owner relies on it for
+   workers that it can't reach: an owner that is cut off together with workers
+   goes on renewing their leases.  Long enough to outlast an outage of the
+   store of 5 s, the usual one.  */
+#define SCHED_GRANT_MS 5500
+
 typedef struct sched_limits
 {
   uint32_t lease_ms;      /* of what runs on a worker */
   uint32_t stop_grace_ms; /* a stop takes no longer */
   uint32_t notice_ms;     /* a lasting task not at work for so long is away */
   uint32_t host_lease_ms; /* pause between owners' orders on one host */
+  bool lists_hosts;       /* the platform has a list of hosts */
 } sched_limits_t;
 
 typedef enum worker_state
@@ -162,6 +170,10 @@
 /* sched_set_rules - RULES must last until the next call.  */
 void sched_set_rules (sched_t *sched, const rules_t *rules);
 
+/* sched_confirm - the log, as of CONFIRMED_US, says that this daemon is the
+   owner.  Without it no leases are given.  */
+void sched_confirm (sched_t *sched, int64_t confirmed_us);
+
 void sched_add_job (sched_t *sched, const job_entry_t *entry, sched_now_t now);
 void sched_cancel_job (sched_t *sched, const char *id, sched_now_t now);
 
@@ -190,13 +202,15 @@
 int64_t sched_next_us (const sched_t *sched);
 
 /* sched_progress - the progress to append, or NULL when there is none; the
-   caller owns it.  *BATCH numbers it for sched_durable.  */
-job_rec_t *sched_progress (sched_t *sched, uint64_t *batch);
+   caller owns it.  */
+job_rec_t *sched_progress (sched_t *sched);
 
 bool sched_has_progress (const sched_t *sched);
 
-/* sched_durable - all batches up to BATCH are in the log; workers may forget
-   the ends in them.  */
+/* sched_durable - all progress up to BATCH was read back from the log while
+   this daemon was the owner; workers may forget the ends in it.  The store's
+   answer to the append is not enough: a claim may stand before the record, and
+   the next owner then knows nothing of these ends.  */
 void sched_durable (sched_t *sched, uint64_t batch);
 
 /* sched_dump - the state as text, for operators.  */
--- /dev/null
+++ b/jobs/test/rig.c
@@ -0,0 +1,212 @@
+#include "rig.h"
+
+const char *
+rig_id (uint32_t number)
+{
+  static char ids[16][JOB_ID_BYTES];
+  char *id = ids[number % G_N_ELEMENTS (ids)];
+
+  g_snprintf (id, JOB_ID_BYTES, "%016x", number);
+  return id;
+}
+
+void
+rig_open (rig_t *rig, uint64_t epoch)
+{
+  sched_limits_t limits = { .lease_ms = SCHED_LEASE_MS,
+                            .stop_grace_ms = 200,
+                            .notice_ms = 4500,
+                            .host_lease_ms = 3000 };
+  rules_queue_t queue = { .name = g_intern_string (RIG_QUEUE),
+                          .host = "h",
+                          .path_prefix = "/q/",
+                          .service = g_intern_string (RIG_SERVICE),
+                          .max_attempts = 3,
+                          .stretch_milli = 1600,
+                          .latency_ms = 600 };
+  rules_workspace_t space
+      = { .name = g_intern_string (RIG_SPACE), .weight = 10 };
+
+  if (!rig->tab)
+    rig->tab = jobtab_new ();
+  if (rig->now.us == 0)
+    rig->now = (sched_now_t){ .us = 1000000000, .wall_ms = 1700000000000 };
+  if (!rig->rules)
+    {
+      rig->rules = rules_new (1);
+      g_array_append_val (rig->rules->queues, queue);
+      g_array_append_val (rig->rules->workspaces, space);
+    }
+  rig->sched = sched_new (rig->tab, epoch, &limits, rig->rules, rig->now);
+  rig->tab->owner.epoch = epoch;
+  sched_confirm (rig->sched, rig->now.us);
+}
+
+void
+rig_close (rig_t *rig)
+{
+  sched_free (rig->sched);
+  jobtab_free (rig->tab);
+  rules_free (rig->rules);
+  memset (rig, 0, sizeof *rig);
+}
+
+void
+rig_pass (rig_t *rig, int64_t ms)
+{
+  rig->now.us += ms * 1000;
+  rig->now.wall_ms += ms;
+  if (rig->sched)
+    sched_confirm (rig->sched, rig->now.us);
+}
+
+job_step_t
+rig_step (uint32_t count)
+{
+  return (job_step_t){ .count = count,
+                       .need = { .cpu_milli = 1000, .mem_mib = 100 },
+                       .estimate_ms = 500 };
+}
+
+job_entry_t *
+rig_submit (rig_t *rig, uint32_t number, const job_step_t *steps,
+            uint32_t steps_count)
+{
+  job_rec_t rec = { .kind = JREC_SUBMIT };
+  job_desc_t *desc = g_new0 (job_desc_t, 1);
+  folded_t folded;
+
+  memcpy (desc->id, rig_id (number), JOB_ID_BYTES);
+  desc->workspace = g_intern_string (RIG_SPACE);
+  desc->queue = g_intern_string (RIG_QUEUE);
+  desc->service = g_intern_string (RIG_SERVICE);
+  desc->payload = g_strdup ("payload");
+  desc->steps = g_memdup2 (steps, steps_count * sizeof *steps);
+  desc->steps_count = steps_count;
+  desc->accepted_ms = rig->now.wall_ms;
+  rec.u.submit = desc;
+  if (!rig->tab)
+    rig->tab = jobtab_new ();
+  folded = jobtab_fold (rig->tab, &rec, rig->now.wall_ms);
+  job_rec_clear (&rec);
+  if (rig->sched && folded.entry)
+    sched_add_job (rig->sched, folded.entry, rig->now);
+  return folded.entry;
+}
+
+void
+rig_answer (rig_t *rig, const char *id, run_row_t *runs, uint32_t runs_count,
+            end_row_t *ends, uint32_t ends_count)
+{
+  worker_reply_t reply = { .kind = REPLY_OK,
+                           .clock_ms = rig->now.us / 1000,
+                           .has_clock = true,
+                           .sent_us = rig->now.us };
+  worker_lists_t lists = { .runs = runs,
+                           .runs_count = runs_count,
+                           .ends = ends,
+                           .ends_count = ends_count };
+
+  sched_hold_reply (rig->sched, id, &reply, &lists, rig->now);
+}
+
+void
+rig_worker (rig_t *rig, const char *id, uint32_t cores, bool silent)
+{
+  static const char *const labels[] = { "a", "r1", NULL };
+  worker_info_t info
+      = { .id = id,
+          .service = RIG_SERVICE,
+          .address = "10.0.0.1:80",
+          .data_centre = "dc-1",
+          .rack = "r1",
+          .labels = labels,
+          .room = { .cpu_milli = 1000 * (int64_t)cores, .mem_mib = 65536 },
+          .state = WORKER_READY };
+
+  sched_set_worker (rig->sched, &info, rig->now);
+  if (!silent)
+    rig_answer (rig, id, NULL, 0, NULL, 0);
+}
+
+GArray *
+rig_plan (rig_t *rig, bool holds)
+{
+  GArray *orders = sched_plan (rig->sched, rig->now);
+  GArray *copy = g_array_new (FALSE, TRUE, sizeof (order_t));
+
+  for (uint32_t i = 0; i < orders->len; i++)
+    {
+      const order_t *order = &g_array_index (orders, order_t, i);
+
+      if (holds || order->kind != ORDER_HOLD)
+        g_array_append_val (copy, *order);
+    }
+  g_array_set_size (orders, 0);
+  return copy;
+}
+
+uint32_t
+rig_count (const GArray *orders, order_kind_t kind)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < orders->len; i++)
+    count += g_array_index (orders, order_t, i).kind == kind;
+  return count;
+}
+
+bool
+rig_reply (rig_t *rig, const order_t *order, reply_kind_t kind)
+{
+  worker_reply_t reply = { .kind = kind, .sent_us = rig->now.us };
+
+  return sched_order_reply (rig->sched, order, &reply, rig->now);
+}
+
+void
+rig_started (rig_t *rig, const order_t *order)
+{
+  rig_reply (rig, order, REPLY_OK);
+}
+
+run_row_t
+rig_row (const order_t *order)
+{
+  return (run_row_t){ .task = order->task,
+                      .attempt = order->attempt,
+                      .checkpoint = "",
+                      .percent = 100 };
+}
+
+end_row_t
+rig_end (const order_t *order, uint64_t number, run_end_kind_t how)
+{
+  return (end_row_t){ .number = number,
+                      .task = order->task,
+                      .attempt = order->attempt,
+                      .how = how,
+                      .checkpoint = "" };
+}
+
+void
+rig_write (rig_t *rig)
+{
+  job_rec_t *rec = sched_progress (rig->sched);
+
+  if (!rec)
+    return;
+  jobtab_fold (rig->tab, rec, rig->now.wall_ms);
+  sched_durable (rig->sched, rec->u.progress.batch);
+  job_rec_clear (rec);
+  g_free (rec);
+}
+
+job_state_t
+rig_state (const rig_t *rig, uint32_t number)
+{
+  const job_entry_t *entry = jobtab_find (rig->tab, rig_id (number));
+
+  ck_assert_ptr_nonnull (entry);
+  return entry->state;
+}
--- /dev/null
+++ b/jobs/test/rig.h
@@ -0,0 +1,68 @@
+/* rig - a scheduler with one queue and a few workers, for tests of jobs/
+
+   Workers here answer as a test says; nothing is sent.  */
+
+#ifndef CUMINPIN_RIG_H
+#define CUMINPIN_RIG_H
+
+#include "../../test/run_suite.h"
+#include "hosts.h"
+#include <string.h>
+
+#define RIG_QUEUE "quotes"
+#define RIG_SERVICE "fitting"
+#define RIG_SPACE "acme"
+
+typedef struct rig
+{
+  jobtab_t *tab;
+  rules_t *rules;
+  sched_t *sched;
+  sched_now_t now;
+} rig_t;
+
+/* rig_id - the id of job NUMBER.  */
+const char *rig_id (uint32_t number);
+
+/* rig_open - the scheduler of EPOCH; jobs in TAB are inherited.  */
+void rig_open (rig_t *rig, uint64_t epoch);
+void rig_close (rig_t *rig);
+void rig_pass (rig_t *rig, int64_t ms);
+
+/* rig_step - a step of COUNT tasks of one core for 500 ms.  */
+job_step_t rig_step (uint32_t count);
+
+/* rig_submit - fold a job of STEPS_COUNT STEPS, whose lists are taken over;
+   known to the scheduler if it is open.  */
+job_entry_t *rig_submit (rig_t *rig, uint32_t number, const job_step_t *steps,
+                         uint32_t steps_count);
+
+/* rig_worker - worker ID of CORES reports itself, and answers its first look
+   unless SILENT.  */
+void rig_worker (rig_t *rig, const char *id, uint32_t cores, bool silent);
+
+/* rig_plan - the orders now, which the caller owns; holds are left out unless
+   HOLDS.  */
+GArray *rig_plan (rig_t *rig, bool holds);
+
+/* rig_count - orders of KIND in ORDERS.  */
+uint32_t rig_count (const GArray *orders, order_kind_t kind);
+
+/* rig_answer - worker ID lists these runs and ends.  */
+void rig_answer (rig_t *rig, const char *id, run_row_t *runs,
+                 uint32_t runs_count, end_row_t *ends, uint32_t ends_count);
+
+/* rig_started - the worker says yes to the start ORDER.  */
+void rig_started (rig_t *rig, const order_t *order);
+/* rig_reply - it answers ORDER with KIND.  */
+bool rig_reply (rig_t *rig, const order_t *order, reply_kind_t kind);
+
+run_row_t rig_row (const order_t *order);
+end_row_t rig_end (const order_t *order, uint64_t number, run_end_kind_t how);
+
+/* rig_write - fold the progress so far, as if the log had taken it.  */
+void rig_write (rig_t *rig);
+
+job_state_t rig_state (const rig_t *rig, uint32_t number);
+
+#endif
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -56,22 +56,53 @@
          && now_us - worker->answered_us < WORKER_SILENT_US;
 }
 
+/* Until all leases that an earlier owner can have given have ended.  */
+static bool
+inherits_leases (const sched_t *sched, int64_t now_us)
+{
+  int64_t granted_us = (int64_t)SCHED_GRANT_MS * 1000;
+
+  return sched->epoch > 1
+         && now_us - sched->since_us
+                <= granted_us + granted_us * CLOCK_SLOW_PERCENT / 100
+                       + LEASE_MARGIN_US;
+}
+
 /* Whether nothing that an earlier owner ordered can be unknown: all workers
    have shown their lists, or the leases that it gave have ended.  */
 bool
 pool_is_settled (const sched_t *sched, const pool_t *pool, sched_now_t now)
 {
-  int64_t lease_us = (int64_t)sched->limits.lease_ms * 1000;
-
-  if (sched->epoch == 1
-      || now.us - sched->since_us > lease_us
-                                        + lease_us * CLOCK_SLOW_PERCENT / 100
-                                        + LEASE_MARGIN_US)
+  if (!inherits_leases (sched, now.us))
     return true;
   for (uint32_t i = 0; i < pool->workers->len; i++)
     if (!((const worker_t *)g_ptr_array_index (pool->workers, i))->synced)
       return false;
-  return true;
+  return !hosts_hide_workers (sched, pool->name);
+}
+
+int64_t
+worker_deadline_ms (const sched_t *sched, worker_t *worker, int64_t now_us)
+{
+  int64_t lease_us = MIN (sched->granted_until_us - now_us,
+                          (int64_t)sched->limits.lease_ms * 1000);
+  int64_t deadline_ms;
+
+  if (!worker->has_clock || lease_us <= 0)
+    return 0;
+  deadline_ms = worker_clock_at (worker, now_us) + lease_us / 1000;
+  worker->lease_ms = MAX (worker->lease_ms, deadline_ms);
+  return deadline_ms;
+}
+
+bool
+task_is_at_work (const task_t *task, int64_t now_us)
+{
+  const run_t *run = task->run;
+
+  return run && run->phase == RUN_ACTIVE && run->percent >= 100
+         && !run->worker->unreachable
+         && now_us - run->worker->answered_us < WORKER_SILENT_US;
 }
 
 run_t *
@@ -103,11 +134,19 @@
 }
 
 void
-run_close (sched_t *sched, run_t *run, sched_now_t now)
+run_close (sched_t *sched, run_t *run, const char *why, sched_now_t now)
 {
   task_t *task = run->task;
   sjob_t *job = task->stage->job;
 
+  if (!task->done && !job->ended)
+    event_log (EV_TASK_RETURNED,
+               "id=%s occurrence=%u step=%u index=%u attempt=%u worker=%s "
+               "why=%s ran_ms=%" PRId64,
+               job->desc->id, task->stage->occurrence, task->stage->step,
+               task->index, run->attempt, run->worker->id, why,
+               run->active_us ? (now.us - run->active_us) / 1000 : 0);
+
   amounts_subtract (&run->worker->used, &run->holds);
   amounts_subtract (&job->space->used, &run->quota);
   g_ptr_array_remove_fast (run->worker->runs, run);
@@ -129,17 +168,17 @@
 }
 
 static void
-close_all (sched_t *sched, worker_t *worker, sched_now_t now)
+close_all (sched_t *sched, worker_t *worker, const char *why, sched_now_t now)
 {
   for (uint32_t i = worker->runs->len; i-- > 0;)
-    run_close (sched, g_ptr_array_index (worker->runs, i), now);
+    run_close (sched, g_ptr_array_index (worker->runs, i), why, now);
 }
 
 /* WORKER is another boot now: nothing of before runs there.  */
 void
 worker_clear (sched_t *sched, worker_t *worker, sched_now_t now)
 {
-  close_all (sched, worker, now);
+  close_all (sched, worker, "other-boot", now);
   worker->seen = worker->last_seen = worker->seen_batch = 0;
   worker->has_clock = false;
   worker->lease_ms = 0;
@@ -152,7 +191,7 @@
 static void
 worker_remove (sched_t *sched, worker_t *worker, sched_now_t now)
 {
-  close_all (sched, worker, now);
+  close_all (sched, worker, "worker-gone", now);
   g_ptr_array_remove_fast (worker->pool->workers, worker);
   g_hash_table_remove (sched->workers, worker->id);
 }
@@ -274,6 +313,17 @@
   task->checkpoint = g_strdup (checkpoint);
 }
 
+static const char *
+end_name (run_end_kind_t how)
+{
+  static const char *const names[]
+      = { [RUN_DONE] = "done",       [RUN_FAILED] = "failed",
+          [RUN_STOPPED] = "stopped", [RUN_LAPSED] = "lapsed",
+          [RUN_BROKEN] = "broken",   [RUN_ALONE] = "alone" };
+
+  return names[how];
+}
+
 static void
 take_end (sched_t *sched, worker_t *worker, const end_row_t *end,
           sched_now_t now)
@@ -304,7 +354,7 @@
       break;
     }
   if (run && run->worker == worker && run->attempt == end->attempt)
-    run_close (sched, run, now);
+    run_close (sched, run, end_name (end->how), now);
   else if (run && task->done)
     run_stop (run);
 }
@@ -374,7 +424,7 @@
         found = task_ref_equal (&lists->runs[r].task, &ref)
                 && lists->runs[r].attempt == run->attempt;
       if (!found)
-        run_close (sched, run, now);
+        run_close (sched, run, "not-listed", now);
     }
 }
 
@@ -449,6 +499,10 @@
   if (worker->unreachable || !worker->synced)
     sched->dirty = true;
   worker->unreachable = false;
+  /* What an earlier owner granted is not known, only how long it can be.  */
+  if (!worker->synced && inherits_leases (sched, now.us))
+    worker->lease_ms
+        = MAX (worker->lease_ms, worker->clock_ms + SCHED_GRANT_MS);
   worker->synced = true;
   take_lists (sched, worker, lists, reply->sent_us, now);
   worker->hold_due_us
@@ -456,12 +510,33 @@
   return true;
 }
 
+static const char *
+reply_name (reply_kind_t kind)
+{
+  static const char *const names[] = {
+    [REPLY_OK] = "ok",
+    [REPLY_FENCED] = "fenced",
+    [REPLY_OLD] = "old-attempt",
+    [REPLY_LATE] = "late-order",
+    [REPLY_NO_ROOM] = "no-room",
+    [REPLY_NO_TICKET] = "no-ticket",
+    [REPLY_BUSY] = "worker-busy",
+    [REPLY_OTHER_BOOT] = "other-boot",
+    [REPLY_REFUSED] = "connection-refused",
+    [REPLY_BAD] = "order-not-read",
+    [REPLY_LOST] = "no-answer",
+  };
+
+  return names[kind];
+}
+
 static void
-start_failed (sched_t *sched, run_t *run, int64_t pause_us, sched_now_t now)
+start_failed (sched_t *sched, run_t *run, reply_kind_t kind, int64_t pause_us,
+              sched_now_t now)
 {
   run->task->not_before_us = now.us + pause_us;
   sched_wake_at (sched, run->task->not_before_us);
-  run_close (sched, run, now);
+  run_close (sched, run, reply_name (kind), now);
 }
 
 static void
@@ -480,13 +555,13 @@
     case REPLY_REFUSED:
       worker->suspect_until_us
           = MAX (worker->suspect_until_us, now.us + REJECTED_PAUSE_US);
-      start_failed (sched, run, 0, now);
+      start_failed (sched, run, kind, 0, now);
       return;
     case REPLY_OLD:
     case REPLY_LATE:
     case REPLY_NO_TICKET:
     case REPLY_BAD:
-      start_failed (sched, run, TASK_PAUSE_US, now);
+      start_failed (sched, run, kind, TASK_PAUSE_US, now);
       return;
     case REPLY_LOST:
       run_stop (run);
@@ -565,12 +640,12 @@
       run_t *run = g_ptr_array_index (worker->runs, i);
 
       if (stop_is_over (sched, worker, run, now.us))
-        run_close (sched, run, now);
+        run_close (sched, run, "stop-confirmed", now);
       else if (run->stopped_us != 0)
         sched_wake_at (sched, now.us + STOP_MARGIN_US);
     }
   if (worker->runs->len > 0 && worker_lease_end_us (worker) < now.us)
-    close_all (sched, worker, now);
+    close_all (sched, worker, "lease-ended", now);
 }
 
 void
@@ -586,7 +661,8 @@
       worker_t *worker = value;
 
       advance_worker (sched, worker, now);
-      if (!worker->listed && worker->runs->len == 0)
+      if (!worker->listed && worker->runs->len == 0
+          && (worker->synced || !inherits_leases (sched, now.us)))
         g_ptr_array_add (gone, worker);
     }
   for (uint32_t i = 0; i < gone->len; i++)
@@ -601,12 +677,7 @@
                     .address = worker->address,
                     .last_seen = worker->last_seen };
 
-  if (worker->has_clock)
-    {
-      order.deadline_ms
-          = worker_clock_at (worker, now.us) + sched->limits.lease_ms;
-      worker->lease_ms = MAX (worker->lease_ms, order.deadline_ms);
-    }
+  order.deadline_ms = worker_deadline_ms (sched, worker, now.us);
   if (worker->synced && !worker->unreachable
       && worker->last_seen == worker->seen)
     order.wait_ms = HOLD_WAIT_MS;
