jobs: repeat an upkeep without an answer, and spare the next boot

An upkeep got no answer; its repetition was answered when the host was back already, and the runs of the new worker were taken for ended. Ruled out: late starts (confirmed before). The test of it showed a second fault: with as many hosts down as the wave allows, an order without an answer was not repeated at all.

Change: an answer ends only what ran there at the first order; repeats don't count against the bound.

--- a/jobs/hosts.c
+++ b/jobs/hosts.c
@@ -25,9 +25,10 @@
   bool listed;
   bool cordoned; /* by a wave or a move */
   int64_t cordoned_us;
-  bool out;           /* an order is under way */
-  bool down;          /* ordered, and not listed as up since */
-  int64_t ordered_us; /* last order sent */
+  bool out;             /* an order is under way */
+  bool down;            /* ordered, and not listed as up since */
+  char *ordered_worker; /* that ran there at the first order */
+  int64_t ordered_us;   /* last order sent */
   int64_t retry_us;
 };
 
@@ -48,6 +49,7 @@
   host_t *host = data;
 
   g_free (host->worker);
+  g_free (host->ordered_worker);
   g_free (host);
 }
 
@@ -364,6 +366,11 @@
 {
   order.host = host->name;
   order.token = sched->epoch;
+  if (!host->down)
+    {
+      g_free (host->ordered_worker);
+      host->ordered_worker = g_strdup (host->worker);
+    }
   host->out = true;
   host->down = true;
   host->ordered_us = now_us;
@@ -378,13 +385,14 @@
 static void
 take_down (sched_t *sched, const wave_t *wave, uint32_t down, sched_now_t now)
 {
-  for (uint32_t i = 0; i < wave->names->len && down < wave->at_once; i++)
+  for (uint32_t i = 0; i < wave->names->len; i++)
     {
       const char *name = g_ptr_array_index (wave->names, i);
       host_t *host = g_hash_table_lookup (sched->hosts, name);
       const worker_t *worker;
 
-      if (!host || !host->cordoned || host->out || host->retry_us > now.us
+      if (!host || (!host->down && down >= wave->at_once) || !host->cordoned
+          || host->out || host->retry_us > now.us
           || g_hash_table_contains (wave->done, name))
         continue;
       worker = g_hash_table_lookup (sched->workers, host->worker);
@@ -452,10 +460,12 @@
 note_begun (sched_t *sched, host_t *host, const host_order_t *order,
             sched_now_t now)
 {
-  worker_t *worker = g_hash_table_lookup (sched->workers, host->worker);
+  /* All that ran there has ended.  The answer to a repeated order may come
+     when the next boot runs tasks already.  */
+  worker_t *worker
+      = g_hash_table_lookup (sched->workers, host->ordered_worker);
   wave_t *wave = find_wave (sched, order->wave);
 
-  /* All that ran there has ended, and another boot will report itself.  */
   if (worker)
     {
       worker_clear (sched, worker, now);
