--- a/entry/calls.c
+++ b/entry/calls.c
@@ -22,6 +22,8 @@
   call_result_t result;
   call_done_t done;
   void *ctx;
+  bool issued; /* some of it may have been sent, on this connection or on one
+                  that libcurl gave up before */
 } call_t;
 
 struct calls
@@ -131,6 +133,19 @@
   return size * count;
 }
 
+static int
+on_issue (void *cls, char *peer, char *self, int peer_port, int self_port)
+{
+  call_t *call = cls;
+
+  (void)peer;
+  (void)self;
+  (void)peer_port;
+  (void)self_port;
+  call->issued = true;
+  return CURL_PREREQFUNC_OK;
+}
+
 static CURL *
 take_easy (calls_t *calls)
 {
@@ -146,6 +161,7 @@
   curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, keep_body);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_issue);
   return easy;
 }
 
@@ -180,6 +196,7 @@
   curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
   curl_easy_setopt (call->easy, CURLOPT_WRITEDATA, call->result.body);
   curl_easy_setopt (call->easy, CURLOPT_PRIVATE, call);
+  curl_easy_setopt (call->easy, CURLOPT_PREREQDATA, call);
   if (req->post)
     {
       call->body = req->body ? g_bytes_ref (req->body) : g_bytes_new (NULL, 0);
@@ -199,17 +216,11 @@
 finish (calls_t *calls, call_t *call, CURLcode code)
 {
   long status = 0;
-  curl_off_t uploaded = 0;
-  long request_bytes = 0;
 
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
-  curl_easy_getinfo (call->easy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
-  curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
   if (code == CURLE_OK)
     call->result.status = (uint32_t)status;
-  call->result.refused
-      = code == CURLE_COULDNT_CONNECT
-        || (code != CURLE_OK && uploaded == 0 && request_bytes == 0);
+  call->result.refused = code != CURLE_OK && !call->issued;
   curl_multi_remove_handle (calls->multi, call->easy);
   if (calls->idle->len < EASY_IDLE_MAX)
     g_ptr_array_add (calls->idle, call->easy);
--- a/entry/orders.c
+++ b/entry/orders.c
@@ -1,9 +1,27 @@
 #include "core.h"
 #include <string.h>
 
-/* A sound worker answers in a few milliseconds.  Longer, so that a slow entry
-   host does not take its own delay for the worker's.  */
-#define ORDER_TIMEOUT_MS 700
+/* A sound worker answers in a few milliseconds.  An order without an answer is
+   taken back, so a short time is safe; it is long enough that a slow entry
+   host seldom takes its own delay for the worker's.  */
+#define ORDER_TIMEOUT_MS 250
+/* Beyond the time for which a worker holds a look.  */
+#define HOLD_SLACK_MS 600
+
+static uint32_t
+timeout_ms (const order_t *order)
+{
+  switch (order->kind)
+    {
+    case ORDER_HOLD:
+      return order->wait_ms + HOLD_SLACK_MS;
+    case ORDER_START:
+    case ORDER_STOP:
+    case ORDER_PACE:
+      return ORDER_TIMEOUT_MS;
+    }
+  return ORDER_TIMEOUT_MS;
+}
 
 /* An order on its way.  */
 typedef struct sent_order
@@ -36,7 +54,7 @@
       fill_reply (result, &answer.reply);
       still_owner
           = order->kind == ORDER_HOLD
-                ? sched_hold_reply (core->sched, order->worker, &answer.reply,
+                ? sched_hold_reply (core->sched, order, &answer.reply,
                                     answer.has_lists ? &answer.lists : NULL,
                                     core_now ())
                 : sched_order_reply (core->sched, order, &answer.reply,
@@ -56,7 +74,6 @@
       const order_t *order = &g_array_index (orders, order_t, i);
       sent_order_t *sent = g_new0 (sent_order_t, 1);
       site_req_t req = site_order (order);
-      uint32_t wait_ms = order->kind == ORDER_HOLD ? order->wait_ms : 0;
 
       sent->core = core;
       sent->order = *order;
@@ -64,8 +81,8 @@
       sent->order.checkpoint = NULL;
       sent->order.ticket = NULL;
       sent->epoch = order->token;
-      calls_send (core->calls, order->address, &req,
-                  wait_ms + ORDER_TIMEOUT_MS, on_answer, sent);
+      calls_send (core->calls, order->address, &req, timeout_ms (order),
+                  on_answer, sent);
     }
   g_array_set_size (orders, 0);
 }
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -160,6 +160,16 @@
   return best;
 }
 
+bool
+place_elsewhere (sched_t *sched, const task_t *task, const worker_t *worker,
+                 sched_now_t now)
+{
+  const worker_t *other
+      = find_worker (stage_pool (sched, task->stage), task->stage, task, now);
+
+  return other && other != worker;
+}
+
 static bool
 cap_allows_one (int64_t cap, int64_t used, int64_t need)
 {
--- a/jobs/sched.c
+++ b/jobs/sched.c
@@ -151,25 +151,28 @@
   add_change (sched, job, JOB_STATE_RUNNING);
 }
 
-/* Calls VISIT for each task of JOB that is due.  */
+/* Stops all runs of JOB, copies too.  */
 static void
-job_tasks_do (sjob_t *job, void (*visit) (task_t *task))
+stop_runs (sched_t *sched, const sjob_t *job)
 {
-  for (uint32_t k = 0; k < job->next_occurrence; k++)
-    for (uint32_t i = 0; i < job->desc->steps_count; i++)
-      {
-        stage_t *stage = &job->occurrences[k].stages[i];
+  GHashTableIter iter;
+  gpointer value;
 
-        for (uint32_t t = 0; t < stage->spec->count; t++)
-          visit (&stage->tasks[t]);
-      }
-}
+  if (job->runs == 0)
+    return;
+  g_hash_table_iter_init (&iter, sched->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const worker_t *worker = value;
 
-static void
-stop_task (task_t *task)
-{
-  if (task->run)
-    run_stop (task->run);
+      for (uint32_t i = 0; i < worker->runs->len; i++)
+        {
+          run_t *run = g_ptr_array_index (worker->runs, i);
+
+          if (run->task->stage->job == job)
+            run_stop (run);
+        }
+    }
 }
 
 static void
@@ -203,7 +206,7 @@
   job->ended = true;
   unlist_job (sched, job);
   g_ptr_array_remove_fast (sched->timed, job);
-  job_tasks_do (job, stop_task);
+  stop_runs (sched, job);
   sched->dirty = true;
 }
 
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -10,12 +10,12 @@
 /* Added to a lease's end: a worker acts on it a little later.  */
 #define LEASE_MARGIN_US 100000
 /* A stop that was not confirmed is repeated after so long.  */
-#define STOP_RETRY_US 400000
+#define STOP_RETRY_US 250000
 /* Added to the grace of a stop before a confirmed one counts as done though no
    end is listed: one round trip and the worker's own delay.  */
 #define STOP_MARGIN_US 100000
 /* A worker answers a held look after so long when nothing ends.  */
-#define HOLD_WAIT_MS 1000
+#define HOLD_WAIT_MS 500
 /* Looks at a worker whose ends can't be made durable, or that did not
    answer.  */
 #define HOLD_RETRY_US 250000
@@ -44,7 +44,8 @@
   RUN_STOPPING /* it is to end */
 } run_phase_t;
 
-/* One attempt at a task, until it is certainly over.  */
+/* One attempt at a task, until it is certainly over.  A task's present run is
+   task->run; others are left over or copies.  */
 struct run
 {
   task_t *task;
@@ -59,6 +60,7 @@
   int64_t stopped_us; /* stop confirmed; 0: not yet */
   uint32_t percent;
   uint32_t load;
+  int64_t moved_us; /* percent last changed */
 };
 
 struct task
@@ -146,6 +148,7 @@
   GPtrArray *runs;
   uint32_t fails_in_row;
   int64_t suspect_until_us;
+  bool peek; /* is to be looked at once, beside the held look */
 };
 
 struct pool
@@ -213,6 +216,12 @@
    unless it is done.  */
 void run_close (sched_t *sched, run_t *run, const char *why, sched_now_t now);
 void run_stop (run_t *run);
+/* run_leave - RUN goes on, but its task may start elsewhere: another run of it
+   may be there at the same time, or this one can't start any more.  */
+void run_leave (sched_t *sched, run_t *run);
+run_t *run_find (const worker_t *worker, const task_t *task, uint32_t attempt);
+/* runs_stop_others - stop the copies of TASK, which is done.  */
+void runs_stop_others (sched_t *sched, const task_t *task);
 void worker_clear (sched_t *sched, worker_t *worker, sched_now_t now);
 int64_t worker_lease_end_us (const worker_t *worker);
 int64_t worker_clock_at (const worker_t *worker, int64_t now_us);
@@ -243,5 +252,11 @@
 
 /* place.c: which task starts where */
 void place_pools (sched_t *sched, sched_now_t now);
+/* place_elsewhere - whether TASK could start on another worker now.  */
+bool place_elsewhere (sched_t *sched, const task_t *task,
+                      const worker_t *worker, sched_now_t now);
+
+/* stall.c: runs that hardly get on */
+void stalls_check (sched_t *sched, worker_t *worker, sched_now_t now);
 
 #endif
--- /dev/null
+++ b/jobs/stall.c
@@ -0,0 +1,89 @@
+#include "schedint.h"
+
+/* A run that shows no progress for so long stands still: reports come every
+   half second.  */
+#define STILL_US 900000
+/* Before that nothing is said about how fast a run is.  */
+#define JUDGE_US 350000
+/* A run is started elsewhere when what it still needs is so many times what a
+   new run takes, stop and start included.  Estimates are off by a third.  */
+#define WORTH_PERCENT 170
+#define RESTART_MS 350
+/* A worker on which a run needs so many times its estimate is slow; it gets
+   nothing new for SLOW_US after it was last seen to be.  */
+#define SLOW_TIMES 3
+#define SLOW_US 1500000
+
+/* How long RUN still needs at the speed that it has shown; INT64_MAX: it
+   stands still.  */
+static int64_t
+left_us (const run_t *run, int64_t now_us)
+{
+  int64_t ran_us = now_us - run->active_us;
+
+  if (now_us - run->moved_us > STILL_US || run->percent == 0)
+    return INT64_MAX;
+  return ran_us * (100 - MIN (run->percent, 100)) / run->percent;
+}
+
+/* What a new run needs, in the worst case that none of its work was saved.  */
+static int64_t
+anew_us (const run_t *run)
+{
+  return ((int64_t)run->task->stage->spec->estimate_ms + RESTART_MS) * 1000;
+}
+
+static bool
+is_slow (const run_t *run, int64_t needs_us, int64_t now_us)
+{
+  int64_t whole_us;
+
+  if (needs_us == INT64_MAX)
+    return true;
+  whole_us = now_us - run->active_us + needs_us;
+  return whole_us
+         > (int64_t)run->task->stage->spec->estimate_ms * 1000 * SLOW_TIMES
+               + JUDGE_US;
+}
+
+static void
+judge (sched_t *sched, run_t *run, sched_now_t now)
+{
+  task_t *task = run->task;
+  worker_t *worker = run->worker;
+  int64_t needs_us = left_us (run, now.us);
+
+  if (!is_slow (run, needs_us, now.us))
+    return;
+  if (worker->suspect_until_us <= now.us)
+    event_log (EV_WORKER_SUSPECT,
+               "worker=%s why=slow task=%s percent=%u "
+               "ran_ms=%" PRId64 " estimate_ms=%u",
+               worker->id, task->stage->job->desc->id, run->percent,
+               (now.us - run->active_us) / 1000,
+               task->stage->spec->estimate_ms);
+  worker->suspect_until_us = MAX (worker->suspect_until_us, now.us + SLOW_US);
+  if (task->run != run || task->done
+      || needs_us / 100 < anew_us (run) * WORTH_PERCENT / 10000
+      || !place_elsewhere (sched, task, worker, now))
+    return;
+  task->avoid = worker->interned;
+  if (task->stage->spec->speculative)
+    run_leave (sched, run);
+  else
+    run_stop (run);
+}
+
+void
+stalls_check (sched_t *sched, worker_t *worker, sched_now_t now)
+{
+  for (uint32_t i = 0; i < worker->runs->len; i++)
+    {
+      run_t *run = g_ptr_array_index (worker->runs, i);
+      const job_step_t *spec = run->task->stage->spec;
+
+      if (run->phase == RUN_ACTIVE && !spec->lasts && !spec->gang
+          && !spec->fills && now.us - run->active_us >= JUDGE_US)
+        judge (sched, run, now);
+    }
+}
--- a/jobs/test/rig.c
+++ b/jobs/test/rig.c
@@ -107,7 +107,16 @@
                            .ends = ends,
                            .ends_count = ends_count };
 
-  sched_hold_reply (rig->sched, id, &reply, &lists, rig->now);
+  rig_look (rig, id, &reply, &lists);
+}
+
+void
+rig_look (rig_t *rig, const char *id, const worker_reply_t *reply,
+          const worker_lists_t *lists)
+{
+  order_t order = { .kind = ORDER_HOLD, .worker = id };
+
+  sched_hold_reply (rig->sched, &order, reply, lists, rig->now);
 }
 
 void
--- a/jobs/test/rig.h
+++ b/jobs/test/rig.h
@@ -52,6 +52,10 @@
 void rig_answer (rig_t *rig, const char *id, run_row_t *runs,
                  uint32_t runs_count, end_row_t *ends, uint32_t ends_count);
 
+/* rig_look - worker ID answers a look with REPLY and LISTS.  */
+void rig_look (rig_t *rig, const char *id, const worker_reply_t *reply,
+               const worker_lists_t *lists);
+
 /* rig_started - the worker says yes to the start ORDER.  */
 void rig_started (rig_t *rig, const order_t *order);
 /* rig_reply - it answers ORDER with KIND.  */
--- a/jobs/test/workers_test.c
+++ b/jobs/test/workers_test.c
@@ -241,7 +241,7 @@
   rig_started (&rig, &start);
   rig_worker (&rig, "w2", 8, false);
   rig_pass (&rig, SCHED_LEASE_MS - 100);
-  sched_hold_reply (rig.sched, "w1", &lost, NULL, rig.now);
+  rig_look (&rig, "w1", &lost, NULL);
   rig_answer (&rig, "w2", NULL, 0, NULL, 0);
   early = rig_plan (&rig, false);
   ck_assert_uint_eq (rig_count (early, ORDER_START), 0);
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -150,15 +150,63 @@
   amounts_subtract (&run->worker->used, &run->holds);
   amounts_subtract (&job->space->used, &run->quota);
   g_ptr_array_remove_fast (run->worker->runs, run);
-  g_free (run);
-  task->run = NULL;
-  task->away_since_us = now.us;
   job->runs--;
   sched->dirty = true;
-  if (!task->done && !job->ended)
+  if (task->run == run)
+    {
+      task->run = NULL;
+      task->away_since_us = now.us;
+      if (!task->done && !job->ended)
+        task_waits (sched, task);
+    }
+  g_free (run);
+  job_settle (sched, job);
+}
+
+void
+run_leave (sched_t *sched, run_t *run)
+{
+  task_t *task = run->task;
+
+  if (task->run != run)
+    return;
+  task->run = NULL;
+  if (!task->done && !task->stage->job->ended)
     task_waits (sched, task);
-  else
-    job_settle (sched, job);
+}
+
+run_t *
+run_find (const worker_t *worker, const task_t *task, uint32_t attempt)
+{
+  for (uint32_t i = 0; i < worker->runs->len; i++)
+    {
+      run_t *run = g_ptr_array_index (worker->runs, i);
+
+      if (run->task == task && run->attempt == attempt)
+        return run;
+    }
+  return NULL;
+}
+
+void
+runs_stop_others (sched_t *sched, const task_t *task)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, sched->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const worker_t *worker = value;
+
+      for (uint32_t i = 0; i < worker->runs->len; i++)
+        {
+          run_t *run = g_ptr_array_index (worker->runs, i);
+
+          if (run->task == task)
+            run_stop (run);
+        }
+    }
 }
 
 void
@@ -333,7 +381,7 @@
 
   if (!task)
     return;
-  run = task->run;
+  run = run_find (worker, task, end->attempt);
   set_checkpoint (task, end->checkpoint);
   switch (end->how)
     {
@@ -353,10 +401,12 @@
     case RUN_ALONE:
       break;
     }
-  if (run && run->worker == worker && run->attempt == end->attempt)
+  if (task->done && task->stage->job->runs > 0)
+    runs_stop_others (sched, task);
+  if (run)
     run_close (sched, run, end_name (end->how), now);
-  else if (run && task->done)
-    run_stop (run);
+  else
+    job_settle (sched, task->stage->job);
 }
 
 static void
@@ -385,27 +435,36 @@
           sched_now_t now)
 {
   task_t *task = sched_task (sched, &row->task);
+  run_t *run = task ? run_find (worker, task, row->attempt) : NULL;
 
-  if (!task || task->done || task->stage->job->ended
-      || (task->run
-          && (task->run->worker != worker
-              || task->run->attempt != row->attempt)))
+  if (!run)
     {
-      /* The run that is to stop anyway is told so by worker_orders.  */
-      if (!task || !task->run || task->run->worker != worker
-          || task->run->attempt != row->attempt)
-        stop_unknown (sched, worker, row);
-      return;
+      if (!task || task->done || task->run || task->stage->job->ended)
+        {
+          stop_unknown (sched, worker, row);
+          return;
+        }
+      run = run_new (sched, task, worker, row->attempt, now);
     }
-  if (!task->run)
-    run_new (sched, task, worker, row->attempt, now);
-  task->run->percent = row->percent;
-  task->run->load = row->load;
+  if (run->percent != row->percent || run->moved_us == 0)
+    run->moved_us = now.us;
+  run->percent = row->percent;
+  run->load = row->load;
   set_checkpoint (task, row->checkpoint);
-  note_active (sched, task->run, now);
+  note_active (sched, run, now);
+}
+
+/* Whether a look that was sent at SENT_US must show RUN or its end.  */
+static bool
+must_be_listed (const run_t *run, int64_t sent_us)
+{
+  if (run->active_us != 0 && run->active_us < sent_us)
+    return true;
+  /* A confirmed stop bars a start that has not arrived.  */
+  return run->stopped_us != 0 && run->stopped_us <= sent_us;
 }
 
-/* Closes runs that WORKER had before it was asked and now says nothing of. */
+/* Closes runs that WORKER would list and does not.  */
 static void
 close_forgotten (sched_t *sched, worker_t *worker, const worker_lists_t *lists,
                  int64_t sent_us, sched_now_t now)
@@ -418,7 +477,7 @@
       task_ref_t ref = task_ref (run->task);
       bool found = false;
 
-      if (run->active_us == 0 || run->active_us >= sent_us)
+      if (!must_be_listed (run, sent_us))
         continue;
       for (uint32_t r = 0; r < lists->runs_count && !found; r++)
         found = task_ref_equal (&lists->runs[r].task, &ref)
@@ -479,15 +538,17 @@
 }
 
 bool
-sched_hold_reply (sched_t *sched, const char *id, const worker_reply_t *reply,
-                  const worker_lists_t *lists, sched_now_t now)
+sched_hold_reply (sched_t *sched, const order_t *order,
+                  const worker_reply_t *reply, const worker_lists_t *lists,
+                  sched_now_t now)
 {
-  worker_t *worker = g_hash_table_lookup (sched->workers, id);
+  worker_t *worker = g_hash_table_lookup (sched->workers, order->worker);
 
   sched_wake_at (sched, now.us);
   if (!worker)
     return reply->kind != REPLY_FENCED;
-  worker->hold_out = false;
+  if (!order->peek)
+    worker->hold_out = false;
   if (reply->kind != REPLY_OK || !lists)
     return hold_failed (sched, worker, reply->kind, now);
   if (lists->born_ms && worker->born_ms && lists->born_ms != worker->born_ms)
@@ -505,6 +566,7 @@
         = MAX (worker->lease_ms, worker->clock_ms + SCHED_GRANT_MS);
   worker->synced = true;
   take_lists (sched, worker, lists, reply->sent_us, now);
+  stalls_check (sched, worker, now);
   worker->hold_due_us
       = worker->seen > worker->last_seen ? now.us + HOLD_RETRY_US : now.us;
   return true;
@@ -564,7 +626,10 @@
       start_failed (sched, run, kind, TASK_PAUSE_US, now);
       return;
     case REPLY_LOST:
+      run->task->avoid = worker->interned;
       run_stop (run);
+      if (run->task->stage->spec->speculative)
+        run_leave (sched, run);
       return;
     case REPLY_FENCED:
     case REPLY_OTHER_BOOT:
@@ -584,7 +649,10 @@
       return;
     case ORDER_STOP:
       if (kind == REPLY_OK)
-        run->stopped_us = now.us;
+        {
+          run->stopped_us = now.us;
+          run->worker->peek |= run->active_us == 0;
+        }
       return;
     case ORDER_HOLD:
     case ORDER_PACE:
@@ -598,6 +666,7 @@
 {
   worker_t *worker = g_hash_table_lookup (sched->workers, order->worker);
   task_t *task;
+  run_t *run;
 
   if (reply->kind == REPLY_FENCED)
     return false;
@@ -612,9 +681,9 @@
     }
   note_clock (worker, reply, now);
   task = sched_task (sched, &order->task);
-  if (task && task->run && task->run->worker == worker
-      && task->run->attempt == order->attempt)
-    take_order_reply (sched, order, task->run, reply->kind, now);
+  run = task ? run_find (worker, task, order->attempt) : NULL;
+  if (run)
+    take_order_reply (sched, order, run, reply->kind, now);
   return true;
 }
 
@@ -670,18 +739,19 @@
 }
 
 static void
-add_hold (sched_t *sched, worker_t *worker, sched_now_t now)
+add_hold (sched_t *sched, worker_t *worker, bool peek, sched_now_t now)
 {
   order_t order = { .kind = ORDER_HOLD,
                     .worker = worker->interned,
                     .address = worker->address,
-                    .last_seen = worker->last_seen };
+                    .last_seen = worker->last_seen,
+                    .peek = peek };
 
   order.deadline_ms = worker_deadline_ms (sched, worker, now.us);
-  if (worker->synced && !worker->unreachable
+  if (!peek && worker->synced && !worker->unreachable
       && worker->last_seen == worker->seen)
     order.wait_ms = HOLD_WAIT_MS;
-  worker->hold_out = true;
+  worker->hold_out |= !peek;
   order_add (sched, order);
 }
 
@@ -705,10 +775,13 @@
         }
       sched_wake_at (sched, run->stop_us + STOP_RETRY_US);
     }
+  if (worker->peek)
+    add_hold (sched, worker, true, now);
+  worker->peek = false;
   if (worker->hold_out)
     return;
   if (worker->hold_due_us <= now.us)
-    add_hold (sched, worker, now);
+    add_hold (sched, worker, false, now);
   else
     sched_wake_at (sched, worker->hold_due_us);
 }
