jobs: hosts move to pools that are short; leases of silent workers end

Ruled out: orders applied late; the runs had been confirmed.

Change: moves.c moves hosts from the standby pool, then from pools with hosts to spare, to pools whose waiting work takes over 0.9 s, and back after 2.5 s of surplus. Runs that hardly get on start elsewhere. Leases end only as of the last reading of the log that confirmed this owner.

--- a/entry/hostcalls.c
+++ b/entry/hostcalls.c
@@ -311,8 +311,7 @@
   if (!core->hosts_out && core->hosts_due_us <= now_us
       && hosts_wanted (core->sched, now))
     read_hosts (core, NULL);
-  if (!core->marks_read && !core->marks_out && core->marks_due_us <= now_us
-      && core->waves->len > 0)
+  if (!core->marks_read && !core->marks_out && core->marks_due_us <= now_us)
     read_marks (core);
   if (!core->marks_read)
     return;
--- a/jobs/hosts.c
+++ b/jobs/hosts.c
@@ -13,25 +13,11 @@
 #define LIST_EVERY_US 700000
 /* An order without an answer, or refused for the moment, is repeated.  */
 #define ORDER_RETRY_US 400000
-/* Waves are planned again so often.  */
+/* A host that is to move is given up when it is not empty after so long.  */
+#define MOVE_WAIT_US 2500000
+/* Waves and moves are planned again so often.  */
 #define PLAN_EVERY_US 100000
 
-struct host
-{
-  const char *name; /* interned */
-  const char *pool; /* interned */
-  char *worker;
-  host_state_seen_t state;
-  bool listed;
-  bool cordoned; /* by a wave or a move */
-  int64_t cordoned_us;
-  bool out;             /* an order is under way */
-  bool down;            /* ordered, and not listed as up since */
-  char *ordered_worker; /* that ran there at the first order */
-  int64_t ordered_us;   /* last order sent */
-  int64_t retry_us;
-};
-
 struct wave
 {
   uint64_t number;
@@ -173,6 +159,7 @@
 
   for (uint32_t i = 0; i < sched->waves->len; i++)
     wanted |= wave_is_open (g_ptr_array_index (sched->waves, i));
+  wanted |= sched->hosts_read_us == 0 || sched->moves_out;
   return wanted && now.us - sched->hosts_read_us >= LIST_EVERY_US;
 }
 
@@ -182,8 +169,10 @@
   worker_t *worker = g_hash_table_lookup (sched->workers, host->worker);
 
   host->cordoned = false;
+  host->agreed = false;
+  host->move_to = NULL;
   if (worker)
-    worker->cordoned = false;
+    worker->cordoned = worker->going_down = false;
   sched->dirty = true;
 }
 
@@ -195,6 +184,7 @@
   gpointer value;
 
   sched->hosts_read_us = now.us;
+  sched->moves_out = false;
   g_hash_table_iter_init (&iter, sched->hosts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     ((host_t *)value)->listed = false;
@@ -225,7 +215,10 @@
           host->down = false;
           uncordon (sched, host);
         }
+      /* Its next worker is not named yet.  */
+      sched->moves_out |= host->down || host->state != HOST_SEEN_UP;
     }
+  moves_note_sizes (sched);
   sched_wake_at (sched, now.us);
 }
 
@@ -332,7 +325,7 @@
         continue; /* not there any more */
       down = host->down || host->out || host->state == HOST_SEEN_UPKEEP;
       count.left += !g_hash_table_contains (wave->done, name);
-      count.busy += host->cordoned || down;
+      count.busy += (host->cordoned && !host->move_to) || down;
       count.down += down;
     }
   return count;
@@ -350,8 +343,8 @@
   return (uint32_t)MIN ((int64_t)wave->at_once, MAX (need, 1));
 }
 
-static void
-cordon (sched_t *sched, host_t *host, int64_t now_us)
+void
+host_cordon (sched_t *sched, host_t *host, int64_t now_us)
 {
   worker_t *worker = g_hash_table_lookup (sched->workers, host->worker);
 
@@ -364,6 +357,8 @@
 static void
 add_order (sched_t *sched, host_t *host, host_order_t order, int64_t now_us)
 {
+  worker_t *worker;
+
   order.host = host->name;
   order.token = sched->epoch;
   if (!host->down)
@@ -371,6 +366,10 @@
       g_free (host->ordered_worker);
       host->ordered_worker = g_strdup (host->worker);
     }
+  worker = g_hash_table_lookup (sched->workers, host->worker);
+  if (worker)
+    worker->going_down = true;
+  sched->moves_out = true;
   host->out = true;
   host->down = true;
   host->ordered_us = now_us;
@@ -392,7 +391,7 @@
       const worker_t *worker;
 
       if (!host || (!host->down && down >= wave->at_once) || !host->cordoned
-          || host->out || host->retry_us > now.us
+          || host->move_to || host->out || host->retry_us > now.us
           || g_hash_table_contains (wave->done, name))
         continue;
       worker = g_hash_table_lookup (sched->workers, host->worker);
@@ -428,13 +427,62 @@
 
       if (!host)
         break;
-      cordon (sched, host, now.us);
+      host_cordon (sched, host, now.us);
       count.busy++;
     }
   take_down (sched, wave, count.down, now);
   sched_wake_at (sched, now.us + PLAN_EVERY_US);
 }
 
+/* A move that nothing needs any more, or whose host can't be emptied, is given
+   up.  */
+static bool
+move_is_vain (const host_t *host, const worker_t *worker, int64_t now_us)
+{
+  return !host->down
+         && (now_us - host->cordoned_us > MOVE_WAIT_US
+             || (worker && worker_has_lasting (worker)));
+}
+
+static void
+order_moves (sched_t *sched, sched_now_t now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, sched->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      host_t *host = value;
+      const worker_t *worker;
+
+      if (!host->move_to || host->out || host->agreed
+          || host->retry_us > now.us)
+        continue;
+      worker = g_hash_table_lookup (sched->workers, host->worker);
+      if (move_is_vain (host, worker, now.us))
+        uncordon (sched, host);
+      else if (host->down || !worker || worker->runs->len == 0)
+        add_order (
+            sched, host,
+            (host_order_t){ .kind = HOST_ORDER_MOVE, .pool = host->move_to },
+            now.us);
+    }
+}
+
+bool
+worker_has_lasting (const worker_t *worker)
+{
+  for (uint32_t i = 0; i < worker->runs->len; i++)
+    {
+      const run_t *run = g_ptr_array_index (worker->runs, i);
+
+      if (run->task->stage->spec->lasts)
+        return true;
+    }
+  return false;
+}
+
 GArray *
 hosts_plan (sched_t *sched, sched_now_t now)
 {
@@ -453,6 +501,9 @@
       if (wave_is_open (wave))
         plan_wave (sched, wave, now);
     }
+  moves_plan (sched, now);
+  order_moves (sched, now);
+  sched_wake_at (sched, now.us + PLAN_EVERY_US);
   return sched->host_orders;
 }
 
@@ -483,6 +534,7 @@
              sched_now_t now)
 {
   host_t *host = g_hash_table_lookup (sched->hosts, order->host);
+  worker_t *worker;
 
   if (reply == HOST_FENCED)
     return false;
@@ -496,11 +548,15 @@
     {
     case HOST_OK:
       host->ordered_us = now.us;
+      host->agreed = true;
       note_begun (sched, host, order, now);
       return true;
     case HOST_BUSY:
     case HOST_REFUSED:
       host->down = false;
+      worker = g_hash_table_lookup (sched->workers, host->worker);
+      if (worker)
+        worker->going_down = false;
       return true;
     case HOST_LOST:
     case HOST_FENCED:
--- /dev/null
+++ b/jobs/moves.c
@@ -0,0 +1,317 @@
+#include "hosts.h"
+#include "schedint.h"
+#include <math.h>
+
+/* Work that waits is to be done within so long: less than the time that a
+   caller's objective leaves beside the work itself.  */
+#define DRAIN_MS 900
+/* A pool is short for so long before it gets hosts.  A burst lasts some
+   seconds, and a host needs one and a half to move.  */
+#define SHORT_US 80000
+/* A pool has hosts to spare for so long before they leave it: a move and the
+   way back cost as much as two seconds of a host.  */
+#define SURPLUS_US 2500000
+/* A pool keeps this part of its hosts when others are short.  */
+#define KEEP_PERCENT 60
+/* Free hosts that a pool keeps beyond its need.  */
+#define MARGIN_HOSTS 2.0
+/* Moves under way at a time.  */
+#define MOVES_MAX 12
+
+/* What a pool has and needs, in hosts.  */
+typedef struct load
+{
+  pool_t *pool;
+  double runs;      /* that its tasks keep busy */
+  double waits;     /* that its waiting tasks would, to be done in time */
+  uint32_t have;    /* in use */
+  uint32_t coming;  /* on their way */
+  uint32_t leaving; /* being emptied for a move */
+} load_t;
+
+static double
+part_of (const amounts_t *used, const amounts_t *room)
+{
+  double cpu = (double)used->cpu_milli / (double)MAX (room->cpu_milli, 1);
+  double mem = (double)used->mem_mib / (double)MAX (room->mem_mib, 1);
+  double accels
+      = room->accels > 0 ? (double)used->accels / (double)room->accels : 0;
+
+  return MAX (cpu, MAX (mem, accels));
+}
+
+static const char *
+standby_pool (const sched_t *sched)
+{
+  for (uint32_t i = 0; sched->rules && i < sched->rules->services->len; i++)
+    {
+      const rules_service_t *service
+          = &g_array_index (sched->rules->services, rules_service_t, i);
+
+      if (service->standby)
+        return service->name;
+    }
+  return NULL;
+}
+
+/* Host times that the waiting tasks of POOL need, in ms.  ROOM is that of one
+   of its hosts.  */
+static double
+waiting_ms (const sched_t *sched, const pool_t *pool, const amounts_t *room)
+{
+  double sum = 0;
+
+  for (uint32_t i = 0; i < pool->stages->len; i++)
+    {
+      const stage_t *stage = g_ptr_array_index (pool->stages, i);
+      const job_step_t *spec = stage->spec;
+
+      if (!spec->lasts && cap_allows (sched, stage->job, &spec->need))
+        sum += stage->waiting * part_of (&spec->need, room)
+               * MAX (spec->estimate_ms, 1);
+    }
+  return sum;
+}
+
+static load_t
+load_of (const sched_t *sched, pool_t *pool)
+{
+  load_t load = { .pool = pool };
+  amounts_t room = { .cpu_milli = 1, .mem_mib = 1 };
+  GHashTableIter iter;
+  gpointer value;
+
+  for (uint32_t i = 0; i < pool->workers->len; i++)
+    {
+      const worker_t *worker = g_ptr_array_index (pool->workers, i);
+
+      if (!worker->listed || worker->state != WORKER_READY
+          || worker->unreachable)
+        continue;
+      if (!worker->cordoned)
+        load.have++;
+      load.runs += part_of (&worker->used, &worker->room);
+      room = worker->room;
+    }
+  load.waits = waiting_ms (sched, pool, &room) / DRAIN_MS;
+  g_hash_table_iter_init (&iter, sched->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const host_t *host = value;
+
+      load.coming
+          += host->move_to == pool->name && (host->down || host->cordoned);
+      load.leaving += host->move_to && host->pool == pool->name
+                      && host->cordoned && !host->down;
+    }
+  return load;
+}
+
+static double
+need_of (const load_t *load)
+{
+  return load->runs + load->waits;
+}
+
+/* Hosts that LOAD's pool can do without for now.  */
+static double
+surplus_of (const load_t *load)
+{
+  return (double)load->have - need_of (load) - MARGIN_HOSTS;
+}
+
+/* A host of POOL that can go: the one with least work, and none of it
+   lasting.  */
+static host_t *
+idlest_host (const sched_t *sched, const char *pool)
+{
+  GHashTableIter iter;
+  gpointer value;
+  host_t *best = NULL;
+  double best_part = HUGE_VAL;
+
+  g_hash_table_iter_init (&iter, sched->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      host_t *host = value;
+      const worker_t *worker;
+      double part = 0;
+
+      if (!host->listed || host->pool != pool || host->state != HOST_SEEN_UP
+          || host->cordoned || host->down || host->out)
+        continue;
+      worker = g_hash_table_lookup (sched->workers, host->worker);
+      if (host->worker[0] != '\0' && !worker)
+        continue; /* not known well enough */
+      if (worker && (worker_has_lasting (worker) || !worker->listed))
+        continue;
+      if (worker)
+        part = part_of (&worker->used, &worker->room);
+      if (part >= best_part)
+        continue;
+      best = host;
+      best_part = part;
+    }
+  return best;
+}
+
+static uint32_t
+moves_under_way (const sched_t *sched)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t count = 0;
+
+  g_hash_table_iter_init (&iter, sched->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count += ((const host_t *)value)->move_to != NULL;
+  return count;
+}
+
+static void
+begin_move (sched_t *sched, host_t *host, const char *to, sched_now_t now)
+{
+  host->move_to = to;
+  host_cordon (sched, host, now.us);
+}
+
+/* The pool that can best give a host to another: the one with most to spare
+   for its size.  */
+static load_t *
+giver (load_t *loads, uint32_t count, const pool_t *taker)
+{
+  load_t *best = NULL;
+  double best_surplus = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      load_t *load = &loads[i];
+      uint32_t keep = load->pool->base_hosts * KEEP_PERCENT / 100;
+      double surplus = surplus_of (load);
+
+      if (load->pool == taker || load->waits > 0 || load->have <= keep
+          || surplus <= best_surplus)
+        continue;
+      best = load;
+      best_surplus = surplus;
+    }
+  return best;
+}
+
+/* Gets hosts for LOAD's pool, which is short.  */
+static void
+help (sched_t *sched, load_t *load, load_t *loads, uint32_t count,
+      sched_now_t now)
+{
+  const char *standby = standby_pool (sched);
+  uint32_t under_way = moves_under_way (sched);
+  double missing = need_of (load) - (double)load->have - (double)load->coming;
+
+  while (missing > 0 && under_way < MOVES_MAX)
+    {
+      host_t *host = standby ? idlest_host (sched, standby) : NULL;
+      load_t *from = host ? NULL : giver (loads, count, load->pool);
+
+      if (from)
+        {
+          host = idlest_host (sched, from->pool->name);
+          from->have--;
+        }
+      if (!host)
+        return;
+      begin_move (sched, host, load->pool->name, now);
+      load->coming++;
+      missing--;
+      under_way++;
+    }
+}
+
+/* Sends hosts that LOAD's pool has not needed for a while to the standby
+   pool, where they cost nothing.  */
+static void
+give_back (sched_t *sched, load_t *load, sched_now_t now)
+{
+  const char *standby = standby_pool (sched);
+  pool_t *pool = load->pool;
+  host_t *host;
+
+  if (!standby || standby == pool->name || load->have <= pool->base_hosts
+      || surplus_of (load) < 1 || load->coming > 0)
+    {
+      pool->surplus_us = 0;
+      return;
+    }
+  if (pool->surplus_us == 0)
+    pool->surplus_us = now.us;
+  if (now.us - pool->surplus_us < SURPLUS_US)
+    return;
+  host = idlest_host (sched, pool->name);
+  if (host)
+    begin_move (sched, host, standby, now);
+}
+
+void
+moves_note_sizes (sched_t *sched)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_autoptr (GHashTable) counts = g_hash_table_new (NULL, NULL);
+
+  g_hash_table_iter_init (&iter, sched->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const host_t *host = value;
+      gpointer pool = (gpointer)host->pool;
+      uint32_t count = GPOINTER_TO_UINT (g_hash_table_lookup (counts, pool));
+
+      if (host->listed)
+        g_hash_table_insert (counts, pool, GUINT_TO_POINTER (count + 1));
+    }
+  g_hash_table_iter_init (&iter, sched->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      pool_t *pool = value;
+      uint32_t count
+          = GPOINTER_TO_UINT (g_hash_table_lookup (counts, pool->name));
+
+      if (pool->base_hosts == 0)
+        pool->base_hosts = count;
+    }
+}
+
+static bool
+is_short (load_t *load, sched_now_t now)
+{
+  pool_t *pool = load->pool;
+
+  if (load->waits <= 0
+      || need_of (load) <= (double)load->have + (double)load->coming)
+    {
+      pool->short_us = 0;
+      return false;
+    }
+  if (pool->short_us == 0)
+    pool->short_us = now.us;
+  return now.us - pool->short_us >= SHORT_US;
+}
+
+void
+moves_plan (sched_t *sched, sched_now_t now)
+{
+  uint32_t count = 0;
+  g_autofree load_t *loads
+      = g_new (load_t, g_hash_table_size (sched->pools) + 1);
+  GHashTableIter iter;
+  gpointer pool;
+
+  g_hash_table_iter_init (&iter, sched->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &pool))
+    {
+      loads[count++] = load_of (sched, pool);
+    }
+  for (uint32_t i = 0; i < count; i++)
+    if (is_short (&loads[i], now))
+      help (sched, &loads[i], loads, count, now);
+    else
+      give_back (sched, &loads[i], now);
+}
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -23,8 +23,8 @@
   double cost; /* lower first */
 } turn_t;
 
-static int64_t
-objective_us (const sjob_t *job, const rules_queue_t *queue)
+int64_t
+job_objective_us (const sjob_t *job, const rules_queue_t *queue)
 {
   return job->chain_ms * queue->stretch_milli
          + (int64_t)queue->latency_ms * 1000;
@@ -41,7 +41,7 @@
     return RANK_LASTING;
   if (!queue)
     return RANK_LATE;
-  allowed_us = objective_us (job, queue);
+  allowed_us = job_objective_us (job, queue);
   if (ends_us <= job->accepted_us + allowed_us)
     return RANK_TIMELY;
   if (ends_us <= job->accepted_us + allowed_us * LATE_TIMES)
@@ -176,7 +176,7 @@
   return cap == 0 || used + need <= cap;
 }
 
-static bool
+bool
 cap_allows (const sched_t *sched, const sjob_t *job, const amounts_t *need)
 {
   const rules_workspace_t *rule
--- a/jobs/sched.c
+++ b/jobs/sched.c
@@ -133,6 +133,27 @@
   return MAX (last, least) + 1;
 }
 
+/* What decided how long a job took, for whoever asks later.  */
+static void
+log_final (const sched_t *sched, const sjob_t *job, job_state_t state,
+           sched_now_t now)
+{
+  const rules_queue_t *queue = rules_queue (sched->rules, job->desc->queue);
+  int64_t objective_ms
+      = queue ? job_objective_us (job, queue) / 1000 : job->chain_ms;
+
+  event_log (
+      EV_JOB_FINAL,
+      "id=%s state=%s queue=%s workspace=%s tasks=%u chain_ms=%" PRId64
+      " objective_ms=%" PRId64 " took_ms=%" PRId64 " first_start_ms=%" PRId64
+      " returned=%u",
+      job->desc->id, state == JOB_STATE_COMPLETE ? "complete" : "failed",
+      job->desc->queue, job->desc->workspace, job_tasks (job->desc),
+      job->chain_ms, objective_ms, (now.us - job->accepted_us) / 1000,
+      job->started_us ? (job->started_us - job->accepted_us) / 1000 : -1,
+      job->returned);
+}
+
 static void
 add_change (sched_t *sched, const sjob_t *job, job_state_t state)
 {
@@ -229,7 +250,7 @@
 }
 
 static void
-mark_done (sched_t *sched, task_t *task)
+mark_done (sched_t *sched, task_t *task, sched_now_t now)
 {
   stage_t *stage = task->stage;
   sjob_t *job = stage->job;
@@ -243,6 +264,7 @@
   if (--occurrence->undone > 0 || --job->undone > 0)
     return;
   add_change (sched, job, JOB_STATE_COMPLETE);
+  log_final (sched, job, JOB_STATE_COMPLETE, now);
   job_end (sched, job);
 }
 
@@ -257,7 +279,8 @@
 
 /* One end of a gang stands for all its members.  */
 static void
-gang_end (sched_t *sched, stage_t *stage, uint32_t attempt, bool done)
+gang_end (sched_t *sched, stage_t *stage, uint32_t attempt, bool done,
+          sched_now_t now)
 {
   for (uint32_t i = 0; i < stage->spec->count; i++)
     {
@@ -266,7 +289,7 @@
       if (done && !task->done)
         {
           add_end (sched, task, attempt, true);
-          mark_done (sched, task);
+          mark_done (sched, task, now);
         }
     }
 }
@@ -286,18 +309,17 @@
   stage_t *stage = task->stage;
   sjob_t *job = stage->job;
 
-  (void)now;
   if (job->ended || task->done)
     return;
   if (done && !stage->spec->lasts)
     {
       if (stage->spec->gang)
         {
-          gang_end (sched, stage, attempt, true);
+          gang_end (sched, stage, attempt, true, now);
           return;
         }
       add_end (sched, task, attempt, true);
-      mark_done (sched, task);
+      mark_done (sched, task, now);
       return;
     }
   if (stage->spec->lasts || !fails_add (&task->fails, attempt))
@@ -309,6 +331,7 @@
       < max_attempts_of (sched, job))
     return;
   add_change (sched, job, JOB_STATE_FAILED);
+  log_final (sched, job, JOB_STATE_FAILED, now);
   job_end (sched, job);
 }
 
@@ -536,6 +559,7 @@
 void
 sched_confirm (sched_t *sched, int64_t confirmed_us)
 {
+  sched->confirmed_us = MAX (sched->confirmed_us, confirmed_us);
   sched->granted_until_us = MAX (
       sched->granted_until_us, confirmed_us + (int64_t)SCHED_GRANT_MS * 1000);
 }
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -112,9 +112,11 @@
   bool begun;
   bool ended; /* final: only its runs have to stop */
   int64_t accepted_us;
-  int64_t *tail_ms; /* by step: longest chain of estimates from it on */
-  int64_t chain_ms; /* the longest of all */
-  int64_t work;     /* of all tasks of an occurrence, milli-core ms */
+  int64_t started_us; /* first start ordered; 0: none */
+  uint32_t returned;  /* runs that ended without an end that counts */
+  int64_t *tail_ms;   /* by step: longest chain of estimates from it on */
+  int64_t chain_ms;   /* the longest of all */
+  int64_t work;       /* of all tasks of an occurrence, milli-core ms */
   const job_entry_t *entry; /* marks to start from; only while it is added */
 };
 
@@ -134,7 +136,8 @@
   bool listed;
   bool synced; /* has answered in this epoch */
   bool has_clock;
-  bool cordoned; /* is to be emptied */
+  bool cordoned;   /* is to be emptied */
+  bool going_down; /* its host was ordered to go down */
   int64_t clock_ms;
   int64_t clock_at_us;
   int64_t lease_ms; /* latest deadline given, on its clock */
@@ -155,7 +158,29 @@
 {
   const char *name;
   GPtrArray *workers;
-  GPtrArray *stages; /* open, with waiting tasks */
+  GPtrArray *stages;   /* open, with waiting tasks */
+  uint32_t base_hosts; /* that it had when they were first listed */
+  int64_t short_us;    /* it has needed more hosts since; 0: it does not */
+  int64_t surplus_us;  /* it could do with fewer since; 0: it can't */
+};
+
+/* A host that a worker runs on.  */
+struct host
+{
+  const char *name; /* interned */
+  const char *pool; /* interned */
+  char *worker;
+  host_state_seen_t state;
+  bool listed;
+  bool cordoned; /* by a wave or a move */
+  int64_t cordoned_us;
+  bool out;             /* an order is under way */
+  bool agreed;          /* the last order was answered with yes */
+  bool down;            /* ordered, and not listed as up since */
+  char *ordered_worker; /* that ran there at the first order */
+  int64_t ordered_us;   /* last order sent */
+  int64_t retry_us;
+  const char *move_to; /* interned: pool it is to move to; NULL: none */
 };
 
 /* A workspace.  */
@@ -183,7 +208,9 @@
   GArray *host_orders; /* to be sent */
   GArray *wave_news;   /* to be recorded */
   int64_t hosts_read_us;
+  bool moves_out;           /* hosts are on their way */
   int64_t hosts_plan_us;    /* next plan of waves */
+  int64_t confirmed_us;     /* the log said so late that this is the owner */
   int64_t granted_until_us; /* no lease goes beyond */
   uint64_t batch;           /* the one being gathered */
   int64_t since_us;
@@ -245,13 +272,25 @@
 /* hosts.c */
 void host_discard (gpointer data);
 void wave_discard (gpointer data);
+void host_cordon (sched_t *sched, host_t *host, int64_t now_us);
+bool worker_has_lasting (const worker_t *worker);
 /* hosts_hide_workers - whether hosts of POOL may have workers that are not
    listed: they are cut off from the store, or the list of hosts was not read
    yet.  */
 bool hosts_hide_workers (const sched_t *sched, const char *pool);
 
+/* moves.c: hosts between pools */
+void moves_plan (sched_t *sched, sched_now_t now);
+/* moves_note_sizes - the list of hosts was read: how many a pool has.  */
+void moves_note_sizes (sched_t *sched);
+
 /* place.c: which task starts where */
 void place_pools (sched_t *sched, sched_now_t now);
+/* job_objective_us - how long JOB may take to be worth all.  */
+int64_t job_objective_us (const sjob_t *job, const rules_queue_t *queue);
+/* cap_allows - whether JOB's workspace may have NEED more at work.  */
+bool cap_allows (const sched_t *sched, const sjob_t *job,
+                 const amounts_t *need);
 /* place_elsewhere - whether TASK could start on another worker now.  */
 bool place_elsewhere (sched_t *sched, const task_t *task,
                       const worker_t *worker, sched_now_t now);
--- a/jobs/test/hosts_test.c
+++ b/jobs/test/hosts_test.c
@@ -189,8 +189,9 @@
       rig_answer (&rig, start->worker, &row, 1, NULL, 0);
     }
   ck_assert (next_order (200, &order));
+  /* One may be away from the order on, so the other stays.  */
+  ck_assert (!next_order (200, &order));
   hosts_reply (rig.sched, &order, HOST_OK, rig.now);
-  /* One is away now, so the other stays.  */
   ck_assert (!next_order (200, &order));
 }
 END_TEST
--- a/jobs/test/workers_test.c
+++ b/jobs/test/workers_test.c
@@ -253,6 +253,58 @@
 }
 END_TEST
 
+/* Guards against an owner that was replaced while it was cut off: the next one
+   renews leases that it takes for ended.  */
+START_TEST (test_unconfirmed_owner_returns_no_tasks)
+{
+  job_step_t step = rig_step (1);
+  worker_reply_t lost = { .kind = REPLY_LOST };
+  order_t start;
+  g_autoptr (GArray) orders = NULL;
+
+  rig_open (&rig, 1);
+  rig_worker (&rig, "w1", 8, false);
+  rig_submit (&rig, 1, &step, 1);
+  start = start_one ();
+  rig_started (&rig, &start);
+  rig_worker (&rig, "w2", 8, false);
+  rig.now.us += (SCHED_LEASE_MS + 500) * INT64_C (1000);
+  rig_look (&rig, "w1", &lost, NULL);
+  rig_answer (&rig, "w2", NULL, 0, NULL, 0);
+  orders = rig_plan (&rig, false);
+  ck_assert_uint_eq (rig_count (orders, ORDER_START), 0);
+}
+END_TEST
+
+/* Guards against looks at a silent worker that lengthen its lease for ever:
+   its tasks would never start again.  */
+START_TEST (test_looks_at_a_silent_worker_give_no_lease)
+{
+  job_step_t step = rig_step (1);
+  worker_reply_t lost = { .kind = REPLY_LOST };
+  order_t start;
+  uint32_t starts = 0;
+
+  rig_open (&rig, 1);
+  rig_worker (&rig, "w1", 8, false);
+  rig_submit (&rig, 1, &step, 1);
+  start = start_one ();
+  rig_started (&rig, &start);
+  rig_worker (&rig, "w2", 8, false);
+  for (uint32_t i = 0; i < 20 && starts == 0; i++)
+    {
+      g_autoptr (GArray) orders = NULL;
+
+      rig_pass (&rig, 300);
+      rig_look (&rig, "w1", &lost, NULL);
+      rig_answer (&rig, "w2", NULL, 0, NULL, 0);
+      orders = rig_plan (&rig, false);
+      starts = rig_count (orders, ORDER_START);
+    }
+  ck_assert_uint_eq (starts, 1);
+}
+END_TEST
+
 /* What an earlier boot ran is over at once.  */
 START_TEST (test_other_boot_returns_tasks_at_once)
 {
@@ -321,6 +373,8 @@
                    test_failures_count_in_any_order,
                    test_no_leases_without_confirmation,
                    test_lost_worker_returns_tasks_after_its_lease,
+                   test_unconfirmed_owner_returns_no_tasks,
+                   test_looks_at_a_silent_worker_give_no_lease,
                    test_other_boot_returns_tasks_at_once,
                    test_fenced_reply_ends_the_ownership,
                    test_failing_worker_is_set_aside)
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -101,7 +101,7 @@
   const run_t *run = task->run;
 
   return run && run->phase == RUN_ACTIVE && run->percent >= 100
-         && !run->worker->unreachable
+         && !run->worker->unreachable && !run->worker->going_down
          && now_us - run->worker->answered_us < WORKER_SILENT_US;
 }
 
@@ -127,6 +127,8 @@
   task->stage->attempt = MAX (task->stage->attempt, attempt);
   task->stage->waiting--;
   task->stage->job->runs++;
+  if (task->stage->job->started_us == 0)
+    task->stage->job->started_us = now.us;
   amounts_add (&worker->used, &run->holds);
   amounts_add (&task->stage->job->space->used, &run->quota);
   g_ptr_array_add (worker->runs, run);
@@ -139,6 +141,7 @@
   task_t *task = run->task;
   sjob_t *job = task->stage->job;
 
+  job->returned += !task->done;
   if (!task->done && !job->ended)
     event_log (EV_TASK_RETURNED,
                "id=%s occurrence=%u step=%u index=%u attempt=%u worker=%s "
@@ -713,7 +716,9 @@
       else if (run->stopped_us != 0)
         sched_wake_at (sched, now.us + STOP_MARGIN_US);
     }
-  if (worker->runs->len > 0 && worker_lease_end_us (worker) < now.us)
+  /* An owner that was replaced does not know what the next one renewed.  */
+  if (worker->runs->len > 0
+      && worker_lease_end_us (worker) < MIN (now.us, sched->confirmed_us))
     close_all (sched, worker, "lease-ended", now);
 }
 
@@ -747,7 +752,10 @@
                     .last_seen = worker->last_seen,
                     .peek = peek };
 
-  order.deadline_ms = worker_deadline_ms (sched, worker, now.us);
+  /* A worker that does not answer gets no longer lease: its tasks would never
+     start again.  */
+  if (!worker->unreachable)
+    order.deadline_ms = worker_deadline_ms (sched, worker, now.us);
   if (!peek && worker->synced && !worker->unreachable
       && worker->last_seen == worker->seen)
     order.wait_ms = HOLD_WAIT_MS;
