jobs: order starts by time to spare and work; end only what the list shows ended

Third: a later owner took the pools' sizes at its take-over for their own.

Change: the list of hosts decides what ended; first sizes of pools are recorded.

--- a/entry/hostcalls.c
+++ b/entry/hostcalls.c
@@ -81,11 +81,15 @@
   for (uint32_t i = 0; i < items->len; i++)
     {
       const site_item_t *item = &g_array_index (items, site_item_t, i);
-      uint64_t number;
-      const char *host;
-
-      if (site_wave_mark_read (item->key, &number, &host))
-        hosts_mark (core->sched, number, host);
+      fleet_news_t news;
+
+      if (!item->value
+          || !site_fleet_read (item->key, item->value, item->len, &news))
+        continue;
+      if (news.kind == NEWS_POOL_BASE)
+        hosts_set_base (core->sched, news.name, (uint32_t)news.number);
+      else
+        hosts_mark (core->sched, news.number, news.name);
     }
   g_free (core->marks_after);
   core->marks_after
@@ -102,7 +106,7 @@
 static void
 read_marks (core_t *core)
 {
-  site_req_t req = site_newest (SITE_TOPIC_WAVES, core->marks_after);
+  site_req_t req = site_newest (SITE_TOPIC_FLEET, core->marks_after);
 
   core->marks_out = true;
   calls_send (core->calls, core->settings->store, &req, CALL_TIMEOUT_MS,
@@ -121,11 +125,12 @@
   site_hosts_t page;
 
   core->hosts_out = false;
-  core->hosts_due_us = clock_boot_us () + RETRY_US;
+  core->hosts_due_us = 0;
   if (!core->sched)
     return;
   if (!site_hosts_reply (result->status, result->body, &page, &error))
     {
+      core->hosts_due_us = clock_boot_us () + RETRY_US;
       event_log (EV_LIVE_LIST_FAILED, "%s", error->message);
       return;
     }
@@ -197,7 +202,7 @@
   g_array_set_size (orders, 0);
 }
 
-/* Records about waves.  */
+/* Records about waves and pools.  */
 
 typedef struct sent_news
 {
@@ -253,19 +258,19 @@
     }
   for (uint32_t i = 0; i < news->len; i++)
     {
-      const wave_news_t *row = &g_array_index (news, wave_news_t, i);
+      const fleet_news_t *row = &g_array_index (news, fleet_news_t, i);
 
       switch (row->kind)
         {
-        case WAVE_NEWS_RUNNING:
-        case WAVE_NEWS_COMPLETE:
+        case NEWS_WAVE_RUNNING:
+        case NEWS_WAVE_COMPLETE:
           send_news (
               core, SITE_TOPIC_STATUS,
-              site_wave_status (row->number, row->kind == WAVE_NEWS_COMPLETE));
+              site_wave_status (row->number, row->kind == NEWS_WAVE_COMPLETE));
           break;
-        case WAVE_NEWS_MARK:
-          send_news (core, SITE_TOPIC_WAVES,
-                     site_wave_mark (row->number, row->host));
+        case NEWS_WAVE_MARK:
+        case NEWS_POOL_BASE:
+          send_news (core, SITE_TOPIC_FLEET, site_fleet_record (row));
           break;
         }
     }
@@ -308,11 +313,11 @@
 
   if (!core->settings->hosts_api[0])
     return;
-  if (!core->hosts_out && core->hosts_due_us <= now_us
-      && hosts_wanted (core->sched, now))
-    read_hosts (core, NULL);
   if (!core->marks_read && !core->marks_out && core->marks_due_us <= now_us)
     read_marks (core);
+  if (core->marks_read && !core->hosts_out && core->hosts_due_us <= now_us
+      && hosts_wanted (core->sched, now))
+    read_hosts (core, NULL);
   if (!core->marks_read)
     return;
   send_orders (core, hosts_plan (core->sched, now));
--- a/jobs/hosts.c
+++ b/jobs/hosts.c
@@ -11,6 +11,9 @@
 #define EMPTY_MAX_US 3000000
 /* The list of hosts is read so often while a wave or a move is under way.  */
 #define LIST_EVERY_US 700000
+/* After an order was answered: what ran there starts again once the list shows
+   that it has ended.  */
+#define LIST_SOON_US 60000
 /* An order without an answer, or refused for the moment, is repeated.  */
 #define ORDER_RETRY_US 400000
 /* A host that is to move is given up when it is not empty after so long.  */
@@ -49,19 +52,19 @@
   g_free (wave);
 }
 
-static void
-add_news (sched_t *sched, wave_news_kind_t kind, uint64_t number,
-          const char *host)
+void
+fleet_news_add (sched_t *sched, fleet_news_kind_t kind, uint64_t number,
+                const char *name)
 {
-  wave_news_t news = { .kind = kind, .number = number, .host = host };
+  fleet_news_t news = { .kind = kind, .number = number, .name = name };
 
-  g_array_append_val (sched->wave_news, news);
+  g_array_append_val (sched->fleet_news, news);
 }
 
 GArray *
 hosts_news (sched_t *sched)
 {
-  return sched->wave_news;
+  return sched->fleet_news;
 }
 
 static wave_t *
@@ -106,7 +109,7 @@
       for (uint32_t i = 0; info->hosts[i]; i++)
         g_ptr_array_add (wave->names,
                          (gpointer)g_intern_string (info->hosts[i]));
-      add_news (sched, WAVE_NEWS_RUNNING, wave->number, NULL);
+      fleet_news_add (sched, NEWS_WAVE_RUNNING, wave->number, NULL);
       event_log (EV_WAVE_STARTED, "wave=%" PRIu64 " hosts=%u at_once=%u",
                  wave->number, wave->names->len, wave->at_once);
     }
@@ -160,7 +163,26 @@
   for (uint32_t i = 0; i < sched->waves->len; i++)
     wanted |= wave_is_open (g_ptr_array_index (sched->waves, i));
   wanted |= sched->hosts_read_us == 0 || sched->moves_out;
-  return wanted && now.us - sched->hosts_read_us >= LIST_EVERY_US;
+  return wanted
+         && now.us - sched->hosts_read_us
+                >= (sched->hosts_stale ? LIST_SOON_US : LIST_EVERY_US);
+}
+
+/* An order is answered with yes also when it was carried out before, so only
+   the list tells that what ran on HOST has ended.  */
+static void
+note_worker_gone (sched_t *sched, const host_t *host, sched_now_t now)
+{
+  worker_t *worker
+      = g_hash_table_lookup (sched->workers, host->ordered_worker);
+
+  if (!worker || !host->agreed
+      || (host->state == HOST_SEEN_UP
+          && strcmp (host->worker, host->ordered_worker) == 0))
+    return;
+  worker_clear (sched, worker, now);
+  worker->listed = false;
+  worker->unreachable = true;
 }
 
 static void
@@ -185,6 +207,7 @@
 
   sched->hosts_read_us = now.us;
   sched->moves_out = false;
+  sched->hosts_stale = false;
   g_hash_table_iter_init (&iter, sched->hosts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     ((host_t *)value)->listed = false;
@@ -209,6 +232,8 @@
           g_free (host->worker);
           host->worker = g_strdup (info->worker);
         }
+      if (host->down && sent_us > host->ordered_us)
+        note_worker_gone (sched, host, now);
       if (host->down && !host->out && host->state == HOST_SEEN_UP
           && sent_us > host->ordered_us)
         {
@@ -416,7 +441,7 @@
   if (count.left == 0 && count.down == 0)
     {
       wave->complete = true;
-      add_news (sched, WAVE_NEWS_COMPLETE, wave->number, NULL);
+      fleet_news_add (sched, NEWS_WAVE_COMPLETE, wave->number, NULL);
       event_log (EV_WAVE_DONE, "wave=%" PRIu64 " ms=%" PRId64, wave->number,
                  (now.us - wave->since_us) / 1000);
       return;
@@ -508,25 +533,14 @@
 }
 
 static void
-note_begun (sched_t *sched, host_t *host, const host_order_t *order,
-            sched_now_t now)
+note_begun (sched_t *sched, const host_t *host, const host_order_t *order)
 {
-  /* All that ran there has ended.  The answer to a repeated order may come
-     when the next boot runs tasks already.  */
-  worker_t *worker
-      = g_hash_table_lookup (sched->workers, host->ordered_worker);
   wave_t *wave = find_wave (sched, order->wave);
 
-  if (worker)
-    {
-      worker_clear (sched, worker, now);
-      worker->listed = false;
-      worker->unreachable = true;
-    }
   if (order->kind != HOST_ORDER_UPKEEP || !wave
       || !g_hash_table_add (wave->done, (gpointer)host->name))
     return;
-  add_news (sched, WAVE_NEWS_MARK, wave->number, host->name);
+  fleet_news_add (sched, NEWS_WAVE_MARK, wave->number, host->name);
 }
 
 bool
@@ -549,7 +563,8 @@
     case HOST_OK:
       host->ordered_us = now.us;
       host->agreed = true;
-      note_begun (sched, host, order, now);
+      sched->hosts_stale = true;
+      note_begun (sched, host, order);
       return true;
     case HOST_BUSY:
     case HOST_REFUSED:
--- a/jobs/hosts.h
+++ b/jobs/hosts.h
@@ -81,6 +81,10 @@
                      sched_now_t now);
 void hosts_mark (sched_t *sched, uint64_t number, const char *host);
 
+/* hosts_set_base - POOL had COUNT hosts at first, as the first owner
+   recorded.  */
+void hosts_set_base (sched_t *sched, const char *pool, uint32_t count);
+
 /* hosts_wanted - whether the list of hosts is needed now.  */
 bool hosts_wanted (const sched_t *sched, sched_now_t now);
 
@@ -93,22 +97,23 @@
 bool hosts_reply (sched_t *sched, const host_order_t *order,
                   host_reply_t reply, sched_now_t now);
 
-typedef enum wave_news_kind
+typedef enum fleet_news_kind
 {
-  WAVE_NEWS_RUNNING, /* the wave is under way */
-  WAVE_NEWS_MARK,    /* a host has begun its maintenance */
-  WAVE_NEWS_COMPLETE /* all have */
-} wave_news_kind_t;
-
-/* What has to be recorded about waves.  */
-typedef struct wave_news
+  NEWS_WAVE_RUNNING,  /* the wave is under way */
+  NEWS_WAVE_MARK,     /* a host has begun its maintenance */
+  NEWS_WAVE_COMPLETE, /* all have */
+  NEWS_POOL_BASE      /* how many hosts a pool had at first */
+} fleet_news_kind_t;
+
+/* What has to be recorded about waves and pools.  */
+typedef struct fleet_news
 {
-  wave_news_kind_t kind;
-  uint64_t number;
-  const char *host; /* MARK; interned */
-} wave_news_t;
+  fleet_news_kind_t kind;
+  uint64_t number;  /* of the wave; POOL_BASE: of hosts */
+  const char *name; /* WAVE_MARK: host, POOL_BASE: pool; interned */
+} fleet_news_t;
 
-/* hosts_news - of wave_news_t, since the last call; the caller empties it.  */
+/* hosts_news - of fleet_news_t, since the last call; the caller empties it. */
 GArray *hosts_news (sched_t *sched);
 
 #endif
--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -250,6 +250,12 @@
     begin_move (sched, host, standby, now);
 }
 
+void
+hosts_set_base (sched_t *sched, const char *pool, uint32_t count)
+{
+  sched_pool (sched, pool)->base_hosts = count;
+}
+
 void
 moves_note_sizes (sched_t *sched)
 {
@@ -274,8 +280,10 @@
       uint32_t count
           = GPOINTER_TO_UINT (g_hash_table_lookup (counts, pool->name));
 
-      if (pool->base_hosts == 0)
-        pool->base_hosts = count;
+      if (pool->base_hosts > 0 || count == 0)
+        continue;
+      pool->base_hosts = count;
+      fleet_news_add (sched, NEWS_POOL_BASE, count, pool->name);
     }
 }
 
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -6,6 +6,12 @@
    many times its objective.  */
 #define LATE_TIMES 3
 
+/* In the order of starts, the time for which a job's work would keep its whole
+   pool busy counts so many times against the time that it has to spare.  Time
+   alone lets a burst's large jobs make all others late; work alone starves the
+   large ones.  */
+#define WORK_WEIGHT 10
+
 typedef enum rank
 {
   RANK_LASTING, /* serves users all the time */
@@ -64,6 +70,21 @@
   return 0;
 }
 
+static double
+room_of (const pool_t *pool)
+{
+  int64_t cpu_milli = 0;
+
+  for (uint32_t i = 0; i < pool->workers->len; i++)
+    {
+      const worker_t *worker = g_ptr_array_index (pool->workers, i);
+
+      if (worker->listed)
+        cpu_milli += worker->room.cpu_milli;
+    }
+  return (double)MAX (cpu_milli, 1);
+}
+
 /* Work that the job still has before it, in milli-core ms.  */
 static double
 work_left (const sjob_t *job, const stage_t *stage)
@@ -77,6 +98,17 @@
   return work;
 }
 
+/* Time that STAGE's job has to spare if the stage starts now.  */
+static double
+spare_ms (const stage_t *stage, const rules_queue_t *queue, int64_t now_us)
+{
+  const sjob_t *job = stage->job;
+  int64_t allowed_us = queue ? job_objective_us (job, queue) : 0;
+
+  return (double)(job->accepted_us + allowed_us - now_us) / 1000
+         - (double)job->tail_ms[stage->step];
+}
+
 static bool
 has_label (const worker_t *worker, const char *label)
 {
@@ -282,6 +314,7 @@
 {
   g_autofree turn_t *turns = NULL;
   bool settled = pool_is_settled (sched, pool, now);
+  double room = room_of (pool);
   uint32_t count = 0;
 
   if (pool->stages->len == 0)
@@ -309,7 +342,9 @@
           = (turn_t){ .stage = stage,
                       .rank = rank_of (stage, queue, now.us),
                       .priority = queue ? queue->priority : UINT32_MAX,
-                      .cost = work_left (stage->job, stage) };
+                      .cost
+                      = spare_ms (stage, queue, now.us)
+                        + WORK_WEIGHT * work_left (stage->job, stage) / room };
     }
   qsort (turns, count, sizeof *turns, compare_turns);
   for (uint32_t i = 0; i < count; i++)
--- a/jobs/sched.c
+++ b/jobs/sched.c
@@ -514,7 +514,7 @@
                                         host_discard);
   sched->waves = g_ptr_array_new_with_free_func (wave_discard);
   sched->host_orders = g_array_new (FALSE, TRUE, sizeof (host_order_t));
-  sched->wave_news = g_array_new (FALSE, TRUE, sizeof (wave_news_t));
+  sched->fleet_news = g_array_new (FALSE, TRUE, sizeof (fleet_news_t));
   sched->granted_until_us = now.us;
   g_hash_table_iter_init (&iter, table->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &entry))
@@ -549,7 +549,7 @@
   g_hash_table_destroy (sched->hosts);
   g_ptr_array_free (sched->waves, TRUE);
   g_array_free (sched->host_orders, TRUE);
-  g_array_free (sched->wave_news, TRUE);
+  g_array_free (sched->fleet_news, TRUE);
   g_array_free (sched->orders, TRUE);
   g_array_free (sched->ends, TRUE);
   g_array_free (sched->changes, TRUE);
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -206,9 +206,10 @@
   GHashTable *hosts;   /* interned name -> host_t */
   GPtrArray *waves;    /* wave_t */
   GArray *host_orders; /* to be sent */
-  GArray *wave_news;   /* to be recorded */
+  GArray *fleet_news;  /* to be recorded */
   int64_t hosts_read_us;
   bool moves_out;           /* hosts are on their way */
+  bool hosts_stale;         /* an order was answered since the last list */
   int64_t hosts_plan_us;    /* next plan of waves */
   int64_t confirmed_us;     /* the log said so late that this is the owner */
   int64_t granted_until_us; /* no lease goes beyond */
@@ -272,6 +273,8 @@
 /* hosts.c */
 void host_discard (gpointer data);
 void wave_discard (gpointer data);
+void fleet_news_add (sched_t *sched, fleet_news_kind_t kind, uint64_t number,
+                     const char *name);
 void host_cordon (sched_t *sched, host_t *host, int64_t now_us);
 bool worker_has_lasting (const worker_t *worker);
 /* hosts_hide_workers - whether hosts of POOL may have workers that are not
--- a/jobs/test/hosts_test.c
+++ b/jobs/test/hosts_test.c
@@ -63,12 +63,12 @@
 }
 
 static bool
-has_news (wave_news_kind_t kind)
+has_news (fleet_news_kind_t kind)
 {
   const GArray *news = hosts_news (rig.sched);
 
   for (uint32_t i = 0; i < news->len; i++)
-    if (g_array_index (news, wave_news_t, i).kind == kind)
+    if (g_array_index (news, fleet_news_t, i).kind == kind)
       return true;
   return false;
 }
@@ -109,14 +109,14 @@
   set_wave ("h0 h1", 1);
   for (uint32_t i = 0; i < 2; i++)
     {
-      ck_assert (!has_news (WAVE_NEWS_COMPLETE));
+      ck_assert (!has_news (NEWS_WAVE_COMPLETE));
       ck_assert (next_order (200, &order));
       hosts_reply (rig.sched, &order, HOST_OK, rig.now);
       rig_pass (&rig, 2500);
       list_hosts (ids, 2, UINT32_MAX);
     }
   ck_assert (!next_order (200, &order));
-  ck_assert (has_news (WAVE_NEWS_COMPLETE));
+  ck_assert (has_news (NEWS_WAVE_COMPLETE));
 }
 END_TEST
 
@@ -156,6 +156,39 @@
 }
 END_TEST
 
+/* Guards against taking what runs on a host for ended because an order was
+   answered with yes: it may have been carried out long before.  */
+START_TEST (test_order_done_before_ends_nothing)
+{
+  const char *ids[] = { "w0" };
+  job_step_t step = rig_step (1);
+  host_order_t order;
+  run_row_t row;
+  g_autoptr (GArray) starts = NULL;
+  g_autoptr (GArray) again = NULL;
+
+  rig_open (&rig, 1);
+  rig_worker (&rig, "w0", 8, false);
+  rig_worker (&rig, "w9", 8, false);
+  step.lasts = true;
+  rig_submit (&rig, 1, &step, 1);
+  starts = rig_plan (&rig, false);
+  ck_assert_uint_eq (rig_count (starts, ORDER_START), 1);
+  rig_started (&rig, &g_array_index (starts, order_t, 0));
+  ids[0] = g_array_index (starts, order_t, 0).worker;
+  list_hosts (ids, 1, UINT32_MAX);
+  set_wave ("h0", 1);
+  ck_assert (next_order (200, &order));
+  hosts_reply (rig.sched, &order, HOST_OK, rig.now);
+  rig_pass (&rig, 100);
+  list_hosts (ids, 1, UINT32_MAX);
+  row = rig_row (&g_array_index (starts, order_t, 0));
+  rig_answer (&rig, ids[0], &row, 1, NULL, 0);
+  again = rig_plan (&rig, false);
+  ck_assert_uint_eq (again->len, 0);
+}
+END_TEST
+
 /* Guards against an upkeep that leaves a lasting step with more tasks away
    than it may miss.  */
 START_TEST (test_upkeep_waits_for_lasting_tasks)
@@ -199,4 +232,5 @@
 TEST_PROGRAM_WITH ("jobs/hosts", set_up, tear_down, test_wave_keeps_its_bound,
                    test_wave_is_complete_when_all_have_begun,
                    test_late_answer_leaves_the_next_boot_alone,
+                   test_order_done_before_ends_nothing,
                    test_upkeep_waits_for_lasting_tasks)
