jobs: a long task is not a slow worker; empty hosts of lasting tasks one by one

Ruled out for the waves: too few hosts at a time.

Change: a worker is slow when half of its runs are, a task is taken from a slow worker once; lasting tasks leave such a host one by one and spread when placed.

--- a/jobs/hosts.c
+++ b/jobs/hosts.c
@@ -405,6 +405,44 @@
              order.pool ? order.pool : "-", order.wave, order.token);
 }
 
+/* Stops one lasting task of WORKER that may be away, so that it starts again
+   elsewhere: two of one step can't go down together.  */
+static void
+move_one_away (const worker_t *worker, int64_t now_us)
+{
+  for (uint32_t i = 0; i < worker->runs->len; i++)
+    {
+      run_t *run = g_ptr_array_index (worker->runs, i);
+
+      if (run->task->stage->spec->lasts && run->phase == RUN_STOPPING)
+        return;
+    }
+  for (uint32_t i = 0; i < worker->runs->len; i++)
+    {
+      run_t *run = g_ptr_array_index (worker->runs, i);
+
+      if (!run->task->stage->spec->lasts || !may_end (run, now_us))
+        continue;
+      run_stop (run);
+      return;
+    }
+}
+
+/* Says, now and then, why HOST does not go down yet.  */
+static void
+log_waiting (const wave_t *wave, host_t *host, const worker_t *worker,
+             int64_t now_us)
+{
+  if (now_us - host->cordoned_us < EMPTY_MAX_US || host->logged_us > now_us)
+    return;
+  host->logged_us = now_us + EMPTY_MAX_US;
+  event_log (EV_WAVE_WAITING,
+             "wave=%" PRIu64 " host=%s worker=%s runs=%u emptying_ms=%" PRId64
+             " why=lasting-tasks-of-a-step-away",
+             wave->number, host->name, worker->id, worker->runs->len,
+             (now_us - host->cordoned_us) / 1000);
+}
+
 /* Orders the maintenance of hosts of WAVE that are ready for it.  */
 static void
 take_down (sched_t *sched, const wave_t *wave, uint32_t down, sched_now_t now)
@@ -422,7 +460,11 @@
       worker = g_hash_table_lookup (sched->workers, host->worker);
       if (!host->down && worker
           && !may_go_down (worker, host->cordoned_us, now.us))
-        continue;
+        {
+          move_one_away (worker, now.us);
+          log_waiting (wave, host, worker, now.us);
+          continue;
+        }
       down += !host->down;
       add_order (
           sched, host,
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -162,6 +162,9 @@
     value += 2;
   if (task->avoid == worker->interned)
     value -= 4;
+  /* Lasting tasks of one step are better not lost together.  */
+  if (stage->spec->lasts)
+    value -= count_of_stage (worker, stage);
   return value;
 }
 
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -70,6 +70,7 @@
   uint32_t attempt; /* last one used */
   fails_t fails;
   bool done;
+  bool moved; /* taken from a slow worker once */
   char *checkpoint;
   run_t *run;
   int64_t not_before_us;
@@ -180,6 +181,7 @@
   char *ordered_worker; /* that ran there at the first order */
   int64_t ordered_us;   /* last order sent */
   int64_t retry_us;
+  int64_t logged_us;   /* no line about it before */
   const char *move_to; /* interned: pool it is to move to; NULL: none */
 };
 
--- a/jobs/stall.c
+++ b/jobs/stall.c
@@ -46,28 +46,57 @@
                + JUDGE_US;
 }
 
+/* How many of the runs on WORKER that can be judged are slow.  */
+typedef struct speed
+{
+  uint32_t judged;
+  uint32_t slow;
+  uint32_t still; /* of the slow ones: without any progress */
+} speed_t;
+
+static bool
+can_judge (const run_t *run, int64_t now_us)
+{
+  const job_step_t *spec = run->task->stage->spec;
+
+  return run->phase == RUN_ACTIVE && !spec->lasts && !spec->gang
+         && !spec->fills && now_us - run->active_us >= JUDGE_US;
+}
+
+static speed_t
+measure (const worker_t *worker, int64_t now_us)
+{
+  speed_t speed = { 0 };
+
+  for (uint32_t i = 0; i < worker->runs->len; i++)
+    {
+      const run_t *run = g_ptr_array_index (worker->runs, i);
+      int64_t needs_us;
+
+      if (!can_judge (run, now_us))
+        continue;
+      needs_us = left_us (run, now_us);
+      speed.judged++;
+      speed.slow += is_slow (run, needs_us, now_us);
+      speed.still += needs_us == INT64_MAX;
+    }
+  return speed;
+}
+
+/* Starts the task of the slow RUN elsewhere, once: a task that is slow there
+   too is longer than was said.  */
 static void
-judge (sched_t *sched, run_t *run, sched_now_t now)
+restart (sched_t *sched, run_t *run, sched_now_t now)
 {
   task_t *task = run->task;
-  worker_t *worker = run->worker;
   int64_t needs_us = left_us (run, now.us);
 
-  if (!is_slow (run, needs_us, now.us))
-    return;
-  if (worker->suspect_until_us <= now.us)
-    event_log (EV_WORKER_SUSPECT,
-               "worker=%s why=slow task=%s percent=%u "
-               "ran_ms=%" PRId64 " estimate_ms=%u",
-               worker->id, task->stage->job->desc->id, run->percent,
-               (now.us - run->active_us) / 1000,
-               task->stage->spec->estimate_ms);
-  worker->suspect_until_us = MAX (worker->suspect_until_us, now.us + SLOW_US);
-  if (task->run != run || task->done
-      || needs_us / 100 < anew_us (run) * WORTH_PERCENT / 10000
-      || !place_elsewhere (sched, task, worker, now))
+  if (task->run != run || task->done || task->moved
+      || needs_us / 100 < anew_us (run) / 10000 * WORTH_PERCENT
+      || !place_elsewhere (sched, task, run->worker, now))
     return;
-  task->avoid = worker->interned;
+  task->moved = true;
+  task->avoid = run->worker->interned;
   if (task->stage->spec->speculative)
     run_leave (sched, run);
   else
@@ -77,13 +106,23 @@
 void
 stalls_check (sched_t *sched, worker_t *worker, sched_now_t now)
 {
+  speed_t speed = measure (worker, now.us);
+
+  /* One slow run among others that get on is a long task.  */
+  if (speed.slow == 0 || speed.slow * 2 < speed.judged
+      || (speed.judged == 1 && speed.still == 0))
+    return;
+  if (worker->suspect_until_us <= now.us)
+    event_log (EV_WORKER_SUSPECT,
+               "worker=%s why=slow judged=%u slow=%u still=%u", worker->id,
+               speed.judged, speed.slow, speed.still);
+  worker->suspect_until_us = MAX (worker->suspect_until_us, now.us + SLOW_US);
   for (uint32_t i = 0; i < worker->runs->len; i++)
     {
       run_t *run = g_ptr_array_index (worker->runs, i);
-      const job_step_t *spec = run->task->stage->spec;
 
-      if (run->phase == RUN_ACTIVE && !spec->lasts && !spec->gang
-          && !spec->fills && now.us - run->active_us >= JUDGE_US)
-        judge (sched, run, now);
+      if (can_judge (run, now.us)
+          && is_slow (run, left_us (run, now.us), now.us))
+        restart (sched, run, now);
     }
 }
