jobs: record starts before they are ordered

Ruled out: a lack of hosts (the pools had room), slow take-overs (1.7 s).

Change: PROGRESS names attempt and worker of each start; the order leaves when that record was read back. A new owner waits only for what is recorded for workers that don't answer. The rule that a whole service waits, the numbering of attempts by epoch and the comparison with the list of hosts are removed.

--- a/entry/core.c
+++ b/entry/core.c
@@ -77,8 +77,7 @@
   sched_limits_t limits = { .lease_ms = MIN (s->hold_max_ms, SCHED_LEASE_MS),
                             .stop_grace_ms = s->stop_grace_ms,
                             .notice_ms = s->notice_ms,
-                            .host_lease_ms = s->host_lease_ms,
-                            .lists_hosts = s->hosts_api[0] != '\0' };
+                            .host_lease_ms = s->host_lease_ms };
 
   event_log (EV_OWNER_GAINED, "epoch=%" PRIu64 " jobs=%u",
              core->tab->owner.epoch, g_hash_table_size (core->tab->jobs));
--- a/jobs/hosts.c
+++ b/jobs/hosts.c
@@ -131,38 +131,13 @@
   return !wave->complete && wave->names->len > 0;
 }
 
-bool
-hosts_hide_workers (const sched_t *sched, const char *pool)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  if (!sched->limits.lists_hosts)
-    return false;
-  if (sched->hosts_read_us == 0)
-    return true;
-  g_hash_table_iter_init (&iter, sched->hosts);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const host_t *host = value;
-
-      if (host->listed && host->pool == pool && host->state == HOST_SEEN_UP
-          && host->worker[0] != '\0'
-          && !g_hash_table_contains (sched->workers, host->worker))
-        return true;
-    }
-  return false;
-}
-
 bool
 hosts_wanted (const sched_t *sched, sched_now_t now)
 {
-  /* A new owner has to know which workers may be hidden from it.  */
-  bool wanted = sched->hosts_read_us == 0 && sched->epoch > 1;
+  bool wanted = sched->hosts_read_us == 0 || sched->moves_out;
 
   for (uint32_t i = 0; i < sched->waves->len; i++)
     wanted |= wave_is_open (g_ptr_array_index (sched->waves, i));
-  wanted |= sched->hosts_read_us == 0 || sched->moves_out;
   return wanted
          && now.us - sched->hosts_read_us
                 >= (sched->hosts_stale ? LIST_SOON_US : LIST_EVERY_US);
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -140,6 +140,14 @@
   bool done; /* else it failed */
 } task_end_t;
 
+/* A start that the owner is about to order.  */
+typedef struct task_placed
+{
+  task_ref_t task;
+  uint32_t attempt;
+  const char *worker; /* interned */
+} task_placed_t;
+
 typedef struct job_change
 {
   char id[JOB_ID_BYTES];
@@ -164,6 +172,7 @@
     {
       uint64_t epoch;
       uint64_t batch;  /* counts the owner's records of progress */
+      GArray *placed;  /* of task_placed_t */
       GArray *ends;    /* of task_end_t */
       GArray *changes; /* of job_change_t */
     } progress;
--- a/jobs/jobtab.c
+++ b/jobs/jobtab.c
@@ -2,11 +2,9 @@
 #include "codec.h"
 #include <string.h>
 
-#define SNAPSHOT_FORMAT 1
+#define SNAPSHOT_FORMAT 2
 #define SNAPSHOT_BYTES_MAX (64 * 1024 * 1024)
-/* Done, number of failures, the highest of them, and the first ones.  */
-#define MARK_WORDS (3 + FAILS_KEPT)
-#define MARK_BYTES (MARK_WORDS * sizeof (uint32_t))
+#define MARK_FIELDS 7
 
 static void
 entry_free (gpointer data)
@@ -125,33 +123,53 @@
   return (folded_t){ FOLD_CLAIMED, NULL };
 }
 
+static task_mark_t *
+find_mark (jobtab_t *table, const task_ref_t *task)
+{
+  job_entry_t *entry = jobtab_find (table, task->id);
+  uint32_t number = entry && entry->marks ? job_task_number (entry->desc, task)
+                                          : UINT32_MAX;
+
+  return number == UINT32_MAX ? NULL : &entry->marks[number];
+}
+
 static void
-fold_end (jobtab_t *table, const task_end_t *end)
+fold_placed (jobtab_t *table, const task_placed_t *placed)
 {
-  job_entry_t *entry = jobtab_find (table, end->task.id);
-  uint32_t number;
-  task_mark_t *mark;
+  task_mark_t *mark = find_mark (table, &placed->task);
 
-  if (!entry || !entry->marks)
+  if (!mark || placed->attempt <= mark->placed)
     return;
-  number = job_task_number (entry->desc, &end->task);
-  if (number == UINT32_MAX)
+  mark->placed = placed->attempt;
+  mark->worker = placed->worker;
+}
+
+static void
+fold_end (jobtab_t *table, const task_end_t *end)
+{
+  task_mark_t *mark = find_mark (table, &end->task);
+
+  if (!mark)
     return;
-  mark = &entry->marks[number];
   if (end->done)
     mark->done = true;
   else
     fails_add (&mark->fails, end->attempt);
+  if (end->attempt == mark->placed)
+    mark->worker = NULL; /* that run is over */
 }
 
 static folded_t
 fold_progress (jobtab_t *table, const job_rec_t *rec, int64_t now_ms)
 {
+  const GArray *placed = rec->u.progress.placed;
   const GArray *ends = rec->u.progress.ends;
   const GArray *changes = rec->u.progress.changes;
 
   if (rec->u.progress.epoch != table->owner.epoch)
     return (folded_t){ FOLD_NOTHING, NULL };
+  for (uint32_t i = 0; i < placed->len; i++)
+    fold_placed (table, &g_array_index (placed, task_placed_t, i));
   for (uint32_t i = 0; i < ends->len; i++)
     fold_end (table, &g_array_index (ends, task_end_t, i));
   for (uint32_t i = 0; i < changes->len; i++)
@@ -214,38 +232,40 @@
 }
 
 static bool
-marks_are_clear (const job_entry_t *entry)
+mark_is_clear (const task_mark_t *mark)
 {
-  for (uint32_t i = 0; i < entry->marks_count; i++)
-    if (entry->marks[i].done || entry->marks[i].fails.count > 0)
-      return false;
-  return true;
+  return !mark->done && mark->fails.count == 0 && mark->placed == 0;
 }
 
+static void
+pack_mark (msgpack_packer *pk, uint32_t number, const task_mark_t *mark)
+{
+  uint32_t kept = MIN (mark->fails.count, FAILS_KEPT);
+
+  msgpack_pack_array (pk, MARK_FIELDS);
+  msgpack_pack_uint32 (pk, number);
+  msgpack_pack_uint32 (pk, mark->done);
+  msgpack_pack_uint32 (pk, mark->fails.count);
+  msgpack_pack_uint32 (pk, mark->fails.highest);
+  msgpack_pack_array (pk, kept);
+  for (uint32_t i = 0; i < kept; i++)
+    msgpack_pack_uint32 (pk, mark->fails.attempts[i]);
+  msgpack_pack_uint32 (pk, mark->placed);
+  pack_name (pk, mark->worker);
+}
+
+/* Only tasks of which something is known.  */
 static void
 pack_marks (msgpack_packer *pk, const job_entry_t *entry)
 {
-  g_autofree uint32_t *words = NULL;
-  uint32_t *at;
+  uint32_t count = 0;
 
-  if (marks_are_clear (entry))
-    {
-      msgpack_pack_nil (pk);
-      return;
-    }
-  words = g_new (uint32_t, (size_t)entry->marks_count * MARK_WORDS);
-  at = words;
   for (uint32_t i = 0; i < entry->marks_count; i++)
-    {
-      const task_mark_t *mark = &entry->marks[i];
-
-      *at++ = GUINT32_TO_LE (mark->done);
-      *at++ = GUINT32_TO_LE (mark->fails.count);
-      *at++ = GUINT32_TO_LE (mark->fails.highest);
-      for (uint32_t f = 0; f < FAILS_KEPT; f++)
-        *at++ = GUINT32_TO_LE (mark->fails.attempts[f]);
-    }
-  pack_bin (pk, words, (size_t)entry->marks_count * MARK_BYTES);
+    count += !mark_is_clear (&entry->marks[i]);
+  msgpack_pack_array (pk, count);
+  for (uint32_t i = 0; i < entry->marks_count; i++)
+    if (!mark_is_clear (&entry->marks[i]))
+      pack_mark (pk, i, &entry->marks[i]);
 }
 
 GBytes *
@@ -279,37 +299,46 @@
   return pack_take (&buf);
 }
 
+static const char *
+read_mark (const msgpack_object *object, job_entry_t *entry)
+{
+  fields_t f = fields_open (object, "mark");
+  uint64_t number = fields_u64 (&f, "number", UINT32_MAX);
+  const msgpack_object *attempts;
+  g_autofree char *worker = NULL;
+  task_mark_t mark = { 0 };
+  uint32_t kept;
+
+  mark.done = fields_u64 (&f, "done", 1);
+  mark.fails.count = (uint32_t)fields_u64 (&f, "fails", UINT32_MAX);
+  mark.fails.highest = (uint32_t)fields_u64 (&f, "highest", UINT32_MAX);
+  kept = array_read (&f, "attempts", &attempts);
+  mark.placed = (uint32_t)fields_u64 (&f, "placed", UINT32_MAX);
+  worker = text_read (&f, "worker");
+  mark.worker = worker ? g_intern_string (worker) : NULL;
+  if (f.bad || number >= entry->marks_count
+      || kept != MIN (mark.fails.count, FAILS_KEPT))
+    return "mark";
+  for (uint32_t i = 0; i < kept; i++)
+    {
+      if (attempts[i].type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+        return "attempts";
+      mark.fails.attempts[i] = (uint32_t)attempts[i].via.u64;
+    }
+  entry->marks[number] = mark;
+  return NULL;
+}
+
 static void
 read_marks (fields_t *f, job_entry_t *entry)
 {
-  const uint8_t *bytes;
-  size_t len = 0;
+  const msgpack_object *items;
+  uint32_t count = array_read (f, "marks", &items);
 
   entry->marks_count = job_tasks (entry->desc);
   entry->marks = g_new0 (task_mark_t, entry->marks_count);
-  if (f->left > 0 && f->at->type == MSGPACK_OBJECT_NIL)
-    {
-      fields_next (f, "marks");
-      return;
-    }
-  bytes = fields_bin (f, "marks", &len);
-  if (!bytes || len != (size_t)entry->marks_count * MARK_BYTES)
-    {
-      f->bad = "marks";
-      return;
-    }
-  for (uint32_t i = 0; i < entry->marks_count; i++)
-    {
-      task_mark_t *mark = &entry->marks[i];
-      uint32_t words[MARK_WORDS];
-
-      memcpy (words, bytes + (size_t)i * MARK_BYTES, sizeof words);
-      mark->done = words[0] != 0;
-      mark->fails.count = GUINT32_FROM_LE (words[1]);
-      mark->fails.highest = GUINT32_FROM_LE (words[2]);
-      for (uint32_t a = 0; a < FAILS_KEPT; a++)
-        mark->fails.attempts[a] = GUINT32_FROM_LE (words[3 + a]);
-    }
+  for (uint32_t i = 0; i < count && !f->bad; i++)
+    f->bad = read_mark (&items[i], entry);
 }
 
 static const char *
--- a/jobs/jobtab.h
+++ b/jobs/jobtab.h
@@ -21,6 +21,8 @@
 typedef struct task_mark
 {
   fails_t fails;
+  uint32_t placed;    /* last attempt that was to start; 0: none */
+  const char *worker; /* where; interned */
   bool done;
 } task_mark_t;
 
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -226,21 +226,17 @@
              && cap_allows_one (rule->cap.accels, used->accels, need->accels));
 }
 
+/* RUN is ordered once its record is in the log (worker_orders): a later owner
+   has to know where the task may run.  */
 static void
-start_run (sched_t *sched, run_t *run, sched_now_t now)
+start_run (sched_t *sched, run_t *run)
 {
-  worker_t *worker = run->worker;
-  const task_t *task = run->task;
-  order_t order = { .kind = ORDER_START,
-                    .worker = worker->interned,
-                    .address = worker->address,
-                    .task = task_ref (task),
-                    .attempt = run->attempt,
-                    .payload = task->stage->job->desc->payload,
-                    .checkpoint = task->checkpoint };
-
-  order.deadline_ms = worker_deadline_ms (sched, worker, now.us);
-  order_add (sched, order);
+  task_placed_t placed = { .task = task_ref (run->task),
+                           .attempt = run->attempt,
+                           .worker = run->worker->interned };
+
+  run->batch = sched->batch;
+  g_array_append_val (sched->placed, placed);
 }
 
 /* Starts the tasks of a gang together, or none.  */
@@ -253,7 +249,7 @@
   if (stage->waiting < stage->undone)
     return; /* members of the last attempt are still there */
   for (uint32_t i = 0; i < stage->spec->count; i++)
-    attempt = MAX (attempt, task_next_attempt (sched, &stage->tasks[i]));
+    attempt = MAX (attempt, task_next_attempt (&stage->tasks[i]));
   for (uint32_t i = 0; i < stage->spec->count; i++)
     {
       task_t *task = &stage->tasks[i];
@@ -272,7 +268,7 @@
   if (runs->len == stage->undone)
     {
       for (uint32_t i = 0; i < runs->len; i++)
-        start_run (sched, g_ptr_array_index (runs, i), now);
+        start_run (sched, g_ptr_array_index (runs, i));
       return;
     }
   while (runs->len > 0)
@@ -305,10 +301,8 @@
       worker = find_worker (pool, stage, task, now);
       if (!worker)
         return;
-      start_run (
-          sched,
-          run_new (sched, task, worker, task_next_attempt (sched, task), now),
-          now);
+      start_run (sched,
+                 run_new (sched, task, worker, task_next_attempt (task), now));
     }
 }
 
@@ -316,7 +310,6 @@
 place_pool (sched_t *sched, pool_t *pool, sched_now_t now)
 {
   g_autofree turn_t *turns = NULL;
-  bool settled = pool_is_settled (sched, pool, now);
   double room = room_of (pool);
   uint32_t count = 0;
 
@@ -324,8 +317,6 @@
     return;
   if (sched->granted_until_us <= now.us)
     return;
-  if (!settled)
-    sched_wake_at (sched, now.us + HOLD_RETRY_US);
   turns = g_new (turn_t, pool->stages->len);
   for (uint32_t i = pool->stages->len; i-- > 0;)
     {
@@ -339,8 +330,6 @@
           g_ptr_array_remove_index_fast (pool->stages, i);
           continue;
         }
-      if (!settled && stage->job->inherited)
-        continue;
       turns[count++]
           = (turn_t){ .stage = stage,
                       .rank = rank_of (stage, queue, now.us),
--- a/jobs/record.c
+++ b/jobs/record.c
@@ -35,6 +35,8 @@
       g_free (rec->u.owner.holder);
       break;
     case JREC_PROGRESS:
+      if (rec->u.progress.placed)
+        g_array_free (rec->u.progress.placed, TRUE);
       if (rec->u.progress.ends)
         g_array_free (rec->u.progress.ends, TRUE);
       if (rec->u.progress.changes)
@@ -94,6 +96,30 @@
   msgpack_pack_int64 (pk, desc->accepted_ms);
 }
 
+static void
+pack_ref (msgpack_packer *pk, const task_ref_t *ref)
+{
+  pack_name (pk, ref->id);
+  msgpack_pack_uint32 (pk, ref->occurrence);
+  msgpack_pack_uint32 (pk, ref->step);
+  msgpack_pack_uint32 (pk, ref->index);
+}
+
+static void
+pack_placed (msgpack_packer *pk, const GArray *placed)
+{
+  msgpack_pack_array (pk, placed->len);
+  for (uint32_t i = 0; i < placed->len; i++)
+    {
+      const task_placed_t *row = &g_array_index (placed, task_placed_t, i);
+
+      msgpack_pack_array (pk, 6);
+      pack_ref (pk, &row->task);
+      msgpack_pack_uint32 (pk, row->attempt);
+      pack_name (pk, row->worker);
+    }
+}
+
 static void
 pack_progress (msgpack_packer *pk, const job_rec_t *rec)
 {
@@ -102,16 +128,14 @@
 
   msgpack_pack_uint64 (pk, rec->u.progress.epoch);
   msgpack_pack_uint64 (pk, rec->u.progress.batch);
+  pack_placed (pk, rec->u.progress.placed);
   msgpack_pack_array (pk, ends->len);
   for (uint32_t i = 0; i < ends->len; i++)
     {
       const task_end_t *end = &g_array_index (ends, task_end_t, i);
 
       msgpack_pack_array (pk, 6);
-      pack_name (pk, end->task.id);
-      msgpack_pack_uint32 (pk, end->task.occurrence);
-      msgpack_pack_uint32 (pk, end->task.step);
-      msgpack_pack_uint32 (pk, end->task.index);
+      pack_ref (pk, &end->task);
       msgpack_pack_uint32 (pk, end->attempt);
       msgpack_pack_uint32 (pk, end->done);
     }
@@ -136,7 +160,7 @@
   msgpack_packer_init (&pk, &buf, msgpack_sbuffer_write);
   msgpack_pack_array (&pk, rec->kind == JREC_SUBMIT || rec->kind == JREC_CANCEL
                                ? 2
-                           : rec->kind == JREC_PROGRESS ? 5
+                           : rec->kind == JREC_PROGRESS ? 6
                                                         : 3);
   msgpack_pack_uint32 (&pk, rec->kind);
   switch (rec->kind)
@@ -310,6 +334,34 @@
   return desc;
 }
 
+static void
+read_ref (fields_t *row, task_ref_t *ref)
+{
+  id_read (row, ref->id);
+  ref->occurrence = (uint32_t)fields_u64 (row, "k", UINT32_MAX);
+  ref->step = (uint32_t)fields_u64 (row, "step", UINT32_MAX);
+  ref->index = (uint32_t)fields_u64 (row, "index", UINT32_MAX);
+}
+
+static void
+read_placed (fields_t *f, GArray *placed)
+{
+  const msgpack_object *items;
+  uint32_t count = array_read (f, "placed", &items);
+
+  for (uint32_t i = 0; i < count && !f->bad; i++)
+    {
+      fields_t fields = fields_open (&items[i], "placed");
+      task_placed_t row = { 0 };
+
+      read_ref (&fields, &row.task);
+      row.attempt = (uint32_t)fields_u64 (&fields, "attempt", UINT32_MAX);
+      row.worker = interned_text (&fields, "worker");
+      f->bad = fields.bad;
+      g_array_append_val (placed, row);
+    }
+}
+
 static void
 read_ends (fields_t *f, GArray *ends)
 {
@@ -321,10 +373,7 @@
       fields_t row = fields_open (&items[i], "end");
       task_end_t end = { 0 };
 
-      id_read (&row, end.task.id);
-      end.task.occurrence = (uint32_t)fields_u64 (&row, "k", UINT32_MAX);
-      end.task.step = (uint32_t)fields_u64 (&row, "step", UINT32_MAX);
-      end.task.index = (uint32_t)fields_u64 (&row, "index", UINT32_MAX);
+      read_ref (&row, &end.task);
       end.attempt = (uint32_t)fields_u64 (&row, "attempt", UINT32_MAX);
       end.done = fields_u64 (&row, "done", 1);
       f->bad = row.bad;
@@ -386,9 +435,12 @@
     case JREC_PROGRESS:
       rec->u.progress.epoch = fields_u64 (&f, "epoch", UINT64_MAX);
       rec->u.progress.batch = fields_u64 (&f, "batch", UINT64_MAX);
+      rec->u.progress.placed
+          = g_array_new (FALSE, FALSE, sizeof (task_placed_t));
       rec->u.progress.ends = g_array_new (FALSE, FALSE, sizeof (task_end_t));
       rec->u.progress.changes
           = g_array_new (FALSE, FALSE, sizeof (job_change_t));
+      read_placed (&f, rec->u.progress.placed);
       read_ends (&f, rec->u.progress.ends);
       read_changes (&f, rec->u.progress.changes);
       break;
--- a/jobs/sched.c
+++ b/jobs/sched.c
@@ -123,14 +123,13 @@
 }
 
 uint32_t
-task_next_attempt (const sched_t *sched, const task_t *task)
+task_next_attempt (const task_t *task)
 {
-  uint32_t least = (uint32_t)((sched->epoch - 1) * EPOCH_ATTEMPTS);
   uint32_t last = MAX (task->attempt, task->fails.highest);
 
   if (task->stage->spec->gang)
     last = MAX (last, task->stage->attempt);
-  return MAX (last, least) + 1;
+  return last + 1;
 }
 
 /* What decided how long a job took, for whoever asks later.  */
@@ -363,14 +362,16 @@
       task->fails = mark->fails;
       for (uint32_t f = 0; f < MIN (mark->fails.count, FAILS_KEPT); f++)
         fails_add (&stage->gang_fails, mark->fails.attempts[f]);
+      task->attempt = mark->placed;
       if (mark->done)
         {
           task->done = true;
           stage->undone--;
           stage->waiting--;
         }
+      else if (mark->worker)
+        worker_expect (sched, task, mark->placed, mark->worker, now);
     }
-  (void)sched;
 }
 
 static void
@@ -508,6 +509,7 @@
       = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
   sched->timed = g_ptr_array_new ();
   sched->orders = g_array_new (FALSE, TRUE, sizeof (order_t));
+  sched->placed = g_array_new (FALSE, TRUE, sizeof (task_placed_t));
   sched->ends = g_array_new (FALSE, TRUE, sizeof (task_end_t));
   sched->changes = g_array_new (FALSE, TRUE, sizeof (job_change_t));
   sched->hosts = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL,
@@ -518,15 +520,7 @@
   sched->granted_until_us = now.us;
   g_hash_table_iter_init (&iter, table->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &entry))
-    {
-      const char *id = ((const job_entry_t *)entry)->desc->id;
-      sjob_t *job;
-
-      sched_add_job (sched, entry, now);
-      job = g_hash_table_lookup (sched->jobs, id);
-      if (job)
-        job->inherited = true;
-    }
+    sched_add_job (sched, entry, now);
   return sched;
 }
 
@@ -551,6 +545,7 @@
   g_array_free (sched->host_orders, TRUE);
   g_array_free (sched->fleet_news, TRUE);
   g_array_free (sched->orders, TRUE);
+  g_array_free (sched->placed, TRUE);
   g_array_free (sched->ends, TRUE);
   g_array_free (sched->changes, TRUE);
   g_free (sched);
@@ -596,8 +591,8 @@
 bool
 sched_has_progress (const sched_t *sched)
 {
-  return sched->ends->len > 0 || sched->changes->len > 0
-         || sched->ends_unwritten;
+  return sched->placed->len > 0 || sched->ends->len > 0
+         || sched->changes->len > 0 || sched->ends_unwritten;
 }
 
 /* Ends that need no record wait for the records before them only.  */
@@ -624,7 +619,8 @@
   job_rec_t *rec;
 
   sched->ends_unwritten = false;
-  if (sched->ends->len == 0 && sched->changes->len == 0)
+  if (sched->placed->len == 0 && sched->ends->len == 0
+      && sched->changes->len == 0)
     {
       skip_batch (sched);
       return NULL;
@@ -633,8 +629,10 @@
   rec->kind = JREC_PROGRESS;
   rec->u.progress.epoch = sched->epoch;
   rec->u.progress.batch = sched->batch++;
+  rec->u.progress.placed = sched->placed;
   rec->u.progress.ends = sched->ends;
   rec->u.progress.changes = sched->changes;
+  sched->placed = g_array_new (FALSE, TRUE, sizeof (task_placed_t));
   sched->ends = g_array_new (FALSE, TRUE, sizeof (task_end_t));
   sched->changes = g_array_new (FALSE, TRUE, sizeof (job_change_t));
   return rec;
@@ -647,6 +645,7 @@
   gpointer value;
 
   sched->durable = MAX (sched->durable, batch);
+  sched->next_us = 0; /* starts in it may be ordered */
   g_hash_table_iter_init (&iter, sched->workers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -22,10 +22,6 @@
 /* A worker that has not answered for so long gets no new tasks: it missed a
    held look and the time allowed for its answer.  */
 #define WORKER_SILENT_US 1700000
-/* Attempts of an epoch are numbered from EPOCH_ATTEMPTS times the earlier
-   epochs: an owner does not know all attempts of those before it, and workers
-   refuse a number that is not higher.  */
-#define EPOCH_ATTEMPTS 1000
 
 typedef struct sjob sjob_t;
 typedef struct stage stage_t;
@@ -39,6 +35,7 @@
 
 typedef enum run_phase
 {
+  RUN_PLANNED, /* its record is not known to be in the log */
   RUN_ORDERED, /* its start was sent */
   RUN_ACTIVE,  /* the worker has it */
   RUN_STOPPING /* it is to end */
@@ -55,9 +52,11 @@
   amounts_t holds; /* on the worker */
   amounts_t quota; /* of its workspace */
   int64_t since_us;
+  uint64_t batch;     /* PLANNED: that its record is in */
   int64_t active_us;  /* first known to run */
   int64_t stop_us;    /* stop sent last; 0: has to be sent */
   int64_t stopped_us; /* stop confirmed; 0: not yet */
+  bool unsent;        /* STOPPING: its start never was ordered */
   uint32_t percent;
   uint32_t load;
   int64_t moved_us; /* percent last changed */
@@ -108,8 +107,6 @@
   uint32_t next_occurrence; /* first that is not due yet */
   uint32_t undone;          /* occurrences */
   uint32_t runs;
-  bool inherited; /* accepted before this epoch: an earlier owner may have
-                     started its tasks */
   bool begun;
   bool ended; /* final: only its runs have to stop */
   int64_t accepted_us;
@@ -125,7 +122,8 @@
 {
   char *id;
   const char *interned;
-  const char *address;     /* interned */
+  const char *address;     /* interned; NULL: it has not reported itself to
+                              this owner */
   const char *data_centre; /* interned */
   const char *rack;        /* interned or NULL */
   char **labels;
@@ -203,7 +201,8 @@
   GHashTable *spaces;  /* name -> space_t */
   GPtrArray *timed;    /* sjob_t with occurrences to come */
   GArray *orders;      /* of the present plan */
-  GArray *ends;        /* progress to append */
+  GArray *placed;      /* progress to append */
+  GArray *ends;
   GArray *changes;
   GHashTable *hosts;   /* interned name -> host_t */
   GPtrArray *waves;    /* wave_t */
@@ -237,7 +236,7 @@
 void task_end (sched_t *sched, task_t *task, uint32_t attempt, bool done,
                sched_now_t now);
 void task_waits (sched_t *sched, task_t *task);
-uint32_t task_next_attempt (const sched_t *sched, const task_t *task);
+uint32_t task_next_attempt (const task_t *task);
 
 /* workers.c: workers and runs */
 run_t *run_new (sched_t *sched, task_t *task, worker_t *worker,
@@ -253,7 +252,7 @@
 /* runs_stop_others - stop the copies of TASK, which is done.  */
 void runs_stop_others (sched_t *sched, const task_t *task);
 void worker_clear (sched_t *sched, worker_t *worker, sched_now_t now);
-int64_t worker_lease_end_us (const worker_t *worker);
+int64_t worker_lease_end_us (const sched_t *sched, const worker_t *worker);
 int64_t worker_clock_at (const worker_t *worker, int64_t now_us);
 bool worker_is_open (const worker_t *worker, int64_t now_us);
 void worker_free (gpointer data);
@@ -264,8 +263,10 @@
    none may be given.  */
 int64_t worker_deadline_ms (const sched_t *sched, worker_t *worker,
                             int64_t now_us);
-bool pool_is_settled (const sched_t *sched, const pool_t *pool,
-                      sched_now_t now);
+/* worker_expect - an earlier owner was to start ATTEMPT of TASK on worker ID.
+   The run counts until the worker shows its lists or its lease has ended.  */
+void worker_expect (sched_t *sched, task_t *task, uint32_t attempt,
+                    const char *id, sched_now_t now);
 void order_add (sched_t *sched, order_t order);
 void sched_wake_at (sched_t *sched, int64_t at_us);
 
@@ -279,10 +280,6 @@
                      const char *name);
 void host_cordon (sched_t *sched, host_t *host, int64_t now_us);
 bool worker_has_lasting (const worker_t *worker);
-/* hosts_hide_workers - whether hosts of POOL may have workers that are not
-   listed: they are cut off from the store, or the list of hosts was not read
-   yet.  */
-bool hosts_hide_workers (const sched_t *sched, const char *pool);
 
 /* moves.c: hosts between pools */
 void moves_plan (sched_t *sched, sched_now_t now);
--- a/jobs/scheduler.h
+++ b/jobs/scheduler.h
@@ -50,7 +50,6 @@
   uint32_t stop_grace_ms; /* a stop takes no longer */
   uint32_t notice_ms;     /* a lasting task not at work for so long is away */
   uint32_t host_lease_ms; /* pause between owners' orders on one host */
-  bool lists_hosts;       /* the platform has a list of hosts */
 } sched_limits_t;
 
 typedef enum worker_state
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -37,14 +37,20 @@
   return worker->clock_ms + (now_us - worker->clock_at_us) / 1000;
 }
 
+static int64_t
+with_slow_clock (int64_t us)
+{
+  return us + us * CLOCK_SLOW_PERCENT / 100 + LEASE_MARGIN_US;
+}
+
 /* When all leases on WORKER have surely ended.  */
 int64_t
-worker_lease_end_us (const worker_t *worker)
+worker_lease_end_us (const sched_t *sched, const worker_t *worker)
 {
-  int64_t left_us = (worker->lease_ms - worker->clock_ms) * 1000;
-
-  return worker->clock_at_us + left_us + left_us * CLOCK_SLOW_PERCENT / 100
-         + LEASE_MARGIN_US;
+  if (!worker->has_clock)
+    return sched->since_us + with_slow_clock ((int64_t)SCHED_GRANT_MS * 1000);
+  return worker->clock_at_us
+         + with_slow_clock ((worker->lease_ms - worker->clock_ms) * 1000);
 }
 
 bool
@@ -60,25 +66,9 @@
 static bool
 inherits_leases (const sched_t *sched, int64_t now_us)
 {
-  int64_t granted_us = (int64_t)SCHED_GRANT_MS * 1000;
-
   return sched->epoch > 1
          && now_us - sched->since_us
-                <= granted_us + granted_us * CLOCK_SLOW_PERCENT / 100
-                       + LEASE_MARGIN_US;
-}
-
-/* Whether nothing that an earlier owner ordered can be unknown: all workers
-   have shown their lists, or the leases that it gave have ended.  */
-bool
-pool_is_settled (const sched_t *sched, const pool_t *pool, sched_now_t now)
-{
-  if (!inherits_leases (sched, now.us))
-    return true;
-  for (uint32_t i = 0; i < pool->workers->len; i++)
-    if (!((const worker_t *)g_ptr_array_index (pool->workers, i))->synced)
-      return false;
-  return !hosts_hide_workers (sched, pool->name);
+                <= with_slow_clock ((int64_t)SCHED_GRANT_MS * 1000);
 }
 
 int64_t
@@ -120,8 +110,8 @@
   run->quota = spec->need;
   if (spec->fills)
     run->holds.cpu_milli = 0;
+  run->phase = RUN_PLANNED;
   run->since_us = now.us;
-  run->percent = 0;
   task->run = run;
   task->attempt = MAX (task->attempt, attempt);
   task->stage->attempt = MAX (task->stage->attempt, attempt);
@@ -215,6 +205,7 @@
 void
 run_stop (run_t *run)
 {
+  run->unsent |= run->phase == RUN_PLANNED;
   run->phase = RUN_STOPPING;
 }
 
@@ -248,20 +239,34 @@
 }
 
 static worker_t *
-worker_add (sched_t *sched, const worker_info_t *info, sched_now_t now)
+worker_add (sched_t *sched, const char *id, pool_t *pool, sched_now_t now)
 {
   worker_t *worker = g_new0 (worker_t, 1);
 
-  worker->id = g_strdup (info->id);
-  worker->interned = g_intern_string (info->id);
+  worker->id = g_strdup (id);
+  worker->interned = g_intern_string (id);
   worker->runs = g_ptr_array_new ();
-  worker->pool = sched_pool (sched, info->service);
+  worker->pool = pool;
   worker->hold_due_us = now.us;
   g_ptr_array_add (worker->pool->workers, worker);
   g_hash_table_insert (sched->workers, worker->id, worker);
   return worker;
 }
 
+void
+worker_expect (sched_t *sched, task_t *task, uint32_t attempt, const char *id,
+               sched_now_t now)
+{
+  worker_t *worker = g_hash_table_lookup (sched->workers, id);
+  run_t *run;
+
+  if (!worker)
+    worker = worker_add (sched, id, stage_pool (sched, task->stage), now);
+  run = run_new (sched, task, worker, attempt, now);
+  run->phase = RUN_ACTIVE;
+  run->active_us = now.us;
+}
+
 /* Tasks that last would end with a worker that leaves; they start again
    elsewhere while it is still there.  */
 static void
@@ -283,7 +288,7 @@
   pool_t *pool = sched_pool (sched, info->service);
 
   if (!worker)
-    worker = worker_add (sched, info, now);
+    worker = worker_add (sched, info->id, pool, now);
   if (info->born_ms && worker->born_ms && info->born_ms != worker->born_ms)
     worker_clear (sched, worker, now);
   if (info->born_ms)
@@ -425,7 +430,7 @@
 static void
 note_active (sched_t *sched, run_t *run, sched_now_t now)
 {
-  if (run->phase == RUN_ORDERED)
+  if (run->phase == RUN_PLANNED || run->phase == RUN_ORDERED)
     run->phase = RUN_ACTIVE;
   if (run->active_us == 0)
     run->active_us = now.us;
@@ -711,14 +716,17 @@
     {
       run_t *run = g_ptr_array_index (worker->runs, i);
 
-      if (stop_is_over (sched, worker, run, now.us))
+      if (run->unsent)
+        run_close (sched, run, "not-sent", now);
+      else if (stop_is_over (sched, worker, run, now.us))
         run_close (sched, run, "stop-confirmed", now);
       else if (run->stopped_us != 0)
         sched_wake_at (sched, now.us + STOP_MARGIN_US);
     }
   /* An owner that was replaced does not know what the next one renewed.  */
   if (worker->runs->len > 0
-      && worker_lease_end_us (worker) < MIN (now.us, sched->confirmed_us))
+      && worker_lease_end_us (sched, worker)
+             < MIN (now.us, sched->confirmed_us))
     close_all (sched, worker, "lease-ended", now);
 }
 
@@ -735,8 +743,7 @@
       worker_t *worker = value;
 
       advance_worker (sched, worker, now);
-      if (!worker->listed && worker->runs->len == 0
-          && (worker->synced || !inherits_leases (sched, now.us)))
+      if (!worker->listed && worker->runs->len == 0)
         g_ptr_array_add (gone, worker);
     }
   for (uint32_t i = 0; i < gone->len; i++)
@@ -763,13 +770,40 @@
   order_add (sched, order);
 }
 
+/* The record of RUN is in the log, so the order may go out.  */
+static void
+order_start (sched_t *sched, run_t *run, sched_now_t now)
+{
+  const task_t *task = run->task;
+  int64_t deadline_ms = worker_deadline_ms (sched, run->worker, now.us);
+
+  if (deadline_ms == 0 || run->worker->unreachable)
+    {
+      run_close (sched, run, "worker-unreachable", now);
+      return;
+    }
+  run->phase = RUN_ORDERED;
+  order_add (sched, (order_t){ .kind = ORDER_START,
+                               .worker = run->worker->interned,
+                               .address = run->worker->address,
+                               .deadline_ms = deadline_ms,
+                               .task = task_ref (task),
+                               .attempt = run->attempt,
+                               .payload = task->stage->job->desc->payload,
+                               .checkpoint = task->checkpoint });
+}
+
 void
 worker_orders (sched_t *sched, worker_t *worker, sched_now_t now)
 {
-  for (uint32_t i = 0; i < worker->runs->len; i++)
+  if (!worker->address)
+    return;
+  for (uint32_t i = worker->runs->len; i-- > 0;)
     {
       run_t *run = g_ptr_array_index (worker->runs, i);
 
+      if (run->phase == RUN_PLANNED && run->batch <= sched->durable)
+        order_start (sched, run, now);
       if (run->phase != RUN_STOPPING || run->stopped_us != 0)
         continue;
       if (run->stop_us == 0 || now.us - run->stop_us >= STOP_RETRY_US)
