jobs: a run that is being stopped is in neither list of its worker

Change: a run that is not listed is over only after the time that a stop takes; a confirmed stop without an end too. The extra look after a stop is removed.

--- a/entry/orders.c
+++ b/entry/orders.c
@@ -54,7 +54,7 @@
       fill_reply (result, &answer.reply);
       still_owner
           = order->kind == ORDER_HOLD
-                ? sched_hold_reply (core->sched, order, &answer.reply,
+                ? sched_hold_reply (core->sched, order->worker, &answer.reply,
                                     answer.has_lists ? &answer.lists : NULL,
                                     core_now ())
                 : sched_order_reply (core->sched, order, &answer.reply,
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -59,7 +59,8 @@
   bool unsent;        /* STOPPING: its start never was ordered */
   uint32_t percent;
   uint32_t load;
-  int64_t moved_us; /* percent last changed */
+  int64_t moved_us;   /* percent last changed */
+  int64_t missing_us; /* in neither list of its worker since; 0: it is */
 };
 
 struct task
@@ -150,7 +151,6 @@
   GPtrArray *runs;
   uint32_t fails_in_row;
   int64_t suspect_until_us;
-  bool peek; /* is to be looked at once, beside the held look */
 };
 
 struct pool
--- a/jobs/scheduler.h
+++ b/jobs/scheduler.h
@@ -151,7 +151,6 @@
   int64_t deadline_ms; /* HOLD, START: lease, on the worker's clock; 0: none */
   uint64_t last_seen;  /* HOLD: ends up to this number are durable */
   uint32_t wait_ms;    /* HOLD: the worker waits so long for an end */
-  bool peek;           /* HOLD: beside another one */
   task_ref_t task;     /* START, STOP, PACE */
   uint32_t attempt;
   const char *payload;    /* START */
@@ -188,7 +187,7 @@
 
 /* Answers to orders.  LISTS is NULL unless the reply is REPLY_OK.  False: the
    worker knows a later owner; the caller gives the decisions up.  */
-bool sched_hold_reply (sched_t *sched, const order_t *order,
+bool sched_hold_reply (sched_t *sched, const char *worker,
                        const worker_reply_t *reply,
                        const worker_lists_t *lists, sched_now_t now);
 bool sched_order_reply (sched_t *sched, const order_t *order,
--- a/jobs/test/rig.c
+++ b/jobs/test/rig.c
@@ -114,9 +114,7 @@
 rig_look (rig_t *rig, const char *id, const worker_reply_t *reply,
           const worker_lists_t *lists)
 {
-  order_t order = { .kind = ORDER_HOLD, .worker = id };
-
-  sched_hold_reply (rig->sched, &order, reply, lists, rig->now);
+  sched_hold_reply (rig->sched, id, reply, lists, rig->now);
 }
 
 void
--- a/jobs/test/workers_test.c
+++ b/jobs/test/workers_test.c
@@ -49,6 +49,7 @@
 START_TEST (test_placed_task_waits_for_its_worker)
 {
   job_step_t step = rig_step (2);
+  run_row_t row;
   g_autoptr (GArray) early = NULL;
   g_autoptr (GArray) late = NULL;
 
@@ -62,10 +63,11 @@
   ck_assert_uint_eq (rig_count (early, ORDER_START), 1);
   ck_assert_uint_eq (g_array_index (early, order_t, 0).task.index, 1);
   rig_started (&rig, &g_array_index (early, order_t, 0));
+  row = rig_row (&g_array_index (early, order_t, 0));
   rig_pass (&rig, SCHED_GRANT_MS + 500);
-  rig_answer (&rig, "w1", NULL, 0, NULL, 0);
+  rig_answer (&rig, "w1", &row, 1, NULL, 0);
   late = rig_plan (&rig, false);
-  ck_assert_uint_ge (rig_count (late, ORDER_START), 1);
+  ck_assert_uint_eq (rig_count (late, ORDER_START), 1);
   ck_assert_uint_gt (g_array_index (late, order_t, 0).attempt, 1);
 }
 END_TEST
@@ -74,6 +76,7 @@
 START_TEST (test_placed_task_that_is_not_listed_starts)
 {
   job_step_t step = rig_step (1);
+  g_autoptr (GArray) early = NULL;
   g_autoptr (GArray) orders = NULL;
 
   rig_submit (&rig, 1, &step, 1);
@@ -81,6 +84,11 @@
   rig_open (&rig, 2);
   rig_pass (&rig, 5);
   rig_worker (&rig, "w1", 8, false);
+  /* It may be in neither list while it is being stopped.  */
+  early = rig_plan (&rig, false);
+  ck_assert_uint_eq (rig_count (early, ORDER_START), 0);
+  rig_pass (&rig, 350);
+  rig_answer (&rig, "w1", NULL, 0, NULL, 0);
   orders = rig_plan (&rig, false);
   ck_assert_uint_eq (rig_count (orders, ORDER_START), 1);
   ck_assert_uint_eq (g_array_index (orders, order_t, 0).attempt, 2);
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -342,6 +342,12 @@
   sched_wake_at (sched, now.us);
 }
 
+static int64_t
+stop_takes_us (const sched_t *sched)
+{
+  return (int64_t)sched->limits.stop_grace_ms * 1000 + STOP_MARGIN_US;
+}
+
 static void
 note_clock (worker_t *worker, const worker_reply_t *reply, sched_now_t now)
 {
@@ -462,17 +468,21 @@
   note_active (sched, run, now);
 }
 
-/* Whether a look that was sent at SENT_US must show RUN or its end.  */
 static bool
-must_be_listed (const run_t *run, int64_t sent_us)
+is_listed (const run_t *run, const worker_lists_t *lists)
 {
-  if (run->active_us != 0 && run->active_us < sent_us)
-    return true;
-  /* A confirmed stop bars a start that has not arrived.  */
-  return run->stopped_us != 0 && run->stopped_us <= sent_us;
+  task_ref_t ref = task_ref (run->task);
+
+  for (uint32_t i = 0; i < lists->runs_count; i++)
+    if (task_ref_equal (&lists->runs[i].task, &ref)
+        && lists->runs[i].attempt == run->attempt)
+      return true;
+  return false;
 }
 
-/* Closes runs that WORKER would list and does not.  */
+/* Closes runs that WORKER had before it was asked at SENT_US and that are in
+   neither list.  A run that is being stopped, maybe by the owner before, is in
+   neither for the time that a stop takes.  */
 static void
 close_forgotten (sched_t *sched, worker_t *worker, const worker_lists_t *lists,
                  int64_t sent_us, sched_now_t now)
@@ -482,15 +492,14 @@
   for (uint32_t i = worker->runs->len; i-- > 0;)
     {
       run_t *run = g_ptr_array_index (worker->runs, i);
-      task_ref_t ref = task_ref (run->task);
-      bool found = false;
 
-      if (!must_be_listed (run, sent_us))
+      if (run->active_us == 0 || run->active_us >= sent_us)
         continue;
-      for (uint32_t r = 0; r < lists->runs_count && !found; r++)
-        found = task_ref_equal (&lists->runs[r].task, &ref)
-                && lists->runs[r].attempt == run->attempt;
-      if (!found)
+      if (is_listed (run, lists))
+        run->missing_us = 0;
+      else if (run->missing_us == 0)
+        run->missing_us = now.us;
+      else if (now.us - run->missing_us >= stop_takes_us (sched))
         run_close (sched, run, "not-listed", now);
     }
 }
@@ -546,17 +555,15 @@
 }
 
 bool
-sched_hold_reply (sched_t *sched, const order_t *order,
-                  const worker_reply_t *reply, const worker_lists_t *lists,
-                  sched_now_t now)
+sched_hold_reply (sched_t *sched, const char *id, const worker_reply_t *reply,
+                  const worker_lists_t *lists, sched_now_t now)
 {
-  worker_t *worker = g_hash_table_lookup (sched->workers, order->worker);
+  worker_t *worker = g_hash_table_lookup (sched->workers, id);
 
   sched_wake_at (sched, now.us);
   if (!worker)
     return reply->kind != REPLY_FENCED;
-  if (!order->peek)
-    worker->hold_out = false;
+  worker->hold_out = false;
   if (reply->kind != REPLY_OK || !lists)
     return hold_failed (sched, worker, reply->kind, now);
   if (lists->born_ms && worker->born_ms && lists->born_ms != worker->born_ms)
@@ -657,10 +664,7 @@
       return;
     case ORDER_STOP:
       if (kind == REPLY_OK)
-        {
-          run->stopped_us = now.us;
-          run->worker->peek |= run->active_us == 0;
-        }
+        run->stopped_us = now.us;
       return;
     case ORDER_HOLD:
     case ORDER_PACE:
@@ -701,12 +705,9 @@
 stop_is_over (const sched_t *sched, const worker_t *worker, const run_t *run,
               int64_t now_us)
 {
-  int64_t over_us = run->stopped_us
-                    + (int64_t)sched->limits.stop_grace_ms * 1000
-                    + STOP_MARGIN_US;
-
   return run->phase == RUN_STOPPING && run->stopped_us != 0
-         && !worker->unreachable && now_us >= over_us;
+         && !worker->unreachable
+         && now_us - run->stopped_us >= stop_takes_us (sched);
 }
 
 static void
@@ -751,22 +752,21 @@
 }
 
 static void
-add_hold (sched_t *sched, worker_t *worker, bool peek, sched_now_t now)
+add_hold (sched_t *sched, worker_t *worker, sched_now_t now)
 {
   order_t order = { .kind = ORDER_HOLD,
                     .worker = worker->interned,
                     .address = worker->address,
-                    .last_seen = worker->last_seen,
-                    .peek = peek };
+                    .last_seen = worker->last_seen };
 
   /* A worker that does not answer gets no longer lease: its tasks would never
      start again.  */
   if (!worker->unreachable)
     order.deadline_ms = worker_deadline_ms (sched, worker, now.us);
-  if (!peek && worker->synced && !worker->unreachable
+  if (worker->synced && !worker->unreachable
       && worker->last_seen == worker->seen)
     order.wait_ms = HOLD_WAIT_MS;
-  worker->hold_out |= !peek;
+  worker->hold_out = true;
   order_add (sched, order);
 }
 
@@ -817,13 +817,10 @@
         }
       sched_wake_at (sched, run->stop_us + STOP_RETRY_US);
     }
-  if (worker->peek)
-    add_hold (sched, worker, true, now);
-  worker->peek = false;
   if (worker->hold_out)
     return;
   if (worker->hold_due_us <= now.us)
-    add_hold (sched, worker, false, now);
+    add_hold (sched, worker, now);
   else
     sched_wake_at (sched, worker->hold_due_us);
 }
