jobs: only a worker's lists tell that inherited leases have ended

The answer to a stop, sent for a cancelled job before the worker's first lists, set its clock, and its leases, of which nothing was known yet, counted as ended. Ruled out: the time of the hand-over itself (0.6 s, inside the lease).

--- a/jobs/test/workers_test.c
+++ b/jobs/test/workers_test.c
@@ -64,7 +64,18 @@
   ck_assert_uint_eq (g_array_index (early, order_t, 0).task.index, 1);
   rig_started (&rig, &g_array_index (early, order_t, 0));
   row = rig_row (&g_array_index (early, order_t, 0));
-  rig_pass (&rig, SCHED_GRANT_MS + 500);
+  for (int64_t ms = 0; ms < SCHED_GRANT_MS; ms += 500)
+    {
+      g_autoptr (GArray) none = NULL;
+
+      rig_pass (&rig, 500);
+      row.percent = (uint32_t)ms / 100; /* it gets on */
+      rig_answer (&rig, "w1", &row, 1, NULL, 0);
+      none = rig_plan (&rig, false);
+      ck_assert_uint_eq (rig_count (none, ORDER_START), 0);
+    }
+  rig_pass (&rig, 500);
+  row.percent++;
   rig_answer (&rig, "w1", &row, 1, NULL, 0);
   late = rig_plan (&rig, false);
   ck_assert_uint_eq (rig_count (late, ORDER_START), 1);
@@ -115,6 +126,36 @@
 }
 END_TEST
 
+/* Guards against taking the leases of an earlier owner for ended because the
+   worker's clock is known from the answer to a stop, before its first lists.
+ */
+START_TEST (test_stop_answer_ends_no_inherited_lease)
+{
+  job_step_t step = rig_step (2);
+  worker_reply_t stopped = { .kind = REPLY_OK, .has_clock = true };
+  g_autoptr (GArray) stops = NULL;
+  g_autoptr (GArray) orders = NULL;
+
+  rig_submit (&rig, 1, &step, 1);
+  rig_submit (&rig, 2, &step, 1);
+  rig_place (&rig, 1, 0, 1, "w2");
+  rig_place (&rig, 2, 0, 1, "w2");
+  rig_place (&rig, 2, 1, 1, "w2");
+  rig_open (&rig, 2);
+  rig_worker (&rig, "w1", 8, false);
+  rig_worker (&rig, "w2", 8, true);
+  sched_cancel_job (rig.sched, rig_id (1), rig.now);
+  stops = rig_plan (&rig, false);
+  ck_assert_uint_eq (rig_count (stops, ORDER_STOP), 1);
+  stopped.clock_ms = rig.now.us / 1000;
+  sched_order_reply (rig.sched, &g_array_index (stops, order_t, 0), &stopped,
+                     rig.now);
+  rig_pass (&rig, 200);
+  orders = rig_plan (&rig, false);
+  ck_assert_uint_eq (rig_count (orders, ORDER_START), 0);
+}
+END_TEST
+
 /* Guards against an order whose record is not in the log: the next owner would
    not know of it.  */
 START_TEST (test_start_waits_for_its_record)
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -47,7 +47,8 @@
 int64_t
 worker_lease_end_us (const sched_t *sched, const worker_t *worker)
 {
-  if (!worker->has_clock)
+  /* Only its lists tell which runs an earlier owner's leases are for.  */
+  if (!worker->synced)
     return sched->since_us + with_slow_clock ((int64_t)SCHED_GRANT_MS * 1000);
   return worker->clock_at_us
          + with_slow_clock ((worker->lease_ms - worker->clock_ms) * 1000);
