--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -4,7 +4,7 @@
 
 /* Work that waits is to be done within so long: less than the time that a
    caller's objective leaves beside the work itself.  */
-#define DRAIN_MS 900
+#define DRAIN_MS 500
 /* A pool is short for so long before it gets hosts.  A burst lasts some
    seconds, and a host needs one and a half to move.  */
 #define SHORT_US 80000
@@ -16,7 +16,7 @@
 /* Free hosts that a pool keeps beyond its need.  */
 #define MARGIN_HOSTS 2.0
 /* Moves under way at a time.  */
-#define MOVES_MAX 12
+#define MOVES_MAX 20
 
 /* What a pool has and needs, in hosts.  */
 typedef struct load
