--- /dev/null
+++ b/jobs/test/owner_test.c
@@ -0,0 +1,157 @@
+#include "../../test/run_suite.h"
+#include "owner.h"
+
+#define MS INT64_C (1000)
+
+static jobtab_t *tab;
+static owner_t owner;
+static int64_t now_us;
+
+static void
+set_up (void)
+{
+  tab = jobtab_new ();
+  now_us = 1000000 * MS;
+  owner_init (&owner, "b#1", 1.0, 0);
+}
+
+static void
+tear_down (void)
+{
+  jobtab_free (tab);
+}
+
+static void
+owned_by (const char *holder)
+{
+  tab->owner.epoch++;
+  g_free (tab->owner.holder);
+  tab->owner.holder = g_strdup (holder);
+  tab->owner.released = false;
+  owner_caught_up (&owner, tab, now_us);
+  owner_note (&owner, tab, FOLD_CLAIMED, now_us);
+}
+
+/* The first act within MAX_MS, by steps of 10 ms.  */
+static owner_act_t
+act_within (int64_t max_ms)
+{
+  for (int64_t ms = 0; ms <= max_ms; ms += 10, now_us += 10 * MS)
+    {
+      owner_act_t act = owner_next (&owner, tab, now_us);
+
+      if (act != OWNER_NONE)
+        return act;
+    }
+  return OWNER_NONE;
+}
+
+/* Guards against a daemon that claims before it has read the log.  */
+START_TEST (test_nothing_before_the_log_is_read)
+{
+  ck_assert_int_eq (act_within (5000), OWNER_NONE);
+  owner_caught_up (&owner, tab, now_us);
+  ck_assert_int_eq (act_within (200), OWNER_CLAIM);
+}
+END_TEST
+
+/* Guards against an outage of the store that looks like a lost owner.  */
+START_TEST (test_no_claim_without_a_folded_probe)
+{
+  owned_by ("a#1");
+  ck_assert_int_eq (act_within (1200), OWNER_PROBE);
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      owner_act_t act = act_within (3000);
+
+      ck_assert (act == OWNER_PROBE || act == OWNER_NONE);
+      now_us += 10 * MS;
+    }
+}
+END_TEST
+
+START_TEST (test_owner_that_answers_keeps_the_decisions)
+{
+  owned_by ("a#1");
+  ck_assert_int_eq (act_within (1200), OWNER_PROBE);
+  owner_note (&owner, tab, FOLD_PROBED, now_us);
+  now_us += 100 * MS;
+  owner_note (&owner, tab, FOLD_RENEWED, now_us);
+  ck_assert_int_eq (act_within (800), OWNER_NONE);
+}
+END_TEST
+
+/* A killed owner is replaced inside a lease of its workers (3 s).  */
+START_TEST (test_lost_owner_is_replaced_in_time)
+{
+  int64_t since_us = now_us;
+
+  owned_by ("a#1");
+  ck_assert_int_eq (act_within (1200), OWNER_PROBE);
+  owner_note (&owner, tab, FOLD_PROBED, now_us);
+  ck_assert_int_eq (act_within (1000), OWNER_CLAIM);
+  ck_assert_int_lt (now_us - since_us, 2000 * MS);
+}
+END_TEST
+
+/* Guards against claims on a living owner while the store is slow.  */
+START_TEST (test_slow_store_lengthens_the_wait)
+{
+  owned_by ("a#1");
+  owner_set_lag (&owner, 600 * MS);
+  ck_assert_int_eq (act_within (3000), OWNER_NONE);
+  ck_assert_int_eq (act_within (1000), OWNER_PROBE);
+}
+END_TEST
+
+START_TEST (test_released_decisions_are_claimed_soon)
+{
+  owned_by ("a#1");
+  tab->owner.released = true;
+  owner_note (&owner, tab, FOLD_RELEASED, now_us);
+  ck_assert_int_eq (act_within (300), OWNER_CLAIM);
+}
+END_TEST
+
+/* Guards against an owner that goes on although a worker knows a later one. */
+START_TEST (test_deposed_owner_does_not_renew)
+{
+  owned_by ("b#1");
+  ck_assert (owner_is_self (&owner, tab));
+  ck_assert_int_eq (act_within (500), OWNER_RENEW);
+  owner.deposed = true;
+  ck_assert (!owner_is_self (&owner, tab));
+  ck_assert_int_ne (act_within (500), OWNER_RENEW);
+  owned_by ("b#1");
+  ck_assert (owner_is_self (&owner, tab));
+}
+END_TEST
+
+/* Guards against a restarted daemon that takes its former life's ownership for
+   its own.  */
+START_TEST (test_other_life_is_another_holder)
+{
+  owned_by ("b#0");
+  ck_assert (!owner_is_self (&owner, tab));
+}
+END_TEST
+
+START_TEST (test_stopping_daemon_claims_nothing)
+{
+  owned_by ("a#1");
+  owner.standing = false;
+  tab->owner.released = true;
+  ck_assert_int_eq (act_within (5000), OWNER_NONE);
+}
+END_TEST
+
+TEST_PROGRAM_WITH ("jobs/owner", set_up, tear_down,
+                   test_nothing_before_the_log_is_read,
+                   test_no_claim_without_a_folded_probe,
+                   test_owner_that_answers_keeps_the_decisions,
+                   test_lost_owner_is_replaced_in_time,
+                   test_slow_store_lengthens_the_wait,
+                   test_released_decisions_are_claimed_soon,
+                   test_deposed_owner_does_not_renew,
+                   test_other_life_is_another_holder,
+                   test_stopping_daemon_claims_nothing)
--- /dev/null
+++ b/jobs/test/record_test.c
@@ -0,0 +1,176 @@
+#include "../../test/run_suite.h"
+#include "job.h"
+#include <string.h>
+
+#define ROUNDS 20000
+
+static job_desc_t *
+new_desc (void)
+{
+  job_desc_t *desc = g_new0 (job_desc_t, 1);
+
+  memcpy (desc->id, "00000000000000ab", JOB_ID_BYTES);
+  desc->workspace = g_intern_string ("acme");
+  desc->queue = g_intern_string ("quotes");
+  desc->service = g_intern_string ("fitting");
+  desc->payload = g_strdup ("text\nwith lines");
+  desc->steps = g_new0 (job_step_t, 2);
+  desc->steps_count = 2;
+  desc->steps[0] = (job_step_t){ .count = 4,
+                                 .need = { 500, 256, 1 },
+                                 .estimate_ms = 900,
+                                 .rack = g_strdup ("r1"),
+                                 .speculative = true };
+  desc->steps[1] = (job_step_t){ .count = 1,
+                                 .after = g_new0 (uint32_t, 1),
+                                 .after_count = 1,
+                                 .spread_max = 2,
+                                 .may_miss = 1,
+                                 .lasts = true,
+                                 .fills = true };
+  desc->repeats = 3;
+  desc->start_ms = 1700000000000;
+  desc->interval_ms = 5000;
+  desc->accepted_ms = 1700000000001;
+  return desc;
+}
+
+static job_rec_t
+again (const job_rec_t *rec)
+{
+  GBytes *bytes = job_rec_pack (rec);
+  g_autoptr (GError) error = NULL;
+  job_rec_t copy;
+  gsize len;
+  const void *data = g_bytes_get_data (bytes, &len);
+
+  ck_assert (job_rec_unpack (data, len, &copy, &error));
+  g_bytes_unref (bytes);
+  ck_assert_int_eq (copy.kind, rec->kind);
+  return copy;
+}
+
+/* Guards against fields of a job that are lost on the way through the log.  */
+START_TEST (test_submit)
+{
+  job_rec_t rec = { .kind = JREC_SUBMIT, .u.submit = new_desc () };
+  job_rec_t copy = again (&rec);
+  const job_desc_t *a = rec.u.submit;
+  const job_desc_t *b = copy.u.submit;
+
+  ck_assert_str_eq (a->id, b->id);
+  ck_assert_ptr_eq (a->workspace, b->workspace);
+  ck_assert_ptr_eq (a->queue, b->queue);
+  ck_assert_ptr_eq (a->service, b->service);
+  ck_assert_str_eq (a->payload, b->payload);
+  ck_assert_uint_eq (b->steps_count, 2);
+  ck_assert_uint_eq (b->steps[0].count, 4);
+  ck_assert_int_eq (b->steps[0].need.cpu_milli, 500);
+  ck_assert_int_eq (b->steps[0].need.mem_mib, 256);
+  ck_assert_int_eq (b->steps[0].need.accels, 1);
+  ck_assert_str_eq (b->steps[0].rack, "r1");
+  ck_assert_ptr_null (b->steps[0].label);
+  ck_assert (b->steps[0].speculative && !b->steps[0].lasts);
+  ck_assert_uint_eq (b->steps[1].after_count, 1);
+  ck_assert_uint_eq (b->steps[1].spread_max, 2);
+  ck_assert_uint_eq (b->steps[1].may_miss, 1);
+  ck_assert (b->steps[1].lasts && b->steps[1].fills);
+  ck_assert_uint_eq (b->repeats, 3);
+  ck_assert_int_eq (b->start_ms, a->start_ms);
+  ck_assert_int_eq (b->interval_ms, a->interval_ms);
+  ck_assert_int_eq (b->accepted_ms, a->accepted_ms);
+  job_rec_clear (&rec);
+  job_rec_clear (&copy);
+}
+END_TEST
+
+START_TEST (test_progress)
+{
+  task_placed_t placed = { { "00000000000000ab", 1, 2, 3 }, 4, "w1" };
+  task_end_t end = { { "00000000000000ac", 5, 6, 7 }, 8, true };
+  job_change_t change = { "00000000000000ad", JOB_STATE_FAILED };
+  job_rec_t rec = { .kind = JREC_PROGRESS };
+  job_rec_t copy;
+
+  rec.u.progress.epoch = 9;
+  rec.u.progress.batch = 10;
+  rec.u.progress.placed = g_array_new (FALSE, FALSE, sizeof placed);
+  rec.u.progress.ends = g_array_new (FALSE, FALSE, sizeof end);
+  rec.u.progress.changes = g_array_new (FALSE, FALSE, sizeof change);
+  g_array_append_val (rec.u.progress.placed, placed);
+  g_array_append_val (rec.u.progress.ends, end);
+  g_array_append_val (rec.u.progress.changes, change);
+  copy = again (&rec);
+  ck_assert_uint_eq (copy.u.progress.epoch, 9);
+  ck_assert_uint_eq (copy.u.progress.batch, 10);
+  placed = g_array_index (copy.u.progress.placed, task_placed_t, 0);
+  ck_assert_str_eq (placed.task.id, "00000000000000ab");
+  ck_assert_uint_eq (placed.task.index, 3);
+  ck_assert_uint_eq (placed.attempt, 4);
+  ck_assert_str_eq (placed.worker, "w1");
+  end = g_array_index (copy.u.progress.ends, task_end_t, 0);
+  ck_assert_uint_eq (end.task.occurrence, 5);
+  ck_assert_uint_eq (end.attempt, 8);
+  ck_assert (end.done);
+  change = g_array_index (copy.u.progress.changes, job_change_t, 0);
+  ck_assert_int_eq (change.state, JOB_STATE_FAILED);
+  job_rec_clear (&rec);
+  job_rec_clear (&copy);
+}
+END_TEST
+
+START_TEST (test_owner_records)
+{
+  static const job_rec_kind_t kinds[]
+      = { JREC_CLAIM, JREC_RENEW, JREC_PROBE, JREC_RELEASE };
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (kinds); i++)
+    {
+      job_rec_t rec = { .kind = kinds[i] };
+      job_rec_t copy;
+
+      rec.u.owner.epoch = 7;
+      rec.u.owner.holder = g_strdup ("edge-1#5");
+      copy = again (&rec);
+      ck_assert_uint_eq (copy.u.owner.epoch, 7);
+      ck_assert_str_eq (copy.u.owner.holder, "edge-1#5");
+      job_rec_clear (&rec);
+      job_rec_clear (&copy);
+    }
+}
+END_TEST
+
+/* Guards against a record by another writer, or a cut one, that takes a daemon
+   down: all daemons read the same log.  */
+START_TEST (test_damaged_records_are_rejected)
+{
+  job_rec_t rec = { .kind = JREC_SUBMIT, .u.submit = new_desc () };
+  GBytes *bytes = job_rec_pack (&rec);
+  gsize len;
+  const uint8_t *data = g_bytes_get_data (bytes, &len);
+  g_autoptr (GRand) rand = g_rand_new_with_seed (run_seed ("jobs/record"));
+  g_autofree uint8_t *copy = g_malloc (len);
+  job_rec_t out;
+
+  for (uint32_t i = 0; i < ROUNDS; i++)
+    {
+      size_t part = (size_t)g_rand_int_range (rand, 0, (gint32)len + 1);
+
+      memcpy (copy, data, len);
+      for (uint32_t flips = 0; flips < 3; flips++)
+        copy[g_rand_int_range (rand, 0, (gint32)len)]
+            = (uint8_t)g_rand_int_range (rand, 0, 256);
+      if (job_rec_unpack (copy, i % 2 ? part : len, &out, NULL))
+        {
+          if (out.kind == JREC_SUBMIT)
+            ck_assert_ptr_null (job_check (out.u.submit));
+          job_rec_clear (&out);
+        }
+    }
+  g_bytes_unref (bytes);
+  job_rec_clear (&rec);
+}
+END_TEST
+
+TEST_PROGRAM ("jobs/record", test_submit, test_progress, test_owner_records,
+              test_damaged_records_are_rejected)
