--- a/entry/settings.c
+++ b/entry/settings.c
@@ -9,7 +9,7 @@
   CYAML_FIELD_STRING_PTR (#field, CYAML_FLAG_POINTER, entry_settings_t,       \
                           field, low, TEXT_MAX)
 #define UINT_FIELD(field)                                                     \
-  CYAML_FIELD_UINT (#field, CYAML_FLAG_DEFAULT, entry_settings_t, field)
+  CYAML_FIELD_UINT (#field, CYAML_FLAG_OPTIONAL, entry_settings_t, field)
 
 static const cyaml_schema_field_t fields[] = {
   TEXT_FIELD (name, 1),
@@ -18,7 +18,7 @@
   TEXT_FIELD (ready, 1),
   TEXT_FIELD (store, 1),
   TEXT_FIELD (hosts_api, 0),
-  CYAML_FIELD_FLOAT ("cpu_share", CYAML_FLAG_DEFAULT, entry_settings_t,
+  CYAML_FIELD_FLOAT ("cpu_share", CYAML_FLAG_OPTIONAL, entry_settings_t,
                      cpu_share),
   UINT_FIELD (revoke_ms),
   UINT_FIELD (hold_max_ms),
--- /dev/null
+++ b/test/soak/serve.c
@@ -0,0 +1,103 @@
+#include "stand.h"
+#include <microhttpd.h>
+#include <string.h>
+#include <sys/socket.h>
+
+struct stand_server
+{
+  struct MHD_Daemon *daemon;
+  stand_handler_t handler;
+  void *ctx;
+};
+
+static enum MHD_Result
+on_request (void *cls, struct MHD_Connection *conn, const char *path,
+            const char *method, const char *version, const char *data,
+            size_t *len, void **ctx)
+{
+  stand_server_t *server = cls;
+  GByteArray *body = *ctx;
+
+  (void)version;
+  if (!body)
+    {
+      *ctx = g_byte_array_new ();
+      return MHD_YES;
+    }
+  if (*len > 0)
+    {
+      g_byte_array_append (body, (const guint8 *)data, (guint)*len);
+      *len = 0;
+      return MHD_YES;
+    }
+  server->handler (server->ctx, conn, method, path, body);
+  return MHD_YES;
+}
+
+static void
+on_completed (void *cls, struct MHD_Connection *conn, void **ctx,
+              enum MHD_RequestTerminationCode code)
+{
+  (void)cls;
+  (void)conn;
+  (void)code;
+  if (*ctx)
+    g_byte_array_unref (*ctx);
+  *ctx = NULL;
+}
+
+stand_server_t *
+stand_serve (stand_handler_t handler, void *ctx)
+{
+  stand_server_t *server = g_new0 (stand_server_t, 1);
+
+  server->handler = handler;
+  server->ctx = ctx;
+  server->daemon = MHD_start_daemon (
+      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL,
+      NULL, on_request, server, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
+      NULL, MHD_OPTION_END);
+  return server;
+}
+
+uint16_t
+stand_port (const stand_server_t *server)
+{
+  return MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+}
+
+void
+stand_close (stand_server_t *server)
+{
+  MHD_stop_daemon (server->daemon);
+  g_free (server);
+}
+
+void
+stand_reply (struct MHD_Connection *conn, uint32_t status, const void *data,
+             size_t len)
+{
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      len, (void *)data, MHD_RESPMEM_MUST_COPY);
+
+  MHD_queue_response (conn, status, response);
+  MHD_destroy_response (response);
+}
+
+void
+stand_cut (struct MHD_Connection *conn)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+  shutdown (info->connect_fd, SHUT_RDWR);
+}
+
+uint64_t
+stand_number (struct MHD_Connection *conn, const char *name)
+{
+  const char *text
+      = MHD_lookup_connection_value (conn, MHD_GET_ARGUMENT_KIND, name);
+
+  return text ? g_ascii_strtoull (text, NULL, 10) : 0;
+}
