--- a/entry/appends.c
+++ b/entry/appends.c
@@ -120,7 +120,7 @@
   core_store_state (core, reply == STORE_OK, "append");
   if (reply == STORE_OK)
     {
-      owner_set_lag (&core->owner, now_us - result->sent_us);
+      owner_set_lag (&core->owner, now_us - result->sent_us, now_us);
       for (uint32_t i = 0; i < core->sent->len; i++)
         note_stored (core, g_ptr_array_index (core->sent, i));
       g_ptr_array_set_size (core->sent, 0);
--- a/entry/core.c
+++ b/entry/core.c
@@ -14,6 +14,8 @@
 #define PROGRESS_PAUSE_US 10000
 /* Pending counts may be 2 s old.  */
 #define HOUSEKEEPING_US 500000
+/* What a stopping daemon still waits for the store.  */
+#define LAST_APPENDS_US 200000
 /* Snapshots in the time for which the store keeps records.  */
 #define SNAPSHOTS_PER_KEEP 4
 /* Final jobs are shown a little longer than asked, as clocks differ.  */
@@ -446,15 +448,15 @@
 run (void *arg)
 {
   core_t *core = arg;
+  int64_t end_us;
 
   rcu_register_thread ();
   core->turn_us = clock_boot_us ();
-  while (!atomic_load (&core->stopping) || !appends_idle (core))
-    {
-      turn (core);
-      if (atomic_load (&core->stopping) && !core->store_reached)
-        break;
-    }
+  while (!atomic_load (&core->stopping))
+    turn (core);
+  end_us = clock_boot_us () + LAST_APPENDS_US;
+  while (!appends_idle (core) && clock_boot_us () < end_us)
+    turn (core);
   rcu_unregister_thread ();
   return NULL;
 }
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -58,22 +58,26 @@
 }
 
 static int64_t
-allowance (const owner_t *owner)
+allowance (const owner_t *owner, int64_t now_us)
 {
-  return OWNER_LAG_TIMES * owner->lag_us;
+  if (now_us - owner->lag_at_us > OWNER_LAG_KEPT_US)
+    return 0;
+  return MIN (OWNER_LAG_TIMES * owner->lag_us, OWNER_LAG_MAX_US);
 }
 
 void
-owner_set_lag (owner_t *owner, int64_t lag_us)
+owner_set_lag (owner_t *owner, int64_t lag_us, int64_t now_us)
 {
   owner->lag_us = lag_us;
+  owner->lag_at_us = now_us;
 }
 
 static bool
 has_asked (const owner_t *owner, int64_t now_us)
 {
   return owner->asked_us != 0
-         && now_us - owner->asked_us < OWNER_RETRY_US + allowance (owner);
+         && now_us - owner->asked_us
+                < OWNER_RETRY_US + allowance (owner, now_us);
 }
 
 static owner_act_t
@@ -104,13 +108,13 @@
   if (owner->probed_us != 0)
     {
       if (now_us - owner->probed_us
-          < OWNER_ANSWER_US + owner->stagger_us + allowance (owner))
+          < OWNER_ANSWER_US + owner->stagger_us + allowance (owner, now_us))
         return OWNER_NONE;
       owner->probed_us = 0;
       owner->asked_us = now_us;
       return OWNER_CLAIM;
     }
-  if (now_us - owner->sign_us < OWNER_SILENCE_US + allowance (owner))
+  if (now_us - owner->sign_us < OWNER_SILENCE_US + allowance (owner, now_us))
     return OWNER_NONE;
   return ask (owner, OWNER_PROBE, now_us);
 }
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -32,8 +32,12 @@
 
 /* OWNER_LAG_TIMES - to silence and answer so many times the store's delay is
    added: a probe and its answer go through a store that may be slow, behind
-   the appends of others.  */
+   the appends of others.  No more than OWNER_LAG_MAX_US, and only for
+   OWNER_LAG_KEPT_US after it was seen: a daemon with nothing to append does
+   not see the store get well again.  */
 #define OWNER_LAG_TIMES 4
+#define OWNER_LAG_MAX_US 1500000
+#define OWNER_LAG_KEPT_US 3000000
 
 /* OWNER_STAGGER_US - how long a daemon with a whole core waits before it
    claims decisions that nobody owns; one with a part of a core waits longer in
@@ -59,7 +63,8 @@
                          has not read the log to its end yet */
   int64_t probed_us;  /* a probe was folded; 0: none in force */
   int64_t asked_us;   /* own probe or claim was appended last */
-  int64_t lag_us;     /* the store's delay, as this daemon saw it last */
+  int64_t lag_us;     /* the store's delay, as this daemon saw it last ... */
+  int64_t lag_at_us;  /* ... at this time */
   int64_t own_us;     /* own record as owner was appended last */
   bool deposed;       /* a worker knows of a later epoch than the log says */
   bool standing;      /* false while stopping: it claims nothing */
@@ -84,7 +89,7 @@
 owner_act_t owner_next (owner_t *owner, const jobtab_t *table, int64_t now_us);
 
 /* owner_set_lag - an append took LAG_US.  */
-void owner_set_lag (owner_t *owner, int64_t lag_us);
+void owner_set_lag (owner_t *owner, int64_t lag_us, int64_t now_us);
 
 /* owner_paused - this process stood still; what it measured means nothing.  */
 void owner_paused (owner_t *owner, int64_t now_us);
--- a/test/soak/workers.c
+++ b/test/soak/workers.c
@@ -147,6 +147,8 @@
   worker->lease_ms = 0;
   g_ptr_array_set_size (worker->runs, 0);
   g_ptr_array_set_size (worker->ends, 0);
+  /* Orders name the boot they are for.  */
+  g_ptr_array_set_size (worker->late, 0);
   g_hash_table_remove_all (worker->barred);
 }
 
