metrics: counters and latency histograms at /metrics; log decisions on tasks

One line for the tasks of a step that are placed together, one for each failure, and for workers that come and go. Metrics stand at /metrics of the ready address, beside /dump, in the text format of the usual scrapers.

--- a/base/base.h
+++ b/base/base.h
@@ -8,6 +8,7 @@
               one table from kind to answer
      event    the log: numbered events, listed in docs/events.md
      counter  process-wide counters, striped over threads
+   metrics  latency histograms, and the text of all of them
      pipe     bounded queue between two stages on different threads
      hash     placement hashes
      pack     check of msgpack bytes before a decoder allocates for them
@@ -215,6 +216,18 @@
   COUNT_LOANS_TAKEN,
   COUNT_CLAIMS_GRANTED,
   COUNT_CLAIMS_REFUSED,
+  COUNT_JOBS_ACCEPTED,
+  COUNT_JOBS_REFUSED,
+  COUNT_JOBS_COMPLETE,
+  COUNT_JOBS_FAILED,
+  COUNT_TASKS_STARTED,
+  COUNT_TASKS_DONE,
+  COUNT_TASKS_FAILED,
+  COUNT_TASKS_RETURNED,
+  COUNT_STORE_CALLS,
+  COUNT_WORKER_CALLS,
+  COUNT_HOST_ORDERS,
+  COUNT_OWNERSHIPS,
   COUNTER_COUNT
 } counter_id_t;
 
@@ -227,6 +240,24 @@
 /* counter_name - name of counter ID as in the admin server's /counters.  */
 const char *counter_name (counter_id_t id);
 
+typedef enum histogram_id
+{
+  HIST_ACCEPT, /* a job's request until its record is in the log */
+  HIST_START,  /* from a job's acceptance to its first start */
+  HIST_FINISH, /* from a job's acceptance to its last end */
+  HIST_APPEND, /* an append, until the store answers */
+  HISTOGRAM_COUNT
+} histogram_id_t;
+
+/* histogram_add - one more observation of TIME_US; relaxed atomic
+   additions.  */
+void histogram_add (histogram_id_t id, int64_t time_us);
+
+/* metrics_text - all counters and histograms in the text format of the usual
+   scrapers, names with PREFIX.  Histograms are in seconds; their bounds double
+   from 1 ms to 32 s.  The caller frees it.  */
+char *metrics_text (const char *prefix);
+
 /* A bounded queue with many writers and one reader.  The reader sleeps on
    event_fd.  Entries embed a pipe_node_t.  */
 typedef struct pipe_node
--- a/base/counter.c
+++ b/base/counter.c
@@ -46,6 +46,18 @@
   [COUNT_LOANS_TAKEN] = "loans_taken",
   [COUNT_CLAIMS_GRANTED] = "claims_granted",
   [COUNT_CLAIMS_REFUSED] = "claims_refused",
+  [COUNT_JOBS_ACCEPTED] = "jobs_accepted",
+  [COUNT_JOBS_REFUSED] = "jobs_refused",
+  [COUNT_JOBS_COMPLETE] = "jobs_complete",
+  [COUNT_JOBS_FAILED] = "jobs_failed",
+  [COUNT_TASKS_STARTED] = "tasks_started",
+  [COUNT_TASKS_DONE] = "tasks_done",
+  [COUNT_TASKS_FAILED] = "tasks_failed",
+  [COUNT_TASKS_RETURNED] = "tasks_returned",
+  [COUNT_STORE_CALLS] = "store_calls",
+  [COUNT_WORKER_CALLS] = "worker_calls",
+  [COUNT_HOST_ORDERS] = "host_orders",
+  [COUNT_OWNERSHIPS] = "ownerships",
 };
 
 void
--- a/entry/appends.c
+++ b/entry/appends.c
@@ -120,6 +120,7 @@
   core_store_state (core, reply == STORE_OK, "append");
   if (reply == STORE_OK)
     {
+      histogram_add (HIST_APPEND, now_us - result->sent_us);
       owner_set_lag (&core->owner, now_us - result->sent_us, now_us);
       for (uint32_t i = 0; i < core->sent->len; i++)
         note_stored (core, g_ptr_array_index (core->sent, i));
@@ -186,6 +187,7 @@
       g_ptr_array_add (records, out->record);
       g_ptr_array_add (core->sent, g_ptr_array_steal_index (core->waiting, 0));
     }
+  counter_add (COUNT_STORE_CALLS, 1);
   req = site_append (SITE_TOPIC_JOBS, records);
   calls_send (core->calls, core->settings->store, &req, APPEND_TIMEOUT_MS,
               on_appended, core);
--- a/entry/core.c
+++ b/entry/core.c
@@ -81,6 +81,7 @@
                             .notice_ms = s->notice_ms,
                             .host_lease_ms = s->host_lease_ms };
 
+  counter_add (COUNT_OWNERSHIPS, 1);
   event_log (EV_OWNER_GAINED, "epoch=%" PRIu64 " jobs=%u",
              core->tab->owner.epoch, g_hash_table_size (core->tab->jobs));
   core->sched = sched_new (core->tab, core->tab->owner.epoch, &limits,
--- a/entry/feeds.c
+++ b/entry/feeds.c
@@ -37,6 +37,7 @@
            feed_reply_t done)
 {
   feed->out = true;
+  counter_add (COUNT_STORE_CALLS, 1);
   calls_send (core->calls, core->settings->store, &req,
               wait_ms + READ_SLACK_MS, done, core);
 }
--- a/entry/front.c
+++ b/entry/front.c
@@ -74,6 +74,7 @@
   GByteArray *body;
   ask_t ask;
   bool asked;
+  int64_t asked_us;
   bool too_large;
 } creq_t;
 
@@ -126,6 +127,7 @@
 static enum MHD_Result
 refuse (creq_t *req, answer_kind_t kind, const char *id, const char *what)
 {
+  counter_add (COUNT_JOBS_REFUSED, 1);
   event_log (
       EV_JOB_REFUSED,
       "id=%s kind=%s rules_age_ms=%" PRId64 " log_age_ms=%" PRId64 "%s%s", id,
@@ -176,6 +178,7 @@
   req->ask.done = on_asked;
   req->ask.ctx = req;
   req->asked = true;
+  req->asked_us = clock_boot_us ();
   /* Before the core may answer.  */
   MHD_suspend_connection (req->conn);
   if (core_ask (req->front->core, &req->ask))
@@ -332,8 +335,15 @@
   switch ((ask_outcome_t)atomic_load (&ask->outcome))
     {
     case ASK_STORED:
-      event_log (ask->is_cancel ? EV_JOB_CANCELLED : EV_JOB_ACCEPTED, "id=%s",
-                 ask->id);
+      if (!ask->is_cancel)
+        {
+          counter_add (COUNT_JOBS_ACCEPTED, 1);
+          histogram_add (HIST_ACCEPT, clock_boot_us () - req->asked_us);
+        }
+      event_log (ask->is_cancel ? EV_JOB_CANCELLED : EV_JOB_ACCEPTED,
+                 "id=%s stored_ms=%" PRId64 " existed=%d", ask->id,
+                 (clock_boot_us () - req->asked_us) / 1000,
+                 !ask->is_cancel || ask->existed);
       return reply (
           req, ask->is_cancel && !ask->existed ? ANSWER_NO_JOB : ANSWER_DONE,
           NULL);
@@ -441,9 +451,12 @@
     return send_text (conn, MHD_HTTP_METHOD_NOT_ALLOWED, "");
   if (strcmp (path, "/readyz") == 0)
     return send_text (conn, is_ready (front) ? 200 : 503, "");
-  if (strcmp (path, "/dump") != 0)
+  if (strcmp (path, "/metrics") == 0)
+    text = metrics_text ("cuminpin_");
+  else if (strcmp (path, "/dump") == 0)
+    text = core_dump (front->core);
+  else
     return send_text (conn, MHD_HTTP_NOT_FOUND, "");
-  text = core_dump (front->core);
   return send_text (conn, MHD_HTTP_OK, text);
 }
 
--- a/entry/hostcalls.c
+++ b/entry/hostcalls.c
@@ -192,6 +192,7 @@
       sent_host_order_t *sent = g_new0 (sent_host_order_t, 1);
       site_req_t req;
 
+      counter_add (COUNT_HOST_ORDERS, 1);
       sent->core = core;
       sent->order = g_array_index (orders, host_order_t, i);
       sent->order.holder = core->settings->name;
--- a/entry/orders.c
+++ b/entry/orders.c
@@ -75,6 +75,7 @@
       sent_order_t *sent = g_new0 (sent_order_t, 1);
       site_req_t req = site_order (order);
 
+      counter_add (COUNT_WORKER_CALLS, 1);
       sent->core = core;
       sent->order = *order;
       sent->order.payload = NULL; /* last only until the order is sent */
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -306,6 +306,21 @@
     }
 }
 
+/* One line for the tasks of a stage that start together.  */
+static void
+log_starts (const pool_t *pool, const turn_t *turn, uint32_t waiting,
+            sched_now_t now)
+{
+  const stage_t *stage = turn->stage;
+
+  event_log (EV_TASK_STARTED,
+             "id=%s occurrence=%u step=%u pool=%s started=%u of=%u rank=%d "
+             "cost_ms=%.0f age_ms=%" PRId64,
+             stage->job->desc->id, stage->occurrence, stage->step, pool->name,
+             waiting - stage->waiting, waiting, (int)turn->rank, turn->cost,
+             (now.us - stage->job->accepted_us) / 1000);
+}
+
 static void
 place_pool (sched_t *sched, pool_t *pool, sched_now_t now)
 {
@@ -340,7 +355,13 @@
     }
   qsort (turns, count, sizeof *turns, compare_turns);
   for (uint32_t i = 0; i < count; i++)
-    place_stage (sched, pool, turns[i].stage, now);
+    {
+      uint32_t waiting = turns[i].stage->waiting;
+
+      place_stage (sched, pool, turns[i].stage, now);
+      if (turns[i].stage->waiting < waiting)
+        log_starts (pool, &turns[i], waiting, now);
+    }
 }
 
 void
--- a/jobs/sched.c
+++ b/jobs/sched.c
@@ -138,6 +138,7 @@
            sched_now_t now)
 {
   const rules_queue_t *queue = rules_queue (sched->rules, job->desc->queue);
+  int64_t took_us = now.us - job->accepted_us;
   int64_t objective_ms
       = queue ? job_objective_us (job, queue) / 1000 : job->chain_ms;
 
@@ -148,9 +149,13 @@
       " returned=%u",
       job->desc->id, state == JOB_STATE_COMPLETE ? "complete" : "failed",
       job->desc->queue, job->desc->workspace, job_tasks (job->desc),
-      job->chain_ms, objective_ms, (now.us - job->accepted_us) / 1000,
+      job->chain_ms, objective_ms, took_us / 1000,
       job->started_us ? (job->started_us - job->accepted_us) / 1000 : -1,
       job->returned);
+  counter_add (state == JOB_STATE_COMPLETE ? COUNT_JOBS_COMPLETE
+                                           : COUNT_JOBS_FAILED,
+               1);
+  histogram_add (HIST_FINISH, took_us);
 }
 
 static void
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -119,7 +119,10 @@
   task->stage->waiting--;
   task->stage->job->runs++;
   if (task->stage->job->started_us == 0)
-    task->stage->job->started_us = now.us;
+    {
+      task->stage->job->started_us = now.us;
+      histogram_add (HIST_START, now.us - task->stage->job->accepted_us);
+    }
   amounts_add (&worker->used, &run->holds);
   amounts_add (&task->stage->job->space->used, &run->quota);
   g_ptr_array_add (worker->runs, run);
@@ -133,6 +136,8 @@
   sjob_t *job = task->stage->job;
 
   job->returned += !task->done;
+  if (!task->done)
+    counter_add (COUNT_TASKS_RETURNED, 1);
   if (!task->done && !job->ended)
     event_log (EV_TASK_RETURNED,
                "id=%s occurrence=%u step=%u index=%u attempt=%u worker=%s "
@@ -234,6 +239,9 @@
 static void
 worker_remove (sched_t *sched, worker_t *worker, sched_now_t now)
 {
+  event_log (EV_WORKER_GONE, "worker=%s pool=%s silent_ms=%" PRId64,
+             worker->id, worker->pool->name,
+             worker->answered_us ? (now.us - worker->answered_us) / 1000 : -1);
   close_all (sched, worker, "worker-gone", now);
   g_ptr_array_remove_fast (worker->pool->workers, worker);
   g_hash_table_remove (sched->workers, worker->id);
@@ -251,6 +259,7 @@
   worker->hold_due_us = now.us;
   g_ptr_array_add (worker->pool->workers, worker);
   g_hash_table_insert (sched->workers, worker->id, worker);
+  event_log (EV_WORKER_LISTED, "worker=%s pool=%s", worker->id, pool->name);
   return worker;
 }
 
@@ -401,10 +410,18 @@
   switch (end->how)
     {
     case RUN_DONE:
+      counter_add (COUNT_TASKS_DONE, 1);
       worker->fails_in_row = 0;
       task_end (sched, task, end->attempt, true, now);
       break;
     case RUN_FAILED:
+      counter_add (COUNT_TASKS_FAILED, 1);
+      event_log (EV_TASK_ENDED,
+                 "id=%s occurrence=%u step=%u index=%u attempt=%u worker=%s "
+                 "how=failed failed_before=%u",
+                 task->stage->job->desc->id, end->task.occurrence,
+                 end->task.step, end->task.index, end->attempt, worker->id,
+                 task->fails.count);
       if (!task->stage->spec->lasts)
         note_failure (worker, now);
       task->avoid = worker->interned;
@@ -784,6 +801,7 @@
       return;
     }
   run->phase = RUN_ORDERED;
+  counter_add (COUNT_TASKS_STARTED, 1);
   order_add (sched, (order_t){ .kind = ORDER_START,
                                .worker = run->worker->interned,
                                .address = run->worker->address,
