jobs: slow filling tasks before they harm serving ones

Change: a serving task's tail over 80 % of its target halves the pace of the filling tasks beside it, over 100 % stops them; below 50 % they come back by a quarter each half second. Tested without network (jobs/pace); not measured.

--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -60,6 +60,8 @@
   uint32_t percent;
   uint32_t load;
   int64_t moved_us;   /* percent last changed */
+  uint32_t pace;      /* confirmed by the worker, in percent */
+  int64_t pace_us;    /* ordered last */
   int64_t missing_us; /* in neither list of its worker since; 0: it is */
 };
 
@@ -151,6 +153,8 @@
   GPtrArray *runs;
   uint32_t fails_in_row;
   int64_t suspect_until_us;
+  uint32_t fill_percent; /* pace of the filling tasks */
+  int64_t paced_us;      /* it last changed */
 };
 
 struct pool
@@ -297,6 +301,10 @@
 bool place_elsewhere (sched_t *sched, const task_t *task,
                       const worker_t *worker, sched_now_t now);
 
+/* pace.c: filling tasks beside those that serve */
+void pace_check (worker_t *worker, sched_now_t now);
+void pace_orders (sched_t *sched, worker_t *worker, sched_now_t now);
+
 /* stall.c: runs that hardly get on */
 void stalls_check (sched_t *sched, worker_t *worker, sched_now_t now);
 
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -112,6 +112,7 @@
   if (spec->fills)
     run->holds.cpu_milli = 0;
   run->phase = RUN_PLANNED;
+  run->pace = 100;
   run->since_us = now.us;
   task->run = run;
   task->attempt = MAX (task->attempt, attempt);
@@ -256,6 +257,7 @@
   worker->interned = g_intern_string (id);
   worker->runs = g_ptr_array_new ();
   worker->pool = pool;
+  worker->fill_percent = 100;
   worker->hold_due_us = now.us;
   g_ptr_array_add (worker->pool->workers, worker);
   g_hash_table_insert (sched->workers, worker->id, worker);
@@ -600,6 +602,7 @@
   worker->synced = true;
   take_lists (sched, worker, lists, reply->sent_us, now);
   stalls_check (sched, worker, now);
+  pace_check (worker, now);
   worker->hold_due_us
       = worker->seen > worker->last_seen ? now.us + HOLD_RETRY_US : now.us;
   return true;
@@ -684,8 +687,11 @@
       if (kind == REPLY_OK)
         run->stopped_us = now.us;
       return;
-    case ORDER_HOLD:
     case ORDER_PACE:
+      if (kind == REPLY_OK)
+        run->pace = order->percent;
+      return;
+    case ORDER_HOLD:
       return;
     }
 }
@@ -836,6 +842,7 @@
         }
       sched_wake_at (sched, run->stop_us + STOP_RETRY_US);
     }
+  pace_orders (sched, worker, now);
   if (worker->hold_out)
     return;
   if (worker->hold_due_us <= now.us)
