--- a/jobs/place.c
+++ b/jobs/place.c
@@ -168,6 +168,14 @@
   return value;
 }
 
+static bool
+is_avoided (const pool_t *pool, const worker_t *worker, const task_t *task,
+            sched_now_t now)
+{
+  return task->avoid == worker->interned && task->avoid_until_us > now.us
+         && pool->workers->len > 1;
+}
+
 static worker_t *
 find_worker (const pool_t *pool, const stage_t *stage, const task_t *task,
              sched_now_t now)
@@ -182,6 +190,7 @@
       double value;
 
       if (!worker_is_open (worker, now.us) || !fits (worker, &need)
+          || is_avoided (pool, worker, task, now)
           || !has_label (worker, stage->spec->label)
           || (stage->spec->spread_max > 0
               && count_of_stage (worker, stage) >= stage->spec->spread_max))
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -76,8 +76,9 @@
   char *checkpoint;
   run_t *run;
   int64_t not_before_us;
-  const char *avoid;     /* interned id of the worker of its last bad end */
-  int64_t away_since_us; /* a lasting task: not at work since */
+  const char *avoid;      /* interned id of the worker of its last bad end */
+  int64_t avoid_until_us; /* it does not start there before */
+  int64_t away_since_us;  /* a lasting task: not at work since */
 };
 
 /* The tasks of one step in one occurrence.  */
@@ -249,6 +250,8 @@
    unless it is done.  */
 void run_close (sched_t *sched, run_t *run, const char *why, sched_now_t now);
 void run_stop (run_t *run);
+/* task_avoid - RUN's task is better tried on another worker.  */
+void task_avoid (task_t *task, const worker_t *worker, sched_now_t now);
 /* run_leave - RUN goes on, but its task may start elsewhere: another run of it
    may be there at the same time, or this one can't start any more.  */
 void run_leave (sched_t *sched, run_t *run);
--- a/jobs/stall.c
+++ b/jobs/stall.c
@@ -96,7 +96,7 @@
       || !place_elsewhere (sched, task, run->worker, now))
     return;
   task->moved = true;
-  task->avoid = run->worker->interned;
+  task_avoid (task, run->worker, now);
   if (task->stage->spec->speculative)
     run_leave (sched, run);
   else
--- a/jobs/test/workers_test.c
+++ b/jobs/test/workers_test.c
@@ -418,6 +418,36 @@
 }
 END_TEST
 
+/* Guards against a worker that fails all it starts using up a task's attempts:
+   it is the emptiest one.  */
+START_TEST (test_failed_task_is_tried_elsewhere)
+{
+  job_step_t step = rig_step (1);
+  job_step_t fill = rig_step (8);
+  end_row_t end;
+  order_t start;
+  const char *other;
+  g_autoptr (GArray) busy = NULL;
+  g_autoptr (GArray) again = NULL;
+
+  rig_open (&rig, 1);
+  rig_worker (&rig, "w1", 8, false);
+  rig_submit (&rig, 1, &step, 1);
+  start = start_one ();
+  rig_started (&rig, &start);
+  rig_worker (&rig, "w2", 8, false);
+  other = "w2";
+  rig_submit (&rig, 2, &fill, 1);
+  busy = rig_plan (&rig, false);
+  ck_assert_uint_eq (rig_count (busy, ORDER_START), 8);
+  end = rig_end (&start, 1, RUN_FAILED);
+  rig_answer (&rig, "w1", NULL, 0, &end, 1);
+  again = rig_plan (&rig, false);
+  for (uint32_t i = 0; i < again->len; i++)
+    ck_assert_str_eq (g_array_index (again, order_t, i).worker, other);
+}
+END_TEST
+
 /* A worker on which all fails must not get every task.  */
 START_TEST (test_failing_worker_is_set_aside)
 {
@@ -456,4 +486,5 @@
     test_unconfirmed_owner_returns_no_tasks,
     test_looks_at_a_silent_worker_give_no_lease,
     test_other_boot_returns_tasks_at_once,
-    test_fenced_reply_ends_the_ownership, test_failing_worker_is_set_aside)
+    test_fenced_reply_ends_the_ownership, test_failed_task_is_tried_elsewhere,
+    test_failing_worker_is_set_aside)
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -5,6 +5,9 @@
    new for SUSPECT_US: a job's own fault seldom shows twice in a row.  */
 #define SUSPECT_FAILS 2
 #define SUSPECT_US 3000000
+/* A task is tried on other workers for so long after it failed on one; after
+   that it is better tried there than nowhere.  */
+#define AVOID_US 1500000
 /* Pause after a worker had no room or was unhealthy.  */
 #define REJECTED_PAUSE_US 250000
 /* Pause before a task that could not start is tried again.  */
@@ -163,6 +166,13 @@
   job_settle (sched, job);
 }
 
+void
+task_avoid (task_t *task, const worker_t *worker, sched_now_t now)
+{
+  task->avoid = worker->interned;
+  task->avoid_until_us = now.us + AVOID_US;
+}
+
 void
 run_leave (sched_t *sched, run_t *run)
 {
@@ -426,7 +436,7 @@
                  task->fails.count);
       if (!task->stage->spec->lasts)
         note_failure (worker, now);
-      task->avoid = worker->interned;
+      task_avoid (task, worker, now);
       task_end (sched, task, end->attempt, false, now);
       break;
     case RUN_STOPPED:
@@ -662,7 +672,7 @@
       start_failed (sched, run, kind, TASK_PAUSE_US, now);
       return;
     case REPLY_LOST:
-      run->task->avoid = worker->interned;
+      task_avoid (run->task, worker, now);
       run_stop (run);
       if (run->task->stage->spec->speculative)
         run_leave (sched, run);
