--- a/entry/core.c
+++ b/entry/core.c
@@ -12,6 +12,8 @@
 /* The owner gathers progress for so long before it appends it: fewer calls of
    the store, at the cost of what callers wait to see the last end.  */
 #define PROGRESS_PAUSE_US 10000
+/* The load is measured over so long.  */
+#define LOAD_SPAN_US 100000
 /* Pending counts may be 2 s old.  */
 #define HOUSEKEEPING_US 500000
 /* What a stopping daemon still waits for the store.  */
@@ -418,6 +420,22 @@
   return due_us <= now_us ? 0 : (int)((due_us - now_us + 999) / 1000);
 }
 
+/* Tells the scheduler how much of its time the loop is at work.  */
+static void
+note_load (core_t *core, int64_t began_us)
+{
+  int64_t now_us = clock_boot_us ();
+  int64_t span_us = now_us - core->load_us;
+
+  core->busy_us += now_us - began_us;
+  if (span_us < LOAD_SPAN_US)
+    return;
+  if (core->sched)
+    sched_set_load (core->sched, (uint32_t)(core->busy_us * 100 / span_us));
+  core->busy_us = 0;
+  core->load_us = now_us;
+}
+
 static void
 turn (core_t *core)
 {
@@ -425,6 +443,7 @@
   int count
       = epoll_wait (core->epoll_fd, events, EVENTS_AT_ONCE, wait_ms (core));
   int64_t now_us = clock_boot_us ();
+  int64_t began_us = now_us;
 
   check_pause (core, now_us);
   for (int i = 0; i < count; i++)
@@ -443,6 +462,7 @@
   keep_house (core, now_us);
   /* Starts the transfers that were added on this turn.  */
   calls_run_due (core->calls, now_us);
+  note_load (core, began_us);
 }
 
 static void *
--- a/entry/core.h
+++ b/entry/core.h
@@ -52,6 +52,8 @@
   bool unsure_since_pause; /* orders wait until the log was read */
   int64_t paused_us;
   int64_t turn_us; /* the loop's last turn */
+  int64_t busy_us; /* at work since load_us */
+  int64_t load_us;
   int64_t progress_due_us;
   int64_t housekeeping_us;
   int64_t snapshot_us;
--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -15,8 +15,10 @@
 #define KEEP_PERCENT 60
 /* Free hosts that a pool keeps beyond its need.  */
 #define MARGIN_HOSTS 2.0
-/* Moves under way at a time.  */
-#define MOVES_MAX 20
+/* Moves under way at a time, in hosts and as a part of all hosts; the larger
+   counts.  */
+#define MOVES_MIN 20
+#define MOVES_PERCENT 30
 
 /* What a pool has and needs, in hosts.  */
 typedef struct load
@@ -205,9 +207,11 @@
 {
   const char *standby = standby_pool (sched);
   uint32_t under_way = moves_under_way (sched);
+  uint32_t most = MAX (g_hash_table_size (sched->hosts) * MOVES_PERCENT / 100,
+                       MOVES_MIN);
   double missing = need_of (load) - (double)load->have - (double)load->coming;
 
-  while (missing > 0 && under_way < MOVES_MAX)
+  while (missing > 0 && under_way < most)
     {
       host_t *host = standby ? idlest_host (sched, standby) : NULL;
       load_t *from = host ? NULL : giver (loads, count, load->pool);
--- a/jobs/sched.c
+++ b/jobs/sched.c
@@ -643,6 +643,15 @@
   return rec;
 }
 
+void
+sched_set_load (sched_t *sched, uint32_t busy_percent)
+{
+  uint32_t over = MIN (busy_percent, 100);
+
+  over = over > BUSY_PERCENT ? over - BUSY_PERCENT : 0;
+  sched->look_pause_us = LOOK_PAUSE_US * over / (100 - BUSY_PERCENT);
+}
+
 void
 sched_durable (sched_t *sched, uint64_t batch)
 {
@@ -659,7 +668,7 @@
       if (worker->last_seen == worker->seen || worker->seen_batch > batch)
         continue;
       worker->last_seen = worker->seen;
-      worker->hold_due_us = 0;
+      worker->hold_due_us = worker->answered_us + sched->look_pause_us;
       sched->next_us = 0;
     }
 }
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -19,6 +19,10 @@
 /* Looks at a worker whose ends can't be made durable, or that did not
    answer.  */
 #define HOLD_RETRY_US 250000
+/* An owner that is at work for more than BUSY_PERCENT of the time looks at a
+   worker again only after up to LOOK_PAUSE_US.  */
+#define BUSY_PERCENT 50
+#define LOOK_PAUSE_US 80000
 /* A worker that has not answered for so long gets no new tasks: it missed a
    held look and the time allowed for its answer.  */
 #define WORKER_SILENT_US 1700000
@@ -222,9 +226,10 @@
   uint64_t batch;           /* the one being gathered */
   int64_t since_us;
   int64_t next_us;
-  uint64_t durable;    /* the last one in the log */
-  bool ends_unwritten; /* ends were listed since the last batch */
-  bool dirty;          /* something changed that may let a task start */
+  uint64_t durable;      /* the last one in the log */
+  int64_t look_pause_us; /* before a worker is looked at again */
+  bool ends_unwritten;   /* ends were listed since the last batch */
+  bool dirty;            /* something changed that may let a task start */
 };
 
 /* sched.c: jobs and their stages */
--- a/jobs/scheduler.h
+++ b/jobs/scheduler.h
@@ -206,6 +206,11 @@
 
 bool sched_has_progress (const sched_t *sched);
 
+/* sched_set_load - BUSY_PERCENT of the time the owner has been at work.  With
+   little time left it looks at workers less often, so that ends come
+   together.  */
+void sched_set_load (sched_t *sched, uint32_t busy_percent);
+
 /* sched_durable - all progress up to BATCH was read back from the log while
    this daemon was the owner; workers may forget the ends in it.  The store's
    answer to the append is not enough: a claim may stand before the record, and
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -613,8 +613,9 @@
   take_lists (sched, worker, lists, reply->sent_us, now);
   stalls_check (sched, worker, now);
   pace_check (worker, now);
-  worker->hold_due_us
-      = worker->seen > worker->last_seen ? now.us + HOLD_RETRY_US : now.us;
+  worker->hold_due_us = worker->seen > worker->last_seen
+                            ? now.us + HOLD_RETRY_US
+                            : now.us + sched->look_pause_us;
   return true;
 }
 
