jobs: split workers and sched into runs, replies and stages

The two files held five jobs: workers with their leases, attempts, what a worker's answers mean, jobs with their stages, and the plan as a whole.

--- /dev/null
+++ b/jobs/runs.c
@@ -0,0 +1,142 @@
+#include "schedint.h"
+
+/* A task is tried on other workers for so long after it failed on one; after
+   that it is better tried there than nowhere.  */
+#define AVOID_US 1500000
+
+bool
+task_is_at_work (const task_t *task, int64_t now_us)
+{
+  const run_t *run = task->run;
+
+  return run && run->phase == RUN_ACTIVE && run->percent >= 100
+         && !run->worker->unreachable && !run->worker->going_down
+         && now_us - run->worker->answered_us < WORKER_SILENT_US;
+}
+
+run_t *
+run_new (sched_t *sched, task_t *task, worker_t *worker, uint32_t attempt,
+         sched_now_t now)
+{
+  const job_step_t *spec = task->stage->spec;
+  run_t *run = g_new0 (run_t, 1);
+
+  (void)sched;
+  run->task = task;
+  run->worker = worker;
+  run->attempt = attempt;
+  run->holds = spec->need;
+  run->quota = spec->need;
+  if (spec->fills)
+    run->holds.cpu_milli = 0;
+  run->phase = RUN_PLANNED;
+  run->pace = 100;
+  run->since_us = now.us;
+  task->run = run;
+  task->attempt = MAX (task->attempt, attempt);
+  task->stage->attempt = MAX (task->stage->attempt, attempt);
+  task->stage->waiting--;
+  task->stage->job->runs++;
+  if (task->stage->job->started_us == 0)
+    {
+      task->stage->job->started_us = now.us;
+      histogram_add (HIST_START, now.us - task->stage->job->accepted_us);
+    }
+  amounts_add (&worker->used, &run->holds);
+  amounts_add (&task->stage->job->space->used, &run->quota);
+  g_ptr_array_add (worker->runs, run);
+  return run;
+}
+
+void
+run_close (sched_t *sched, run_t *run, const char *why, sched_now_t now)
+{
+  task_t *task = run->task;
+  sjob_t *job = task->stage->job;
+
+  job->returned += !task->done;
+  if (!task->done)
+    counter_add (COUNT_TASKS_RETURNED, 1);
+  if (!task->done && !job->ended)
+    event_log (EV_TASK_RETURNED,
+               "id=%s occurrence=%u step=%u index=%u attempt=%u worker=%s "
+               "why=%s ran_ms=%" PRId64,
+               job->desc->id, task->stage->occurrence, task->stage->step,
+               task->index, run->attempt, run->worker->id, why,
+               run->active_us ? (now.us - run->active_us) / 1000 : 0);
+
+  amounts_subtract (&run->worker->used, &run->holds);
+  amounts_subtract (&job->space->used, &run->quota);
+  g_ptr_array_remove_fast (run->worker->runs, run);
+  job->runs--;
+  sched->dirty = true;
+  if (task->run == run)
+    {
+      task->run = NULL;
+      task->away_since_us = now.us;
+      if (!task->done && !job->ended)
+        task_waits (sched, task);
+    }
+  g_free (run);
+  job_settle (sched, job);
+}
+
+void
+task_avoid (task_t *task, const worker_t *worker, sched_now_t now)
+{
+  task->avoid = worker->interned;
+  task->avoid_until_us = now.us + AVOID_US;
+}
+
+void
+run_leave (sched_t *sched, run_t *run)
+{
+  task_t *task = run->task;
+
+  if (task->run != run)
+    return;
+  task->run = NULL;
+  if (!task->done && !task->stage->job->ended)
+    task_waits (sched, task);
+}
+
+run_t *
+run_find (const worker_t *worker, const task_t *task, uint32_t attempt)
+{
+  for (uint32_t i = 0; i < worker->runs->len; i++)
+    {
+      run_t *run = g_ptr_array_index (worker->runs, i);
+
+      if (run->task == task && run->attempt == attempt)
+        return run;
+    }
+  return NULL;
+}
+
+void
+runs_stop_others (sched_t *sched, const task_t *task)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, sched->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const worker_t *worker = value;
+
+      for (uint32_t i = 0; i < worker->runs->len; i++)
+        {
+          run_t *run = g_ptr_array_index (worker->runs, i);
+
+          if (run->task == task)
+            run_stop (run);
+        }
+    }
+}
+
+void
+run_stop (run_t *run)
+{
+  run->unsent |= run->phase == RUN_PLANNED;
+  run->phase = RUN_STOPPING;
+}
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -1,4 +1,5 @@
-/* schedint - the data of sched, workers and plan; private to the package  */
+/* schedint - the data that sched, stages, workers, runs, replies, place, pace,
+   stall, hosts and moves work on; private to the package  */
 
 #ifndef CUMINPIN_SCHEDINT_H
 #define CUMINPIN_SCHEDINT_H
@@ -232,8 +233,16 @@
   bool dirty;            /* something changed that may let a task start */
 };
 
-/* sched.c: jobs and their stages */
+/* sched.c: the plan of an owner as a whole */
 pool_t *sched_pool (sched_t *sched, const char *name);
+/* sched_space - the workspace NAME, which is interned.  */
+space_t *sched_space (sched_t *sched, const char *name);
+void sched_wake_at (sched_t *sched, int64_t at_us);
+
+/* stages.c: jobs, their stages and tasks */
+void sjob_free (gpointer data);
+/* stage_list - list STAGE with its pool if a task of it may start.  */
+void stage_list (sched_t *sched, stage_t *stage);
 pool_t *stage_pool (sched_t *sched, const stage_t *stage);
 task_t *sched_task (const sched_t *sched, const task_ref_t *ref);
 task_ref_t task_ref (const task_t *task);
@@ -248,7 +257,7 @@
 void task_waits (sched_t *sched, task_t *task);
 uint32_t task_next_attempt (const task_t *task);
 
-/* workers.c: workers and runs */
+/* runs.c: attempts at tasks */
 run_t *run_new (sched_t *sched, task_t *task, worker_t *worker,
                 uint32_t attempt, sched_now_t now);
 /* run_close - RUN is certainly over, because of WHY; its task waits again
@@ -263,6 +272,10 @@
 run_t *run_find (const worker_t *worker, const task_t *task, uint32_t attempt);
 /* runs_stop_others - stop the copies of TASK, which is done.  */
 void runs_stop_others (sched_t *sched, const task_t *task);
+/* task_is_at_work - whether a lasting task does its work.  */
+bool task_is_at_work (const task_t *task, int64_t now_us);
+
+/* workers.c: workers, their clocks and leases */
 void worker_clear (sched_t *sched, worker_t *worker, sched_now_t now);
 int64_t worker_lease_end_us (const sched_t *sched, const worker_t *worker);
 int64_t worker_clock_at (const worker_t *worker, int64_t now_us);
@@ -280,10 +293,11 @@
 void worker_expect (sched_t *sched, task_t *task, uint32_t attempt,
                     const char *id, sched_now_t now);
 void order_add (sched_t *sched, order_t order);
-void sched_wake_at (sched_t *sched, int64_t at_us);
-
-/* task_is_at_work - whether a lasting task does its work.  */
-bool task_is_at_work (const task_t *task, int64_t now_us);
+/* sched_inherits_leases - whether a lease that an earlier owner gave can still
+   hold.  */
+bool sched_inherits_leases (const sched_t *sched, int64_t now_us);
+/* stop_takes_us - from a confirmed stop until its run is surely over.  */
+int64_t stop_takes_us (const sched_t *sched);
 
 /* hosts.c */
 void host_discard (gpointer data);
--- /dev/null
+++ b/jobs/stages.c
@@ -0,0 +1,453 @@
+#include "schedint.h"
+#include <string.h>
+
+static void
+stage_clear (stage_t *stage)
+{
+  for (uint32_t i = 0; i < stage->spec->count; i++)
+    g_free (stage->tasks[i].checkpoint);
+  g_free (stage->tasks);
+}
+
+void
+sjob_free (gpointer data)
+{
+  sjob_t *job = data;
+
+  for (uint32_t k = 0; k < job_occurrences (job->desc); k++)
+    {
+      stage_t *stages = job->occurrences[k].stages;
+
+      for (uint32_t i = 0; stages && i < job->desc->steps_count; i++)
+        stage_clear (&stages[i]);
+      g_free (stages);
+    }
+  g_free (job->occurrences);
+  g_free (job->tail_ms);
+  job_desc_free (job->desc);
+  g_free (job);
+}
+
+/* Where the queue of STAGE leads now; a queue that was removed leads where it
+   last did.  */
+pool_t *
+stage_pool (sched_t *sched, const stage_t *stage)
+{
+  const job_desc_t *desc = stage->job->desc;
+  const rules_queue_t *queue = rules_queue (sched->rules, desc->queue);
+
+  return sched_pool (sched, queue ? queue->service : desc->service);
+}
+
+task_ref_t
+task_ref (const task_t *task)
+{
+  const stage_t *stage = task->stage;
+  task_ref_t ref = { .occurrence = stage->occurrence,
+                     .step = stage->step,
+                     .index = task->index };
+
+  memcpy (ref.id, stage->job->desc->id, sizeof ref.id);
+  return ref;
+}
+
+task_t *
+sched_task (const sched_t *sched, const task_ref_t *ref)
+{
+  sjob_t *job = g_hash_table_lookup (sched->jobs, ref->id);
+  stage_t *stage;
+
+  if (!job || job_task_number (job->desc, ref) == UINT32_MAX
+      || !job->occurrences[ref->occurrence].stages)
+    return NULL;
+  stage = &job->occurrences[ref->occurrence].stages[ref->step];
+  return &stage->tasks[ref->index];
+}
+
+void
+stage_list (sched_t *sched, stage_t *stage)
+{
+  if (stage->listed || stage->waits_on > 0 || stage->waiting == 0
+      || stage->job->ended)
+    return;
+  stage->listed = true;
+  g_ptr_array_add (stage_pool (sched, stage)->stages, stage);
+  sched->dirty = true;
+}
+
+void
+task_waits (sched_t *sched, task_t *task)
+{
+  stage_t *stage = task->stage;
+
+  stage->waiting++;
+  stage_list (sched, stage);
+}
+
+uint32_t
+task_next_attempt (const task_t *task)
+{
+  uint32_t last = MAX (task->attempt, task->fails.highest);
+
+  if (task->stage->spec->gang)
+    last = MAX (last, task->stage->attempt);
+  return last + 1;
+}
+
+/* What decided how long a job took, for whoever asks later.  */
+static void
+log_final (const sched_t *sched, const sjob_t *job, job_state_t state,
+           sched_now_t now)
+{
+  const rules_queue_t *queue = rules_queue (sched->rules, job->desc->queue);
+  int64_t took_us = now.us - job->accepted_us;
+  int64_t objective_ms
+      = queue ? job_objective_us (job, queue) / 1000 : job->chain_ms;
+
+  event_log (
+      EV_JOB_FINAL,
+      "id=%s state=%s queue=%s workspace=%s tasks=%u chain_ms=%" PRId64
+      " objective_ms=%" PRId64 " took_ms=%" PRId64 " first_start_ms=%" PRId64
+      " returned=%u",
+      job->desc->id, state == JOB_STATE_COMPLETE ? "complete" : "failed",
+      job->desc->queue, job->desc->workspace, job_tasks (job->desc),
+      job->chain_ms, objective_ms, took_us / 1000,
+      job->started_us ? (job->started_us - job->accepted_us) / 1000 : -1,
+      job->returned);
+  counter_add (state == JOB_STATE_COMPLETE ? COUNT_JOBS_COMPLETE
+                                           : COUNT_JOBS_FAILED,
+               1);
+  histogram_add (HIST_FINISH, took_us);
+}
+
+static void
+add_change (sched_t *sched, const sjob_t *job, job_state_t state)
+{
+  job_change_t change = { .state = state };
+
+  memcpy (change.id, job->desc->id, sizeof change.id);
+  g_array_append_val (sched->changes, change);
+}
+
+void
+job_begin (sched_t *sched, sjob_t *job)
+{
+  if (job->begun)
+    return;
+  job->begun = true;
+  add_change (sched, job, JOB_STATE_RUNNING);
+}
+
+/* Stops all runs of JOB, copies too.  */
+static void
+stop_runs (sched_t *sched, const sjob_t *job)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (job->runs == 0)
+    return;
+  g_hash_table_iter_init (&iter, sched->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const worker_t *worker = value;
+
+      for (uint32_t i = 0; i < worker->runs->len; i++)
+        {
+          run_t *run = g_ptr_array_index (worker->runs, i);
+
+          if (run->task->stage->job == job)
+            run_stop (run);
+        }
+    }
+}
+
+static void
+unlist_job (sched_t *sched, const sjob_t *job)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, sched->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      pool_t *pool = value;
+
+      for (uint32_t i = pool->stages->len; i-- > 0;)
+        {
+          stage_t *stage = g_ptr_array_index (pool->stages, i);
+
+          if (stage->job != job)
+            continue;
+          stage->listed = false;
+          g_ptr_array_remove_index_fast (pool->stages, i);
+        }
+    }
+}
+
+void
+job_end (sched_t *sched, sjob_t *job)
+{
+  if (job->ended)
+    return;
+  job->ended = true;
+  unlist_job (sched, job);
+  g_ptr_array_remove_fast (sched->timed, job);
+  stop_runs (sched, job);
+  sched->dirty = true;
+}
+
+void
+job_settle (sched_t *sched, sjob_t *job)
+{
+  if (job->ended && job->runs == 0)
+    g_hash_table_remove (sched->jobs, job->desc->id);
+}
+
+static void
+stage_done (sched_t *sched, sjob_t *job, const stage_t *stage)
+{
+  stage_t *stages = job->occurrences[stage->occurrence].stages;
+
+  for (uint32_t i = stage->step + 1; i < job->desc->steps_count; i++)
+    for (uint32_t a = 0; a < stages[i].spec->after_count; a++)
+      if (stages[i].spec->after[a] == stage->step && --stages[i].waits_on == 0)
+        stage_list (sched, &stages[i]);
+}
+
+static void
+mark_done (sched_t *sched, task_t *task, sched_now_t now)
+{
+  stage_t *stage = task->stage;
+  sjob_t *job = stage->job;
+  occurrence_t *occurrence = &job->occurrences[stage->occurrence];
+
+  task->done = true;
+  if (!task->run)
+    stage->waiting--;
+  if (--stage->undone == 0)
+    stage_done (sched, job, stage);
+  if (--occurrence->undone > 0 || --job->undone > 0)
+    return;
+  add_change (sched, job, JOB_STATE_COMPLETE);
+  log_final (sched, job, JOB_STATE_COMPLETE, now);
+  job_end (sched, job);
+}
+
+static void
+add_end (sched_t *sched, const task_t *task, uint32_t attempt, bool done)
+{
+  task_end_t end
+      = { .task = task_ref (task), .attempt = attempt, .done = done };
+
+  g_array_append_val (sched->ends, end);
+}
+
+/* One end of a gang stands for all its members.  */
+static void
+gang_end (sched_t *sched, stage_t *stage, uint32_t attempt, bool done,
+          sched_now_t now)
+{
+  for (uint32_t i = 0; i < stage->spec->count; i++)
+    {
+      task_t *task = &stage->tasks[i];
+
+      if (done && !task->done)
+        {
+          add_end (sched, task, attempt, true);
+          mark_done (sched, task, now);
+        }
+    }
+}
+
+static uint32_t
+max_attempts_of (const sched_t *sched, const sjob_t *job)
+{
+  const rules_queue_t *queue = rules_queue (sched->rules, job->desc->queue);
+
+  return queue && queue->max_attempts > 0 ? queue->max_attempts : 1;
+}
+
+void
+task_end (sched_t *sched, task_t *task, uint32_t attempt, bool done,
+          sched_now_t now)
+{
+  stage_t *stage = task->stage;
+  sjob_t *job = stage->job;
+
+  if (job->ended || task->done)
+    return;
+  if (done && !stage->spec->lasts)
+    {
+      if (stage->spec->gang)
+        {
+          gang_end (sched, stage, attempt, true, now);
+          return;
+        }
+      add_end (sched, task, attempt, true);
+      mark_done (sched, task, now);
+      return;
+    }
+  if (stage->spec->lasts || !fails_add (&task->fails, attempt))
+    return;
+  add_end (sched, task, attempt, false);
+  if (stage->spec->gang)
+    fails_add (&stage->gang_fails, attempt);
+  if ((stage->spec->gang ? stage->gang_fails.count : task->fails.count)
+      < max_attempts_of (sched, job))
+    return;
+  add_change (sched, job, JOB_STATE_FAILED);
+  log_final (sched, job, JOB_STATE_FAILED, now);
+  job_end (sched, job);
+}
+
+static void
+open_stage (sched_t *sched, sjob_t *job, uint32_t k, uint32_t step,
+            uint32_t first_mark, sched_now_t now)
+{
+  stage_t *stage = &job->occurrences[k].stages[step];
+  const job_entry_t *entry = job->entry;
+
+  *stage = (stage_t){
+    .job = job, .occurrence = k, .step = step, .spec = &job->desc->steps[step]
+  };
+  stage->tasks = g_new0 (task_t, stage->spec->count);
+  stage->undone = stage->spec->count;
+  stage->waiting = stage->spec->count;
+  stage->waits_on = stage->spec->after_count;
+  for (uint32_t i = 0; i < stage->spec->count; i++)
+    {
+      task_t *task = &stage->tasks[i];
+      const task_mark_t *mark
+          = entry && entry->marks ? &entry->marks[first_mark + i] : NULL;
+
+      task->stage = stage;
+      task->index = i;
+      task->away_since_us = now.us;
+      if (!mark)
+        continue;
+      task->fails = mark->fails;
+      for (uint32_t f = 0; f < MIN (mark->fails.count, FAILS_KEPT); f++)
+        fails_add (&stage->gang_fails, mark->fails.attempts[f]);
+      task->attempt = mark->placed;
+      if (mark->done)
+        {
+          task->done = true;
+          stage->undone--;
+          stage->waiting--;
+        }
+      else if (mark->worker)
+        worker_expect (sched, task, mark->placed, mark->worker, now);
+    }
+}
+
+static void
+open_occurrence (sched_t *sched, sjob_t *job, uint32_t k, sched_now_t now)
+{
+  occurrence_t *occurrence = &job->occurrences[k];
+  uint32_t steps = job->desc->steps_count;
+  uint32_t mark = k * job_tasks_each (job->desc);
+
+  occurrence->stages = g_new0 (stage_t, steps);
+  for (uint32_t i = 0; i < steps; i++)
+    {
+      open_stage (sched, job, k, i, mark, now);
+      mark += job->desc->steps[i].count;
+      occurrence->undone += occurrence->stages[i].undone;
+    }
+  for (uint32_t i = 0; i < steps; i++)
+    if (occurrence->stages[i].undone == 0)
+      stage_done (sched, job, &occurrence->stages[i]);
+  for (uint32_t i = 0; i < steps; i++)
+    stage_list (sched, &occurrence->stages[i]);
+  if (occurrence->undone == 0)
+    job->undone--;
+}
+
+static int64_t
+due_ms (const job_desc_t *desc, uint32_t k)
+{
+  return desc->start_ms + (int64_t)k * desc->interval_ms;
+}
+
+void
+job_open_due (sched_t *sched, sjob_t *job, sched_now_t now)
+{
+  uint32_t count = job_occurrences (job->desc);
+
+  while (job->next_occurrence < count
+         && (job->desc->repeats == 0
+             || due_ms (job->desc, job->next_occurrence) <= now.wall_ms))
+    open_occurrence (sched, job, job->next_occurrence++, now);
+  if (job->next_occurrence < count)
+    sched_wake_at (
+        sched,
+        now.us
+            + (due_ms (job->desc, job->next_occurrence) - now.wall_ms) * 1000);
+}
+
+/* Longest chains of estimates, from the last step back.  */
+static void
+measure_chains (sjob_t *job)
+{
+  const job_desc_t *desc = job->desc;
+
+  job->tail_ms = g_new0 (int64_t, desc->steps_count);
+  for (uint32_t i = desc->steps_count; i-- > 0;)
+    {
+      const job_step_t *step = &desc->steps[i];
+
+      job->tail_ms[i] += step->estimate_ms;
+      job->chain_ms = MAX (job->chain_ms, job->tail_ms[i]);
+      for (uint32_t a = 0; a < step->after_count; a++)
+        job->tail_ms[step->after[a]]
+            = MAX (job->tail_ms[step->after[a]], job->tail_ms[i]);
+      job->work += (int64_t)step->count * step->need.cpu_milli
+                   * MAX (step->estimate_ms, 1);
+    }
+}
+
+void
+sched_add_job (sched_t *sched, const job_entry_t *entry, sched_now_t now)
+{
+  sjob_t *job;
+  uint32_t count;
+
+  if (job_state_is_final (entry->state)
+      || g_hash_table_contains (sched->jobs, entry->desc->id))
+    return;
+  count = job_occurrences (entry->desc);
+  job = g_new0 (sjob_t, 1);
+  job->desc = job_desc_share (entry->desc);
+  job->space = sched_space (sched, job->desc->workspace);
+  job->occurrences = g_new0 (occurrence_t, count);
+  job->undone = count;
+  job->begun = entry->state != JOB_STATE_QUEUED;
+  job->accepted_us
+      = now.us
+        - CLAMP (now.wall_ms - entry->desc->accepted_ms, 0, 60000) * 1000;
+  job->entry = entry;
+  measure_chains (job);
+  g_hash_table_insert (sched->jobs, job->desc->id, job);
+  job_open_due (sched, job, now);
+  job->entry = NULL;
+  if (job->next_occurrence < count)
+    g_ptr_array_add (sched->timed, job);
+  if (job->undone > 0)
+    return;
+  add_change (sched, job, JOB_STATE_COMPLETE);
+  job_end (sched, job);
+  job_settle (sched, job);
+}
+
+void
+sched_cancel_job (sched_t *sched, const char *id, sched_now_t now)
+{
+  sjob_t *job = g_hash_table_lookup (sched->jobs, id);
+
+  (void)now;
+  if (!job)
+    return;
+  job_end (sched, job);
+  job_settle (sched, job);
+}
--- /dev/null
+++ b/jobs/test/replies_test.c
@@ -0,0 +1,239 @@
+#include "rig.h"
+
+static rig_t rig;
+
+static void
+set_up (void)
+{
+  memset (&rig, 0, sizeof rig);
+}
+
+static void
+tear_down (void)
+{
+  rig_close (&rig);
+}
+
+static task_ref_t
+ref_of (uint32_t job, uint32_t index)
+{
+  task_ref_t ref = { .index = index };
+
+  memcpy (ref.id, rig_id (job), sizeof ref.id);
+  return ref;
+}
+
+static order_t
+start_one (void)
+{
+  g_autoptr (GArray) orders = rig_plan (&rig, false);
+
+  ck_assert_uint_eq (rig_count (orders, ORDER_START), 1);
+  return g_array_index (orders, order_t, 0);
+}
+
+/* Guards against starting a task elsewhere while an order without an answer
+   may still be carried out.  */
+START_TEST (test_unanswered_start_is_stopped_first)
+{
+  job_step_t step = rig_step (1);
+  order_t start;
+  g_autoptr (GArray) stops = NULL;
+  g_autoptr (GArray) again = NULL;
+
+  rig_open (&rig, 1);
+  rig_worker (&rig, "w1", 8, false);
+  rig_worker (&rig, "w2", 8, false);
+  rig_submit (&rig, 1, &step, 1);
+  start = start_one ();
+  rig_reply (&rig, &start, REPLY_LOST);
+  stops = rig_plan (&rig, false);
+  ck_assert_uint_eq (rig_count (stops, ORDER_START), 0);
+  ck_assert_uint_eq (rig_count (stops, ORDER_STOP), 1);
+  rig_reply (&rig, &g_array_index (stops, order_t, 0), REPLY_OK);
+  rig_pass (&rig, 400);
+  rig_answer (&rig, "w1", NULL, 0, NULL, 0);
+  rig_answer (&rig, "w2", NULL, 0, NULL, 0);
+  again = rig_plan (&rig, false);
+  ck_assert_uint_eq (rig_count (again, ORDER_START), 1);
+  ck_assert_uint_gt (g_array_index (again, order_t, 0).attempt, start.attempt);
+}
+END_TEST
+
+/* Guards against taking the leases of an earlier owner for ended because the
+   worker's clock is known from the answer to a stop, before its first lists.
+ */
+START_TEST (test_stop_answer_ends_no_inherited_lease)
+{
+  job_step_t step = rig_step (2);
+  worker_reply_t stopped = { .kind = REPLY_OK, .has_clock = true };
+  g_autoptr (GArray) stops = NULL;
+  g_autoptr (GArray) orders = NULL;
+
+  rig_submit (&rig, 1, &step, 1);
+  rig_submit (&rig, 2, &step, 1);
+  rig_place (&rig, 1, 0, 1, "w2");
+  rig_place (&rig, 2, 0, 1, "w2");
+  rig_place (&rig, 2, 1, 1, "w2");
+  rig_open (&rig, 2);
+  rig_worker (&rig, "w1", 8, false);
+  rig_worker (&rig, "w2", 8, true);
+  sched_cancel_job (rig.sched, rig_id (1), rig.now);
+  stops = rig_plan (&rig, false);
+  ck_assert_uint_eq (rig_count (stops, ORDER_STOP), 1);
+  stopped.clock_ms = rig.now.us / 1000;
+  sched_order_reply (rig.sched, &g_array_index (stops, order_t, 0), &stopped,
+                     rig.now);
+  rig_pass (&rig, 200);
+  orders = rig_plan (&rig, false);
+  ck_assert_uint_eq (rig_count (orders, ORDER_START), 0);
+}
+END_TEST
+
+/* Guards against telling a worker to forget an end before the log has it.  */
+START_TEST (test_end_is_forgotten_only_once_durable)
+{
+  job_step_t step = rig_step (2);
+  order_t first;
+  order_t second;
+  end_row_t end;
+  run_row_t row;
+  g_autoptr (GArray) starts = NULL;
+  g_autoptr (GArray) before = NULL;
+  g_autoptr (GArray) after = NULL;
+  job_rec_t *rec;
+
+  rig_open (&rig, 1);
+  rig_worker (&rig, "w1", 8, false);
+  rig_submit (&rig, 1, &step, 1);
+  starts = rig_plan (&rig, false);
+  ck_assert_uint_eq (rig_count (starts, ORDER_START), 2);
+  first = g_array_index (starts, order_t, 0);
+  second = g_array_index (starts, order_t, 1);
+  rig_started (&rig, &first);
+  rig_started (&rig, &second);
+  end = rig_end (&first, 1, RUN_DONE);
+  row = rig_row (&second);
+  rig_answer (&rig, "w1", &row, 1, &end, 1);
+  rec = sched_progress (rig.sched);
+  ck_assert_ptr_nonnull (rec);
+  /* An empty batch after it must not stand for it.  */
+  ck_assert_ptr_null (sched_progress (rig.sched));
+  rig_pass (&rig, 300);
+  before = rig_plan (&rig, true);
+  ck_assert_uint_eq (rig_count (before, ORDER_HOLD), 1);
+  ck_assert_uint_eq (g_array_index (before, order_t, 0).last_seen, 0);
+  sched_durable (rig.sched, rec->u.progress.batch);
+  rig_answer (&rig, "w1", &row, 1, &end, 1);
+  after = rig_plan (&rig, true);
+  ck_assert_uint_eq (rig_count (after, ORDER_HOLD), 1);
+  ck_assert_uint_eq (g_array_index (after, order_t, 0).last_seen, 1);
+  job_rec_clear (rec);
+  g_free (rec);
+}
+END_TEST
+
+/* Guards against losing count of failures whose ends come from several workers
+   in any order.  */
+START_TEST (test_failures_count_in_any_order)
+{
+  job_step_t step = rig_step (1);
+  end_row_t ends[3];
+  g_autoptr (GArray) orders = NULL;
+
+  rig_submit (&rig, 1, &step, 1);
+  rig_open (&rig, 2);
+  rig_worker (&rig, "w1", 8, true);
+  rig_worker (&rig, "w2", 8, true);
+  for (uint32_t i = 0; i < 3; i++)
+    ends[i] = (end_row_t){ .number = i + 1,
+                           .task = ref_of (1, 0),
+                           .attempt = i + 1,
+                           .how = RUN_FAILED,
+                           .checkpoint = "" };
+  rig_answer (&rig, "w1", NULL, 0, &ends[2], 1);
+  rig_answer (&rig, "w2", NULL, 0, ends, 2);
+  orders = rig_plan (&rig, false);
+  ck_assert_uint_eq (rig_count (orders, ORDER_START), 0);
+  rig_write (&rig);
+  ck_assert_int_eq (rig_state (&rig, 1), JOB_STATE_FAILED);
+}
+END_TEST
+
+/* A displaced owner must stop at the first refusal.  */
+START_TEST (test_fenced_reply_ends_the_ownership)
+{
+  job_step_t step = rig_step (1);
+  order_t start;
+
+  rig_open (&rig, 1);
+  rig_worker (&rig, "w1", 8, false);
+  rig_submit (&rig, 1, &step, 1);
+  start = start_one ();
+  ck_assert (!rig_reply (&rig, &start, REPLY_FENCED));
+}
+END_TEST
+
+/* Guards against a worker that fails all it starts using up a task's attempts:
+   it is the emptiest one.  */
+START_TEST (test_failed_task_is_tried_elsewhere)
+{
+  job_step_t step = rig_step (1);
+  job_step_t fill = rig_step (8);
+  end_row_t end;
+  order_t start;
+  const char *other;
+  g_autoptr (GArray) busy = NULL;
+  g_autoptr (GArray) again = NULL;
+
+  rig_open (&rig, 1);
+  rig_worker (&rig, "w1", 8, false);
+  rig_submit (&rig, 1, &step, 1);
+  start = start_one ();
+  rig_started (&rig, &start);
+  rig_worker (&rig, "w2", 8, false);
+  other = "w2";
+  rig_submit (&rig, 2, &fill, 1);
+  busy = rig_plan (&rig, false);
+  ck_assert_uint_eq (rig_count (busy, ORDER_START), 8);
+  end = rig_end (&start, 1, RUN_FAILED);
+  rig_answer (&rig, "w1", NULL, 0, &end, 1);
+  again = rig_plan (&rig, false);
+  for (uint32_t i = 0; i < again->len; i++)
+    ck_assert_str_eq (g_array_index (again, order_t, i).worker, other);
+}
+END_TEST
+
+/* A worker on which all fails must not get every task.  */
+START_TEST (test_failing_worker_is_set_aside)
+{
+  job_step_t step = rig_step (1);
+  end_row_t end;
+  order_t start;
+  g_autoptr (GArray) orders = NULL;
+
+  rig_open (&rig, 1);
+  rig_worker (&rig, "w1", 8, false);
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      rig_submit (&rig, 1 + i, &step, 1);
+      start = start_one ();
+      rig_started (&rig, &start);
+      sched_cancel_job (rig.sched, rig_id (1 + i), rig.now);
+      end = rig_end (&start, i + 1, RUN_FAILED);
+      rig_answer (&rig, "w1", NULL, 0, &end, 1);
+    }
+  rig_submit (&rig, 9, &step, 1);
+  orders = rig_plan (&rig, false);
+  ck_assert_uint_eq (rig_count (orders, ORDER_START), 0);
+}
+END_TEST
+
+TEST_PROGRAM_WITH ("jobs/replies", set_up, tear_down,
+                   test_unanswered_start_is_stopped_first,
+                   test_stop_answer_ends_no_inherited_lease,
+                   test_end_is_forgotten_only_once_durable,
+                   test_failures_count_in_any_order,
+                   test_fenced_reply_ends_the_ownership,
+                   test_failed_task_is_tried_elsewhere,
+                   test_failing_worker_is_set_aside)
--- /dev/null
+++ b/jobs/test/runs_test.c
@@ -0,0 +1,96 @@
+#include "rig.h"
+
+static rig_t rig;
+
+static void
+set_up (void)
+{
+  memset (&rig, 0, sizeof rig);
+}
+
+static void
+tear_down (void)
+{
+  rig_close (&rig);
+}
+
+static task_ref_t
+ref_of (uint32_t job, uint32_t index)
+{
+  task_ref_t ref = { .index = index };
+
+  memcpy (ref.id, rig_id (job), sizeof ref.id);
+  return ref;
+}
+
+/* Guards against a new owner that takes the lease of an adopted run for ended
+   and starts its task a second time.  */
+START_TEST (test_adopted_run_is_not_started_again)
+{
+  job_step_t step = rig_step (1);
+  run_row_t row = { .attempt = 1, .checkpoint = "", .percent = 50 };
+  g_autoptr (GArray) orders = NULL;
+
+  rig_submit (&rig, 1, &step, 1);
+  rig_open (&rig, 2);
+  rig_worker (&rig, "w1", 8, true);
+  rig_worker (&rig, "w2", 8, true);
+  row.task = ref_of (1, 0);
+  rig_answer (&rig, "w1", &row, 1, NULL, 0);
+  rig_answer (&rig, "w2", NULL, 0, NULL, 0);
+  orders = rig_plan (&rig, false);
+  ck_assert_uint_eq (rig_count (orders, ORDER_START), 0);
+  ck_assert_uint_eq (rig_count (orders, ORDER_STOP), 0);
+}
+END_TEST
+
+/* Guards against an order whose record is not in the log: the next owner would
+   not know of it.  */
+START_TEST (test_start_waits_for_its_record)
+{
+  job_step_t step = rig_step (1);
+  GArray *orders;
+
+  rig_open (&rig, 1);
+  rig_worker (&rig, "w1", 8, false);
+  rig_submit (&rig, 1, &step, 1);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      orders = sched_plan (rig.sched, rig.now);
+      ck_assert_uint_eq (rig_count (orders, ORDER_START), 0);
+      g_array_set_size (orders, 0);
+    }
+  rig_write (&rig);
+  orders = sched_plan (rig.sched, rig.now);
+  ck_assert_uint_eq (rig_count (orders, ORDER_START), 1);
+  g_array_set_size (orders, 0);
+}
+END_TEST
+
+/* Guards against an order to a worker that fell silent while the start was
+   being recorded, and against touching the run after that.  */
+START_TEST (test_planned_start_on_a_silent_worker_is_dropped)
+{
+  job_step_t step = rig_step (3);
+  worker_reply_t lost = { .kind = REPLY_LOST };
+  GArray *orders;
+
+  rig_open (&rig, 1);
+  rig_worker (&rig, "w1", 8, false);
+  rig_submit (&rig, 1, &step, 1);
+  orders = sched_plan (rig.sched, rig.now);
+  g_array_set_size (orders, 0);
+  rig_look (&rig, "w1", &lost, NULL);
+  rig_write (&rig);
+  orders = sched_plan (rig.sched, rig.now);
+  ck_assert_uint_eq (rig_count (orders, ORDER_START), 0);
+  g_array_set_size (orders, 0);
+  rig_answer (&rig, "w1", NULL, 0, NULL, 0);
+  g_array_unref (rig_plan (&rig, false));
+}
+END_TEST
+
+TEST_PROGRAM_WITH ("jobs/runs", set_up, tear_down,
+                   test_adopted_run_is_not_started_again,
+                   test_start_waits_for_its_record,
+                   test_planned_start_on_a_silent_worker_is_dropped)
