--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -1,5 +1,5 @@
 /* schedint - the data that sched, stages, workers, runs, replies, place, pace,
-   stall, hosts and moves work on; private to the package  */
+   stall, hosts, waves and moves work on; private to the package  */
 
 #ifndef CUMINPIN_SCHEDINT_H
 #define CUMINPIN_SCHEDINT_H
@@ -299,14 +299,26 @@
 /* stop_takes_us - from a confirmed stop until its run is surely over.  */
 int64_t stop_takes_us (const sched_t *sched);
 
-/* hosts.c */
+/* hosts.c: the list of hosts and orders for them */
 void host_discard (gpointer data);
-void wave_discard (gpointer data);
+/* host_order_add - give ORDER for HOST, which counts as going down.  */
+void host_order_add (sched_t *sched, host_t *host, host_order_t order,
+                     int64_t now_us);
 void fleet_news_add (sched_t *sched, fleet_news_kind_t kind, uint64_t number,
                      const char *name);
 void host_cordon (sched_t *sched, host_t *host, int64_t now_us);
 bool worker_has_lasting (const worker_t *worker);
 
+/* waves.c: maintenance of hosts, some at a time */
+void wave_discard (gpointer data);
+/* waves_open - whether a wave is not complete.  */
+bool waves_open (const sched_t *sched);
+/* waves_plan - cordon hosts of open waves and order those that are empty.  */
+void waves_plan (sched_t *sched, sched_now_t now);
+/* waves_note_begun - ORDER was carried out on HOST.  */
+void waves_note_begun (sched_t *sched, const host_t *host,
+                       const host_order_t *order);
+
 /* moves.c: hosts between pools */
 void moves_plan (sched_t *sched, sched_now_t now);
 /* moves_note_sizes - the list of hosts was read: how many a pool has.  */
--- /dev/null
+++ b/jobs/waves.c
@@ -0,0 +1,343 @@
+#include "hosts.h"
+#include "schedint.h"
+
+/* What a host of a wave needs from the time it is no longer used until it is
+   back: to empty it, the maintenance itself (2 s today), and to be listed.  */
+#define UPKEEP_ESTIMATE_US 5000000
+/* Part of a wave's time in which it is planned to be over.  */
+#define WAVE_PLAN_PERCENT 75
+/* Tasks on a host that is being emptied have so long to end by themselves.  */
+#define EMPTY_MAX_US 3000000
+
+struct wave
+{
+  uint64_t number;
+  GPtrArray *names; /* interned */
+  GHashTable *done; /* names that have begun their maintenance */
+  int64_t since_us;
+  int64_t duration_us;
+  uint32_t at_once;
+  bool complete;
+};
+
+void
+wave_discard (gpointer data)
+{
+  wave_t *wave = data;
+
+  g_ptr_array_free (wave->names, TRUE);
+  g_hash_table_destroy (wave->done);
+  g_free (wave);
+}
+
+static wave_t *
+find_wave (const sched_t *sched, uint64_t number)
+{
+  for (uint32_t i = 0; i < sched->waves->len; i++)
+    {
+      wave_t *wave = g_ptr_array_index (sched->waves, i);
+
+      if (wave->number == number)
+        return wave;
+    }
+  return NULL;
+}
+
+static wave_t *
+get_wave (sched_t *sched, uint64_t number)
+{
+  wave_t *wave = find_wave (sched, number);
+
+  if (wave)
+    return wave;
+  wave = g_new0 (wave_t, 1);
+  wave->number = number;
+  wave->names = g_ptr_array_new ();
+  wave->done = g_hash_table_new (NULL, NULL);
+  g_ptr_array_add (sched->waves, wave);
+  return wave;
+}
+
+void
+hosts_set_wave (sched_t *sched, wave_info_t *info, int64_t known_us,
+                sched_now_t now)
+{
+  wave_t *wave = get_wave (sched, info->number);
+
+  if (wave->names->len == 0)
+    {
+      wave->since_us = known_us;
+      wave->duration_us = (int64_t)info->duration_s * 1000000;
+      wave->at_once = MAX (info->at_once, 1);
+      for (uint32_t i = 0; info->hosts[i]; i++)
+        g_ptr_array_add (wave->names,
+                         (gpointer)g_intern_string (info->hosts[i]));
+      fleet_news_add (sched, NEWS_WAVE_RUNNING, wave->number, NULL);
+      event_log (EV_WAVE_STARTED, "wave=%" PRIu64 " hosts=%u at_once=%u",
+                 wave->number, wave->names->len, wave->at_once);
+    }
+  g_strfreev (info->hosts);
+  info->hosts = NULL;
+  sched_wake_at (sched, now.us);
+}
+
+void
+hosts_mark (sched_t *sched, uint64_t number, const char *host)
+{
+  g_hash_table_add (get_wave (sched, number)->done,
+                    (gpointer)g_intern_string (host));
+}
+
+static bool
+wave_is_open (const wave_t *wave)
+{
+  return !wave->complete && wave->names->len > 0;
+}
+
+bool
+waves_open (const sched_t *sched)
+{
+  for (uint32_t i = 0; i < sched->waves->len; i++)
+    if (wave_is_open (g_ptr_array_index (sched->waves, i)))
+      return true;
+  return false;
+}
+
+/* Whether RUN's end leaves its step with no more tasks away than it may
+   miss.  */
+static bool
+may_end (const run_t *run, int64_t now_us)
+{
+  const stage_t *stage = run->task->stage;
+  uint32_t away = 0;
+
+  if (!stage->spec->lasts || stage->spec->may_miss == 0 || stage->job->ended
+      || run->phase == RUN_STOPPING)
+    return true;
+  for (uint32_t i = 0; i < stage->spec->count; i++)
+    {
+      const task_t *other = &stage->tasks[i];
+
+      if (other != run->task && !task_is_at_work (other, now_us))
+        away++;
+    }
+  return away < stage->spec->may_miss;
+}
+
+/* Whether WORKER may go down now.  Lasting tasks are looked at one by one, so
+   two of one step on one worker are more than one away.  */
+static bool
+may_go_down (const worker_t *worker, int64_t since_us, int64_t now_us)
+{
+  for (uint32_t i = 0; i < worker->runs->len; i++)
+    {
+      const run_t *run = g_ptr_array_index (worker->runs, i);
+      const stage_t *stage = run->task->stage;
+
+      if (stage->spec->lasts)
+        {
+          if (!may_end (run, now_us))
+            return false;
+          for (uint32_t j = 0; j < i; j++)
+            {
+              const run_t *other = g_ptr_array_index (worker->runs, j);
+
+              if (other->task->stage == stage && stage->spec->may_miss > 0)
+                return false;
+            }
+        }
+      else if (now_us - since_us < EMPTY_MAX_US)
+        return false;
+    }
+  return true;
+}
+
+/* The next host of WAVE to empty: one whose worker has least to lose.  */
+static host_t *
+next_host (sched_t *sched, const wave_t *wave, int64_t now_us)
+{
+  host_t *best = NULL;
+  double best_cost = 0;
+
+  for (uint32_t i = 0; i < wave->names->len; i++)
+    {
+      const char *name = g_ptr_array_index (wave->names, i);
+      host_t *host = g_hash_table_lookup (sched->hosts, name);
+      const worker_t *worker;
+      double cost = 0;
+
+      if (!host || !host->listed || host->cordoned || host->down || host->out
+          || host->state != HOST_SEEN_UP
+          || g_hash_table_contains (wave->done, name))
+        continue;
+      worker = g_hash_table_lookup (sched->workers, host->worker);
+      if (worker)
+        cost = (double)worker->used.cpu_milli
+               / (double)MAX (worker->room.cpu_milli, 1);
+      for (uint32_t r = 0; worker && r < worker->runs->len; r++)
+        cost += !may_end (g_ptr_array_index (worker->runs, r), now_us) ? 2 : 0;
+      if (best && cost >= best_cost)
+        continue;
+      best = host;
+      best_cost = cost;
+    }
+  return best;
+}
+
+typedef struct wave_count
+{
+  uint32_t left; /* hosts that have not begun */
+  uint32_t busy; /* being emptied, or down for it */
+  uint32_t down;
+} wave_count_t;
+
+static wave_count_t
+count_wave (const sched_t *sched, const wave_t *wave)
+{
+  wave_count_t count = { 0 };
+
+  for (uint32_t i = 0; i < wave->names->len; i++)
+    {
+      const char *name = g_ptr_array_index (wave->names, i);
+      const host_t *host = g_hash_table_lookup (sched->hosts, name);
+      bool down;
+
+      if (!host || !host->listed)
+        continue; /* not there any more */
+      down = host->down || host->out || host->state == HOST_SEEN_UPKEEP;
+      count.left += !g_hash_table_contains (wave->done, name);
+      count.busy += (host->cordoned && !host->move_to) || down;
+      count.down += down;
+    }
+  return count;
+}
+
+/* How many hosts WAVE has out at a time to be over in its time.  */
+static uint32_t
+wave_breadth (const wave_t *wave, uint32_t left, int64_t now_us)
+{
+  int64_t end_us
+      = wave->since_us + wave->duration_us * WAVE_PLAN_PERCENT / 100;
+  int64_t time_us = MAX (end_us - now_us, UPKEEP_ESTIMATE_US);
+  int64_t need = ((int64_t)left * UPKEEP_ESTIMATE_US + time_us - 1) / time_us;
+
+  return (uint32_t)MIN ((int64_t)wave->at_once, MAX (need, 1));
+}
+
+/* Stops one lasting task of WORKER that may be away, so that it starts again
+   elsewhere: two of one step can't go down together.  */
+static void
+move_one_away (const worker_t *worker, int64_t now_us)
+{
+  for (uint32_t i = 0; i < worker->runs->len; i++)
+    {
+      run_t *run = g_ptr_array_index (worker->runs, i);
+
+      if (run->task->stage->spec->lasts && run->phase == RUN_STOPPING)
+        return;
+    }
+  for (uint32_t i = 0; i < worker->runs->len; i++)
+    {
+      run_t *run = g_ptr_array_index (worker->runs, i);
+
+      if (!run->task->stage->spec->lasts || !may_end (run, now_us))
+        continue;
+      run_stop (run);
+      return;
+    }
+}
+
+/* Says, now and then, why HOST does not go down yet.  */
+static void
+log_waiting (const wave_t *wave, host_t *host, const worker_t *worker,
+             int64_t now_us)
+{
+  if (now_us - host->cordoned_us < EMPTY_MAX_US || host->logged_us > now_us)
+    return;
+  host->logged_us = now_us + EMPTY_MAX_US;
+  event_log (EV_WAVE_WAITING,
+             "wave=%" PRIu64 " host=%s worker=%s runs=%u emptying_ms=%" PRId64
+             " why=lasting-tasks-of-a-step-away",
+             wave->number, host->name, worker->id, worker->runs->len,
+             (now_us - host->cordoned_us) / 1000);
+}
+
+/* Orders the maintenance of hosts of WAVE that are ready for it.  */
+static void
+take_down (sched_t *sched, const wave_t *wave, uint32_t down, sched_now_t now)
+{
+  for (uint32_t i = 0; i < wave->names->len; i++)
+    {
+      const char *name = g_ptr_array_index (wave->names, i);
+      host_t *host = g_hash_table_lookup (sched->hosts, name);
+      const worker_t *worker;
+
+      if (!host || (!host->down && down >= wave->at_once) || !host->cordoned
+          || host->move_to || host->out || host->retry_us > now.us
+          || g_hash_table_contains (wave->done, name))
+        continue;
+      worker = g_hash_table_lookup (sched->workers, host->worker);
+      if (!host->down && worker
+          && !may_go_down (worker, host->cordoned_us, now.us))
+        {
+          move_one_away (worker, now.us);
+          log_waiting (wave, host, worker, now.us);
+          continue;
+        }
+      host_order_add (
+          sched, host,
+          (host_order_t){ .kind = HOST_ORDER_UPKEEP, .wave = wave->number },
+          now.us);
+      return; /* one at a time: each changes what others may lose */
+    }
+}
+
+static void
+plan_wave (sched_t *sched, wave_t *wave, sched_now_t now)
+{
+  wave_count_t count = count_wave (sched, wave);
+  uint32_t breadth = wave_breadth (wave, count.left, now.us);
+
+  if (count.left == 0 && count.down == 0)
+    {
+      wave->complete = true;
+      fleet_news_add (sched, NEWS_WAVE_COMPLETE, wave->number, NULL);
+      event_log (EV_WAVE_DONE, "wave=%" PRIu64 " ms=%" PRId64, wave->number,
+                 (now.us - wave->since_us) / 1000);
+      return;
+    }
+  while (count.busy < breadth)
+    {
+      host_t *host = next_host (sched, wave, now.us);
+
+      if (!host)
+        break;
+      host_cordon (sched, host, now.us);
+      count.busy++;
+    }
+  take_down (sched, wave, count.down, now);
+}
+
+void
+waves_plan (sched_t *sched, sched_now_t now)
+{
+  for (uint32_t i = 0; i < sched->waves->len; i++)
+    {
+      wave_t *wave = g_ptr_array_index (sched->waves, i);
+
+      if (wave_is_open (wave))
+        plan_wave (sched, wave, now);
+    }
+}
+
+void
+waves_note_begun (sched_t *sched, const host_t *host,
+                  const host_order_t *order)
+{
+  wave_t *wave = find_wave (sched, order->wave);
+
+  if (order->kind != HOST_ORDER_UPKEEP || !wave
+      || !g_hash_table_add (wave->done, (gpointer)host->name))
+    return;
+  fleet_news_add (sched, NEWS_WAVE_MARK, wave->number, host->name);
+}
