--- a/entry/entry.c
+++ b/entry/entry.c
@@ -13,35 +13,6 @@
 #define SERVE_ON_PERCENT 75
 #define STOP_CHECK_US 20000
 
-/* Settings that a host of today has when its file does not say.  */
-static const struct
-{
-  size_t offset;
-  uint32_t value;
-} defaults[] = {
-  { offsetof (entry_settings_t, revoke_ms), 5000 },
-  { offsetof (entry_settings_t, hold_max_ms), 3000 },
-  { offsetof (entry_settings_t, stop_grace_ms), 500 },
-  { offsetof (entry_settings_t, notice_ms), 4500 },
-  { offsetof (entry_settings_t, host_lease_ms), 3000 },
-  { offsetof (entry_settings_t, status_s), 120 },
-  { offsetof (entry_settings_t, grace_s), 6 },
-  { offsetof (entry_settings_t, keep_s), 300 },
-};
-
-void
-entry_settings_fill (entry_settings_t *settings)
-{
-  for (uint32_t i = 0; i < G_N_ELEMENTS (defaults); i++)
-    {
-      uint32_t *value
-          = (uint32_t *)(void *)((char *)settings + defaults[i].offset);
-
-      if (*value == 0)
-        *value = defaults[i].value;
-    }
-}
-
 static void
 reload (const char *path)
 {
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -52,16 +52,13 @@
   uint32_t keep_s;        /* the store keeps records for so long */
 } entry_settings_t;
 
-/* entry_settings_read - the settings in the YAML file PATH, or NULL and
- *ERROR.  */
+/* entry_settings_read - the settings in the YAML file PATH, with defaults for
+   those it does not have, or NULL and *ERROR.  */
 entry_settings_t *entry_settings_read (const char *path, GError **error);
 entry_settings_t *entry_settings_load (const char *file, const char *text,
                                        size_t len, GError **error);
 void entry_settings_free (entry_settings_t *settings);
 
-/* entry_settings_fill - set what is 0 to its default.  */
-void entry_settings_fill (entry_settings_t *settings);
-
 /* entry_run - serve until SIGTERM; the exit status.  */
 int entry_run (const char *path);
 
--- a/entry/settings.c
+++ b/entry/settings.c
@@ -34,6 +34,40 @@
 static const cyaml_schema_value_t schema
     = { CYAML_VALUE_MAPPING (CYAML_FLAG_POINTER, entry_settings_t, fields) };
 
+/* Without a limit in its file, a host gives the daemon a whole core.  */
+#define CPU_SHARE_DEFAULT 1.0
+
+/* Settings that a host of today has when its file does not say.  */
+static const struct
+{
+  size_t offset;
+  uint32_t value;
+} defaults[] = {
+  { offsetof (entry_settings_t, revoke_ms), 5000 },
+  { offsetof (entry_settings_t, hold_max_ms), 3000 },
+  { offsetof (entry_settings_t, stop_grace_ms), 500 },
+  { offsetof (entry_settings_t, notice_ms), 4500 },
+  { offsetof (entry_settings_t, host_lease_ms), 3000 },
+  { offsetof (entry_settings_t, status_s), 120 },
+  { offsetof (entry_settings_t, grace_s), 6 },
+  { offsetof (entry_settings_t, keep_s), 300 },
+};
+
+static void
+set_defaults (entry_settings_t *settings)
+{
+  if (settings->cpu_share == 0)
+    settings->cpu_share = CPU_SHARE_DEFAULT;
+  for (uint32_t i = 0; i < G_N_ELEMENTS (defaults); i++)
+    {
+      uint32_t *value
+          = (uint32_t *)(void *)((char *)settings + defaults[i].offset);
+
+      if (*value == 0)
+        *value = defaults[i].value;
+    }
+}
+
 static bool
 is_endpoint (const char *text)
 {
@@ -85,7 +119,7 @@
   entry_settings_t *settings = yaml_load (&schema, file, text, len, error);
 
   if (settings)
-    entry_settings_fill (settings);
+    set_defaults (settings);
   if (!settings || check (settings, file, text, len, error))
     return settings;
   entry_settings_free (settings);
--- /dev/null
+++ b/entry/test/settings_test.c
@@ -0,0 +1,91 @@
+#include "../../test/run_suite.h"
+#include "entry.h"
+#include <string.h>
+
+static const char good[] = "name: e1\n"
+                           "data_centre: a\n"
+                           "front: 10.0.0.1:80\n"
+                           "ready: 10.0.0.1:81\n"
+                           "store: 10.0.0.2:80\n"
+                           "hosts_api: \"\"\n"
+                           "revoke_ms: 2000\n";
+
+/* Loads the good settings with FIND replaced by PUT.  */
+static entry_settings_t *
+load (const char *find, const char *put, GError **error)
+{
+  g_autoptr (GString) text = g_string_new (good);
+
+  if (find)
+    ck_assert_uint_eq (g_string_replace (text, find, put, 1), 1);
+  return entry_settings_load ("e.yaml", text->str, text->len, error);
+}
+
+/* Guards against a value that was given and is replaced by a default, and a
+   missing one that stays 0.  */
+START_TEST (test_missing_values_get_defaults)
+{
+  g_autoptr (GError) error = NULL;
+  entry_settings_t *settings = load (NULL, NULL, &error);
+
+  ck_assert_msg (settings != NULL, "%s", error ? error->message : "");
+  ck_assert_str_eq (settings->front, "10.0.0.1:80");
+  ck_assert_uint_eq (settings->revoke_ms, 2000);
+  ck_assert_uint_gt (settings->hold_max_ms, 0);
+  ck_assert_uint_gt (settings->stop_grace_ms, 0);
+  ck_assert_uint_gt (settings->host_lease_ms, 0);
+  ck_assert (settings->cpu_share > 0);
+  entry_settings_free (settings);
+}
+END_TEST
+
+/* Guards against settings that are wrong and accepted, or whose error sends
+   the operator to another line.  */
+START_TEST (test_wrong_values_are_named)
+{
+  static const struct
+  {
+    const char *find;
+    const char *put;
+    const char *message;
+  } cases[] = {
+    { "front: 10.0.0.1:80", "front: 10.0.0.1",
+      "e.yaml:3: front: expected IP:PORT" },
+    { "front: 10.0.0.1:80", "front: host:80",
+      "e.yaml:3: front: expected IP:PORT" },
+    { "ready: 10.0.0.1:81", "ready: 10.0.0.1:0",
+      "e.yaml:4: ready: expected IP:PORT" },
+    { "store: 10.0.0.2:80", "store: 10.0.0.2:65536",
+      "e.yaml:5: store: expected IP:PORT" },
+    { "hosts_api: \"\"", "hosts_api: x:1",
+      "e.yaml:6: hosts_api: expected IP:PORT, or nothing" },
+    { "revoke_ms: 2000", "revoke_ms: 999",
+      "e.yaml:7: revoke_ms: expected a number from 1000" },
+    { "revoke_ms: 2000", "hold_max_ms: 499",
+      "e.yaml:7: hold_max_ms: expected a number from 500" },
+    { "revoke_ms: 2000", "cpu_share: -1.0",
+      "e.yaml:7: cpu_share: expected a number above 0" },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autoptr (GError) error = NULL;
+
+      ck_assert_ptr_null (load (cases[i].find, cases[i].put, &error));
+      ck_assert_str_eq (error->message, cases[i].message);
+    }
+}
+END_TEST
+
+/* Guards against a misspelt setting that has no effect.  */
+START_TEST (test_unknown_field_is_rejected)
+{
+  g_autoptr (GError) error = NULL;
+
+  ck_assert_ptr_null (load ("revoke_ms", "revoke_s", &error));
+  ck_assert_ptr_nonnull (error);
+}
+END_TEST
+
+TEST_PROGRAM ("entry/settings", test_missing_values_get_defaults,
+              test_wrong_values_are_named, test_unknown_field_is_rejected)
