entry: one way to read a topic with keys

Rules, workers' reports and the marks of waves were each read by a copy of the same code: pages of newest records, then a held read, with the same handling of a failed or expired one. A feed now carries its kind, and what differs is a switch. The marks' own four fields are a feed as well.

--- a/entry/core.c
+++ b/entry/core.c
@@ -303,13 +303,11 @@
 static void
 write_dump (core_t *core)
 {
-  GString *text = g_string_new (NULL);
+  GString *text;
 
   if (!atomic_exchange (&core->dump_wanted, false))
-    {
-      g_string_free (text, TRUE);
-      return;
-    }
+    return;
+  text = g_string_new (NULL);
   g_string_append_printf (
       text,
       "self %s\nrules %" PRIu64 "\nlog-next %" PRIu64
@@ -355,7 +353,7 @@
                 drop_from_board, core);
   if (core->sched && core->tab_changed && !core->snapshot_out
       && now_us - core->snapshot_us >= snapshot_every_us)
-    feeds_write_snapshot (core, now_us);
+    snapshot_write (core, now_us);
 }
 
 static void
--- a/entry/core.h
+++ b/entry/core.h
@@ -1,6 +1,7 @@
 /* core - the core's parts and what they share; private to the package
 
    feeds    reading the job log, the rules and the workers' reports
+   snapshots  the job table in a few records, written and read
    appends  group commit of records to the job log
    orders   carrying the scheduler's orders to workers
    hostcalls  the same for hosts, and the records of waves
@@ -13,10 +14,21 @@
 #include "owner.h"
 #include <pthread.h>
 
+typedef enum feed_kind
+{
+  FEED_JOBS,    /* the job log, behind a snapshot */
+  FEED_RULES,   /* the operators' records */
+  FEED_WORKERS, /* the workers' reports; owner only */
+  FEED_MARKS    /* what earlier owners recorded of waves and pools; read once
+                   by each owner */
+} feed_kind_t;
+
 /* A topic read by long poll: first the newest record of each key or a
    snapshot, then what follows.  */
 typedef struct feed
 {
+  core_t *core;
+  feed_kind_t kind;
   uint64_t from;
   bool primed; /* what was before is here */
   bool out;    /* a call is under way */
@@ -62,13 +74,10 @@
   feed_t jobs_feed;
   feed_t rules_feed;
   feed_t workers_feed;
+  feed_t marks_feed;
   GHashTable *seen_workers; /* ids in the pages of newest records so far */
 
-  GArray *waves;   /* operators' records of waves */
-  bool marks_read; /* what earlier owners recorded of waves is here */
-  bool marks_out;
-  int64_t marks_due_us;
-  char *marks_after;
+  GArray *waves; /* operators' records of waves */
   bool hosts_out;
   int64_t hosts_due_us;
   int64_t hosts_sent_us;
@@ -99,7 +108,20 @@
 int64_t feeds_due_us (const core_t *core);
 /* feeds_watch_workers - start over with the workers' reports.  */
 void feeds_watch_workers (core_t *core, int64_t now_us);
-void feeds_write_snapshot (core_t *core, int64_t now_us);
+/* feed_failed - read FEED again a little later.  */
+void feed_failed (feed_t *feed, int64_t now_us);
+/* feed_restart - read FEED from the newest records on.  */
+void feed_restart (feed_t *feed, int64_t now_us);
+/* feed_next_page - ITEMS were a page of FEED's newest records: what is read
+   next is the page after it or, unless there is MORE, what follows END.  */
+void feed_next_page (feed_t *feed, const GArray *items, bool more,
+                     uint64_t end);
+/* newest_items - an empty array of site_item_t.  */
+GArray *newest_items (void);
+
+/* snapshots.c */
+void on_snapshot (void *ctx, const call_result_t *result);
+void snapshot_write (core_t *core, int64_t now_us);
 
 /* appends.c */
 void appends_open (core_t *core);
--- a/entry/feeds.c
+++ b/entry/feeds.c
@@ -18,37 +18,24 @@
    be known a little later.  */
 #define WORKERS_PAUSE_US 200000
 
-/* A snapshot is cut into records of at most this, each with a head: offset of
-   the first record that is not in it, place and number of its parts.  */
-#define SNAPSHOT_PART_BYTES (200 * 1024)
-#define SNAPSHOT_CALL_BYTES_MAX (2 * 1024 * 1024)
-
-typedef struct snapshot_head
-{
-  uint64_t next;
-  uint32_t part;
-  uint32_t parts;
-} snapshot_head_t;
-
-typedef void (*feed_reply_t) (void *ctx, const call_result_t *result);
-
 static void
-feed_send (core_t *core, feed_t *feed, site_req_t req, uint32_t wait_ms,
-           feed_reply_t done)
+feed_send (feed_t *feed, site_req_t req, uint32_t wait_ms, call_done_t done)
 {
+  core_t *core = feed->core;
+
   feed->out = true;
   counter_add (COUNT_STORE_CALLS, 1);
   calls_send (core->calls, core->settings->store, &req,
-              wait_ms + READ_SLACK_MS, done, core);
+              wait_ms + READ_SLACK_MS, done, feed);
 }
 
-static void
+void
 feed_failed (feed_t *feed, int64_t now_us)
 {
   feed->due_us = now_us + READ_RETRY_US;
 }
 
-static void
+void
 feed_restart (feed_t *feed, int64_t now_us)
 {
   feed->primed = false;
@@ -56,8 +43,7 @@
   g_clear_pointer (&feed->after, g_free);
 }
 
-/* Pages of newest records: the key after which the next one begins.  */
-static void
+void
 feed_next_page (feed_t *feed, const GArray *items, bool more, uint64_t end)
 {
   if (!feed->after)
@@ -70,8 +56,8 @@
     feed->primed = true;
 }
 
-static GArray *
-new_items (void)
+GArray *
+newest_items (void)
 {
   GArray *items = g_array_new (FALSE, TRUE, sizeof (site_item_t));
 
@@ -79,6 +65,34 @@
   return items;
 }
 
+/* Takes the records of RESULT, the answer to a read of FEED, and the END of
+   the topic; false: there are none, and FEED is set to read again.  */
+static bool
+take_read (feed_t *feed, const call_result_t *result, GArray *records,
+           uint64_t *end, int64_t now_us)
+{
+  uint64_t first = 0;
+
+  switch (site_read_reply (result->status, result->body,
+                           feed->kind != FEED_JOBS, records, end, &first))
+    {
+    case STORE_OK:
+      return true;
+    case STORE_EXPIRED:
+      if (feed->kind == FEED_JOBS)
+        event_log (EV_LOG_GAP, "next=%" PRIu64 " first=%" PRIu64,
+                   feed->core->tab->next, first);
+      feed->from = first;
+      feed_restart (feed, now_us);
+      return false;
+    case STORE_REFUSED:
+    case STORE_BAD:
+      feed_failed (feed, now_us);
+      return false;
+    }
+  return false;
+}
+
 /* The rules.  */
 
 static void
@@ -102,89 +116,16 @@
 }
 
 static void
-take_operator_record (core_t *core, const char *key, size_t key_len,
-                      const void *data, size_t len)
+take_operator_record (core_t *core, const char *key, const void *data,
+                      size_t len)
 {
-  if (key_len == strlen (SITE_KEY_RULES)
-      && memcmp (key, SITE_KEY_RULES, key_len) == 0)
+  if (strcmp (key, SITE_KEY_RULES) == 0)
     take_rules (core, data, len);
-  else if (key_len > strlen (SITE_KEY_WAVE)
-           && memcmp (key, SITE_KEY_WAVE, strlen (SITE_KEY_WAVE)) == 0)
+  else if (g_str_has_prefix (key, SITE_KEY_WAVE)
+           && key[strlen (SITE_KEY_WAVE)] != '\0')
     hostcalls_add_wave (core, data, len);
 }
 
-static void
-on_newest_rules (void *ctx, const call_result_t *result)
-{
-  core_t *core = ctx;
-  feed_t *feed = &core->rules_feed;
-  int64_t now_us = clock_boot_us ();
-  g_autoptr (GArray) items = new_items ();
-  bool more = false;
-  uint64_t end = 0;
-  store_reply_t reply
-      = site_newest_reply (result->status, result->body, items, &more, &end);
-
-  feed->out = false;
-  core_store_state (core, reply == STORE_OK, "rules");
-  if (reply != STORE_OK)
-    {
-      feed_failed (feed, now_us);
-      return;
-    }
-  for (uint32_t i = 0; i < items->len; i++)
-    {
-      const site_item_t *item = &g_array_index (items, site_item_t, i);
-
-      if (item->value)
-        take_operator_record (core, item->key, strlen (item->key), item->value,
-                              item->len);
-    }
-  feed_next_page (feed, items, more, end);
-  feed->due_us = now_us;
-  if (feed->primed)
-    atomic_store (&core->board->rules_known_us, result->sent_us);
-}
-
-static void
-on_rules (void *ctx, const call_result_t *result)
-{
-  core_t *core = ctx;
-  feed_t *feed = &core->rules_feed;
-  int64_t now_us = clock_boot_us ();
-  g_autoptr (GArray) records
-      = g_array_new (FALSE, TRUE, sizeof (site_record_t));
-  uint64_t end = 0;
-  uint64_t first = 0;
-  store_reply_t reply = site_read_reply (result->status, result->body, true,
-                                         records, &end, &first);
-
-  feed->out = false;
-  core_store_state (core, reply == STORE_OK, "rules");
-  if (reply == STORE_EXPIRED)
-    {
-      feed_restart (feed, now_us);
-      return;
-    }
-  if (reply != STORE_OK)
-    {
-      feed_failed (feed, now_us);
-      return;
-    }
-  for (uint32_t i = 0; i < records->len; i++)
-    {
-      const site_record_t *record = &g_array_index (records, site_record_t, i);
-
-      if (record->len > 0)
-        take_operator_record (core, record->key, record->key_len, record->data,
-                              record->len);
-    }
-  feed->from += records->len;
-  feed->due_us = now_us;
-  if (feed->from >= end)
-    atomic_store (&core->board->rules_known_us, result->sent_us);
-}
-
 /* The workers' reports.  */
 
 static void
@@ -209,20 +150,58 @@
   site_worker_clear (&worker);
 }
 
+/* Topics with keys.  */
+
+static void
+take_keyed (feed_t *feed, const char *key, const void *data, size_t len)
+{
+  switch (feed->kind)
+    {
+    case FEED_RULES:
+      if (len > 0)
+        take_operator_record (feed->core, key, data, len);
+      return;
+    case FEED_WORKERS:
+      take_worker (feed->core, key, data, len);
+      return;
+    case FEED_JOBS:
+    case FEED_MARKS:
+      return;
+    }
+}
+
+/* Takes note that FEED's call was answered; returns whether that is of use:
+   reports are only for the scheduler.  */
+static bool
+note_answer (feed_t *feed, bool ok)
+{
+  feed->out = false;
+  if (feed->kind == FEED_RULES)
+    core_store_state (feed->core, ok, "rules");
+  return feed->kind != FEED_WORKERS || feed->core->sched;
+}
+
+/* All records of FEED's topic of SENT_US are here.  */
 static void
-on_newest_workers (void *ctx, const call_result_t *result)
+note_current (feed_t *feed, int64_t sent_us)
 {
-  core_t *core = ctx;
-  feed_t *feed = &core->workers_feed;
+  if (feed->kind == FEED_RULES)
+    atomic_store (&feed->core->board->rules_known_us, sent_us);
+}
+
+static void
+on_newest (void *ctx, const call_result_t *result)
+{
+  feed_t *feed = ctx;
+  core_t *core = feed->core;
   int64_t now_us = clock_boot_us ();
-  g_autoptr (GArray) items = new_items ();
+  g_autoptr (GArray) items = newest_items ();
   bool more = false;
   uint64_t end = 0;
   store_reply_t reply
       = site_newest_reply (result->status, result->body, items, &more, &end);
 
-  feed->out = false;
-  if (!core->sched)
+  if (!note_answer (feed, reply == STORE_OK))
     return;
   if (reply != STORE_OK)
     {
@@ -233,55 +212,46 @@
     {
       const site_item_t *item = &g_array_index (items, site_item_t, i);
 
-      if (item->value)
+      if (feed->kind == FEED_WORKERS && item->value)
         g_hash_table_add (core->seen_workers, g_strdup (item->key));
-      take_worker (core, item->key, item->value, item->len);
+      take_keyed (feed, item->key, item->value, item->len);
     }
   feed_next_page (feed, items, more, end);
   feed->due_us = now_us;
   if (!feed->primed)
     return;
+  note_current (feed, result->sent_us);
+  if (feed->kind != FEED_WORKERS)
+    return;
   sched_keep_workers (core->sched, core->seen_workers, core_now ());
   g_hash_table_remove_all (core->seen_workers);
 }
 
 static void
-on_workers (void *ctx, const call_result_t *result)
+on_keyed (void *ctx, const call_result_t *result)
 {
-  core_t *core = ctx;
-  feed_t *feed = &core->workers_feed;
+  feed_t *feed = ctx;
   int64_t now_us = clock_boot_us ();
   g_autoptr (GArray) records
       = g_array_new (FALSE, TRUE, sizeof (site_record_t));
   uint64_t end = 0;
-  uint64_t first = 0;
-  store_reply_t reply = site_read_reply (result->status, result->body, true,
-                                         records, &end, &first);
+  bool taken = take_read (feed, result, records, &end, now_us);
 
-  feed->out = false;
-  if (!core->sched)
+  if (!note_answer (feed, taken) || !taken)
     return;
-  if (reply == STORE_EXPIRED)
-    {
-      feed_restart (feed, now_us);
-      return;
-    }
-  if (reply != STORE_OK)
-    {
-      feed_failed (feed, now_us);
-      return;
-    }
   for (uint32_t i = 0; i < records->len; i++)
     {
       const site_record_t *record = &g_array_index (records, site_record_t, i);
-      g_autofree char *id
+      g_autofree char *key
           = record->key ? g_strndup (record->key, record->key_len) : NULL;
 
-      if (id)
-        take_worker (core, id, record->data, record->len);
+      if (key)
+        take_keyed (feed, key, record->data, record->len);
     }
   feed->from += records->len;
-  feed->due_us = now_us + WORKERS_PAUSE_US;
+  feed->due_us = now_us + (feed->kind == FEED_WORKERS ? WORKERS_PAUSE_US : 0);
+  if (feed->from >= end)
+    note_current (feed, result->sent_us);
 }
 
 void
@@ -321,30 +291,16 @@
 static void
 on_jobs (void *ctx, const call_result_t *result)
 {
-  core_t *core = ctx;
-  feed_t *feed = &core->jobs_feed;
+  feed_t *feed = ctx;
+  core_t *core = feed->core;
   int64_t now_us = clock_boot_us ();
   g_autoptr (GArray) records
       = g_array_new (FALSE, TRUE, sizeof (site_record_t));
   uint64_t end = 0;
-  uint64_t first = 0;
-  store_reply_t reply = site_read_reply (result->status, result->body, false,
-                                         records, &end, &first);
 
   feed->out = false;
-  if (reply == STORE_EXPIRED)
-    {
-      event_log (EV_LOG_GAP, "next=%" PRIu64 " first=%" PRIu64,
-                 core->tab->next, first);
-      feed->from = first;
-      feed_restart (feed, now_us);
-      return;
-    }
-  if (reply != STORE_OK)
-    {
-      feed_failed (feed, now_us);
-      return;
-    }
+  if (!take_read (feed, result, records, &end, now_us))
+    return;
   for (uint32_t i = 0; i < records->len; i++)
     take_record (core, &g_array_index (records, site_record_t, i), now_us);
   if (core->tab->next >= end)
@@ -355,149 +311,19 @@
                      : now_us + SHOW_PAUSE_US;
 }
 
-/* Puts the parts together; NULL when they are not all of one snapshot.  */
-static GByteArray *
-join_parts (const GArray *items, snapshot_head_t *head)
-{
-  GByteArray *whole = g_byte_array_new ();
-
-  memset (head, 0, sizeof *head);
-  for (uint32_t i = 0; i < items->len; i++)
-    {
-      const site_item_t *item = &g_array_index (items, site_item_t, i);
-      snapshot_head_t part;
-
-      if (item->len < sizeof part)
-        continue;
-      memcpy (&part, item->value, sizeof part);
-      part.next = GUINT64_FROM_BE (part.next);
-      part.part = GUINT32_FROM_BE (part.part);
-      part.parts = GUINT32_FROM_BE (part.parts);
-      if (part.part == 0)
-        *head = part;
-      if (part.part >= head->parts)
-        continue; /* of a longer snapshot before */
-      if (part.next != head->next)
-        break;
-      g_byte_array_append (whole, item->value + sizeof part,
-                           (guint)(item->len - sizeof part));
-      if (part.part + 1 == head->parts)
-        return whole;
-    }
-  g_byte_array_unref (whole);
-  return NULL;
-}
-
 static void
-take_snapshot (core_t *core, const GArray *items)
+open_feed (core_t *core, feed_t *feed, feed_kind_t kind, int64_t now_us)
 {
-  g_autoptr (GError) error = NULL;
-  snapshot_head_t head;
-  GByteArray *whole;
-  jobtab_t *tab;
-
-  if (items->len == 0)
-    return;
-  whole = join_parts (items, &head);
-  if (!whole)
-    {
-      event_log (EV_SNAPSHOT_REJECTED, "reason=\"parts don't fit together\"");
-      return;
-    }
-  if (head.next <= core->tab->next)
-    {
-      g_byte_array_unref (whole);
-      return;
-    }
-  tab = jobtab_unpack (whole->data, whole->len, &error);
-  g_byte_array_unref (whole);
-  if (tab)
-    core_replace_table (core, tab);
-  else
-    event_log (EV_SNAPSHOT_REJECTED, "reason=\"%s\"", error->message);
-}
-
-static void
-on_snapshot (void *ctx, const call_result_t *result)
-{
-  core_t *core = ctx;
-  feed_t *feed = &core->jobs_feed;
-  int64_t now_us = clock_boot_us ();
-  g_autoptr (GArray) items = new_items ();
-  bool more = false;
-  uint64_t end = 0;
-  store_reply_t reply
-      = site_newest_reply (result->status, result->body, items, &more, &end);
-
-  feed->out = false;
-  /* A topic that nobody has used yet is not found.  */
-  if (reply != STORE_OK && result->status != 404)
-    {
-      feed_failed (feed, now_us);
-      return;
-    }
-  if (reply == STORE_OK)
-    take_snapshot (core, items);
-  if (core->tab->next < feed->from)
-    core->tab->next = feed->from; /* what lies between is lost */
-  feed->primed = true;
-  feed->due_us = now_us;
-}
-
-static void
-on_snapshot_written (void *ctx, const call_result_t *result)
-{
-  core_t *core = ctx;
-
-  core->snapshot_out = false;
-  if (site_append_reply (result->status, result->body) != STORE_OK)
-    core->tab_changed = true;
-}
-
-void
-feeds_write_snapshot (core_t *core, int64_t now_us)
-{
-  g_autoptr (GPtrArray) records
-      = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
-  GBytes *whole = jobtab_pack (core->tab);
-  gsize len;
-  const uint8_t *data = g_bytes_get_data (whole, &len);
-  uint32_t parts = (uint32_t)(len / SNAPSHOT_PART_BYTES) + 1;
-  site_req_t req;
-
-  core->snapshot_us = now_us;
-  if (len > SNAPSHOT_CALL_BYTES_MAX)
-    {
-      event_log (EV_SNAPSHOT_REJECTED, "reason=\"too large\" bytes=%zu", len);
-      g_bytes_unref (whole);
-      return;
-    }
-  for (uint32_t i = 0; i < parts; i++)
-    {
-      snapshot_head_t head = { GUINT64_TO_BE (core->tab->next),
-                               GUINT32_TO_BE (i), GUINT32_TO_BE (parts) };
-      g_autoptr (GByteArray) value = g_byte_array_new ();
-      g_autofree char *key = g_strdup_printf ("%04u", i);
-      size_t at = (size_t)i * SNAPSHOT_PART_BYTES;
-
-      g_byte_array_append (value, (const guint8 *)&head, sizeof head);
-      g_byte_array_append (value, data + at,
-                           (guint)MIN (len - at, SNAPSHOT_PART_BYTES));
-      g_ptr_array_add (records, site_keyed (key, value->data, value->len));
-    }
-  g_bytes_unref (whole);
-  core->snapshot_out = true;
-  core->tab_changed = false;
-  req = site_append (SITE_TOPIC_SNAPSHOT, records);
-  calls_send (core->calls, core->settings->store, &req,
-              LOG_WAIT_MS + READ_SLACK_MS, on_snapshot_written, core);
+  *feed = (feed_t){ .core = core, .kind = kind, .due_us = now_us };
 }
 
 void
 feeds_open (core_t *core, int64_t now_us)
 {
-  core->jobs_feed.due_us = now_us;
-  core->rules_feed.due_us = now_us;
+  open_feed (core, &core->jobs_feed, FEED_JOBS, now_us);
+  open_feed (core, &core->rules_feed, FEED_RULES, now_us);
+  open_feed (core, &core->workers_feed, FEED_WORKERS, 0);
+  open_feed (core, &core->marks_feed, FEED_MARKS, 0);
   core->seen_workers
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 }
@@ -508,20 +334,20 @@
   g_free (core->jobs_feed.after);
   g_free (core->rules_feed.after);
   g_free (core->workers_feed.after);
+  g_free (core->marks_feed.after);
   g_hash_table_destroy (core->seen_workers);
 }
 
 static void
-run_keyed (core_t *core, feed_t *feed, const char *topic, uint32_t wait_ms,
-           feed_reply_t on_newest, feed_reply_t on_records, int64_t now_us)
+run_keyed (feed_t *feed, const char *topic, uint32_t wait_ms, int64_t now_us)
 {
   if (feed->out || feed->due_us > now_us)
     return;
   if (feed->primed)
-    feed_send (core, feed, site_read (topic, feed->from, wait_ms), wait_ms,
-               on_records);
+    feed_send (feed, site_read (topic, feed->from, wait_ms), wait_ms,
+               on_keyed);
   else
-    feed_send (core, feed, site_newest (topic, feed->after), 0, on_newest);
+    feed_send (feed, site_newest (topic, feed->after), 0, on_newest);
 }
 
 static void
@@ -533,23 +359,19 @@
   if (feed->out || feed->due_us > now_us)
     return;
   if (feed->primed)
-    feed_send (core, feed,
-               site_read (SITE_TOPIC_JOBS, core->tab->next, wait_ms), wait_ms,
-               on_jobs);
+    feed_send (feed, site_read (SITE_TOPIC_JOBS, core->tab->next, wait_ms),
+               wait_ms, on_jobs);
   else
-    feed_send (core, feed, site_newest (SITE_TOPIC_SNAPSHOT, NULL), 0,
-               on_snapshot);
+    feed_send (feed, site_newest (SITE_TOPIC_SNAPSHOT, NULL), 0, on_snapshot);
 }
 
 void
 feeds_run (core_t *core, int64_t now_us)
 {
   run_jobs (core, now_us);
-  run_keyed (core, &core->rules_feed, SITE_TOPIC_RULES, RULES_WAIT_MS,
-             on_newest_rules, on_rules, now_us);
+  run_keyed (&core->rules_feed, SITE_TOPIC_RULES, RULES_WAIT_MS, now_us);
   if (core->sched)
-    run_keyed (core, &core->workers_feed, SITE_TOPIC_WORKERS, LOG_WAIT_MS,
-               on_newest_workers, on_workers, now_us);
+    run_keyed (&core->workers_feed, SITE_TOPIC_WORKERS, LOG_WAIT_MS, now_us);
 }
 
 int64_t
--- a/entry/hostcalls.c
+++ b/entry/hostcalls.c
@@ -54,7 +54,7 @@
         return; /* read again after the store forgot its history */
       }
   g_array_append_val (core->waves, known);
-  if (core->sched && core->marks_read)
+  if (core->sched && core->marks_feed.primed)
     hand_over_wave (core, &known);
 }
 
@@ -63,19 +63,19 @@
 static void
 on_marks (void *ctx, const call_result_t *result)
 {
-  core_t *core = ctx;
-  g_autoptr (GArray) items = g_array_new (FALSE, TRUE, sizeof (site_item_t));
+  feed_t *feed = ctx;
+  core_t *core = feed->core;
+  g_autoptr (GArray) items = newest_items ();
   bool more = false;
   uint64_t end = 0;
   store_reply_t reply
       = site_newest_reply (result->status, result->body, items, &more, &end);
 
-  g_array_set_clear_func (items, site_item_clear);
-  core->marks_out = false;
+  feed->out = false;
   /* A topic that nobody has used yet is not found.  */
   if (!core->sched || (reply != STORE_OK && result->status != 404))
     {
-      core->marks_due_us = clock_boot_us () + RETRY_US;
+      feed->due_us = clock_boot_us () + RETRY_US;
       return;
     }
   for (uint32_t i = 0; i < items->len; i++)
@@ -91,26 +91,21 @@
       else
         hosts_mark (core->sched, news.number, news.name);
     }
-  g_free (core->marks_after);
-  core->marks_after
-      = more && items->len > 0
-            ? g_strdup (g_array_index (items, site_item_t, items->len - 1).key)
-            : NULL;
-  if (core->marks_after)
+  feed_next_page (feed, items, more, end);
+  if (!feed->primed)
     return;
-  core->marks_read = true;
   for (uint32_t i = 0; i < core->waves->len; i++)
     hand_over_wave (core, &g_array_index (core->waves, wave_record_t, i));
 }
 
 static void
-read_marks (core_t *core)
+read_marks (feed_t *feed)
 {
-  site_req_t req = site_newest (SITE_TOPIC_FLEET, core->marks_after);
+  site_req_t req = site_newest (SITE_TOPIC_FLEET, feed->after);
 
-  core->marks_out = true;
-  calls_send (core->calls, core->settings->store, &req, CALL_TIMEOUT_MS,
-              on_marks, core);
+  feed->out = true;
+  calls_send (feed->core->calls, feed->core->settings->store, &req,
+              CALL_TIMEOUT_MS, on_marks, feed);
 }
 
 /* The list of hosts.  */
@@ -212,8 +207,6 @@
   const char *topic;
 } sent_news_t;
 
-static void send_news (core_t *core, const char *topic, GBytes *record);
-
 static void
 on_news (void *ctx, const call_result_t *result)
 {
@@ -295,32 +288,32 @@
   g_array_free (core->news_again, TRUE);
   g_array_free (core->waves, TRUE);
   g_array_free (core->hosts_page, TRUE);
-  g_free (core->marks_after);
 }
 
 void
 hostcalls_restart (core_t *core)
 {
-  core->marks_read = false;
   core->hosts_due_us = 0;
-  core->marks_due_us = 0;
-  g_clear_pointer (&core->marks_after, g_free);
+  feed_restart (&core->marks_feed, 0);
 }
 
 void
 hostcalls_run (core_t *core, int64_t now_us)
 {
   sched_now_t now = core_now ();
+  feed_t *marks = &core->marks_feed;
 
   if (!core->settings->hosts_api[0])
     return;
-  if (!core->marks_read && !core->marks_out && core->marks_due_us <= now_us)
-    read_marks (core);
-  if (core->marks_read && !core->hosts_out && core->hosts_due_us <= now_us
+  if (!marks->primed)
+    {
+      if (!marks->out && marks->due_us <= now_us)
+        read_marks (marks);
+      return;
+    }
+  if (!core->hosts_out && core->hosts_due_us <= now_us
       && hosts_wanted (core->sched, now))
     read_hosts (core, NULL);
-  if (!core->marks_read)
-    return;
   send_orders (core, hosts_plan (core->sched, now));
   record_news (core, hosts_news (core->sched), now_us);
 }
--- /dev/null
+++ b/entry/snapshots.c
@@ -0,0 +1,154 @@
+#include "core.h"
+#include <string.h>
+
+/* A snapshot is a few large records: as long as a read with its wait.  */
+#define WRITE_TIMEOUT_MS 2500
+/* A snapshot is cut into records of at most this, each with a head: offset of
+   the first record that is not in it, place and number of its parts.  */
+#define SNAPSHOT_PART_BYTES (200 * 1024)
+#define SNAPSHOT_CALL_BYTES_MAX (2 * 1024 * 1024)
+
+typedef struct snapshot_head
+{
+  uint64_t next;
+  uint32_t part;
+  uint32_t parts;
+} snapshot_head_t;
+
+/* Puts the parts together; NULL when they are not all of one snapshot.  */
+static GByteArray *
+join_parts (const GArray *items, snapshot_head_t *head)
+{
+  GByteArray *whole = g_byte_array_new ();
+
+  memset (head, 0, sizeof *head);
+  for (uint32_t i = 0; i < items->len; i++)
+    {
+      const site_item_t *item = &g_array_index (items, site_item_t, i);
+      snapshot_head_t part;
+
+      if (item->len < sizeof part)
+        continue;
+      memcpy (&part, item->value, sizeof part);
+      part.next = GUINT64_FROM_BE (part.next);
+      part.part = GUINT32_FROM_BE (part.part);
+      part.parts = GUINT32_FROM_BE (part.parts);
+      if (part.part == 0)
+        *head = part;
+      if (part.part >= head->parts)
+        continue; /* of a longer snapshot before */
+      if (part.next != head->next)
+        break;
+      g_byte_array_append (whole, item->value + sizeof part,
+                           (guint)(item->len - sizeof part));
+      if (part.part + 1 == head->parts)
+        return whole;
+    }
+  g_byte_array_unref (whole);
+  return NULL;
+}
+
+static void
+take_snapshot (core_t *core, const GArray *items)
+{
+  g_autoptr (GError) error = NULL;
+  snapshot_head_t head;
+  GByteArray *whole;
+  jobtab_t *tab;
+
+  if (items->len == 0)
+    return;
+  whole = join_parts (items, &head);
+  if (!whole)
+    {
+      event_log (EV_SNAPSHOT_REJECTED, "reason=\"parts don't fit together\"");
+      return;
+    }
+  if (head.next <= core->tab->next)
+    {
+      g_byte_array_unref (whole);
+      return;
+    }
+  tab = jobtab_unpack (whole->data, whole->len, &error);
+  g_byte_array_unref (whole);
+  if (tab)
+    core_replace_table (core, tab);
+  else
+    event_log (EV_SNAPSHOT_REJECTED, "reason=\"%s\"", error->message);
+}
+
+void
+on_snapshot (void *ctx, const call_result_t *result)
+{
+  feed_t *feed = ctx;
+  core_t *core = feed->core;
+  int64_t now_us = clock_boot_us ();
+  g_autoptr (GArray) items = newest_items ();
+  bool more = false;
+  uint64_t end = 0;
+  store_reply_t reply
+      = site_newest_reply (result->status, result->body, items, &more, &end);
+
+  feed->out = false;
+  /* A topic that nobody has used yet is not found.  */
+  if (reply != STORE_OK && result->status != 404)
+    {
+      feed_failed (feed, now_us);
+      return;
+    }
+  if (reply == STORE_OK)
+    take_snapshot (core, items);
+  if (core->tab->next < feed->from)
+    core->tab->next = feed->from; /* what lies between is lost */
+  feed->primed = true;
+  feed->due_us = now_us;
+}
+
+static void
+on_snapshot_written (void *ctx, const call_result_t *result)
+{
+  core_t *core = ctx;
+
+  core->snapshot_out = false;
+  if (site_append_reply (result->status, result->body) != STORE_OK)
+    core->tab_changed = true;
+}
+
+void
+snapshot_write (core_t *core, int64_t now_us)
+{
+  g_autoptr (GPtrArray) records
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+  GBytes *whole = jobtab_pack (core->tab);
+  gsize len;
+  const uint8_t *data = g_bytes_get_data (whole, &len);
+  uint32_t parts = (uint32_t)(len / SNAPSHOT_PART_BYTES) + 1;
+  site_req_t req;
+
+  core->snapshot_us = now_us;
+  if (len > SNAPSHOT_CALL_BYTES_MAX)
+    {
+      event_log (EV_SNAPSHOT_REJECTED, "reason=\"too large\" bytes=%zu", len);
+      g_bytes_unref (whole);
+      return;
+    }
+  for (uint32_t i = 0; i < parts; i++)
+    {
+      snapshot_head_t head = { GUINT64_TO_BE (core->tab->next),
+                               GUINT32_TO_BE (i), GUINT32_TO_BE (parts) };
+      g_autoptr (GByteArray) value = g_byte_array_new ();
+      g_autofree char *key = g_strdup_printf ("%04u", i);
+      size_t at = (size_t)i * SNAPSHOT_PART_BYTES;
+
+      g_byte_array_append (value, (const guint8 *)&head, sizeof head);
+      g_byte_array_append (value, data + at,
+                           (guint)MIN (len - at, SNAPSHOT_PART_BYTES));
+      g_ptr_array_add (records, site_keyed (key, value->data, value->len));
+    }
+  g_bytes_unref (whole);
+  core->snapshot_out = true;
+  core->tab_changed = false;
+  req = site_append (SITE_TOPIC_SNAPSHOT, records);
+  calls_send (core->calls, core->settings->store, &req, WRITE_TIMEOUT_MS,
+              on_snapshot_written, core);
+}
