jobs: one function stops runs, and only where there are copies

Each end of a task of a job with other runs at work looked for copies of that task among all runs of all workers, on the owner's thread, which is what binds on large sites. A task now counts its runs, so the search is made only for a task that has another one, and ends at the last. The same loop for a whole job is the same function. Parameters that were never read are gone. Which runs are stopped is as before.

--- a/entry/core.c
+++ b/entry/core.c
@@ -139,7 +139,7 @@
     case FOLD_CANCELLED:
       board_put (core->board, folded.entry);
       if (core->sched)
-        sched_cancel_job (core->sched, rec->u.cancel, core_now ());
+        sched_cancel_job (core->sched, rec->u.cancel);
       return;
     case FOLD_CLAIMED:
     case FOLD_RELEASED:
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -272,7 +272,7 @@
                    : NULL;
       if (!worker)
         break;
-      g_ptr_array_add (runs, run_new (sched, task, worker, attempt, now));
+      g_ptr_array_add (runs, run_new (task, worker, attempt, now));
     }
   if (runs->len == stage->undone)
     {
@@ -310,8 +310,7 @@
       worker = find_worker (pool, stage, task, now);
       if (!worker)
         return;
-      start_run (sched,
-                 run_new (sched, task, worker, task_next_attempt (task), now));
+      start_run (sched, run_new (task, worker, task_next_attempt (task), now));
     }
 }
 
--- a/jobs/replies.c
+++ b/jobs/replies.c
@@ -86,8 +86,8 @@
     case RUN_ALONE:
       break;
     }
-  if (task->done && task->stage->job->runs > 0)
-    runs_stop_others (sched, task);
+  if (task->done && task->runs > (run ? 1U : 0U))
+    runs_stop (sched, task->stage->job, task); /* its copies */
   if (run)
     run_close (sched, run, end_name (end->how), now);
   else
@@ -129,7 +129,7 @@
           stop_unknown (sched, worker, row);
           return;
         }
-      run = run_new (sched, task, worker, row->attempt, now);
+      run = run_new (task, worker, row->attempt, now);
     }
   if (run->percent != row->percent || run->moved_us == 0)
     run->moved_us = now.us;
--- a/jobs/runs.c
+++ b/jobs/runs.c
@@ -15,13 +15,11 @@
 }
 
 run_t *
-run_new (sched_t *sched, task_t *task, worker_t *worker, uint32_t attempt,
-         sched_now_t now)
+run_new (task_t *task, worker_t *worker, uint32_t attempt, sched_now_t now)
 {
   const job_step_t *spec = task->stage->spec;
   run_t *run = g_new0 (run_t, 1);
 
-  (void)sched;
   run->task = task;
   run->worker = worker;
   run->attempt = attempt;
@@ -36,6 +34,7 @@
   task->attempt = MAX (task->attempt, attempt);
   task->stage->attempt = MAX (task->stage->attempt, attempt);
   task->stage->waiting--;
+  task->runs++;
   task->stage->job->runs++;
   if (task->stage->job->started_us == 0)
     {
@@ -68,6 +67,7 @@
   amounts_subtract (&run->worker->used, &run->holds);
   amounts_subtract (&job->space->used, &run->quota);
   g_ptr_array_remove_fast (run->worker->runs, run);
+  task->runs--;
   job->runs--;
   sched->dirty = true;
   if (task->run == run)
@@ -114,13 +114,21 @@
 }
 
 void
-runs_stop_others (sched_t *sched, const task_t *task)
+run_stop (run_t *run)
+{
+  run->unsent |= run->phase == RUN_PLANNED;
+  run->phase = RUN_STOPPING;
+}
+
+void
+runs_stop (sched_t *sched, const sjob_t *job, const task_t *task)
 {
+  uint32_t left = task ? task->runs : job->runs;
   GHashTableIter iter;
   gpointer value;
 
   g_hash_table_iter_init (&iter, sched->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  while (left > 0 && g_hash_table_iter_next (&iter, NULL, &value))
     {
       const worker_t *worker = value;
 
@@ -128,15 +136,10 @@
         {
           run_t *run = g_ptr_array_index (worker->runs, i);
 
-          if (run->task == task)
-            run_stop (run);
+          if (run->task->stage->job != job || (task && run->task != task))
+            continue;
+          run_stop (run);
+          left--;
         }
     }
 }
-
-void
-run_stop (run_t *run)
-{
-  run->unsent |= run->phase == RUN_PLANNED;
-  run->phase = RUN_STOPPING;
-}
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -80,6 +80,7 @@
   bool moved; /* taken from a slow worker once */
   char *checkpoint;
   run_t *run;
+  uint32_t runs; /* that one, those left over and copies */
   int64_t not_before_us;
   const char *avoid;      /* interned id of the worker of its last bad end */
   int64_t avoid_until_us; /* it does not start there before */
@@ -258,8 +259,8 @@
 uint32_t task_next_attempt (const task_t *task);
 
 /* runs.c: attempts at tasks */
-run_t *run_new (sched_t *sched, task_t *task, worker_t *worker,
-                uint32_t attempt, sched_now_t now);
+run_t *run_new (task_t *task, worker_t *worker, uint32_t attempt,
+                sched_now_t now);
 /* run_close - RUN is certainly over, because of WHY; its task waits again
    unless it is done.  */
 void run_close (sched_t *sched, run_t *run, const char *why, sched_now_t now);
@@ -270,8 +271,8 @@
    may be there at the same time, or this one can't start any more.  */
 void run_leave (sched_t *sched, run_t *run);
 run_t *run_find (const worker_t *worker, const task_t *task, uint32_t attempt);
-/* runs_stop_others - stop the copies of TASK, which is done.  */
-void runs_stop_others (sched_t *sched, const task_t *task);
+/* runs_stop - stop all runs of TASK of JOB; NULL: of all its tasks.  */
+void runs_stop (sched_t *sched, const sjob_t *job, const task_t *task);
 /* task_is_at_work - whether a lasting task does its work.  */
 bool task_is_at_work (const task_t *task, int64_t now_us);
 
--- a/jobs/scheduler.h
+++ b/jobs/scheduler.h
@@ -174,7 +174,7 @@
 void sched_confirm (sched_t *sched, int64_t confirmed_us);
 
 void sched_add_job (sched_t *sched, const job_entry_t *entry, sched_now_t now);
-void sched_cancel_job (sched_t *sched, const char *id, sched_now_t now);
+void sched_cancel_job (sched_t *sched, const char *id);
 
 /* sched_set_worker - the worker's report; sched_drop_worker - it is no longer
    listed.  */
--- a/jobs/stages.c
+++ b/jobs/stages.c
@@ -138,30 +138,6 @@
   add_change (sched, job, JOB_STATE_RUNNING);
 }
 
-/* Stops all runs of JOB, copies too.  */
-static void
-stop_runs (sched_t *sched, const sjob_t *job)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  if (job->runs == 0)
-    return;
-  g_hash_table_iter_init (&iter, sched->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const worker_t *worker = value;
-
-      for (uint32_t i = 0; i < worker->runs->len; i++)
-        {
-          run_t *run = g_ptr_array_index (worker->runs, i);
-
-          if (run->task->stage->job == job)
-            run_stop (run);
-        }
-    }
-}
-
 static void
 unlist_job (sched_t *sched, const sjob_t *job)
 {
@@ -193,7 +169,7 @@
   job->ended = true;
   unlist_job (sched, job);
   g_ptr_array_remove_fast (sched->timed, job);
-  stop_runs (sched, job);
+  runs_stop (sched, job, NULL);
   sched->dirty = true;
 }
 
@@ -245,18 +221,16 @@
 
 /* One end of a gang stands for all its members.  */
 static void
-gang_end (sched_t *sched, stage_t *stage, uint32_t attempt, bool done,
-          sched_now_t now)
+gang_done (sched_t *sched, stage_t *stage, uint32_t attempt, sched_now_t now)
 {
   for (uint32_t i = 0; i < stage->spec->count; i++)
     {
       task_t *task = &stage->tasks[i];
 
-      if (done && !task->done)
-        {
-          add_end (sched, task, attempt, true);
-          mark_done (sched, task, now);
-        }
+      if (task->done)
+        continue;
+      add_end (sched, task, attempt, true);
+      mark_done (sched, task, now);
     }
 }
 
@@ -281,7 +255,7 @@
     {
       if (stage->spec->gang)
         {
-          gang_end (sched, stage, attempt, true, now);
+          gang_done (sched, stage, attempt, now);
           return;
         }
       add_end (sched, task, attempt, true);
@@ -441,11 +415,10 @@
 }
 
 void
-sched_cancel_job (sched_t *sched, const char *id, sched_now_t now)
+sched_cancel_job (sched_t *sched, const char *id)
 {
   sjob_t *job = g_hash_table_lookup (sched->jobs, id);
 
-  (void)now;
   if (!job)
     return;
   job_end (sched, job);
--- a/jobs/test/place_test.c
+++ b/jobs/test/place_test.c
@@ -69,7 +69,7 @@
   ck_assert_uint_eq (starts_of (first, 1), 3);
   for (uint32_t i = 0; i < 3; i++)
     rig_started (&rig, &g_array_index (first, order_t, i));
-  sched_cancel_job (rig.sched, rig_id (1), rig.now);
+  sched_cancel_job (rig.sched, rig_id (1));
   rig_submit (&rig, 2, &step, 1);
   after = rig_plan (&rig, false);
   ck_assert_uint_eq (starts_of (after, 2), 0);
--- a/jobs/test/replies_test.c
+++ b/jobs/test/replies_test.c
@@ -78,7 +78,7 @@
   rig_open (&rig, 2);
   rig_worker (&rig, "w1", 8, false);
   rig_worker (&rig, "w2", 8, true);
-  sched_cancel_job (rig.sched, rig_id (1), rig.now);
+  sched_cancel_job (rig.sched, rig_id (1));
   stops = rig_plan (&rig, false);
   ck_assert_uint_eq (rig_count (stops, ORDER_STOP), 1);
   stopped.clock_ms = rig.now.us / 1000;
@@ -219,7 +219,7 @@
       rig_submit (&rig, 1 + i, &step, 1);
       start = start_one ();
       rig_started (&rig, &start);
-      sched_cancel_job (rig.sched, rig_id (1 + i), rig.now);
+      sched_cancel_job (rig.sched, rig_id (1 + i));
       end = rig_end (&start, i + 1, RUN_FAILED);
       rig_answer (&rig, "w1", NULL, 0, &end, 1);
     }
--- a/jobs/test/sched_test.c
+++ b/jobs/test/sched_test.c
@@ -26,7 +26,7 @@
   rig_submit (&rig, 1, &step, 1);
   orders = sched_plan (rig.sched, rig.now);
   g_array_set_size (orders, 0);
-  sched_cancel_job (rig.sched, rig_id (1), rig.now);
+  sched_cancel_job (rig.sched, rig_id (1));
   rig_write (&rig);
   orders = sched_plan (rig.sched, rig.now);
   ck_assert_uint_eq (rig_count (orders, ORDER_START), 0);
--- a/jobs/test/stages_test.c
+++ b/jobs/test/stages_test.c
@@ -115,8 +115,8 @@
   for (uint32_t i = 0; i < 2; i++)
     rig_started (&rig, &g_array_index (starts, order_t, i));
   rig_submit (&rig, 2, &step, 1);
-  sched_cancel_job (rig.sched, rig_id (1), rig.now);
-  sched_cancel_job (rig.sched, rig_id (2), rig.now);
+  sched_cancel_job (rig.sched, rig_id (1));
+  sched_cancel_job (rig.sched, rig_id (2));
   stops = rig_plan (&rig, false);
   ck_assert_uint_eq (rig_count (stops, ORDER_STOP), 2);
   ck_assert_uint_eq (rig_count (stops, ORDER_START), 0);
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -132,7 +132,7 @@
 
   if (!worker)
     worker = worker_add (sched, id, stage_pool (sched, task->stage), now);
-  run = run_new (sched, task, worker, attempt, now);
+  run = run_new (task, worker, attempt, now);
   run->phase = RUN_ACTIVE;
   run->active_us = now.us;
 }
