--- a/jobs/replies.c
+++ b/jobs/replies.c
@@ -183,10 +183,10 @@
     {
       const end_row_t *end = &lists->ends[i];
 
-      if (end->number <= worker->seen)
+      if (end->number <= worker->ends_seen)
         continue;
-      worker->seen = end->number;
-      worker->seen_batch = sched->batch;
+      worker->ends_seen = end->number;
+      worker->ends_batch = sched->batch;
       sched->ends_unwritten = true;
       take_end (sched, worker, end, now);
     }
@@ -254,7 +254,7 @@
   take_lists (sched, worker, lists, reply->sent_us, now);
   stalls_check (sched, worker, now);
   pace_check (worker, now);
-  worker->hold_due_us = worker->seen > worker->last_seen
+  worker->hold_due_us = worker->ends_seen > worker->ends_durable
                             ? now.us + HOLD_RETRY_US
                             : now.us + sched->look_pause_us;
   return true;
--- a/jobs/sched.c
+++ b/jobs/sched.c
@@ -160,8 +160,8 @@
     {
       worker_t *worker = value;
 
-      if (worker->seen_batch == sched->batch)
-        worker->seen_batch = sched->batch - 1;
+      if (worker->ends_batch == sched->batch)
+        worker->ends_batch = sched->batch - 1;
     }
   sched_durable (sched, sched->durable);
 }
@@ -213,9 +213,10 @@
     {
       worker_t *worker = value;
 
-      if (worker->last_seen == worker->seen || worker->seen_batch > batch)
+      if (worker->ends_durable == worker->ends_seen
+          || worker->ends_batch > batch)
         continue;
-      worker->last_seen = worker->seen;
+      worker->ends_durable = worker->ends_seen;
       worker->hold_due_us = worker->answered_us + sched->look_pause_us;
       sched->next_us = 0;
     }
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -154,9 +154,9 @@
   bool unreachable;
   bool hold_out;
   int64_t hold_due_us;
-  uint64_t seen;       /* ends up to this were taken in */
-  uint64_t seen_batch; /* in which they become durable */
-  uint64_t last_seen;  /* durable */
+  uint64_t ends_seen;    /* ends up to this were taken in */
+  uint64_t ends_batch;   /* in which they become durable */
+  uint64_t ends_durable; /* up to this they are */
   GPtrArray *runs;
   uint32_t fails_in_row;
   int64_t suspect_until_us;
--- a/jobs/scheduler.h
+++ b/jobs/scheduler.h
@@ -149,9 +149,9 @@
   const char *address; /* interned */
   uint64_t token;      /* fencing token */
   int64_t deadline_ms; /* HOLD, START: lease, on the worker's clock; 0: none */
-  uint64_t last_seen;  /* HOLD: ends up to this number are durable */
-  uint32_t wait_ms;    /* HOLD: the worker waits so long for an end */
-  task_ref_t task;     /* START, STOP, PACE */
+  uint64_t ends_durable; /* HOLD: ends up to this number are durable */
+  uint32_t wait_ms;      /* HOLD: the worker waits so long for an end */
+  task_ref_t task;       /* START, STOP, PACE */
   uint32_t attempt;
   const char *payload;    /* START */
   const char *checkpoint; /* START; NULL: none */
--- a/jobs/test/replies_test.c
+++ b/jobs/test/replies_test.c
@@ -122,12 +122,12 @@
   rig_pass (&rig, 300);
   before = rig_plan (&rig, true);
   ck_assert_uint_eq (rig_count (before, ORDER_HOLD), 1);
-  ck_assert_uint_eq (g_array_index (before, order_t, 0).last_seen, 0);
+  ck_assert_uint_eq (g_array_index (before, order_t, 0).ends_durable, 0);
   sched_durable (rig.sched, rec->u.progress.batch);
   rig_answer (&rig, "w1", &row, 1, &end, 1);
   after = rig_plan (&rig, true);
   ck_assert_uint_eq (rig_count (after, ORDER_HOLD), 1);
-  ck_assert_uint_eq (g_array_index (after, order_t, 0).last_seen, 1);
+  ck_assert_uint_eq (g_array_index (after, order_t, 0).ends_durable, 1);
   job_rec_clear (rec);
   g_free (rec);
 }
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -86,7 +86,7 @@
 worker_clear (sched_t *sched, worker_t *worker, sched_now_t now)
 {
   close_all (sched, worker, "other-boot", now);
-  worker->seen = worker->last_seen = worker->seen_batch = 0;
+  worker->ends_seen = worker->ends_durable = worker->ends_batch = 0;
   worker->has_clock = false;
   worker->lease_ms = 0;
   worker->synced = false;
@@ -276,14 +276,14 @@
   order_t order = { .kind = ORDER_HOLD,
                     .worker = worker->interned,
                     .address = worker->address,
-                    .last_seen = worker->last_seen };
+                    .ends_durable = worker->ends_durable };
 
   /* A worker that does not answer gets no longer lease: its tasks would never
      start again.  */
   if (!worker->unreachable)
     order.deadline_ms = worker_deadline_ms (sched, worker, now.us);
   if (worker->synced && !worker->unreachable
-      && worker->last_seen == worker->seen)
+      && worker->ends_durable == worker->ends_seen)
     order.wait_ms = HOLD_WAIT_MS;
   worker->hold_out = true;
   order_add (sched, order);
