--- a/jobs/test/jobtab_test.c
+++ b/jobs/test/jobtab_test.c
@@ -2,8 +2,6 @@
 
 #define NOW_MS 1700000000000
 
-static rig_t rig;
-
 static void
 set_up (void)
 {
@@ -11,12 +9,6 @@
   rig.tab = jobtab_new ();
 }
 
-static void
-tear_down (void)
-{
-  rig_close (&rig);
-}
-
 static fold_kind_t
 fold_owner (job_rec_kind_t kind, uint64_t epoch, const char *holder)
 {
@@ -62,8 +54,8 @@
 {
   job_step_t step = rig_step (1);
 
-  ck_assert_ptr_nonnull (rig_submit (&rig, 1, &step, 1));
-  ck_assert_ptr_null (rig_submit (&rig, 1, &step, 1));
+  ck_assert_ptr_nonnull (rig_submit (1, &step, 1));
+  ck_assert_ptr_null (rig_submit (1, &step, 1));
   ck_assert_uint_eq (g_hash_table_size (rig.tab->jobs), 1);
 }
 END_TEST
@@ -90,13 +82,13 @@
 {
   job_step_t step = rig_step (1);
 
-  rig_submit (&rig, 1, &step, 1);
+  rig_submit (1, &step, 1);
   fold_owner (JREC_CLAIM, 1, "a");
   fold_owner (JREC_CLAIM, 2, "b");
   ck_assert_int_eq (fold_change (1, 1, JOB_STATE_COMPLETE), FOLD_NOTHING);
-  ck_assert_int_eq (rig_state (&rig, 1), JOB_STATE_QUEUED);
+  ck_assert_int_eq (rig_state (1), JOB_STATE_QUEUED);
   ck_assert_int_eq (fold_change (2, 1, JOB_STATE_COMPLETE), FOLD_PROGRESS);
-  ck_assert_int_eq (rig_state (&rig, 1), JOB_STATE_COMPLETE);
+  ck_assert_int_eq (rig_state (1), JOB_STATE_COMPLETE);
 }
 END_TEST
 
@@ -105,13 +97,13 @@
 {
   job_step_t step = rig_step (1);
 
-  rig_submit (&rig, 1, &step, 1);
+  rig_submit (1, &step, 1);
   fold_owner (JREC_CLAIM, 1, "a");
   ck_assert_int_eq (fold_cancel (1), FOLD_CANCELLED);
   ck_assert_int_eq (fold_cancel (1), FOLD_NOTHING);
   fold_change (1, 1, JOB_STATE_RUNNING);
   fold_change (1, 1, JOB_STATE_COMPLETE);
-  ck_assert_int_eq (rig_state (&rig, 1), JOB_STATE_CANCELLED);
+  ck_assert_int_eq (rig_state (1), JOB_STATE_CANCELLED);
   ck_assert_int_eq (fold_cancel (2), FOLD_NOTHING);
 }
 END_TEST
@@ -128,11 +120,11 @@
   gsize len;
   const void *data;
 
-  rig_submit (&rig, 1, &step, 1);
-  rig_submit (&rig, 2, &step, 1);
+  rig_submit (1, &step, 1);
+  rig_submit (2, &step, 1);
   fold_owner (JREC_CLAIM, 1, "a");
-  rig_place (&rig, 1, 0, 2, "w1");
-  rig_place (&rig, 1, 1, 1, "w2");
+  rig_place (1, 0, 2, "w1");
+  rig_place (1, 1, 1, "w2");
   memcpy (end.task.id, rig_id (1), JOB_ID_BYTES);
   rec.u.progress.epoch = 1;
   rec.u.progress.placed = g_array_new (FALSE, FALSE, sizeof (task_placed_t));
@@ -178,8 +170,8 @@
   uint32_t dropped = 0;
 
   rig.now.wall_ms = NOW_MS;
-  rig_submit (&rig, 1, &step, 1);
-  rig_submit (&rig, 2, &step, 1);
+  rig_submit (1, &step, 1);
+  rig_submit (2, &step, 1);
   fold_cancel (1);
   jobtab_purge (rig.tab, NOW_MS + 119000, 120000, count_drop, &dropped);
   ck_assert_uint_eq (dropped, 0);
@@ -189,8 +181,8 @@
 }
 END_TEST
 
-TEST_PROGRAM_WITH ("jobs/jobtab", set_up, tear_down, test_same_id_is_one_job,
-                   test_first_claim_wins,
+TEST_PROGRAM_WITH ("jobs/jobtab", set_up, rig_tear_down,
+                   test_same_id_is_one_job, test_first_claim_wins,
                    test_progress_of_a_replaced_owner_counts_nothing,
                    test_final_states_stay, test_snapshot_holds_all,
                    test_final_jobs_are_kept_for_their_time)
--- a/jobs/test/moves_test.c
+++ b/jobs/test/moves_test.c
@@ -2,8 +2,6 @@
 
 #define STANDBY "spare"
 
-static rig_t rig;
-
 static void
 set_up (void)
 {
@@ -11,18 +9,11 @@
   rules_service_t spare
       = { .name = g_intern_string (STANDBY), .standby = true };
 
-  memset (&rig, 0, sizeof rig);
-  rig_open (&rig, 1);
+  rig_set_up ();
   g_array_append_val (rig.rules->services, own);
   g_array_append_val (rig.rules->services, spare);
 }
 
-static void
-tear_down (void)
-{
-  rig_close (&rig);
-}
-
 /* HOSTS hosts of the service, h0 runs w0 and so on, then SPARES idle ones.  */
 static void
 list_hosts (uint32_t hosts, uint32_t spares)
@@ -49,7 +40,7 @@
   GArray *orders;
   GArray *copy = g_array_new (FALSE, TRUE, sizeof (host_order_t));
 
-  rig_pass (&rig, ms);
+  rig_pass (ms);
   orders = hosts_plan (rig.sched, rig.now);
   g_array_append_vals (copy, orders->data, orders->len);
   g_array_set_size (orders, 0);
@@ -66,12 +57,12 @@
   g_autoptr (GArray) first = NULL;
   g_autoptr (GArray) moves = NULL;
 
-  rig_worker (&rig, "w0", 8, false);
+  rig_worker ("w0", 8, false);
   list_hosts (1, 3);
   none = orders_after (200);
   ck_assert_uint_eq (none->len, 0);
-  rig_submit (&rig, 1, &step, 1);
-  starts = rig_plan (&rig, false);
+  rig_submit (1, &step, 1);
+  starts = rig_plan (false);
   ck_assert_uint_eq (rig_count (starts, ORDER_START), 8);
   first = orders_after (200);
   ck_assert_uint_eq (first->len, 0);
@@ -93,10 +84,10 @@
   job_step_t step = rig_step (4);
   g_autoptr (GArray) starts = NULL;
 
-  rig_worker (&rig, "w0", 8, false);
+  rig_worker ("w0", 8, false);
   list_hosts (1, 3);
-  rig_submit (&rig, 1, &step, 1);
-  starts = rig_plan (&rig, false);
+  rig_submit (1, &step, 1);
+  starts = rig_plan (false);
   ck_assert_uint_eq (rig_count (starts, ORDER_START), 4);
   for (uint32_t i = 0; i < 10; i++)
     {
@@ -115,10 +106,10 @@
 
   g_array_index (rig.rules->workspaces, rules_workspace_t, 0).cap.cpu_milli
       = 2000;
-  rig_worker (&rig, "w0", 8, false);
+  rig_worker ("w0", 8, false);
   list_hosts (1, 3);
-  rig_submit (&rig, 1, &step, 1);
-  starts = rig_plan (&rig, false);
+  rig_submit (1, &step, 1);
+  starts = rig_plan (false);
   ck_assert_uint_eq (rig_count (starts, ORDER_START), 2);
   for (uint32_t i = 0; i < 5; i++)
     {
@@ -139,7 +130,7 @@
     {
       g_autofree char *id = g_strdup_printf ("w%u", i);
 
-      rig_worker (&rig, id, 8, false);
+      rig_worker (id, 8, false);
     }
   hosts_set_base (rig.sched, RIG_SERVICE, 4);
   list_hosts (6, 0);
@@ -151,7 +142,7 @@
         {
           g_autofree char *id = g_strdup_printf ("w%u", w);
 
-          rig_answer (&rig, id, NULL, 0, NULL, 0);
+          rig_answer (id, NULL, 0, NULL, 0);
         }
       moves = orders_after (200);
       for (uint32_t m = 0; m < moves->len; m++)
@@ -164,6 +155,6 @@
 }
 END_TEST
 
-TEST_PROGRAM_WITH ("jobs/moves", set_up, tear_down,
+TEST_PROGRAM_WITH ("jobs/moves", set_up, rig_tear_down,
                    test_burst_brings_spare_hosts, test_no_burst_no_moves,
                    test_capped_work_moves_nothing, test_surplus_goes_back)
--- a/jobs/test/pace_test.c
+++ b/jobs/test/pace_test.c
@@ -1,6 +1,5 @@
 #include "rig.h"
 
-static rig_t rig;
 static order_t serving;
 static order_t filling;
 
@@ -11,22 +10,21 @@
   job_step_t fill = rig_step (1);
   g_autoptr (GArray) orders = NULL;
 
-  memset (&rig, 0, sizeof rig);
-  rig_open (&rig, 1);
-  rig_worker (&rig, "w1", 8, false);
+  rig_set_up ();
+  rig_worker ("w1", 8, false);
   serve.lasts = true;
   serve.target_ms = 100;
   fill.fills = true;
   fill.estimate_ms = 60000;
-  rig_submit (&rig, 1, &serve, 1);
-  rig_submit (&rig, 2, &fill, 1);
-  orders = rig_plan (&rig, false);
+  rig_submit (1, &serve, 1);
+  rig_submit (2, &fill, 1);
+  orders = rig_plan (false);
   ck_assert_uint_eq (rig_count (orders, ORDER_START), 2);
   for (uint32_t i = 0; i < 2; i++)
     {
       const order_t *order = &g_array_index (orders, order_t, i);
 
-      rig_started (&rig, order);
+      rig_started (order);
       if (strcmp (order->task.id, rig_id (1)) == 0)
         serving = *order;
       else
@@ -34,22 +32,16 @@
     }
 }
 
-static void
-tear_down (void)
-{
-  rig_close (&rig);
-}
-
 /* MS later the serving task has a tail of TAIL_MS; the orders then.  */
 static GArray *
 report (int64_t ms, uint32_t tail_ms)
 {
   run_row_t rows[2] = { rig_row (&serving), rig_row (&filling) };
 
-  rig_pass (&rig, ms);
+  rig_pass (ms);
   rows[0].load = tail_ms;
-  rig_answer (&rig, "w1", rows, 2, NULL, 0);
-  return rig_plan (&rig, false);
+  rig_answer ("w1", rows, 2, NULL, 0);
+  return rig_plan (false);
 }
 
 /* Filling work must not keep a serving task over its target.  */
@@ -63,7 +55,7 @@
   near = report (500, 90);
   ck_assert_uint_eq (rig_count (near, ORDER_PACE), 1);
   ck_assert_uint_eq (g_array_index (near, order_t, 0).percent, 50);
-  rig_reply (&rig, &g_array_index (near, order_t, 0), REPLY_OK);
+  rig_reply (&g_array_index (near, order_t, 0), REPLY_OK);
   over = report (500, 130);
   ck_assert_uint_eq (rig_count (over, ORDER_PACE), 1);
   ck_assert_uint_eq (g_array_index (over, order_t, 0).percent, 0);
@@ -77,7 +69,7 @@
   g_autoptr (GArray) over = report (500, 130);
   uint32_t last = 0;
 
-  rig_reply (&rig, &g_array_index (over, order_t, 0), REPLY_OK);
+  rig_reply (&g_array_index (over, order_t, 0), REPLY_OK);
   for (uint32_t i = 0; i < 10 && last < 100; i++)
     {
       g_autoptr (GArray) orders = report (600, 20);
@@ -86,7 +78,7 @@
       ck_assert_uint_eq (g_array_index (orders, order_t, 0).percent,
                          last + 25);
       last += 25;
-      rig_reply (&rig, &g_array_index (orders, order_t, 0), REPLY_OK);
+      rig_reply (&g_array_index (orders, order_t, 0), REPLY_OK);
     }
   ck_assert_uint_eq (last, 100);
 }
@@ -99,13 +91,13 @@
   g_autoptr (GArray) again = NULL;
 
   ck_assert_uint_eq (rig_count (first, ORDER_PACE), 1);
-  rig_reply (&rig, &g_array_index (first, order_t, 0), REPLY_BUSY);
+  rig_reply (&g_array_index (first, order_t, 0), REPLY_BUSY);
   again = report (500, 130);
   ck_assert_uint_eq (rig_count (again, ORDER_PACE), 1);
 }
 END_TEST
 
-TEST_PROGRAM_WITH ("jobs/pace", set_up, tear_down,
+TEST_PROGRAM_WITH ("jobs/pace", set_up, rig_tear_down,
                    test_harm_stops_filling_work,
                    test_filling_work_comes_back_slowly,
                    test_unconfirmed_pace_is_repeated)
--- a/jobs/test/place_test.c
+++ b/jobs/test/place_test.c
@@ -1,20 +1,5 @@
 #include "rig.h"
 
-static rig_t rig;
-
-static void
-set_up (void)
-{
-  memset (&rig, 0, sizeof rig);
-  rig_open (&rig, 1);
-}
-
-static void
-tear_down (void)
-{
-  rig_close (&rig);
-}
-
 static uint32_t
 starts_of (const GArray *orders, uint32_t job)
 {
@@ -40,13 +25,13 @@
 
   cpu.need = (amounts_t){ .cpu_milli = 3000, .mem_mib = 1 };
   mem.need = (amounts_t){ .cpu_milli = 1, .mem_mib = 30000 };
-  rig_worker (&rig, "w1", 8, false);
-  rig_worker (&rig, "w2", 8, false);
-  rig_submit (&rig, 1, &cpu, 1);
-  first = rig_plan (&rig, false);
+  rig_worker ("w1", 8, false);
+  rig_worker ("w2", 8, false);
+  rig_submit (1, &cpu, 1);
+  first = rig_plan (false);
   ck_assert_uint_eq (starts_of (first, 1), 4);
-  rig_submit (&rig, 2, &mem, 1);
-  second = rig_plan (&rig, false);
+  rig_submit (2, &mem, 1);
+  second = rig_plan (false);
   ck_assert_uint_eq (starts_of (second, 2), 4);
 }
 END_TEST
@@ -62,16 +47,16 @@
   g_autoptr (GArray) after = NULL;
 
   space->cap.cpu_milli = 3500;
-  rig_worker (&rig, "w1", 8, false);
-  rig_worker (&rig, "w2", 8, false);
-  rig_submit (&rig, 1, &step, 1);
-  first = rig_plan (&rig, false);
+  rig_worker ("w1", 8, false);
+  rig_worker ("w2", 8, false);
+  rig_submit (1, &step, 1);
+  first = rig_plan (false);
   ck_assert_uint_eq (starts_of (first, 1), 3);
   for (uint32_t i = 0; i < 3; i++)
-    rig_started (&rig, &g_array_index (first, order_t, i));
+    rig_started (&g_array_index (first, order_t, i));
   sched_cancel_job (rig.sched, rig_id (1));
-  rig_submit (&rig, 2, &step, 1);
-  after = rig_plan (&rig, false);
+  rig_submit (2, &step, 1);
+  after = rig_plan (false);
   ck_assert_uint_eq (starts_of (after, 2), 0);
 }
 END_TEST
@@ -82,10 +67,10 @@
   g_autoptr (GArray) orders = NULL;
 
   step.spread_max = 2;
-  rig_worker (&rig, "w1", 8, false);
-  rig_worker (&rig, "w2", 8, false);
-  rig_submit (&rig, 1, &step, 1);
-  orders = rig_plan (&rig, false);
+  rig_worker ("w1", 8, false);
+  rig_worker ("w2", 8, false);
+  rig_submit (1, &step, 1);
+  orders = rig_plan (false);
   ck_assert_uint_eq (starts_of (orders, 1), 4);
 }
 END_TEST
@@ -98,10 +83,10 @@
 
   step.label = g_strdup ("b");
   kind.label = g_strdup ("a");
-  rig_worker (&rig, "w1", 8, false);
-  rig_submit (&rig, 1, &step, 1);
-  rig_submit (&rig, 2, &kind, 1);
-  orders = rig_plan (&rig, false);
+  rig_worker ("w1", 8, false);
+  rig_submit (1, &step, 1);
+  rig_submit (2, &kind, 1);
+  orders = rig_plan (false);
   ck_assert_uint_eq (starts_of (orders, 1), 0);
   ck_assert_uint_eq (starts_of (orders, 2), 1);
 }
@@ -115,12 +100,12 @@
   g_autoptr (GArray) more = NULL;
 
   step.gang = true;
-  rig_worker (&rig, "w1", 8, false);
-  rig_submit (&rig, 1, &step, 1);
-  orders = rig_plan (&rig, false);
+  rig_worker ("w1", 8, false);
+  rig_submit (1, &step, 1);
+  orders = rig_plan (false);
   ck_assert_uint_eq (orders->len, 0);
-  rig_worker (&rig, "w2", 8, false);
-  more = rig_plan (&rig, false);
+  rig_worker ("w2", 8, false);
+  more = rig_plan (false);
   ck_assert_uint_eq (starts_of (more, 1), 9);
 }
 END_TEST
@@ -133,12 +118,12 @@
   job_step_t small = rig_step (2);
   g_autoptr (GArray) orders = NULL;
 
-  rig_worker (&rig, "w1", 8, true);
-  rig_submit (&rig, 1, &wide, 1);
+  rig_worker ("w1", 8, true);
+  rig_submit (1, &wide, 1);
   for (uint32_t i = 2; i < 6; i++)
-    rig_submit (&rig, i, &small, 1);
-  rig_answer (&rig, "w1", NULL, 0, NULL, 0);
-  orders = rig_plan (&rig, false);
+    rig_submit (i, &small, 1);
+  rig_answer ("w1", NULL, 0, NULL, 0);
+  orders = rig_plan (false);
   for (uint32_t i = 2; i < 6; i++)
     ck_assert_uint_eq (starts_of (orders, i), 2);
 }
@@ -152,13 +137,13 @@
   job_step_t small = rig_step (10);
   g_autoptr (GArray) orders = NULL;
 
-  rig_worker (&rig, "w1", 144, true);
-  rig_submit (&rig, 1, &wide, 1);
-  rig_pass (&rig, 850);
+  rig_worker ("w1", 144, true);
+  rig_submit (1, &wide, 1);
+  rig_pass (850);
   for (uint32_t i = 2; i < 16; i++)
-    rig_submit (&rig, i, &small, 1);
-  rig_answer (&rig, "w1", NULL, 0, NULL, 0);
-  orders = rig_plan (&rig, false);
+    rig_submit (i, &small, 1);
+  rig_answer ("w1", NULL, 0, NULL, 0);
+  orders = rig_plan (false);
   ck_assert_uint_eq (starts_of (orders, 1), 24);
 }
 END_TEST
@@ -169,12 +154,12 @@
   job_step_t step = rig_step (8);
   g_autoptr (GArray) orders = NULL;
 
-  rig_worker (&rig, "w1", 8, true);
-  rig_submit (&rig, 1, &step, 1);
-  rig_pass (&rig, 8000);
-  rig_submit (&rig, 2, &step, 1);
-  rig_answer (&rig, "w1", NULL, 0, NULL, 0);
-  orders = rig_plan (&rig, false);
+  rig_worker ("w1", 8, true);
+  rig_submit (1, &step, 1);
+  rig_pass (8000);
+  rig_submit (2, &step, 1);
+  rig_answer ("w1", NULL, 0, NULL, 0);
+  orders = rig_plan (false);
   ck_assert_uint_eq (starts_of (orders, 2), 8);
 }
 END_TEST
@@ -187,16 +172,16 @@
   g_autoptr (GArray) orders = NULL;
 
   lasting.lasts = true;
-  rig_worker (&rig, "w1", 8, true);
-  rig_submit (&rig, 1, &burst, 1);
-  rig_submit (&rig, 2, &lasting, 1);
-  rig_answer (&rig, "w1", NULL, 0, NULL, 0);
-  orders = rig_plan (&rig, false);
+  rig_worker ("w1", 8, true);
+  rig_submit (1, &burst, 1);
+  rig_submit (2, &lasting, 1);
+  rig_answer ("w1", NULL, 0, NULL, 0);
+  orders = rig_plan (false);
   ck_assert_uint_eq (starts_of (orders, 2), 3);
 }
 END_TEST
 
-TEST_PROGRAM_WITH ("jobs/place", set_up, tear_down, test_room_is_kept,
+TEST_PROGRAM_WITH ("jobs/place", rig_set_up, rig_tear_down, test_room_is_kept,
                    test_cap_holds_over_all_workers, test_spread_is_kept,
                    test_labels_are_kept, test_gang_starts_whole_or_not,
                    test_burst_small_jobs_before_wide_ones,
--- a/jobs/test/replies_test.c
+++ b/jobs/test/replies_test.c
@@ -1,37 +1,5 @@
 #include "rig.h"
 
-static rig_t rig;
-
-static void
-set_up (void)
-{
-  memset (&rig, 0, sizeof rig);
-}
-
-static void
-tear_down (void)
-{
-  rig_close (&rig);
-}
-
-static task_ref_t
-ref_of (uint32_t job, uint32_t index)
-{
-  task_ref_t ref = { .index = index };
-
-  memcpy (ref.id, rig_id (job), sizeof ref.id);
-  return ref;
-}
-
-static order_t
-start_one (void)
-{
-  g_autoptr (GArray) orders = rig_plan (&rig, false);
-
-  ck_assert_uint_eq (rig_count (orders, ORDER_START), 1);
-  return g_array_index (orders, order_t, 0);
-}
-
 /* Guards against starting a task elsewhere while an order without an answer
    may still be carried out.  */
 START_TEST (test_unanswered_start_is_stopped_first)
@@ -41,20 +9,20 @@
   g_autoptr (GArray) stops = NULL;
   g_autoptr (GArray) again = NULL;
 
-  rig_open (&rig, 1);
-  rig_worker (&rig, "w1", 8, false);
-  rig_worker (&rig, "w2", 8, false);
-  rig_submit (&rig, 1, &step, 1);
-  start = start_one ();
-  rig_reply (&rig, &start, REPLY_LOST);
-  stops = rig_plan (&rig, false);
+  rig_open (1);
+  rig_worker ("w1", 8, false);
+  rig_worker ("w2", 8, false);
+  rig_submit (1, &step, 1);
+  start = rig_start_one ();
+  rig_reply (&start, REPLY_LOST);
+  stops = rig_plan (false);
   ck_assert_uint_eq (rig_count (stops, ORDER_START), 0);
   ck_assert_uint_eq (rig_count (stops, ORDER_STOP), 1);
-  rig_reply (&rig, &g_array_index (stops, order_t, 0), REPLY_OK);
-  rig_pass (&rig, 400);
-  rig_answer (&rig, "w1", NULL, 0, NULL, 0);
-  rig_answer (&rig, "w2", NULL, 0, NULL, 0);
-  again = rig_plan (&rig, false);
+  rig_reply (&g_array_index (stops, order_t, 0), REPLY_OK);
+  rig_pass (400);
+  rig_answer ("w1", NULL, 0, NULL, 0);
+  rig_answer ("w2", NULL, 0, NULL, 0);
+  again = rig_plan (false);
   ck_assert_uint_eq (rig_count (again, ORDER_START), 1);
   ck_assert_uint_gt (g_array_index (again, order_t, 0).attempt, start.attempt);
 }
@@ -70,22 +38,22 @@
   g_autoptr (GArray) stops = NULL;
   g_autoptr (GArray) orders = NULL;
 
-  rig_submit (&rig, 1, &step, 1);
-  rig_submit (&rig, 2, &step, 1);
-  rig_place (&rig, 1, 0, 1, "w2");
-  rig_place (&rig, 2, 0, 1, "w2");
-  rig_place (&rig, 2, 1, 1, "w2");
-  rig_open (&rig, 2);
-  rig_worker (&rig, "w1", 8, false);
-  rig_worker (&rig, "w2", 8, true);
+  rig_submit (1, &step, 1);
+  rig_submit (2, &step, 1);
+  rig_place (1, 0, 1, "w2");
+  rig_place (2, 0, 1, "w2");
+  rig_place (2, 1, 1, "w2");
+  rig_open (2);
+  rig_worker ("w1", 8, false);
+  rig_worker ("w2", 8, true);
   sched_cancel_job (rig.sched, rig_id (1));
-  stops = rig_plan (&rig, false);
+  stops = rig_plan (false);
   ck_assert_uint_eq (rig_count (stops, ORDER_STOP), 1);
   stopped.clock_ms = rig.now.us / 1000;
   sched_order_reply (rig.sched, &g_array_index (stops, order_t, 0), &stopped,
                      rig.now);
-  rig_pass (&rig, 200);
-  orders = rig_plan (&rig, false);
+  rig_pass (200);
+  orders = rig_plan (false);
   ck_assert_uint_eq (rig_count (orders, ORDER_START), 0);
 }
 END_TEST
@@ -103,29 +71,29 @@
   g_autoptr (GArray) after = NULL;
   job_rec_t *rec;
 
-  rig_open (&rig, 1);
-  rig_worker (&rig, "w1", 8, false);
-  rig_submit (&rig, 1, &step, 1);
-  starts = rig_plan (&rig, false);
+  rig_open (1);
+  rig_worker ("w1", 8, false);
+  rig_submit (1, &step, 1);
+  starts = rig_plan (false);
   ck_assert_uint_eq (rig_count (starts, ORDER_START), 2);
   first = g_array_index (starts, order_t, 0);
   second = g_array_index (starts, order_t, 1);
-  rig_started (&rig, &first);
-  rig_started (&rig, &second);
+  rig_started (&first);
+  rig_started (&second);
   end = rig_end (&first, 1, RUN_DONE);
   row = rig_row (&second);
-  rig_answer (&rig, "w1", &row, 1, &end, 1);
+  rig_answer ("w1", &row, 1, &end, 1);
   rec = sched_progress (rig.sched);
   ck_assert_ptr_nonnull (rec);
   /* An empty batch after it must not stand for it.  */
   ck_assert_ptr_null (sched_progress (rig.sched));
-  rig_pass (&rig, 300);
-  before = rig_plan (&rig, true);
+  rig_pass (300);
+  before = rig_plan (true);
   ck_assert_uint_eq (rig_count (before, ORDER_HOLD), 1);
   ck_assert_uint_eq (g_array_index (before, order_t, 0).ends_durable, 0);
   sched_durable (rig.sched, rec->u.progress.batch);
-  rig_answer (&rig, "w1", &row, 1, &end, 1);
-  after = rig_plan (&rig, true);
+  rig_answer ("w1", &row, 1, &end, 1);
+  after = rig_plan (true);
   ck_assert_uint_eq (rig_count (after, ORDER_HOLD), 1);
   ck_assert_uint_eq (g_array_index (after, order_t, 0).ends_durable, 1);
   job_rec_clear (rec);
@@ -141,22 +109,22 @@
   end_row_t ends[3];
   g_autoptr (GArray) orders = NULL;
 
-  rig_submit (&rig, 1, &step, 1);
-  rig_open (&rig, 2);
-  rig_worker (&rig, "w1", 8, true);
-  rig_worker (&rig, "w2", 8, true);
+  rig_submit (1, &step, 1);
+  rig_open (2);
+  rig_worker ("w1", 8, true);
+  rig_worker ("w2", 8, true);
   for (uint32_t i = 0; i < 3; i++)
     ends[i] = (end_row_t){ .number = i + 1,
-                           .task = ref_of (1, 0),
+                           .task = rig_ref (1, 0),
                            .attempt = i + 1,
                            .how = RUN_FAILED,
                            .checkpoint = "" };
-  rig_answer (&rig, "w1", NULL, 0, &ends[2], 1);
-  rig_answer (&rig, "w2", NULL, 0, ends, 2);
-  orders = rig_plan (&rig, false);
+  rig_answer ("w1", NULL, 0, &ends[2], 1);
+  rig_answer ("w2", NULL, 0, ends, 2);
+  orders = rig_plan (false);
   ck_assert_uint_eq (rig_count (orders, ORDER_START), 0);
-  rig_write (&rig);
-  ck_assert_int_eq (rig_state (&rig, 1), JOB_STATE_FAILED);
+  rig_write ();
+  ck_assert_int_eq (rig_state (1), JOB_STATE_FAILED);
 }
 END_TEST
 
@@ -166,11 +134,11 @@
   job_step_t step = rig_step (1);
   order_t start;
 
-  rig_open (&rig, 1);
-  rig_worker (&rig, "w1", 8, false);
-  rig_submit (&rig, 1, &step, 1);
-  start = start_one ();
-  ck_assert (!rig_reply (&rig, &start, REPLY_FENCED));
+  rig_open (1);
+  rig_worker ("w1", 8, false);
+  rig_submit (1, &step, 1);
+  start = rig_start_one ();
+  ck_assert (!rig_reply (&start, REPLY_FENCED));
 }
 END_TEST
 
@@ -186,19 +154,19 @@
   g_autoptr (GArray) busy = NULL;
   g_autoptr (GArray) again = NULL;
 
-  rig_open (&rig, 1);
-  rig_worker (&rig, "w1", 8, false);
-  rig_submit (&rig, 1, &step, 1);
-  start = start_one ();
-  rig_started (&rig, &start);
-  rig_worker (&rig, "w2", 8, false);
+  rig_open (1);
+  rig_worker ("w1", 8, false);
+  rig_submit (1, &step, 1);
+  start = rig_start_one ();
+  rig_started (&start);
+  rig_worker ("w2", 8, false);
   other = "w2";
-  rig_submit (&rig, 2, &fill, 1);
-  busy = rig_plan (&rig, false);
+  rig_submit (2, &fill, 1);
+  busy = rig_plan (false);
   ck_assert_uint_eq (rig_count (busy, ORDER_START), 8);
   end = rig_end (&start, 1, RUN_FAILED);
-  rig_answer (&rig, "w1", NULL, 0, &end, 1);
-  again = rig_plan (&rig, false);
+  rig_answer ("w1", NULL, 0, &end, 1);
+  again = rig_plan (false);
   for (uint32_t i = 0; i < again->len; i++)
     ck_assert_str_eq (g_array_index (again, order_t, i).worker, other);
 }
@@ -212,24 +180,24 @@
   order_t start;
   g_autoptr (GArray) orders = NULL;
 
-  rig_open (&rig, 1);
-  rig_worker (&rig, "w1", 8, false);
+  rig_open (1);
+  rig_worker ("w1", 8, false);
   for (uint32_t i = 0; i < 2; i++)
     {
-      rig_submit (&rig, 1 + i, &step, 1);
-      start = start_one ();
-      rig_started (&rig, &start);
+      rig_submit (1 + i, &step, 1);
+      start = rig_start_one ();
+      rig_started (&start);
       sched_cancel_job (rig.sched, rig_id (1 + i));
       end = rig_end (&start, i + 1, RUN_FAILED);
-      rig_answer (&rig, "w1", NULL, 0, &end, 1);
+      rig_answer ("w1", NULL, 0, &end, 1);
     }
-  rig_submit (&rig, 9, &step, 1);
-  orders = rig_plan (&rig, false);
+  rig_submit (9, &step, 1);
+  orders = rig_plan (false);
   ck_assert_uint_eq (rig_count (orders, ORDER_START), 0);
 }
 END_TEST
 
-TEST_PROGRAM_WITH ("jobs/replies", set_up, tear_down,
+TEST_PROGRAM_WITH ("jobs/replies", rig_reset, rig_tear_down,
                    test_unanswered_start_is_stopped_first,
                    test_stop_answer_ends_no_inherited_lease,
                    test_end_is_forgotten_only_once_durable,
--- a/jobs/test/rig.c
+++ b/jobs/test/rig.c
@@ -1,5 +1,7 @@
 #include "rig.h"
 
+rig_t rig;
+
 const char *
 rig_id (uint32_t number)
 {
@@ -11,7 +13,7 @@
 }
 
 void
-rig_open (rig_t *rig, uint64_t epoch)
+rig_open (uint64_t epoch)
 {
   sched_limits_t limits = { .lease_ms = SCHED_LEASE_MS,
                             .stop_grace_ms = 200,
@@ -27,37 +29,37 @@
   rules_workspace_t space
       = { .name = g_intern_string (RIG_SPACE), .weight = 10 };
 
-  if (!rig->tab)
-    rig->tab = jobtab_new ();
-  if (rig->now.us == 0)
-    rig->now = (sched_now_t){ .us = 1000000000, .wall_ms = 1700000000000 };
-  if (!rig->rules)
+  if (!rig.tab)
+    rig.tab = jobtab_new ();
+  if (rig.now.us == 0)
+    rig.now = (sched_now_t){ .us = 1000000000, .wall_ms = 1700000000000 };
+  if (!rig.rules)
     {
-      rig->rules = rules_new (1);
-      g_array_append_val (rig->rules->queues, queue);
-      g_array_append_val (rig->rules->workspaces, space);
+      rig.rules = rules_new (1);
+      g_array_append_val (rig.rules->queues, queue);
+      g_array_append_val (rig.rules->workspaces, space);
     }
-  rig->sched = sched_new (rig->tab, epoch, &limits, rig->rules, rig->now);
-  rig->tab->owner.epoch = epoch;
-  sched_confirm (rig->sched, rig->now.us);
+  rig.sched = sched_new (rig.tab, epoch, &limits, rig.rules, rig.now);
+  rig.tab->owner.epoch = epoch;
+  sched_confirm (rig.sched, rig.now.us);
 }
 
 void
-rig_close (rig_t *rig)
+rig_tear_down (void)
 {
-  sched_free (rig->sched);
-  jobtab_free (rig->tab);
-  rules_free (rig->rules);
-  memset (rig, 0, sizeof *rig);
+  sched_free (rig.sched);
+  jobtab_free (rig.tab);
+  rules_free (rig.rules);
+  memset (&rig, 0, sizeof rig);
 }
 
 void
-rig_pass (rig_t *rig, int64_t ms)
+rig_pass (int64_t ms)
 {
-  rig->now.us += ms * 1000;
-  rig->now.wall_ms += ms;
-  if (rig->sched)
-    sched_confirm (rig->sched, rig->now.us);
+  rig.now.us += ms * 1000;
+  rig.now.wall_ms += ms;
+  if (rig.sched)
+    sched_confirm (rig.sched, rig.now.us);
 }
 
 job_step_t
@@ -69,8 +71,7 @@
 }
 
 job_entry_t *
-rig_submit (rig_t *rig, uint32_t number, const job_step_t *steps,
-            uint32_t steps_count)
+rig_submit (uint32_t number, const job_step_t *steps, uint32_t steps_count)
 {
   job_rec_t rec = { .kind = JREC_SUBMIT };
   job_desc_t *desc = g_new0 (job_desc_t, 1);
@@ -83,42 +84,42 @@
   desc->payload = g_strdup ("payload");
   desc->steps = g_memdup2 (steps, steps_count * sizeof *steps);
   desc->steps_count = steps_count;
-  desc->accepted_ms = rig->now.wall_ms;
+  desc->accepted_ms = rig.now.wall_ms;
   rec.u.submit = desc;
-  if (!rig->tab)
-    rig->tab = jobtab_new ();
-  folded = jobtab_fold (rig->tab, &rec, rig->now.wall_ms);
+  if (!rig.tab)
+    rig.tab = jobtab_new ();
+  folded = jobtab_fold (rig.tab, &rec, rig.now.wall_ms);
   job_rec_clear (&rec);
-  if (rig->sched && folded.entry)
-    sched_add_job (rig->sched, folded.entry, rig->now);
+  if (rig.sched && folded.entry)
+    sched_add_job (rig.sched, folded.entry, rig.now);
   return folded.entry;
 }
 
 void
-rig_answer (rig_t *rig, const char *id, run_row_t *runs, uint32_t runs_count,
+rig_answer (const char *id, run_row_t *runs, uint32_t runs_count,
             end_row_t *ends, uint32_t ends_count)
 {
   worker_reply_t reply = { .kind = REPLY_OK,
-                           .clock_ms = rig->now.us / 1000,
+                           .clock_ms = rig.now.us / 1000,
                            .has_clock = true,
-                           .sent_us = rig->now.us };
+                           .sent_us = rig.now.us };
   worker_lists_t lists = { .runs = runs,
                            .runs_count = runs_count,
                            .ends = ends,
                            .ends_count = ends_count };
 
-  rig_look (rig, id, &reply, &lists);
+  rig_look (id, &reply, &lists);
 }
 
 void
-rig_look (rig_t *rig, const char *id, const worker_reply_t *reply,
+rig_look (const char *id, const worker_reply_t *reply,
           const worker_lists_t *lists)
 {
-  sched_hold_reply (rig->sched, id, reply, lists, rig->now);
+  sched_hold_reply (rig.sched, id, reply, lists, rig.now);
 }
 
 void
-rig_worker (rig_t *rig, const char *id, uint32_t cores, bool silent)
+rig_worker (const char *id, uint32_t cores, bool silent)
 {
   static const char *const labels[] = { "a", "r1", NULL };
   worker_info_t info
@@ -131,9 +132,9 @@
           .room = { .cpu_milli = 1000 * (int64_t)cores, .mem_mib = 65536 },
           .state = WORKER_READY };
 
-  sched_set_worker (rig->sched, &info, rig->now);
+  sched_set_worker (rig.sched, &info, rig.now);
   if (!silent)
-    rig_answer (rig, id, NULL, 0, NULL, 0);
+    rig_answer (id, NULL, 0, NULL, 0);
 }
 
 static void
@@ -150,18 +151,18 @@
 }
 
 GArray *
-rig_plan (rig_t *rig, bool holds)
+rig_plan (bool holds)
 {
   GArray *copy = g_array_new (FALSE, TRUE, sizeof (order_t));
 
-  take_orders (sched_plan (rig->sched, rig->now), holds, copy);
-  rig_write (rig);
-  take_orders (sched_plan (rig->sched, rig->now), holds, copy);
+  take_orders (sched_plan (rig.sched, rig.now), holds, copy);
+  rig_write ();
+  take_orders (sched_plan (rig.sched, rig.now), holds, copy);
   return copy;
 }
 
 void
-rig_place (rig_t *rig, uint32_t number, uint32_t index, uint32_t attempt,
+rig_place (uint32_t number, uint32_t index, uint32_t attempt,
            const char *worker)
 {
   job_rec_t rec = { .kind = JREC_PROGRESS };
@@ -169,12 +170,12 @@
       = { .task = { .index = index }, .attempt = attempt, .worker = worker };
 
   memcpy (placed.task.id, rig_id (number), JOB_ID_BYTES);
-  rec.u.progress.epoch = rig->tab->owner.epoch;
+  rec.u.progress.epoch = rig.tab->owner.epoch;
   rec.u.progress.placed = g_array_new (FALSE, FALSE, sizeof placed);
   rec.u.progress.ends = g_array_new (FALSE, FALSE, sizeof (task_end_t));
   rec.u.progress.changes = g_array_new (FALSE, FALSE, sizeof (job_change_t));
   g_array_append_val (rec.u.progress.placed, placed);
-  jobtab_fold (rig->tab, &rec, rig->now.wall_ms);
+  jobtab_fold (rig.tab, &rec, rig.now.wall_ms);
   job_rec_clear (&rec);
 }
 
@@ -189,17 +190,17 @@
 }
 
 bool
-rig_reply (rig_t *rig, const order_t *order, reply_kind_t kind)
+rig_reply (const order_t *order, reply_kind_t kind)
 {
-  worker_reply_t reply = { .kind = kind, .sent_us = rig->now.us };
+  worker_reply_t reply = { .kind = kind, .sent_us = rig.now.us };
 
-  return sched_order_reply (rig->sched, order, &reply, rig->now);
+  return sched_order_reply (rig.sched, order, &reply, rig.now);
 }
 
 void
-rig_started (rig_t *rig, const order_t *order)
+rig_started (const order_t *order)
 {
-  rig_reply (rig, order, REPLY_OK);
+  rig_reply (order, REPLY_OK);
 }
 
 run_row_t
@@ -222,23 +223,100 @@
 }
 
 void
-rig_write (rig_t *rig)
+rig_write (void)
 {
-  job_rec_t *rec = sched_progress (rig->sched);
+  job_rec_t *rec = sched_progress (rig.sched);
 
   if (!rec)
     return;
-  jobtab_fold (rig->tab, rec, rig->now.wall_ms);
-  sched_durable (rig->sched, rec->u.progress.batch);
+  jobtab_fold (rig.tab, rec, rig.now.wall_ms);
+  sched_durable (rig.sched, rec->u.progress.batch);
   job_rec_clear (rec);
   g_free (rec);
 }
 
 job_state_t
-rig_state (const rig_t *rig, uint32_t number)
+rig_state (uint32_t number)
 {
-  const job_entry_t *entry = jobtab_find (rig->tab, rig_id (number));
+  const job_entry_t *entry = jobtab_find (rig.tab, rig_id (number));
 
   ck_assert_ptr_nonnull (entry);
   return entry->state;
 }
+
+void
+rig_reset (void)
+{
+  memset (&rig, 0, sizeof rig);
+}
+
+void
+rig_set_up (void)
+{
+  rig_reset ();
+  rig_open (1);
+}
+
+order_t
+rig_start_one (void)
+{
+  g_autoptr (GArray) orders = rig_plan (false);
+
+  ck_assert_uint_eq (rig_count (orders, ORDER_START), 1);
+  return g_array_index (orders, order_t, 0);
+}
+
+task_ref_t
+rig_ref (uint32_t job, uint32_t index)
+{
+  task_ref_t ref = { .index = index };
+
+  memcpy (ref.id, rig_id (job), sizeof ref.id);
+  return ref;
+}
+
+void
+rig_list_hosts (const char *const *ids, uint32_t count, uint32_t down)
+{
+  g_autoptr (GArray) infos = g_array_new (FALSE, TRUE, sizeof (host_info_t));
+  static const char *const names[] = { "h0", "h1", "h2", "h3" };
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      host_info_t info
+          = { .host = names[i],
+              .pool = RIG_SERVICE,
+              .worker = ids[i],
+              .state = i == down ? HOST_SEEN_UPKEEP : HOST_SEEN_UP };
+
+      g_array_append_val (infos, info);
+    }
+  hosts_set (rig.sched, infos, rig.now.us, rig.now);
+}
+
+void
+rig_set_wave (const char *hosts, uint32_t at_once)
+{
+  wave_info_t wave = { .number = 1,
+                       .hosts = g_strsplit (hosts, " ", 0),
+                       .duration_s = 10,
+                       .at_once = at_once };
+
+  hosts_set_wave (rig.sched, &wave, rig.now.us, rig.now);
+}
+
+bool
+rig_next_order (int64_t ms, host_order_t *order)
+{
+  GArray *orders;
+  bool found;
+
+  rig_pass (ms);
+  orders = hosts_plan (rig.sched, rig.now);
+  found = orders->len > 0;
+  ck_assert_uint_le (orders->len, 1);
+  if (found)
+    *order = g_array_index (orders, host_order_t, 0);
+  g_array_set_size (orders, 0);
+  return found;
+}
--- a/jobs/test/runs_test.c
+++ b/jobs/test/runs_test.c
@@ -1,28 +1,5 @@
 #include "rig.h"
 
-static rig_t rig;
-
-static void
-set_up (void)
-{
-  memset (&rig, 0, sizeof rig);
-}
-
-static void
-tear_down (void)
-{
-  rig_close (&rig);
-}
-
-static task_ref_t
-ref_of (uint32_t job, uint32_t index)
-{
-  task_ref_t ref = { .index = index };
-
-  memcpy (ref.id, rig_id (job), sizeof ref.id);
-  return ref;
-}
-
 /* Guards against a new owner that takes the lease of an adopted run for ended
    and starts its task a second time.  */
 START_TEST (test_adopted_run_is_not_started_again)
@@ -31,14 +8,14 @@
   run_row_t row = { .attempt = 1, .checkpoint = "", .percent = 50 };
   g_autoptr (GArray) orders = NULL;
 
-  rig_submit (&rig, 1, &step, 1);
-  rig_open (&rig, 2);
-  rig_worker (&rig, "w1", 8, true);
-  rig_worker (&rig, "w2", 8, true);
-  row.task = ref_of (1, 0);
-  rig_answer (&rig, "w1", &row, 1, NULL, 0);
-  rig_answer (&rig, "w2", NULL, 0, NULL, 0);
-  orders = rig_plan (&rig, false);
+  rig_submit (1, &step, 1);
+  rig_open (2);
+  rig_worker ("w1", 8, true);
+  rig_worker ("w2", 8, true);
+  row.task = rig_ref (1, 0);
+  rig_answer ("w1", &row, 1, NULL, 0);
+  rig_answer ("w2", NULL, 0, NULL, 0);
+  orders = rig_plan (false);
   ck_assert_uint_eq (rig_count (orders, ORDER_START), 0);
   ck_assert_uint_eq (rig_count (orders, ORDER_STOP), 0);
 }
@@ -51,16 +28,16 @@
   job_step_t step = rig_step (1);
   GArray *orders;
 
-  rig_open (&rig, 1);
-  rig_worker (&rig, "w1", 8, false);
-  rig_submit (&rig, 1, &step, 1);
+  rig_open (1);
+  rig_worker ("w1", 8, false);
+  rig_submit (1, &step, 1);
   for (uint32_t i = 0; i < 3; i++)
     {
       orders = sched_plan (rig.sched, rig.now);
       ck_assert_uint_eq (rig_count (orders, ORDER_START), 0);
       g_array_set_size (orders, 0);
     }
-  rig_write (&rig);
+  rig_write ();
   orders = sched_plan (rig.sched, rig.now);
   ck_assert_uint_eq (rig_count (orders, ORDER_START), 1);
   g_array_set_size (orders, 0);
@@ -75,22 +52,22 @@
   worker_reply_t lost = { .kind = REPLY_LOST };
   GArray *orders;
 
-  rig_open (&rig, 1);
-  rig_worker (&rig, "w1", 8, false);
-  rig_submit (&rig, 1, &step, 1);
+  rig_open (1);
+  rig_worker ("w1", 8, false);
+  rig_submit (1, &step, 1);
   orders = sched_plan (rig.sched, rig.now);
   g_array_set_size (orders, 0);
-  rig_look (&rig, "w1", &lost, NULL);
-  rig_write (&rig);
+  rig_look ("w1", &lost, NULL);
+  rig_write ();
   orders = sched_plan (rig.sched, rig.now);
   ck_assert_uint_eq (rig_count (orders, ORDER_START), 0);
   g_array_set_size (orders, 0);
-  rig_answer (&rig, "w1", NULL, 0, NULL, 0);
-  g_array_unref (rig_plan (&rig, false));
+  rig_answer ("w1", NULL, 0, NULL, 0);
+  g_array_unref (rig_plan (false));
 }
 END_TEST
 
-TEST_PROGRAM_WITH ("jobs/runs", set_up, tear_down,
+TEST_PROGRAM_WITH ("jobs/runs", rig_reset, rig_tear_down,
                    test_adopted_run_is_not_started_again,
                    test_start_waits_for_its_record,
                    test_planned_start_on_a_silent_worker_is_dropped)
--- a/jobs/test/sched_test.c
+++ b/jobs/test/sched_test.c
@@ -1,19 +1,10 @@
 #include "rig.h"
 
-static rig_t rig;
-
 static void
 set_up (void)
 {
-  memset (&rig, 0, sizeof rig);
-  rig_open (&rig, 1);
-  rig_worker (&rig, "w1", 32, false);
-}
-
-static void
-tear_down (void)
-{
-  rig_close (&rig);
+  rig_set_up ();
+  rig_worker ("w1", 32, false);
 }
 
 /* Guards against a planned start that is sent though its job was cancelled
@@ -23,11 +14,11 @@
   job_step_t step = rig_step (1);
   GArray *orders;
 
-  rig_submit (&rig, 1, &step, 1);
+  rig_submit (1, &step, 1);
   orders = sched_plan (rig.sched, rig.now);
   g_array_set_size (orders, 0);
   sched_cancel_job (rig.sched, rig_id (1));
-  rig_write (&rig);
+  rig_write ();
   orders = sched_plan (rig.sched, rig.now);
   ck_assert_uint_eq (rig_count (orders, ORDER_START), 0);
   ck_assert_uint_eq (rig_count (orders, ORDER_STOP), 0);
@@ -46,15 +37,15 @@
 
   queue.service = g_intern_string ("elsewhere");
   g_array_append_val (rules->queues, queue);
-  rig_submit (&rig, 1, &step, 1);
+  rig_submit (1, &step, 1);
   sched_set_rules (rig.sched, rules);
   rules_free (rig.rules);
   rig.rules = rules;
-  orders = rig_plan (&rig, false);
+  orders = rig_plan (false);
   ck_assert_uint_eq (rig_count (orders, ORDER_START), 0);
 }
 END_TEST
 
-TEST_PROGRAM_WITH ("jobs/sched", set_up, tear_down,
+TEST_PROGRAM_WITH ("jobs/sched", set_up, rig_tear_down,
                    test_cancelled_before_the_order_is_not_sent,
                    test_waiting_tasks_follow_their_queue)
--- a/jobs/test/stages_test.c
+++ b/jobs/test/stages_test.c
@@ -1,19 +1,10 @@
 #include "rig.h"
 
-static rig_t rig;
-
 static void
 set_up (void)
 {
-  memset (&rig, 0, sizeof rig);
-  rig_open (&rig, 1);
-  rig_worker (&rig, "w1", 32, false);
-}
-
-static void
-tear_down (void)
-{
-  rig_close (&rig);
+  rig_set_up ();
+  rig_worker ("w1", 32, false);
 }
 
 /* Ends all orders of STARTS as HOW, from end number *NUMBER on.  */
@@ -29,10 +20,10 @@
 
       if (order->kind != ORDER_START)
         continue;
-      rig_started (&rig, order);
+      rig_started (order);
       ends[count++] = rig_end (order, (*number)++, how);
     }
-  rig_answer (&rig, "w1", NULL, 0, ends, count);
+  rig_answer ("w1", NULL, 0, ends, count);
 }
 
 /* Guards against a step that starts before the ones it needs are done, and a
@@ -44,19 +35,19 @@
 
   steps[1].after = g_new0 (uint32_t, 1);
   steps[1].after_count = 1;
-  rig_submit (&rig, 1, steps, 2);
+  rig_submit (1, steps, 2);
   for (uint32_t step = 0; step < 2; step++)
     {
-      g_autoptr (GArray) starts = rig_plan (&rig, false);
+      g_autoptr (GArray) starts = rig_plan (false);
 
       ck_assert_uint_eq (rig_count (starts, ORDER_START), step == 0 ? 2 : 1);
       ck_assert_uint_eq (g_array_index (starts, order_t, 0).task.step, step);
-      rig_write (&rig);
-      ck_assert_int_ne (rig_state (&rig, 1), JOB_STATE_COMPLETE);
+      rig_write ();
+      ck_assert_int_ne (rig_state (1), JOB_STATE_COMPLETE);
       end_all (starts, RUN_DONE, &number);
     }
-  rig_write (&rig);
-  ck_assert_int_eq (rig_state (&rig, 1), JOB_STATE_COMPLETE);
+  rig_write ();
+  ck_assert_int_eq (rig_state (1), JOB_STATE_COMPLETE);
 }
 END_TEST
 
@@ -67,19 +58,19 @@
   uint64_t number = 1;
   uint32_t starts_seen = 0;
 
-  rig_submit (&rig, 1, &step, 1);
+  rig_submit (1, &step, 1);
   for (uint32_t i = 0; i < 6; i++)
     {
-      g_autoptr (GArray) starts = rig_plan (&rig, false);
+      g_autoptr (GArray) starts = rig_plan (false);
 
       starts_seen += rig_count (starts, ORDER_START);
       end_all (starts, RUN_FAILED, &number);
-      rig_pass (&rig, 4000);
-      rig_answer (&rig, "w1", NULL, 0, NULL, 0);
+      rig_pass (4000);
+      rig_answer ("w1", NULL, 0, NULL, 0);
     }
   ck_assert_uint_eq (starts_seen, 3);
-  rig_write (&rig);
-  ck_assert_int_eq (rig_state (&rig, 1), JOB_STATE_FAILED);
+  rig_write ();
+  ck_assert_int_eq (rig_state (1), JOB_STATE_FAILED);
 }
 END_TEST
 
@@ -90,16 +81,16 @@
   uint64_t number = 1;
 
   step.lasts = true;
-  rig_submit (&rig, 1, &step, 1);
+  rig_submit (1, &step, 1);
   for (uint32_t i = 0; i < 8; i++)
     {
-      g_autoptr (GArray) starts = rig_plan (&rig, false);
+      g_autoptr (GArray) starts = rig_plan (false);
 
       ck_assert_uint_eq (rig_count (starts, ORDER_START), 1);
       end_all (starts, i % 2 ? RUN_FAILED : RUN_DONE, &number);
     }
-  rig_write (&rig);
-  ck_assert_int_eq (rig_state (&rig, 1), JOB_STATE_RUNNING);
+  rig_write ();
+  ck_assert_int_eq (rig_state (1), JOB_STATE_RUNNING);
 }
 END_TEST
 
@@ -110,14 +101,14 @@
   g_autoptr (GArray) starts = NULL;
   g_autoptr (GArray) stops = NULL;
 
-  rig_submit (&rig, 1, &step, 1);
-  starts = rig_plan (&rig, false);
+  rig_submit (1, &step, 1);
+  starts = rig_plan (false);
   for (uint32_t i = 0; i < 2; i++)
-    rig_started (&rig, &g_array_index (starts, order_t, i));
-  rig_submit (&rig, 2, &step, 1);
+    rig_started (&g_array_index (starts, order_t, i));
+  rig_submit (2, &step, 1);
   sched_cancel_job (rig.sched, rig_id (1));
   sched_cancel_job (rig.sched, rig_id (2));
-  stops = rig_plan (&rig, false);
+  stops = rig_plan (false);
   ck_assert_uint_eq (rig_count (stops, ORDER_STOP), 2);
   ck_assert_uint_eq (rig_count (stops, ORDER_START), 0);
 }
@@ -132,32 +123,32 @@
 
   sched_free (rig.sched);
   rig.sched = NULL;
-  entry = rig_submit (&rig, 1, &step, 1);
+  entry = rig_submit (1, &step, 1);
   entry->desc->repeats = 2;
   entry->desc->start_ms = rig.now.wall_ms + 1000;
   entry->desc->interval_ms = 2000;
   g_free (entry->marks);
   entry->marks_count = 2;
   entry->marks = g_new0 (task_mark_t, 2);
-  rig_open (&rig, 1);
-  rig_worker (&rig, "w1", 32, false);
+  rig_open (1);
+  rig_worker ("w1", 32, false);
   for (uint32_t k = 0; k < 2; k++)
     {
       g_autoptr (GArray) early = NULL;
       g_autoptr (GArray) due = NULL;
 
-      rig_pass (&rig, k == 0 ? 990 : 1990);
-      rig_answer (&rig, "w1", NULL, 0, NULL, 0);
-      early = rig_plan (&rig, false);
+      rig_pass (k == 0 ? 990 : 1990);
+      rig_answer ("w1", NULL, 0, NULL, 0);
+      early = rig_plan (false);
       ck_assert_uint_eq (rig_count (early, ORDER_START), 0);
-      rig_pass (&rig, 10);
-      due = rig_plan (&rig, false);
+      rig_pass (10);
+      due = rig_plan (false);
       ck_assert_uint_eq (rig_count (due, ORDER_START), 1);
       ck_assert_uint_eq (g_array_index (due, order_t, 0).task.occurrence, k);
       end_all (due, RUN_DONE, &number);
     }
-  rig_write (&rig);
-  ck_assert_int_eq (rig_state (&rig, 1), JOB_STATE_COMPLETE);
+  rig_write ();
+  ck_assert_int_eq (rig_state (1), JOB_STATE_COMPLETE);
 }
 END_TEST
 
@@ -169,23 +160,23 @@
   g_autoptr (GArray) starts = NULL;
 
   step.gang = true;
-  rig_submit (&rig, 1, &step, 1);
-  starts = rig_plan (&rig, false);
+  rig_submit (1, &step, 1);
+  starts = rig_plan (false);
   ck_assert_uint_eq (rig_count (starts, ORDER_START), 3);
   for (uint32_t i = 0; i < 3; i++)
     {
-      rig_started (&rig, &g_array_index (starts, order_t, i));
+      rig_started (&g_array_index (starts, order_t, i));
       ck_assert_uint_eq (g_array_index (starts, order_t, i).attempt, 1);
     }
   end = rig_end (&g_array_index (starts, order_t, 1), 1, RUN_DONE);
-  rig_answer (&rig, "w1", NULL, 0, &end, 1);
-  rig_write (&rig);
-  ck_assert_int_eq (rig_state (&rig, 1), JOB_STATE_COMPLETE);
+  rig_answer ("w1", NULL, 0, &end, 1);
+  rig_write ();
+  ck_assert_int_eq (rig_state (1), JOB_STATE_COMPLETE);
 }
 END_TEST
 
-TEST_PROGRAM_WITH ("jobs/stages", set_up, tear_down, test_steps_run_in_order,
-                   test_failed_attempts_are_bounded,
+TEST_PROGRAM_WITH ("jobs/stages", set_up, rig_tear_down,
+                   test_steps_run_in_order, test_failed_attempts_are_bounded,
                    test_lasting_tasks_start_again, test_cancelled_job_stops,
                    test_occurrences_wait_for_their_times,
                    test_gang_ends_together)
--- a/jobs/test/stall_test.c
+++ b/jobs/test/stall_test.c
@@ -1,23 +1,9 @@
 #include "rig.h"
 
-static rig_t rig;
 static order_t starts[8];
 static run_row_t rows[8];
 static uint32_t count;
 
-static void
-set_up (void)
-{
-  memset (&rig, 0, sizeof rig);
-  rig_open (&rig, 1);
-}
-
-static void
-tear_down (void)
-{
-  rig_close (&rig);
-}
-
 /* Starts TASKS tasks of 500 ms on worker w1; w2 has room.  */
 static void
 start_on_w1 (uint32_t tasks, bool speculative)
@@ -26,31 +12,31 @@
   g_autoptr (GArray) orders = NULL;
 
   step.speculative = speculative;
-  rig_worker (&rig, "w1", 8, false);
-  rig_submit (&rig, 1, &step, 1);
-  orders = rig_plan (&rig, false);
+  rig_worker ("w1", 8, false);
+  rig_submit (1, &step, 1);
+  orders = rig_plan (false);
   ck_assert_uint_eq (rig_count (orders, ORDER_START), tasks);
   count = tasks;
   for (uint32_t i = 0; i < tasks; i++)
     {
       starts[i] = g_array_index (orders, order_t, i);
-      rig_started (&rig, &starts[i]);
+      rig_started (&starts[i]);
       rows[i] = rig_row (&starts[i]);
       rows[i].percent = 0;
     }
-  rig_worker (&rig, "w2", 8, false);
+  rig_worker ("w2", 8, false);
 }
 
 /* MS later, w1 says that its runs have come to these PERCENT.  */
 static GArray *
 report (int64_t ms, uint32_t percent, uint32_t last_percent)
 {
-  rig_pass (&rig, ms);
+  rig_pass (ms);
   for (uint32_t i = 0; i < count; i++)
     rows[i].percent = i + 1 == count ? last_percent : percent;
-  rig_answer (&rig, "w1", rows, count, NULL, 0);
-  rig_answer (&rig, "w2", NULL, 0, NULL, 0);
-  return rig_plan (&rig, false);
+  rig_answer ("w1", rows, count, NULL, 0);
+  rig_answer ("w2", NULL, 0, NULL, 0);
+  return rig_plan (false);
 }
 
 /* Workers on which work stands still: their tasks start elsewhere.  */
@@ -104,16 +90,16 @@
   ck_assert_str_eq (g_array_index (orders, order_t, 0).worker, "w2");
   /* The first copy that is done counts; the other one stops.  */
   for (uint32_t i = 0; i < 2; i++)
-    rig_started (&rig, &g_array_index (orders, order_t, i));
+    rig_started (&g_array_index (orders, order_t, i));
   end = rig_end (&g_array_index (orders, order_t, 0), 1, RUN_DONE);
-  rig_answer (&rig, "w2", NULL, 0, &end, 1);
-  stops = rig_plan (&rig, false);
+  rig_answer ("w2", NULL, 0, &end, 1);
+  stops = rig_plan (false);
   ck_assert_uint_eq (rig_count (stops, ORDER_STOP), 1);
   ck_assert_str_eq (g_array_index (stops, order_t, 0).worker, "w1");
 }
 END_TEST
 
-TEST_PROGRAM_WITH ("jobs/stall", set_up, tear_down,
+TEST_PROGRAM_WITH ("jobs/stall", rig_set_up, rig_tear_down,
                    test_standing_worker_loses_its_tasks,
                    test_slow_worker_loses_its_tasks,
                    test_long_task_is_left_alone,
--- a/jobs/test/workers_test.c
+++ b/jobs/test/workers_test.c
@@ -1,28 +1,5 @@
 #include "rig.h"
 
-static rig_t rig;
-
-static void
-set_up (void)
-{
-  memset (&rig, 0, sizeof rig);
-}
-
-static void
-tear_down (void)
-{
-  rig_close (&rig);
-}
-
-static order_t
-start_one (void)
-{
-  g_autoptr (GArray) orders = rig_plan (&rig, false);
-
-  ck_assert_uint_eq (rig_count (orders, ORDER_START), 1);
-  return g_array_index (orders, order_t, 0);
-}
-
 /* Guards against starting a task that an earlier owner may have started on a
    worker which has not answered yet.  */
 START_TEST (test_placed_task_waits_for_its_worker)
@@ -32,31 +9,31 @@
   g_autoptr (GArray) early = NULL;
   g_autoptr (GArray) late = NULL;
 
-  rig_submit (&rig, 1, &step, 1);
-  rig_place (&rig, 1, 0, 1, "w2");
-  rig_open (&rig, 2);
-  rig_worker (&rig, "w1", 8, false);
-  rig_worker (&rig, "w2", 8, true);
+  rig_submit (1, &step, 1);
+  rig_place (1, 0, 1, "w2");
+  rig_open (2);
+  rig_worker ("w1", 8, false);
+  rig_worker ("w2", 8, true);
   /* The other task was not placed, so it can't run anywhere.  */
-  early = rig_plan (&rig, false);
+  early = rig_plan (false);
   ck_assert_uint_eq (rig_count (early, ORDER_START), 1);
   ck_assert_uint_eq (g_array_index (early, order_t, 0).task.index, 1);
-  rig_started (&rig, &g_array_index (early, order_t, 0));
+  rig_started (&g_array_index (early, order_t, 0));
   row = rig_row (&g_array_index (early, order_t, 0));
   for (int64_t ms = 0; ms < SCHED_GRANT_MS; ms += 500)
     {
       g_autoptr (GArray) none = NULL;
 
-      rig_pass (&rig, 500);
+      rig_pass (500);
       row.percent = (uint32_t)ms / 100; /* it gets on */
-      rig_answer (&rig, "w1", &row, 1, NULL, 0);
-      none = rig_plan (&rig, false);
+      rig_answer ("w1", &row, 1, NULL, 0);
+      none = rig_plan (false);
       ck_assert_uint_eq (rig_count (none, ORDER_START), 0);
     }
-  rig_pass (&rig, 500);
+  rig_pass (500);
   row.percent++;
-  rig_answer (&rig, "w1", &row, 1, NULL, 0);
-  late = rig_plan (&rig, false);
+  rig_answer ("w1", &row, 1, NULL, 0);
+  late = rig_plan (false);
   ck_assert_uint_eq (rig_count (late, ORDER_START), 1);
   ck_assert_uint_gt (g_array_index (late, order_t, 0).attempt, 1);
 }
@@ -69,17 +46,17 @@
   g_autoptr (GArray) early = NULL;
   g_autoptr (GArray) orders = NULL;
 
-  rig_submit (&rig, 1, &step, 1);
-  rig_place (&rig, 1, 0, 1, "w1");
-  rig_open (&rig, 2);
-  rig_pass (&rig, 5);
-  rig_worker (&rig, "w1", 8, false);
+  rig_submit (1, &step, 1);
+  rig_place (1, 0, 1, "w1");
+  rig_open (2);
+  rig_pass (5);
+  rig_worker ("w1", 8, false);
   /* It may be in neither list while it is being stopped.  */
-  early = rig_plan (&rig, false);
+  early = rig_plan (false);
   ck_assert_uint_eq (rig_count (early, ORDER_START), 0);
-  rig_pass (&rig, 350);
-  rig_answer (&rig, "w1", NULL, 0, NULL, 0);
-  orders = rig_plan (&rig, false);
+  rig_pass (350);
+  rig_answer ("w1", NULL, 0, NULL, 0);
+  orders = rig_plan (false);
   ck_assert_uint_eq (rig_count (orders, ORDER_START), 1);
   ck_assert_uint_eq (g_array_index (orders, order_t, 0).attempt, 2);
 }
@@ -92,15 +69,15 @@
   job_step_t step = rig_step (1);
   g_autoptr (GArray) orders = NULL;
 
-  rig_submit (&rig, 1, &step, 1);
-  rig_place (&rig, 1, 0, 1, "w2");
-  rig_open (&rig, 2);
-  rig_worker (&rig, "w1", 8, false);
-  rig_worker (&rig, "w2", 8, true);
+  rig_submit (1, &step, 1);
+  rig_place (1, 0, 1, "w2");
+  rig_open (2);
+  rig_worker ("w1", 8, false);
+  rig_worker ("w2", 8, true);
   sched_drop_worker (rig.sched, "w2", rig.now);
-  rig_pass (&rig, 1000);
-  rig_answer (&rig, "w1", NULL, 0, NULL, 0);
-  orders = rig_plan (&rig, false);
+  rig_pass (1000);
+  rig_answer ("w1", NULL, 0, NULL, 0);
+  orders = rig_plan (false);
   ck_assert_uint_eq (rig_count (orders, ORDER_START), 0);
 }
 END_TEST
@@ -111,12 +88,12 @@
   job_step_t step = rig_step (1);
   g_autoptr (GArray) orders = NULL;
 
-  rig_open (&rig, 1);
-  rig_worker (&rig, "w1", 8, false);
+  rig_open (1);
+  rig_worker ("w1", 8, false);
   rig.now.us += (SCHED_GRANT_MS + 100) * INT64_C (1000);
-  rig_answer (&rig, "w1", NULL, 0, NULL, 0);
-  rig_submit (&rig, 1, &step, 1);
-  orders = rig_plan (&rig, true);
+  rig_answer ("w1", NULL, 0, NULL, 0);
+  rig_submit (1, &step, 1);
+  orders = rig_plan (true);
   ck_assert_uint_eq (rig_count (orders, ORDER_START), 0);
   ck_assert_uint_eq (rig_count (orders, ORDER_HOLD), 1);
   ck_assert_int_eq (g_array_index (orders, order_t, 0).deadline_ms, 0);
@@ -133,20 +110,20 @@
   g_autoptr (GArray) early = NULL;
   g_autoptr (GArray) late = NULL;
 
-  rig_open (&rig, 1);
-  rig_worker (&rig, "w1", 8, false);
-  rig_submit (&rig, 1, &step, 1);
-  start = start_one ();
-  rig_started (&rig, &start);
-  rig_worker (&rig, "w2", 8, false);
-  rig_pass (&rig, SCHED_LEASE_MS - 100);
-  rig_look (&rig, "w1", &lost, NULL);
-  rig_answer (&rig, "w2", NULL, 0, NULL, 0);
-  early = rig_plan (&rig, false);
+  rig_open (1);
+  rig_worker ("w1", 8, false);
+  rig_submit (1, &step, 1);
+  start = rig_start_one ();
+  rig_started (&start);
+  rig_worker ("w2", 8, false);
+  rig_pass (SCHED_LEASE_MS - 100);
+  rig_look ("w1", &lost, NULL);
+  rig_answer ("w2", NULL, 0, NULL, 0);
+  early = rig_plan (false);
   ck_assert_uint_eq (rig_count (early, ORDER_START), 0);
-  rig_pass (&rig, 400);
-  rig_answer (&rig, "w2", NULL, 0, NULL, 0);
-  late = rig_plan (&rig, false);
+  rig_pass (400);
+  rig_answer ("w2", NULL, 0, NULL, 0);
+  late = rig_plan (false);
   ck_assert_uint_eq (rig_count (late, ORDER_START), 1);
   ck_assert_str_eq (g_array_index (late, order_t, 0).worker, "w2");
 }
@@ -161,16 +138,16 @@
   order_t start;
   g_autoptr (GArray) orders = NULL;
 
-  rig_open (&rig, 1);
-  rig_worker (&rig, "w1", 8, false);
-  rig_submit (&rig, 1, &step, 1);
-  start = start_one ();
-  rig_started (&rig, &start);
-  rig_worker (&rig, "w2", 8, false);
+  rig_open (1);
+  rig_worker ("w1", 8, false);
+  rig_submit (1, &step, 1);
+  start = rig_start_one ();
+  rig_started (&start);
+  rig_worker ("w2", 8, false);
   rig.now.us += (SCHED_LEASE_MS + 500) * INT64_C (1000);
-  rig_look (&rig, "w1", &lost, NULL);
-  rig_answer (&rig, "w2", NULL, 0, NULL, 0);
-  orders = rig_plan (&rig, false);
+  rig_look ("w1", &lost, NULL);
+  rig_answer ("w2", NULL, 0, NULL, 0);
+  orders = rig_plan (false);
   ck_assert_uint_eq (rig_count (orders, ORDER_START), 0);
 }
 END_TEST
@@ -184,20 +161,20 @@
   order_t start;
   uint32_t starts = 0;
 
-  rig_open (&rig, 1);
-  rig_worker (&rig, "w1", 8, false);
-  rig_submit (&rig, 1, &step, 1);
-  start = start_one ();
-  rig_started (&rig, &start);
-  rig_worker (&rig, "w2", 8, false);
+  rig_open (1);
+  rig_worker ("w1", 8, false);
+  rig_submit (1, &step, 1);
+  start = rig_start_one ();
+  rig_started (&start);
+  rig_worker ("w2", 8, false);
   for (uint32_t i = 0; i < 20 && starts == 0; i++)
     {
       g_autoptr (GArray) orders = NULL;
 
-      rig_pass (&rig, 300);
-      rig_look (&rig, "w1", &lost, NULL);
-      rig_answer (&rig, "w2", NULL, 0, NULL, 0);
-      orders = rig_plan (&rig, false);
+      rig_pass (300);
+      rig_look ("w1", &lost, NULL);
+      rig_answer ("w2", NULL, 0, NULL, 0);
+      orders = rig_plan (false);
       starts = rig_count (orders, ORDER_START);
     }
   ck_assert_uint_eq (starts, 1);
@@ -211,19 +188,19 @@
   order_t start;
   g_autoptr (GArray) orders = NULL;
 
-  rig_open (&rig, 1);
-  rig_worker (&rig, "w1", 8, false);
-  rig_submit (&rig, 1, &step, 1);
-  start = start_one ();
-  rig_started (&rig, &start);
-  rig_worker (&rig, "w2", 8, false);
-  rig_reply (&rig, &start, REPLY_OTHER_BOOT);
-  orders = rig_plan (&rig, false);
+  rig_open (1);
+  rig_worker ("w1", 8, false);
+  rig_submit (1, &step, 1);
+  start = rig_start_one ();
+  rig_started (&start);
+  rig_worker ("w2", 8, false);
+  rig_reply (&start, REPLY_OTHER_BOOT);
+  orders = rig_plan (false);
   ck_assert_uint_eq (rig_count (orders, ORDER_START), 1);
 }
 END_TEST
 
-TEST_PROGRAM_WITH ("jobs/workers", set_up, tear_down,
+TEST_PROGRAM_WITH ("jobs/workers", rig_reset, rig_tear_down,
                    test_placed_task_waits_for_its_worker,
                    test_placed_task_that_is_not_listed_starts,
                    test_unlisted_silent_worker_still_counts,
