jobs, entry: one reader for the rows of a record, no copied order fields

The three lists of a progress record were read by the same loop. The epoch of an order on its way is its token, and the body of an append's answer was never read.

--- a/entry/appends.c
+++ b/entry/appends.c
@@ -114,7 +114,7 @@
 on_appended (void *ctx, const call_result_t *result)
 {
   core_t *core = ctx;
-  store_reply_t reply = site_append_reply (result->status, result->body);
+  store_reply_t reply = site_append_reply (result->status);
   int64_t now_us = clock_boot_us ();
 
   core_store_state (core, reply == STORE_OK, "append");
--- a/entry/hostcalls.c
+++ b/entry/hostcalls.c
@@ -212,8 +212,7 @@
 {
   sent_news_t *sent = ctx;
 
-  if (site_append_reply (result->status, result->body) == STORE_OK
-      || !sent->core->sched)
+  if (site_append_reply (result->status) == STORE_OK || !sent->core->sched)
     g_bytes_unref (sent->record);
   else
     g_array_append_val (sent->core->news_again, *sent);
--- a/entry/orders.c
+++ b/entry/orders.c
@@ -28,17 +28,8 @@
 {
   core_t *core;
   order_t order;
-  uint64_t epoch;
 } sent_order_t;
 
-static void
-fill_reply (const call_result_t *result, worker_reply_t *reply)
-{
-  reply->sent_us = result->sent_us;
-  if (result->refused)
-    reply->kind = REPLY_REFUSED;
-}
-
 static void
 on_answer (void *ctx, const call_result_t *result)
 {
@@ -48,10 +39,12 @@
   site_answer_t answer;
   bool still_owner = true;
 
-  if (core->sched && sent->epoch == core->tab->owner.epoch)
+  if (core->sched && order->token == core->tab->owner.epoch)
     {
       site_order_answer (order->kind, result->status, result->body, &answer);
-      fill_reply (result, &answer.reply);
+      answer.reply.sent_us = result->sent_us;
+      if (result->refused)
+        answer.reply.kind = REPLY_REFUSED;
       still_owner
           = order->kind == ORDER_HOLD
                 ? sched_hold_reply (core->sched, order->worker, &answer.reply,
@@ -81,7 +74,6 @@
       sent->order.payload = NULL; /* last only until the order is sent */
       sent->order.checkpoint = NULL;
       sent->order.ticket = NULL;
-      sent->epoch = order->token;
       calls_send (core->calls, order->address, &req, timeout_ms (order),
                   on_answer, sent);
     }
--- a/entry/snapshots.c
+++ b/entry/snapshots.c
@@ -110,7 +110,7 @@
   core_t *core = ctx;
 
   core->snapshot_out = false;
-  if (site_append_reply (result->status, result->body) != STORE_OK)
+  if (site_append_reply (result->status) != STORE_OK)
     core->tab_changed = true;
 }
 
--- a/jobs/record.c
+++ b/jobs/record.c
@@ -344,60 +344,52 @@
 }
 
 static void
-read_placed (fields_t *f, GArray *placed)
+read_placed (fields_t *row, void *to)
 {
-  const msgpack_object *items;
-  uint32_t count = array_read (f, "placed", &items);
+  task_placed_t *placed = to;
 
-  for (uint32_t i = 0; i < count && !f->bad; i++)
-    {
-      fields_t fields = fields_open (&items[i], "placed");
-      task_placed_t row = { 0 };
-
-      read_ref (&fields, &row.task);
-      row.attempt = (uint32_t)fields_u64 (&fields, "attempt", UINT32_MAX);
-      row.worker = interned_text (&fields, "worker");
-      f->bad = fields.bad;
-      g_array_append_val (placed, row);
-    }
+  read_ref (row, &placed->task);
+  placed->attempt = (uint32_t)fields_u64 (row, "attempt", UINT32_MAX);
+  placed->worker = interned_text (row, "worker");
 }
 
 static void
-read_ends (fields_t *f, GArray *ends)
+read_end (fields_t *row, void *to)
 {
-  const msgpack_object *items;
-  uint32_t count = array_read (f, "ends", &items);
-
-  for (uint32_t i = 0; i < count && !f->bad; i++)
-    {
-      fields_t row = fields_open (&items[i], "end");
-      task_end_t end = { 0 };
+  task_end_t *end = to;
 
-      read_ref (&row, &end.task);
-      end.attempt = (uint32_t)fields_u64 (&row, "attempt", UINT32_MAX);
-      end.done = fields_u64 (&row, "done", 1);
-      f->bad = row.bad;
-      g_array_append_val (ends, end);
-    }
+  read_ref (row, &end->task);
+  end->attempt = (uint32_t)fields_u64 (row, "attempt", UINT32_MAX);
+  end->done = fields_u64 (row, "done", 1);
 }
 
 static void
-read_changes (fields_t *f, GArray *changes)
+read_change (fields_t *row, void *to)
+{
+  job_change_t *change = to;
+
+  id_read (row, change->id);
+  change->state = (job_state_t)fields_u64 (row, "state", JOB_STATE_CANCELLED);
+}
+
+/* The rows of field NAME, of SIZE bytes each, as READ gives them.  */
+static GArray *
+read_rows (fields_t *f, const char *name, guint size,
+           void (*read) (fields_t *row, void *to))
 {
+  GArray *rows = g_array_new (FALSE, TRUE, size);
   const msgpack_object *items;
-  uint32_t count = array_read (f, "changes", &items);
+  uint32_t count = array_read (f, name, &items);
 
   for (uint32_t i = 0; i < count && !f->bad; i++)
     {
-      fields_t row = fields_open (&items[i], "change");
-      job_change_t change = { 0 };
+      fields_t row = fields_open (&items[i], name);
 
-      id_read (&row, change.id);
-      change.state
-          = (job_state_t)fields_u64 (&row, "state", JOB_STATE_CANCELLED);
+      g_array_set_size (rows, i + 1);
+      read (&row, rows->data + (gsize)i * size);
       f->bad = row.bad;
-      g_array_append_val (changes, change);
     }
+  return rows;
 }
 
 bool
@@ -436,13 +428,11 @@
       rec->u.progress.epoch = fields_u64 (&f, "epoch", UINT64_MAX);
       rec->u.progress.batch = fields_u64 (&f, "batch", UINT64_MAX);
       rec->u.progress.placed
-          = g_array_new (FALSE, FALSE, sizeof (task_placed_t));
-      rec->u.progress.ends = g_array_new (FALSE, FALSE, sizeof (task_end_t));
+          = read_rows (&f, "placed", sizeof (task_placed_t), read_placed);
+      rec->u.progress.ends
+          = read_rows (&f, "ends", sizeof (task_end_t), read_end);
       rec->u.progress.changes
-          = g_array_new (FALSE, FALSE, sizeof (job_change_t));
-      read_placed (&f, rec->u.progress.placed);
-      read_ends (&f, rec->u.progress.ends);
-      read_changes (&f, rec->u.progress.changes);
+          = read_rows (&f, "changes", sizeof (job_change_t), read_change);
       break;
     default:
       f.bad = "kind";
