--- a/conf/conf.h
+++ b/conf/conf.h
@@ -176,9 +176,13 @@
 const host_t *fleet_find_host (const fleet_t *fleet, const char *name);
 const pool_t *fleet_find_pool (const fleet_t *fleet, const char *name);
 const rack_t *fleet_find_rack (const fleet_t *fleet, const char *name);
+const wave_t *fleet_find_wave (const fleet_t *fleet, const char *name);
 const entry_host_t *fleet_find_entry_host (const fleet_t *fleet,
                                            const char *name);
 
+/* wave_covers_pool - whether WAVE is over hosts of POOL.  */
+bool wave_covers_pool (const wave_t *wave, const char *pool);
+
 /* fleet_upstream_data_centre - the data centre in which UPSTREAM's host
    stands.  */
 const char *fleet_upstream_data_centre (const fleet_t *fleet,
--- a/conf/fleet.c
+++ b/conf/fleet.c
@@ -233,6 +233,7 @@
 FIND_BY_NAME (host, hosts)
 FIND_BY_NAME (pool, pools)
 FIND_BY_NAME (rack, racks)
+FIND_BY_NAME (wave, waves)
 FIND_BY_NAME (entry_host, entry_hosts)
 
 const char *
@@ -253,3 +254,12 @@
                       NULL, 0);
   sodium_bin2hex (hex, KEY_DIGEST_HEX + 1, digest, sizeof digest);
 }
+
+bool
+wave_covers_pool (const wave_t *wave, const char *pool)
+{
+  for (uint32_t i = 0; i < wave->pools_count; i++)
+    if (strcmp (wave->pools[i], pool) == 0)
+      return true;
+  return false;
+}
--- a/fleet/wave.c
+++ b/fleet/wave.c
@@ -144,15 +144,6 @@
     }
 }
 
-static bool
-covers_pool (const wave_t *rule, const char *pool)
-{
-  for (uint32_t i = 0; i < rule->pools_count; i++)
-    if (strcmp (rule->pools[i], pool) == 0)
-      return true;
-  return false;
-}
-
 static bool
 is_out_for (const host_state_t *host, const char *wave)
 {
@@ -200,7 +191,7 @@
       const host_watch_t *watch = watch_find (out->in->watch, host->name);
       rack_sum_t *sum;
 
-      if (!covers_pool (rule, host->pool))
+      if (!wave_covers_pool (rule, host->pool))
         continue;
       sum = g_hash_table_lookup (sums, host->rack);
       if (!sum)
@@ -232,7 +223,7 @@
       const rack_sum_t *sum = g_hash_table_lookup (sums, host->rack);
       candidate_t c = { .host = host };
 
-      if (!sum || !covers_pool (rule, host->pool)
+      if (!sum || !wave_covers_pool (rule, host->pool)
           || !may_be_drained (host, watch)
           || state_wave_took (state, wave, host))
         continue;
@@ -353,7 +344,7 @@
 
       if (is_out_for (host, wave))
         progress.out++;
-      if (!covers_pool (rule, host->pool))
+      if (!wave_covers_pool (rule, host->pool))
         continue;
       progress.hosts++;
       if (state_wave_took (state, known, host))
--- a/state/disrupt.c
+++ b/state/disrupt.c
@@ -30,26 +30,6 @@
   return MIN (left, rule->budget_rack_hosts - out_rack);
 }
 
-static const wave_t *
-find_wave_rule (const state_t *state, const char *name)
-{
-  const fleet_t *fleet = state->config->fleet;
-
-  for (uint32_t i = 0; i < fleet->waves_count; i++)
-    if (strcmp (fleet->waves[i].name, name) == 0)
-      return &fleet->waves[i];
-  return NULL;
-}
-
-static bool
-covers_pool (const wave_t *rule, const char *pool)
-{
-  for (uint32_t i = 0; i < rule->pools_count; i++)
-    if (strcmp (rule->pools[i], pool) == 0)
-      return true;
-  return false;
-}
-
 static bool
 is_unfinished (const wave_state_t *wave)
 {
@@ -95,13 +75,14 @@
                   const rec_drain_t *rec)
 {
   const wave_state_t *wave = table_find (&state->waves, rec->wave);
-  const wave_t *rule = wave ? find_wave_rule (state, rec->wave) : NULL;
+  const wave_t *rule
+      = wave ? fleet_find_wave (state->config->fleet, rec->wave) : NULL;
 
   if (!rule)
     return VERDICT_INVALID;
   if (wave->phase != WAVE_RUNNING || wave->run != rec->wave_run)
     return VERDICT_STALE;
-  if (!covers_pool (rule, host->pool))
+  if (!wave_covers_pool (rule, host->pool))
     return VERDICT_STALE;
   if (state_wave_took (state, wave, host))
     return VERDICT_STALE;
@@ -197,18 +178,19 @@
 static bool
 shares_pool_with_unfinished (const state_t *state, const char *name)
 {
-  const wave_t *rule = find_wave_rule (state, name);
+  const wave_t *rule = fleet_find_wave (state->config->fleet, name);
 
   for (uint32_t i = 0; rule && i < state->waves.count; i++)
     {
       const wave_state_t *other = table_at (&state->waves, i);
-      const wave_t *other_rule = find_wave_rule (state, other->name);
+      const wave_t *other_rule
+          = fleet_find_wave (state->config->fleet, other->name);
 
       if (!is_unfinished (other) || !other_rule
           || strcmp (other->name, name) == 0)
         continue;
       for (uint32_t j = 0; j < rule->pools_count; j++)
-        if (covers_pool (other_rule, rule->pools[j]))
+        if (wave_covers_pool (other_rule, rule->pools[j]))
           return true;
     }
   return false;
