--- a/entry/entry.c
+++ b/entry/entry.c
@@ -36,7 +36,9 @@
     reload (path);
 }
 
-/* Serves on until the load balancer and the clients have turned to others.  */
+/* Serves on until the load balancer and the clients have turned to others.
+   The end is looked up on the boot clock again and again, as one long wait
+   would be longer by the time that the host was suspended meanwhile.  */
 static void
 finish_requests (const entry_settings_t *settings, const front_t *front)
 {
