jobs, entry: send unanswered starts again, bound orders under way

Ruled out: lost connections; the workers answered all the time.

Change: a start without an answer is sent again with the same attempt, which the worker takes once only; a lasting task is never stopped for it, others after two. Orders under way are bounded, looks aside. Planned runs outlast old leases. Tasks are placed only when something changed, and a need that found no room is remembered for the plan.

--- a/entry/core.c
+++ b/entry/core.c
@@ -48,6 +48,7 @@
 static void
 drop_sched (core_t *core)
 {
+  orders_clear (core);
   g_clear_pointer (&core->sched, sched_free);
 }
 
@@ -504,6 +505,7 @@
               (uint32_t)(hash_bytes (core->self, strlen (core->self), 0)
                          % OWNER_JITTER_US));
   appends_open (core);
+  orders_open (core);
   hostcalls_open (core);
   feeds_open (core, now_us);
   if (pthread_create (&core->thread, NULL, run, core) != 0)
@@ -530,6 +532,7 @@
   pthread_join (core->thread, NULL);
   appends_close (core);
   drop_sched (core);
+  orders_close (core);
   hostcalls_close (core);
   feeds_close (core);
   calls_close (core->calls);
--- a/entry/core.h
+++ b/entry/core.h
@@ -77,6 +77,9 @@
   feed_t marks_feed;
   GHashTable *seen_workers; /* ids in the pages of newest records so far */
 
+  GQueue *orders; /* sent_order_t that wait for others to be answered */
+  uint32_t orders_out;
+
   GArray *waves; /* operators' records of waves */
   bool hosts_out;
   int64_t hosts_due_us;
@@ -135,7 +138,12 @@
 bool appends_idle (const core_t *core);
 
 /* orders.c */
+void orders_open (core_t *core);
+void orders_close (core_t *core);
 void orders_send (core_t *core, GArray *orders);
+/* orders_clear - forget what was not sent yet: this daemon does not decide any
+   more.  */
+void orders_clear (core_t *core);
 
 /* hostcalls.c */
 void hostcalls_open (core_t *core);
--- a/entry/orders.c
+++ b/entry/orders.c
@@ -7,6 +7,11 @@
 #define ORDER_TIMEOUT_MS 250
 /* Beyond the time for which a worker holds a look.  */
 #define HOLD_SLACK_MS 600
+/* Orders under way at a time, looks aside.  A daemon with a tenth of a core
+   gets through so many well inside ORDER_TIMEOUT_MS; with more of them answers
+   would wait here, and be taken for lost, until nothing is started any
+   more.  */
+#define ORDERS_OUT_MAX 48
 
 static uint32_t
 timeout_ms (const order_t *order)
@@ -23,13 +28,61 @@
   return ORDER_TIMEOUT_MS;
 }
 
-/* An order on its way.  */
+/* An order on its way, or waiting to be sent.  */
 typedef struct sent_order
 {
   core_t *core;
   order_t order;
+  site_req_t req; /* cleared once it is sent */
 } sent_order_t;
 
+void
+orders_open (core_t *core)
+{
+  core->orders = g_queue_new ();
+}
+
+void
+orders_clear (core_t *core)
+{
+  sent_order_t *sent;
+
+  while ((sent = g_queue_pop_head (core->orders)))
+    {
+      site_req_clear (&sent->req);
+      g_free (sent);
+    }
+}
+
+void
+orders_close (core_t *core)
+{
+  orders_clear (core);
+  g_queue_free (core->orders);
+}
+
+static void on_answer (void *ctx, const call_result_t *result);
+
+static void
+send (sent_order_t *sent)
+{
+  const order_t *order = &sent->order;
+
+  counter_add (COUNT_WORKER_CALLS, 1);
+  calls_send (sent->core->calls, order->address, &sent->req,
+              timeout_ms (order), on_answer, sent);
+}
+
+static void
+send_waiting (core_t *core)
+{
+  while (core->orders_out < ORDERS_OUT_MAX && core->orders->length > 0)
+    {
+      core->orders_out++;
+      send (g_queue_pop_head (core->orders));
+    }
+}
+
 static void
 on_answer (void *ctx, const call_result_t *result)
 {
@@ -54,9 +107,12 @@
                                      core_now ());
       site_answer_clear (&answer);
     }
+  if (order->kind != ORDER_HOLD)
+    core->orders_out--;
   if (!still_owner)
     core_depose (core, order->worker);
   g_free (sent);
+  send_waiting (core);
 }
 
 void
@@ -66,16 +122,18 @@
     {
       const order_t *order = &g_array_index (orders, order_t, i);
       sent_order_t *sent = g_new0 (sent_order_t, 1);
-      site_req_t req = site_order (order);
 
-      counter_add (COUNT_WORKER_CALLS, 1);
       sent->core = core;
       sent->order = *order;
+      sent->req = site_order (order);
       sent->order.payload = NULL; /* last only until the order is sent */
       sent->order.checkpoint = NULL;
       sent->order.ticket = NULL;
-      calls_send (core->calls, order->address, &req, timeout_ms (order),
-                  on_answer, sent);
+      if (order->kind == ORDER_HOLD)
+        send (sent);
+      else
+        g_queue_push_tail (core->orders, sent);
     }
   g_array_set_size (orders, 0);
+  send_waiting (core);
 }
--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -59,7 +59,7 @@
 /* Host times that the waiting tasks of POOL need, in ms.  ROOM is that of one
    of its hosts.  */
 static double
-waiting_ms (const sched_t *sched, const pool_t *pool, const amounts_t *room)
+waiting_ms (const pool_t *pool, const amounts_t *room)
 {
   double sum = 0;
 
@@ -68,7 +68,7 @@
       const stage_t *stage = g_ptr_array_index (pool->stages, i);
       const job_step_t *spec = stage->spec;
 
-      if (!spec->lasts && cap_allows (sched, stage->job, &spec->need))
+      if (!spec->lasts && cap_allows (stage->job, &spec->need))
         sum += stage->waiting * part_of (&spec->need, room)
                * MAX (spec->estimate_ms, 1);
     }
@@ -95,7 +95,7 @@
       load.runs += part_of (&worker->used, &worker->room);
       room = worker->room;
     }
-  load.waits = waiting_ms (sched, pool, &room) / DRAIN_MS;
+  load.waits = waiting_ms (pool, &room) / DRAIN_MS;
   g_hash_table_iter_init (&iter, sched->hosts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -30,14 +30,14 @@
 } turn_t;
 
 int64_t
-job_objective_us (const sjob_t *job, const rules_queue_t *queue)
+job_objective_us (const sjob_t *job)
 {
-  return job->chain_ms * queue->stretch_milli
-         + (int64_t)queue->latency_ms * 1000;
+  return job->chain_ms * job->queue->stretch_milli
+         + (int64_t)job->queue->latency_ms * 1000;
 }
 
 static rank_t
-rank_of (const stage_t *stage, const rules_queue_t *queue, int64_t now_us)
+rank_of (const stage_t *stage, int64_t now_us)
 {
   const sjob_t *job = stage->job;
   int64_t ends_us = now_us + job->tail_ms[stage->step] * 1000;
@@ -45,9 +45,9 @@
 
   if (stage->spec->lasts)
     return RANK_LASTING;
-  if (!queue)
+  if (!job->queue)
     return RANK_LATE;
-  allowed_us = job_objective_us (job, queue);
+  allowed_us = job_objective_us (job);
   if (ends_us <= job->accepted_us + allowed_us)
     return RANK_TIMELY;
   if (ends_us <= job->accepted_us + allowed_us * LATE_TIMES)
@@ -100,10 +100,10 @@
 
 /* Time that STAGE's job has to spare if the stage starts now.  */
 static double
-spare_ms (const stage_t *stage, const rules_queue_t *queue, int64_t now_us)
+spare_ms (const stage_t *stage, int64_t now_us)
 {
   const sjob_t *job = stage->job;
-  int64_t allowed_us = queue ? job_objective_us (job, queue) : 0;
+  int64_t allowed_us = job->queue ? job_objective_us (job) : 0;
 
   return (double)(job->accepted_us + allowed_us - now_us) / 1000
          - (double)job->tail_ms[stage->step];
@@ -176,14 +176,28 @@
          && pool->workers->len > 1;
 }
 
+/* Remembers that no open worker of POOL has NEED left: larger tasks need not
+   look either on this plan.  */
+static void
+note_full (pool_t *pool, const stage_t *stage, const task_t *task,
+           const amounts_t *need)
+{
+  if (stage->spec->label || stage->spec->spread_max > 0 || task->avoid)
+    return; /* it may be refused for another reason than room */
+  pool->full = *need;
+  pool->is_full = true;
+}
+
 static worker_t *
-find_worker (const pool_t *pool, const stage_t *stage, const task_t *task,
+find_worker (pool_t *pool, const stage_t *stage, const task_t *task,
              sched_now_t now)
 {
   amounts_t need = need_on_worker (stage->spec);
   worker_t *best = NULL;
   double best_value = -HUGE_VAL;
 
+  if (pool->is_full && amounts_cover (&need, &pool->full))
+    return NULL;
   for (uint32_t i = 0; i < pool->workers->len; i++)
     {
       worker_t *worker = g_ptr_array_index (pool->workers, i);
@@ -201,16 +215,19 @@
       best = worker;
       best_value = value;
     }
+  if (!best)
+    note_full (pool, stage, task, &need);
   return best;
 }
 
 bool
-place_elsewhere (sched_t *sched, const task_t *task, const worker_t *worker,
-                 sched_now_t now)
+place_elsewhere (const task_t *task, const worker_t *worker, sched_now_t now)
 {
-  const worker_t *other
-      = find_worker (stage_pool (sched, task->stage), task->stage, task, now);
+  pool_t *pool = task->stage->job->pool;
+  const worker_t *other;
 
+  pool->is_full = false;
+  other = find_worker (pool, task->stage, task, now);
   return other && other != worker;
 }
 
@@ -221,10 +238,9 @@
 }
 
 bool
-cap_allows (const sched_t *sched, const sjob_t *job, const amounts_t *need)
+cap_allows (const sjob_t *job, const amounts_t *need)
 {
-  const rules_workspace_t *rule
-      = rules_workspace (sched->rules, job->space->name);
+  const rules_workspace_t *rule = job->space->rule;
   const amounts_t *used = &job->space->used;
 
   return !rule
@@ -267,7 +283,7 @@
       if (task->done)
         continue;
       worker = task->not_before_us <= now.us
-                       && cap_allows (sched, stage->job, &stage->spec->need)
+                       && cap_allows (stage->job, &stage->spec->need)
                    ? find_worker (pool, stage, task, now)
                    : NULL;
       if (!worker)
@@ -305,7 +321,7 @@
           sched_wake_at (sched, task->not_before_us);
           continue;
         }
-      if (!cap_allows (sched, stage->job, &stage->spec->need))
+      if (!cap_allows (stage->job, &stage->spec->need))
         return;
       worker = find_worker (pool, stage, task, now);
       if (!worker)
@@ -336,16 +352,16 @@
   double room = room_of (pool);
   uint32_t count = 0;
 
+  pool->is_full = false;
   if (pool->stages->len == 0)
     return;
-  if (sched->granted_until_us <= now.us)
+  if (sched->granted_until_us - now.us < START_LEASE_MIN_US)
     return;
   turns = g_new (turn_t, pool->stages->len);
   for (uint32_t i = pool->stages->len; i-- > 0;)
     {
       stage_t *stage = g_ptr_array_index (pool->stages, i);
-      const rules_queue_t *queue
-          = rules_queue (sched->rules, stage->job->desc->queue);
+      const rules_queue_t *queue = stage->job->queue;
 
       if (stage->waiting == 0)
         {
@@ -355,10 +371,10 @@
         }
       turns[count++]
           = (turn_t){ .stage = stage,
-                      .rank = rank_of (stage, queue, now.us),
+                      .rank = rank_of (stage, now.us),
                       .priority = queue ? queue->priority : UINT32_MAX,
                       .cost
-                      = spare_ms (stage, queue, now.us)
+                      = spare_ms (stage, now.us)
                         + WORK_WEIGHT * work_left (stage->job, stage) / room };
     }
   qsort (turns, count, sizeof *turns, compare_turns);
@@ -376,9 +392,16 @@
 place_pools (sched_t *sched, sched_now_t now)
 {
   GHashTableIter iter;
-  gpointer pool;
+  gpointer value;
 
+  sched->place_us = INT64_MAX;
   g_hash_table_iter_init (&iter, sched->pools);
-  while (g_hash_table_iter_next (&iter, NULL, &pool))
-    place_pool (sched, pool, now);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      pool_t *pool = value;
+
+      place_pool (sched, pool, now);
+      if (pool->stages->len > 0)
+        sched->place_us = now.us + PLACE_AGAIN_US;
+    }
 }
--- a/jobs/replies.c
+++ b/jobs/replies.c
@@ -8,6 +8,12 @@
 #define REJECTED_PAUSE_US 250000
 /* Pause before a task that could not start is tried again.  */
 #define TASK_PAUSE_US 50000
+/* A start without an answer is sent again, as the worker takes the same
+   attempt once only.  After so many the task is better off elsewhere.  */
+#define UNANSWERED_MAX 2
+/* Pause before a start is sent again, as a refused connection costs no
+   time.  */
+#define REPEAT_PAUSE_US 100000
 /* A worker gives at most so many ends in one answer.  */
 #define ENDS_AT_ONCE 500
 
@@ -289,6 +295,38 @@
   run_close (sched, run, reply_name (kind), now);
 }
 
+/* The start of RUN got no answer, so it may be carried out, also later.  A
+   lasting task is not stopped for that: it may be at work by then, and its
+   step may miss no more.  */
+static void
+start_unanswered (sched_t *sched, run_t *run, sched_now_t now)
+{
+  task_t *task = run->task;
+
+  if (++run->unanswered < UNANSWERED_MAX || task->stage->spec->lasts)
+    {
+      run->repeat_us = now.us + REPEAT_PAUSE_US;
+      sched_wake_at (sched, run->repeat_us);
+      return;
+    }
+  task_avoid (task, run->worker, now);
+  run_stop (run);
+  if (task->stage->spec->speculative)
+    run_leave (sched, run);
+}
+
+/* The worker does not take the start of RUN.  An earlier one without an answer
+   may still be carried out there unless the run is stopped.  */
+static void
+start_rejected (sched_t *sched, run_t *run, reply_kind_t kind,
+                int64_t pause_us, sched_now_t now)
+{
+  if (run->unanswered > 0)
+    run_stop (run);
+  else
+    start_failed (sched, run, kind, pause_us, now);
+}
+
 static void
 take_start_reply (sched_t *sched, run_t *run, reply_kind_t kind,
                   sched_now_t now)
@@ -300,24 +338,29 @@
     case REPLY_OK:
       note_active (sched, run, now);
       return;
-    case REPLY_NO_ROOM:
     case REPLY_BUSY:
     case REPLY_REFUSED:
+      if (run->unanswered > 0)
+        {
+          start_unanswered (sched, run, now);
+          return;
+        }
+      /* Fall through.  */
+    case REPLY_NO_ROOM:
       worker->suspect_until_us
           = MAX (worker->suspect_until_us, now.us + REJECTED_PAUSE_US);
-      start_failed (sched, run, kind, 0, now);
+      start_rejected (sched, run, kind, 0, now);
       return;
     case REPLY_OLD:
-    case REPLY_LATE:
     case REPLY_NO_TICKET:
     case REPLY_BAD:
+      start_rejected (sched, run, kind, TASK_PAUSE_US, now);
+      return;
+    case REPLY_LATE:
       start_failed (sched, run, kind, TASK_PAUSE_US, now);
       return;
     case REPLY_LOST:
-      task_avoid (run->task, worker, now);
-      run_stop (run);
-      if (run->task->stage->spec->speculative)
-        run_leave (sched, run);
+      start_unanswered (sched, run, now);
       return;
     case REPLY_FENCED:
     case REPLY_OTHER_BOOT:
--- a/jobs/sched.c
+++ b/jobs/sched.c
@@ -34,6 +34,7 @@
     return space;
   space = g_new0 (space_t, 1);
   space->name = name;
+  space->rule = rules_workspace (sched->rules, name);
   g_hash_table_insert (sched->spaces, (gpointer)name, space);
   return space;
 }
@@ -131,6 +132,16 @@
         g_ptr_array_add (all, g_ptr_array_index (pool->stages, i));
       g_ptr_array_set_size (pool->stages, 0);
     }
+  g_hash_table_iter_init (&iter, sched->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    job_bind (sched, value);
+  g_hash_table_iter_init (&iter, sched->spaces);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      space_t *space = value;
+
+      space->rule = rules_workspace (rules, space->name);
+    }
   for (uint32_t i = 0; i < all->len; i++)
     {
       stage_t *stage = g_ptr_array_index (all, i);
@@ -250,8 +261,12 @@
         g_ptr_array_remove_index_fast (sched->timed, i);
     }
   workers_advance (sched, now);
-  sched->dirty = false;
-  place_pools (sched, now);
+  if (sched->dirty || sched->place_us <= now.us)
+    {
+      sched->dirty = false;
+      place_pools (sched, now);
+    }
+  sched_wake_at (sched, sched->place_us);
   g_hash_table_iter_init (&iter, sched->workers);
   while (g_hash_table_iter_next (&iter, NULL, &worker))
     worker_orders (sched, worker, now);
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -15,6 +15,12 @@
 /* Added to the grace of a stop before a confirmed one counts as done though no
    end is listed: one round trip and the worker's own delay.  */
 #define STOP_MARGIN_US 100000
+/* Tasks that wait for time to pass, such as the end of a worker's pause, are
+   looked at again after so long.  */
+#define PLACE_AGAIN_US 20000
+/* A start that can be given no lease of this length does not pay: the task
+   would end with the lease before its owner is confirmed again.  */
+#define START_LEASE_MIN_US 1000000
 /* A worker answers a held look after so long when nothing ends.  */
 #define HOLD_WAIT_MS 500
 /* Looks at a worker whose ends can't be made durable, or that did not
@@ -57,11 +63,13 @@
   amounts_t holds; /* on the worker */
   amounts_t quota; /* of its workspace */
   int64_t since_us;
-  uint64_t batch;     /* PLANNED: that its record is in */
-  int64_t active_us;  /* first known to run */
-  int64_t stop_us;    /* stop sent last; 0: has to be sent */
-  int64_t stopped_us; /* stop confirmed; 0: not yet */
-  bool unsent;        /* STOPPING: its start never was ordered */
+  uint64_t batch;      /* PLANNED: that its record is in */
+  int64_t active_us;   /* first known to run */
+  int64_t stop_us;     /* stop sent last; 0: has to be sent */
+  int64_t stopped_us;  /* stop confirmed; 0: not yet */
+  bool unsent;         /* STOPPING: its start never was ordered */
+  uint32_t unanswered; /* starts sent without an answer */
+  int64_t repeat_us; /* ORDERED: its start is sent again then; 0: it is out */
   uint32_t percent;
   uint32_t load;
   int64_t moved_us;   /* percent last changed */
@@ -112,6 +120,8 @@
 struct sjob
 {
   job_desc_t *desc;
+  const rules_queue_t *queue; /* NULL: it was removed */
+  pool_t *pool;               /* that its queue leads to, or last did */
   space_t *space;
   occurrence_t *occurrences;
   uint32_t next_occurrence; /* first that is not due yet */
@@ -169,6 +179,8 @@
   const char *name;
   GPtrArray *workers;
   GPtrArray *stages;   /* open, with waiting tasks */
+  amounts_t full;      /* no open worker had so much left on this plan ... */
+  bool is_full;        /* ... if set */
   uint32_t base_hosts; /* that it had when they were first listed */
   int64_t short_us;    /* it has needed more hosts since; 0: it does not */
   int64_t surplus_us;  /* it could do with fewer since; 0: it can't */
@@ -198,6 +210,7 @@
 struct space
 {
   const char *name;
+  const rules_workspace_t *rule; /* NULL: none */
   amounts_t used;
 };
 
@@ -232,6 +245,7 @@
   int64_t look_pause_us; /* before a worker is looked at again */
   bool ends_unwritten;   /* ends were listed since the last batch */
   bool dirty;            /* something changed that may let a task start */
+  int64_t place_us;      /* time alone may let a task start then */
 };
 
 /* sched.c: the plan of an owner as a whole */
@@ -244,7 +258,8 @@
 void sjob_free (gpointer data);
 /* stage_list - list STAGE with its pool if a task of it may start.  */
 void stage_list (sched_t *sched, stage_t *stage);
-pool_t *stage_pool (sched_t *sched, const stage_t *stage);
+/* job_bind - look JOB's queue up in the rules.  */
+void job_bind (sched_t *sched, sjob_t *job);
 task_t *sched_task (const sched_t *sched, const task_ref_t *ref);
 task_ref_t task_ref (const task_t *task);
 void job_begin (sched_t *sched, sjob_t *job);
@@ -327,14 +342,14 @@
 
 /* place.c: which task starts where */
 void place_pools (sched_t *sched, sched_now_t now);
-/* job_objective_us - how long JOB may take to be worth all.  */
-int64_t job_objective_us (const sjob_t *job, const rules_queue_t *queue);
+/* job_objective_us - how long JOB, whose queue exists, may take to be worth
+   all.  */
+int64_t job_objective_us (const sjob_t *job);
 /* cap_allows - whether JOB's workspace may have NEED more at work.  */
-bool cap_allows (const sched_t *sched, const sjob_t *job,
-                 const amounts_t *need);
+bool cap_allows (const sjob_t *job, const amounts_t *need);
 /* place_elsewhere - whether TASK could start on another worker now.  */
-bool place_elsewhere (sched_t *sched, const task_t *task,
-                      const worker_t *worker, sched_now_t now);
+bool place_elsewhere (const task_t *task, const worker_t *worker,
+                      sched_now_t now);
 
 /* pace.c: filling tasks beside those that serve */
 void pace_check (worker_t *worker, sched_now_t now);
--- a/jobs/stages.c
+++ b/jobs/stages.c
@@ -28,15 +28,14 @@
   g_free (job);
 }
 
-/* Where the queue of STAGE leads now; a queue that was removed leads where it
-   last did.  */
-pool_t *
-stage_pool (sched_t *sched, const stage_t *stage)
+void
+job_bind (sched_t *sched, sjob_t *job)
 {
-  const job_desc_t *desc = stage->job->desc;
-  const rules_queue_t *queue = rules_queue (sched->rules, desc->queue);
+  const job_desc_t *desc = job->desc;
 
-  return sched_pool (sched, queue ? queue->service : desc->service);
+  job->queue = rules_queue (sched->rules, desc->queue);
+  job->pool
+      = sched_pool (sched, job->queue ? job->queue->service : desc->service);
 }
 
 task_ref_t
@@ -71,7 +70,7 @@
       || stage->job->ended)
     return;
   stage->listed = true;
-  g_ptr_array_add (stage_pool (sched, stage)->stages, stage);
+  g_ptr_array_add (stage->job->pool->stages, stage);
   sched->dirty = true;
 }
 
@@ -96,13 +95,11 @@
 
 /* What decided how long a job took, for whoever asks later.  */
 static void
-log_final (const sched_t *sched, const sjob_t *job, job_state_t state,
-           sched_now_t now)
+log_final (const sjob_t *job, job_state_t state, sched_now_t now)
 {
-  const rules_queue_t *queue = rules_queue (sched->rules, job->desc->queue);
   int64_t took_us = now.us - job->accepted_us;
   int64_t objective_ms
-      = queue ? job_objective_us (job, queue) / 1000 : job->chain_ms;
+      = job->queue ? job_objective_us (job) / 1000 : job->chain_ms;
 
   event_log (
       EV_JOB_FINAL,
@@ -206,7 +203,7 @@
   if (--occurrence->undone > 0 || --job->undone > 0)
     return;
   add_change (sched, job, JOB_STATE_COMPLETE);
-  log_final (sched, job, JOB_STATE_COMPLETE, now);
+  log_final (job, JOB_STATE_COMPLETE, now);
   job_end (sched, job);
 }
 
@@ -235,11 +232,10 @@
 }
 
 static uint32_t
-max_attempts_of (const sched_t *sched, const sjob_t *job)
+max_attempts_of (const sjob_t *job)
 {
-  const rules_queue_t *queue = rules_queue (sched->rules, job->desc->queue);
-
-  return queue && queue->max_attempts > 0 ? queue->max_attempts : 1;
+  return job->queue && job->queue->max_attempts > 0 ? job->queue->max_attempts
+                                                    : 1;
 }
 
 void
@@ -268,10 +264,10 @@
   if (stage->spec->gang)
     fails_add (&stage->gang_fails, attempt);
   if ((stage->spec->gang ? stage->gang_fails.count : task->fails.count)
-      < max_attempts_of (sched, job))
+      < max_attempts_of (job))
     return;
   add_change (sched, job, JOB_STATE_FAILED);
-  log_final (sched, job, JOB_STATE_FAILED, now);
+  log_final (job, JOB_STATE_FAILED, now);
   job_end (sched, job);
 }
 
@@ -394,6 +390,7 @@
   job = g_new0 (sjob_t, 1);
   job->desc = job_desc_share (entry->desc);
   job->space = sched_space (sched, job->desc->workspace);
+  job_bind (sched, job);
   job->occurrences = g_new0 (occurrence_t, count);
   job->undone = count;
   job->begun = entry->state != JOB_STATE_QUEUED;
--- a/jobs/stall.c
+++ b/jobs/stall.c
@@ -93,7 +93,7 @@
 
   if (task->run != run || task->done || task->moved
       || needs_us / 100 < anew_us (run) / 10000 * WORTH_PERCENT
-      || !place_elsewhere (sched, task, run->worker, now))
+      || !place_elsewhere (task, run->worker, now))
     return;
   task->moved = true;
   task_avoid (task, run->worker, now);
--- a/jobs/test/place_test.c
+++ b/jobs/test/place_test.c
@@ -36,6 +36,31 @@
 }
 END_TEST
 
+/* Guards against passing small tasks over because a larger one before them
+   found no room.  */
+START_TEST (test_full_for_large_tasks_is_not_full_for_small_ones)
+{
+  job_step_t fill = rig_step (1);
+  job_step_t large = rig_step (1);
+  job_step_t small = rig_step (1);
+  g_autoptr (GArray) first = NULL;
+  g_autoptr (GArray) second = NULL;
+
+  fill.need.cpu_milli = 6000;
+  large.need.cpu_milli = 4000;
+  large.estimate_ms = 100; /* first in the order of starts */
+  rig_worker ("w1", 8, false);
+  rig_submit (1, &fill, 1);
+  first = rig_plan (false);
+  ck_assert_uint_eq (starts_of (first, 1), 1);
+  rig_submit (2, &large, 1);
+  rig_submit (3, &small, 1);
+  second = rig_plan (false);
+  ck_assert_uint_eq (starts_of (second, 2), 0);
+  ck_assert_uint_eq (starts_of (second, 3), 1);
+}
+END_TEST
+
 /* Guards against a workspace that has more at work than its cap, counting what
    still has to stop.  */
 START_TEST (test_cap_holds_over_all_workers)
@@ -182,6 +207,7 @@
 END_TEST
 
 TEST_PROGRAM_WITH ("jobs/place", rig_set_up, rig_tear_down, test_room_is_kept,
+                   test_full_for_large_tasks_is_not_full_for_small_ones,
                    test_cap_holds_over_all_workers, test_spread_is_kept,
                    test_labels_are_kept, test_gang_starts_whole_or_not,
                    test_burst_small_jobs_before_wide_ones,
--- a/jobs/test/replies_test.c
+++ b/jobs/test/replies_test.c
@@ -6,6 +6,7 @@
 {
   job_step_t step = rig_step (1);
   order_t start;
+  order_t repeat;
   g_autoptr (GArray) stops = NULL;
   g_autoptr (GArray) again = NULL;
 
@@ -15,6 +16,11 @@
   rig_submit (1, &step, 1);
   start = rig_start_one ();
   rig_reply (&start, REPLY_LOST);
+  rig_pass (150);
+  repeat = rig_start_one ();
+  ck_assert_uint_eq (repeat.attempt, start.attempt);
+  ck_assert_str_eq (repeat.worker, start.worker);
+  rig_reply (&repeat, REPLY_LOST);
   stops = rig_plan (false);
   ck_assert_uint_eq (rig_count (stops, ORDER_START), 0);
   ck_assert_uint_eq (rig_count (stops, ORDER_STOP), 1);
@@ -28,6 +34,55 @@
 }
 END_TEST
 
+/* Guards against ending a lasting task that is at work because the answer to
+   its start was lost (hunt-7d33-7: 64 tasks beyond may_miss).  */
+START_TEST (test_unanswered_start_of_a_lasting_task_is_not_stopped)
+{
+  job_step_t step = rig_step (1);
+  order_t start;
+
+  step.lasts = true;
+  step.may_miss = 1;
+  rig_open (1);
+  rig_worker ("w1", 8, false);
+  rig_submit (1, &step, 1);
+  start = rig_start_one ();
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      order_t repeat;
+
+      rig_reply (&start, i % 2 ? REPLY_REFUSED : REPLY_LOST);
+      rig_pass (150);
+      rig_answer ("w1", NULL, 0, NULL, 0);
+      repeat = rig_start_one ();
+      ck_assert_uint_eq (repeat.attempt, start.attempt);
+    }
+}
+END_TEST
+
+/* Guards against taking a refusal of the second start for the end of the
+   first, which may be carried out late.  */
+START_TEST (test_refused_repeat_is_stopped_first)
+{
+  job_step_t step = rig_step (1);
+  order_t start;
+  g_autoptr (GArray) orders = NULL;
+
+  rig_open (1);
+  rig_worker ("w1", 8, false);
+  rig_worker ("w2", 8, false);
+  rig_submit (1, &step, 1);
+  start = rig_start_one ();
+  rig_reply (&start, REPLY_LOST);
+  rig_pass (150);
+  start = rig_start_one ();
+  rig_reply (&start, REPLY_NO_ROOM);
+  orders = rig_plan (false);
+  ck_assert_uint_eq (rig_count (orders, ORDER_START), 0);
+  ck_assert_uint_eq (rig_count (orders, ORDER_STOP), 1);
+}
+END_TEST
+
 /* Guards against taking the leases of an earlier owner for ended because the
    worker's clock is known from the answer to a stop, before its first lists.
  */
@@ -199,6 +254,8 @@
 
 TEST_PROGRAM_WITH ("jobs/replies", rig_reset, rig_tear_down,
                    test_unanswered_start_is_stopped_first,
+                   test_unanswered_start_of_a_lasting_task_is_not_stopped,
+                   test_refused_repeat_is_stopped_first,
                    test_stop_answer_ends_no_inherited_lease,
                    test_end_is_forgotten_only_once_durable,
                    test_failures_count_in_any_order,
--- a/jobs/test/workers_test.c
+++ b/jobs/test/workers_test.c
@@ -82,6 +82,33 @@
 }
 END_TEST
 
+/* Guards against a new owner that closes what it has just planned because the
+   worker's last lease is over, and plans it again at once (fresh-a713: 28,728
+   times in two seconds).  */
+START_TEST (test_old_lease_does_not_end_a_planned_start)
+{
+  job_step_t step = rig_step (1);
+  job_rec_t *rec;
+
+  rig_open (1);
+  rig_worker ("w1", 8, false);
+  g_array_set_size (sched_plan (rig.sched, rig.now), 0); /* a lease */
+  rig_pass (SCHED_LEASE_MS + 600);
+  sched_set_load (rig.sched, 100);
+  rig_submit (1, &step, 1);
+  for (uint32_t i = 0; i < 5; i++)
+    {
+      rig_answer ("w1", NULL, 0, NULL, 0);
+      g_array_set_size (sched_plan (rig.sched, rig.now), 0);
+    }
+  rec = sched_progress (rig.sched);
+  ck_assert_ptr_nonnull (rec);
+  ck_assert_uint_eq (rec->u.progress.placed->len, 1);
+  job_rec_clear (rec);
+  g_free (rec);
+}
+END_TEST
+
 /* Guards against leases that an owner cut off from the log goes on giving.  */
 START_TEST (test_no_leases_without_confirmation)
 {
@@ -205,6 +232,7 @@
                    test_placed_task_that_is_not_listed_starts,
                    test_unlisted_silent_worker_still_counts,
                    test_no_leases_without_confirmation,
+                   test_old_lease_does_not_end_a_planned_start,
                    test_lost_worker_returns_tasks_after_its_lease,
                    test_unconfirmed_owner_returns_no_tasks,
                    test_looks_at_a_silent_worker_give_no_lease,
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -81,6 +81,20 @@
     run_close (sched, g_ptr_array_index (worker->runs, i), why, now);
 }
 
+/* The leases on WORKER have ended.  A run that is not ordered yet has none: if
+   it were closed here, it would be planned again at once, without end.  */
+static void
+close_leased (sched_t *sched, worker_t *worker, sched_now_t now)
+{
+  for (uint32_t i = worker->runs->len; i-- > 0;)
+    {
+      run_t *run = g_ptr_array_index (worker->runs, i);
+
+      if (run->phase != RUN_PLANNED)
+        run_close (sched, run, "lease-ended", now);
+    }
+}
+
 /* WORKER is another boot now: nothing of before runs there.  */
 void
 worker_clear (sched_t *sched, worker_t *worker, sched_now_t now)
@@ -131,7 +145,7 @@
   run_t *run;
 
   if (!worker)
-    worker = worker_add (sched, id, stage_pool (sched, task->stage), now);
+    worker = worker_add (sched, id, task->stage->job->pool, now);
   run = run_new (task, worker, attempt, now);
   run->phase = RUN_ACTIVE;
   run->active_us = now.us;
@@ -247,7 +261,7 @@
   if (worker->runs->len > 0
       && worker_lease_end_us (sched, worker)
              < MIN (now.us, sched->confirmed_us))
-    close_all (sched, worker, "lease-ended", now);
+    close_leased (sched, worker, now);
 }
 
 void
@@ -294,15 +308,15 @@
 order_start (sched_t *sched, run_t *run, sched_now_t now)
 {
   const task_t *task = run->task;
-  int64_t deadline_ms = worker_deadline_ms (sched, run->worker, now.us);
+  int64_t deadline_ms;
 
-  if (deadline_ms == 0 || run->worker->unreachable)
-    {
-      run_close (sched, run, "worker-unreachable", now);
-      return;
-    }
+  if (run->worker->unreachable)
+    return;
+  deadline_ms = worker_deadline_ms (sched, run->worker, now.us);
+  if (deadline_ms == 0)
+    return;
+  run->repeat_us = 0;
   run->phase = RUN_ORDERED;
-  counter_add (COUNT_TASKS_STARTED, 1);
   order_add (sched, (order_t){ .kind = ORDER_START,
                                .worker = run->worker->interned,
                                .address = run->worker->address,
@@ -324,11 +338,22 @@
 
       if (run->phase == RUN_PLANNED)
         {
-          /* May close the run.  */
-          if (run->batch <= sched->durable)
-            order_start (sched, run, now);
+          if (run->batch > sched->durable)
+            continue;
+          order_start (sched, run, now);
+          if (run->phase == RUN_PLANNED)
+            run_close (sched, run, "worker-unreachable", now);
+          else
+            counter_add (COUNT_TASKS_STARTED, 1);
           continue;
         }
+      if (run->phase == RUN_ORDERED && run->repeat_us != 0)
+        {
+          if (run->repeat_us <= now.us)
+            order_start (sched, run, now);
+          else
+            sched_wake_at (sched, run->repeat_us);
+        }
       if (run->phase != RUN_STOPPING || run->stopped_us != 0)
         continue;
       if (run->stop_us == 0 || now.us - run->stop_us >= STOP_RETRY_US)
