jobs: start what can be in time first; move hosts ahead of demand

Cause, moves: hosts were ordered when work waited and came two to three seconds later, too late for the ramp of a burst; after it they stayed where they were.

Ruled out: room (runs kept half of the fleet busy); faster smoothing (a few large jobs look like a burst, and pools rested before their turn).

Change: all pools are gone through in one order of ranks; of late and hopeless jobs only a bounded number is starting at a time; jobs beyond a workspace's weight a second come after the others. Demand is forecast two seconds ahead from two averages and hosts move for that. A pool whose burst is over rests: it keeps what it needs until the pool before it has its burst again. Lasting tasks of different steps share hosts, so that the others can move. Line 1711 says what a pool has and needs.

--- a/base/base.h
+++ b/base/base.h
@@ -156,7 +156,8 @@
   EV_WORKER_SUSPECT = 1707,
   EV_WORKER_REJECTED = 1708,
   EV_HOST_ORDERED = 1709,
-  EV_LINES_DROPPED = 1710
+  EV_LINES_DROPPED = 1710,
+  EV_POOL_SIZED = 1711
 } event_id_t;
 
 /* A row of the event catalogue.  */
--- a/base/event.c
+++ b/base/event.c
@@ -67,6 +67,7 @@
   { EV_WORKER_REJECTED, LEVEL_WARN, "worker-rejected" },
   { EV_HOST_ORDERED, LEVEL_INFO, "host-ordered" },
   { EV_LINES_DROPPED, LEVEL_WARN, "lines-dropped" },
+  { EV_POOL_SIZED, LEVEL_INFO, "pool-sized" },
 };
 
 static const char *const level_names[] = { "debug", "info", "warn", "error" };
--- a/jobs/hosts.c
+++ b/jobs/hosts.c
@@ -87,6 +87,7 @@
   GHashTableIter iter;
   gpointer value;
 
+  sched->hosts_first = sched->hosts_read_us == 0;
   sched->hosts_read_us = now.us;
   sched->moves_out = false;
   sched->hosts_stale = false;
--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -2,15 +2,23 @@
 #include "schedint.h"
 #include <math.h>
 
-/* Work that waits is to be done within so long: less than the time that a
-   caller's objective leaves beside the work itself.  */
-#define DRAIN_MS 500
+/* Work that waits is to be done within so long: about the time that a caller's
+   objective leaves beside the work itself.  */
+#define DRAIN_MS 1000
+/* Demand is smoothed over these times, and carried on for as long as it takes
+   to notice it and to move a host.  */
+#define FAST_US 500000
+#define SLOW_US 1500000
+#define AHEAD_US 2000000
+/* A forecast is no more than so many times the demand of now: a few large jobs
+   look like a steep rise.  */
+#define AHEAD_TIMES 2
 /* A pool is short for so long before it gets hosts.  A burst lasts some
    seconds, and a host needs one and a half to move.  */
 #define SHORT_US 80000
 /* A pool has hosts to spare for so long before they leave it: a move and the
    way back cost as much as two seconds of a host.  */
-#define SURPLUS_US 2500000
+#define SURPLUS_US 1300000
 /* A pool keeps this part of its hosts when others are short.  */
 #define KEEP_PERCENT 60
 /* Free hosts that a pool keeps beyond its need.  */
@@ -20,11 +28,23 @@
 #define MOVES_MIN 20
 #define MOVES_PERCENT 30
 
+/* A burst has begun when tasks that end ask for this part of a pool's first
+   size, and is over when they have asked for less than the lower part for
+   BURST_OVER_US.  */
+#define BURST_PERCENT 50
+#define CALM_PERCENT 25
+#define BURST_OVER_US 1000000
+/* Hosts that leave a resting pool at a time: each plan sees the effect of the
+   one before.  */
+#define REST_MOVES 4
+
 /* What a pool has and needs, in hosts.  */
 typedef struct load
 {
   pool_t *pool;
-  double runs;      /* that its tasks keep busy */
+  uint32_t listed;  /* hosts that belong to it, in whatever state */
+  double lasts;     /* that its lasting tasks keep busy */
+  double runs;      /* that all its tasks keep busy */
   double waits;     /* that its waiting tasks would, to be done in time */
   uint32_t have;    /* in use */
   uint32_t coming;  /* on their way */
@@ -75,6 +95,68 @@
   return sum;
 }
 
+static double
+lasting_part (const worker_t *worker)
+{
+  double part = 0;
+
+  for (uint32_t i = 0; i < worker->runs->len; i++)
+    {
+      const run_t *run = g_ptr_array_index (worker->runs, i);
+
+      if (run->task->stage->spec->lasts)
+        part += part_of (&run->holds, &worker->room);
+    }
+  return part;
+}
+
+void
+moves_note_job (const sjob_t *job)
+{
+  const job_desc_t *desc = job->desc;
+  pool_t *pool = job->pool;
+
+  if (desc->repeats > 0 || job->over || pool->host_room.cpu_milli == 0)
+    return;
+  for (uint32_t i = 0; i < desc->steps_count; i++)
+    {
+      const job_step_t *step = &desc->steps[i];
+
+      if (!step->lasts && !step->fills && cap_allows (job, &step->need))
+        pool->arrived_ms += step->count
+                            * part_of (&step->need, &pool->host_room)
+                            * MAX (step->estimate_ms, 1);
+    }
+}
+
+static void
+update_rates (pool_t *pool, int64_t now_us)
+{
+  double passed_us = (double)(now_us - pool->rates_us);
+  double rate = pool->arrived_ms * 1000 / MAX (passed_us, 1);
+
+  if (pool->rates_us > 0)
+    {
+      pool->rate_fast
+          += (rate - pool->rate_fast) * passed_us / (passed_us + FAST_US);
+      pool->rate_slow
+          += (rate - pool->rate_slow) * passed_us / (passed_us + SLOW_US);
+    }
+  pool->arrived_ms = 0;
+  pool->rates_us = now_us;
+}
+
+/* Hosts that the jobs handed in AHEAD_US from now will keep busy if demand
+   goes on to change as it does.  */
+static double
+forecast (const pool_t *pool)
+{
+  double slope = (pool->rate_fast - pool->rate_slow) / (SLOW_US - FAST_US);
+
+  return CLAMP (pool->rate_fast + slope * AHEAD_US, 0,
+                pool->rate_fast * AHEAD_TIMES);
+}
+
 static load_t
 load_of (const sched_t *sched, pool_t *pool)
 {
@@ -93,8 +175,10 @@
       if (!worker->cordoned)
         load.have++;
       load.runs += part_of (&worker->used, &worker->room);
+      load.lasts += lasting_part (worker);
       room = worker->room;
     }
+  pool->host_room = room;
   load.waits = waiting_ms (pool, &room) / DRAIN_MS;
   g_hash_table_iter_init (&iter, sched->hosts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -105,6 +189,8 @@
           += host->move_to == pool->name && (host->down || host->cordoned);
       load.leaving += host->move_to && host->pool == pool->name
                       && host->cordoned && !host->down;
+      load.listed
+          += host->listed && host->pool == pool->name && !host->move_to;
     }
   return load;
 }
@@ -112,7 +198,9 @@
 static double
 need_of (const load_t *load)
 {
-  return load->runs + load->waits;
+  double ahead = load->lasts + forecast (load->pool);
+
+  return MAX (load->runs, ahead) + load->waits;
 }
 
 /* Hosts that LOAD's pool can do without for now.  */
@@ -170,9 +258,17 @@
   return count;
 }
 
+static uint32_t
+moves_most (const sched_t *sched)
+{
+  return MAX (g_hash_table_size (sched->hosts) * MOVES_PERCENT / 100,
+              MOVES_MIN);
+}
+
 static void
 begin_move (sched_t *sched, host_t *host, const char *to, sched_now_t now)
 {
+  sched->moves_begun++;
   host->move_to = to;
   host_cordon (sched, host, now.us);
 }
@@ -206,8 +302,7 @@
 {
   const char *standby = standby_pool (sched);
   uint32_t under_way = moves_under_way (sched);
-  uint32_t most = MAX (g_hash_table_size (sched->hosts) * MOVES_PERCENT / 100,
-                       MOVES_MIN);
+  uint32_t most = moves_most (sched);
   double missing = need_of (load) - (double)load->have - (double)load->coming;
 
   while (missing > 0 && under_way < most)
@@ -236,9 +331,9 @@
 {
   const char *standby = standby_pool (sched);
   pool_t *pool = load->pool;
-  host_t *host;
+  uint32_t keep = pool->rests ? 0 : pool->base_hosts;
 
-  if (!standby || standby == pool->name || load->have <= pool->base_hosts
+  if (!standby || standby == pool->name || load->have <= keep
       || surplus_of (load) < 1 || load->coming > 0)
     {
       pool->surplus_us = 0;
@@ -248,9 +343,82 @@
     pool->surplus_us = now.us;
   if (now.us - pool->surplus_us < SURPLUS_US)
     return;
-  host = idlest_host (sched, pool->name);
-  if (host)
-    begin_move (sched, host, standby, now);
+  for (uint32_t i = 0;
+       i < REST_MOVES && load->have > keep && surplus_of (load) >= 1; i++)
+    {
+      host_t *host = idlest_host (sched, pool->name);
+
+      if (!host)
+        return;
+      begin_move (sched, host, standby, now);
+      load->have--;
+    }
+}
+
+/* Brings LOAD's pool back to its first size, for the burst that is
+   expected.  */
+static void
+refill (sched_t *sched, load_t *load, sched_now_t now)
+{
+  const char *standby = standby_pool (sched);
+  uint32_t under_way = moves_under_way (sched);
+  uint32_t most = moves_most (sched);
+
+  if (!standby || standby == load->pool->name || load->pool->rests)
+    return;
+  while (load->listed + load->coming < load->pool->base_hosts
+         && under_way++ < most)
+    {
+      host_t *host = idlest_host (sched, standby);
+
+      if (!host)
+        return;
+      begin_move (sched, host, load->pool->name, now);
+      load->coming++;
+    }
+}
+
+/* Pools ask for much by turns, so one that has had its turn rests: it gives up
+   its idle hosts until the pool that came before it last time begins its burst
+   again, or its own tasks ask for hosts.  */
+static void
+begin_burst (sched_t *sched, pool_t *pool)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  pool->bursts = true;
+  pool->rests = false;
+  pool->after = sched->last_burst;
+  sched->last_burst = pool;
+  g_hash_table_iter_init (&iter, sched->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((pool_t *)value)->after == pool)
+      ((pool_t *)value)->rests = false;
+}
+
+static void
+note_burst (sched_t *sched, const load_t *load, sched_now_t now)
+{
+  pool_t *pool = load->pool;
+  double asked
+      = (pool->rate_slow + load->waits) * 100 / MAX (pool->base_hosts, 1);
+
+  if (pool->base_hosts == 0)
+    return;
+  if (!pool->bursts && asked >= BURST_PERCENT)
+    begin_burst (sched, pool);
+  if (!pool->bursts || asked > CALM_PERCENT)
+    {
+      pool->calm_us = 0;
+      return;
+    }
+  if (pool->calm_us == 0)
+    pool->calm_us = now.us;
+  if (now.us - pool->calm_us < BURST_OVER_US)
+    return;
+  pool->bursts = false;
+  pool->rests = true;
 }
 
 void
@@ -283,6 +451,9 @@
       uint32_t count
           = GPOINTER_TO_UINT (g_hash_table_lookup (counts, pool->name));
 
+      /* What an earlier owner sent to rest stays at rest.  */
+      if (sched->hosts_first && count < pool->base_hosts)
+        pool->rests = true;
       if (pool->base_hosts > 0 || count == 0)
         continue;
       pool->base_hosts = count;
@@ -295,8 +466,7 @@
 {
   pool_t *pool = load->pool;
 
-  if (load->waits <= 0
-      || need_of (load) <= (double)load->have + (double)load->coming)
+  if (need_of (load) <= (double)load->have + (double)load->coming)
     {
       pool->short_us = 0;
       return false;
@@ -306,6 +476,17 @@
   return now.us - pool->short_us >= SHORT_US;
 }
 
+static void
+log_sized (const load_t *load, uint32_t moves)
+{
+  event_log (EV_POOL_SIZED,
+             "pool=%s moves=%u have=%u coming=%u base=%u runs=%.1f lasts=%.1f "
+             "waits=%.1f ahead=%.1f rests=%d",
+             load->pool->name, moves, load->have, load->coming,
+             load->pool->base_hosts, load->runs, load->lasts, load->waits,
+             forecast (load->pool), load->pool->rests);
+}
+
 void
 moves_plan (sched_t *sched, sched_now_t now)
 {
@@ -316,17 +497,24 @@
   g_hash_table_iter_init (&iter, sched->pools);
   while (g_hash_table_iter_next (&iter, NULL, &pool))
     {
-      load_t load = load_of (sched, pool);
+      load_t load;
 
+      update_rates (pool, now.us);
+      load = load_of (sched, pool);
       g_array_append_val (loads, load);
     }
   for (uint32_t i = 0; i < loads->len; i++)
     {
       load_t *load = &g_array_index (loads, load_t, i);
+      uint32_t before = sched->moves_begun;
 
+      note_burst (sched, load, now);
       if (is_short (load, now))
         help (sched, load, loads, now);
       else
         give_back (sched, load, now);
+      refill (sched, load, now);
+      if (sched->moves_begun != before)
+        log_sized (load, sched->moves_begun - before);
     }
 }
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -12,14 +12,30 @@
    large ones.  */
 #define WORK_WEIGHT 10
 
+/* In the value of a worker for a lasting task, each other task of its step
+   there counts against it more than anything speaks for it.  */
+#define LASTING_APART 4
+
 typedef enum rank
 {
   RANK_LASTING, /* serves users all the time */
   RANK_TIMELY,  /* can meet its objective */
   RANK_LATE,    /* can still be of some use */
-  RANK_HOPELESS
+  RANK_OVER,    /* beyond its workspace's share */
+  RANK_HOPELESS,
+  RANKS
 } rank_t;
 
+/* No more tasks of a rank are planned while so many starts are not answered
+   yet.  An owner gets through one or two thousand starts a second; without
+   the bounds a backlog of late jobs keeps it from starting those that can
+   still be in time.  */
+static const uint32_t starting_max[RANKS] = { [RANK_LASTING] = UINT32_MAX,
+                                              [RANK_TIMELY] = 512,
+                                              [RANK_LATE] = 256,
+                                              [RANK_OVER] = 128,
+                                              [RANK_HOPELESS] = 48 };
+
 /* A stage and its place in the order of starts.  */
 typedef struct turn
 {
@@ -48,11 +64,11 @@
   if (!job->queue)
     return RANK_LATE;
   allowed_us = job_objective_us (job);
-  if (ends_us <= job->accepted_us + allowed_us)
-    return RANK_TIMELY;
-  if (ends_us <= job->accepted_us + allowed_us * LATE_TIMES)
-    return RANK_LATE;
-  return RANK_HOPELESS;
+  if (ends_us > job->accepted_us + allowed_us * LATE_TIMES)
+    return RANK_HOPELESS;
+  if (job->over)
+    return RANK_OVER;
+  return ends_us <= job->accepted_us + allowed_us ? RANK_TIMELY : RANK_LATE;
 }
 
 static int
@@ -162,9 +178,11 @@
     value += 2;
   if (task->avoid == worker->interned)
     value -= 4;
-  /* Lasting tasks of one step are better not lost together.  */
+  /* Lasting tasks of one step are better not lost together, but those of
+     several steps share hosts: a host with one can't move to another pool.  */
   if (stage->spec->lasts)
-    value -= count_of_stage (worker, stage);
+    value += (worker_has_lasting (worker) ? 1.0 : 0)
+             - LASTING_APART * count_of_stage (worker, stage);
   return value;
 }
 
@@ -288,7 +306,7 @@
                    : NULL;
       if (!worker)
         break;
-      g_ptr_array_add (runs, run_new (task, worker, attempt, now));
+      g_ptr_array_add (runs, run_new (sched, task, worker, attempt, now));
     }
   if (runs->len == stage->undone)
     {
@@ -301,9 +319,14 @@
                "gang-does-not-fit", now);
 }
 
+/* Plans tasks of TURN's stage while there is room, and no more than may be
+   starting at a time.  */
 static void
-place_stage (sched_t *sched, pool_t *pool, stage_t *stage, sched_now_t now)
+place_stage (sched_t *sched, const turn_t *turn, sched_now_t now)
 {
+  stage_t *stage = turn->stage;
+  pool_t *pool = stage->job->pool;
+
   if (stage->spec->gang)
     {
       place_gang (sched, pool, stage, now);
@@ -316,6 +339,8 @@
 
       if (task->done || task->run)
         continue;
+      if (sched->starting >= starting_max[turn->rank])
+        return;
       if (task->not_before_us > now.us)
         {
           sched_wake_at (sched, task->not_before_us);
@@ -326,42 +351,38 @@
       worker = find_worker (pool, stage, task, now);
       if (!worker)
         return;
-      start_run (sched, run_new (task, worker, task_next_attempt (task), now));
+      start_run (sched,
+                 run_new (sched, task, worker, task_next_attempt (task), now));
     }
 }
 
 /* One line for the tasks of a stage that start together.  */
 static void
-log_starts (const pool_t *pool, const turn_t *turn, uint32_t waiting,
-            sched_now_t now)
+log_starts (const turn_t *turn, uint32_t waiting, sched_now_t now)
 {
   const stage_t *stage = turn->stage;
 
   event_log (EV_TASK_STARTED,
              "id=%s occurrence=%u step=%u pool=%s started=%u of=%u rank=%d "
              "cost_ms=%.0f age_ms=%" PRId64,
-             stage->job->desc->id, stage->occurrence, stage->step, pool->name,
-             waiting - stage->waiting, waiting, (int)turn->rank, turn->cost,
+             stage->job->desc->id, stage->occurrence, stage->step,
+             stage->job->pool->name, waiting - stage->waiting, waiting,
+             (int)turn->rank, turn->cost,
              (now.us - stage->job->accepted_us) / 1000);
 }
 
+/* Puts the stages of POOL with tasks that wait into TURNS.  */
 static void
-place_pool (sched_t *sched, pool_t *pool, sched_now_t now)
+take_turns (pool_t *pool, GArray *turns, int64_t now_us)
 {
-  g_autofree turn_t *turns = NULL;
   double room = room_of (pool);
-  uint32_t count = 0;
 
   pool->is_full = false;
-  if (pool->stages->len == 0)
-    return;
-  if (sched->granted_until_us - now.us < START_LEASE_MIN_US)
-    return;
-  turns = g_new (turn_t, pool->stages->len);
   for (uint32_t i = pool->stages->len; i-- > 0;)
     {
       stage_t *stage = g_ptr_array_index (pool->stages, i);
       const rules_queue_t *queue = stage->job->queue;
+      turn_t turn = { .stage = stage };
 
       if (stage->waiting == 0)
         {
@@ -369,39 +390,42 @@
           g_ptr_array_remove_index_fast (pool->stages, i);
           continue;
         }
-      turns[count++]
-          = (turn_t){ .stage = stage,
-                      .rank = rank_of (stage, now.us),
-                      .priority = queue ? queue->priority : UINT32_MAX,
-                      .cost
-                      = spare_ms (stage, now.us)
-                        + WORK_WEIGHT * work_left (stage->job, stage) / room };
-    }
-  qsort (turns, count, sizeof *turns, compare_turns);
-  for (uint32_t i = 0; i < count; i++)
-    {
-      uint32_t waiting = turns[i].stage->waiting;
-
-      place_stage (sched, pool, turns[i].stage, now);
-      if (turns[i].stage->waiting < waiting)
-        log_starts (pool, &turns[i], waiting, now);
+      turn.rank = rank_of (stage, now_us);
+      turn.priority = queue ? queue->priority : UINT32_MAX;
+      turn.cost = spare_ms (stage, now_us)
+                  + WORK_WEIGHT * work_left (stage->job, stage) / room;
+      g_array_append_val (turns, turn);
     }
 }
 
+/* All pools are gone through in one order, as they share what the owner can
+   start at a time.  */
 void
 place_pools (sched_t *sched, sched_now_t now)
 {
+  g_autoptr (GArray) turns = g_array_new (FALSE, FALSE, sizeof (turn_t));
   GHashTableIter iter;
-  gpointer value;
+  gpointer pool;
 
   sched->place_us = INT64_MAX;
   g_hash_table_iter_init (&iter, sched->pools);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  while (g_hash_table_iter_next (&iter, NULL, &pool))
+    take_turns (pool, turns, now.us);
+  if (turns->len == 0)
+    return;
+  sched->place_us = now.us + PLACE_AGAIN_US;
+  if (sched->granted_until_us - now.us < START_LEASE_MIN_US)
+    return;
+  g_array_sort (turns, compare_turns);
+  for (uint32_t i = 0; i < turns->len; i++)
     {
-      pool_t *pool = value;
+      const turn_t *turn = &g_array_index (turns, turn_t, i);
+      uint32_t waiting = turn->stage->waiting;
 
-      place_pool (sched, pool, now);
-      if (pool->stages->len > 0)
-        sched->place_us = now.us + PLACE_AGAIN_US;
+      if (sched->starting >= starting_max[turn->rank])
+        continue;
+      place_stage (sched, turn, now);
+      if (turn->stage->waiting < waiting)
+        log_starts (turn, waiting, now);
     }
 }
--- a/jobs/replies.c
+++ b/jobs/replies.c
@@ -115,6 +115,7 @@
 {
   if (run->phase == RUN_PLANNED || run->phase == RUN_ORDERED)
     run->phase = RUN_ACTIVE;
+  run_has_started (sched, run);
   if (run->active_us == 0)
     run->active_us = now.us;
   run->task->away_since_us = 0;
@@ -135,7 +136,7 @@
           stop_unknown (sched, worker, row);
           return;
         }
-      run = run_new (task, worker, row->attempt, now);
+      run = run_new (sched, task, worker, row->attempt, now);
     }
   if (run->percent != row->percent || run->moved_us == 0)
     run->moved_us = now.us;
--- a/jobs/runs.c
+++ b/jobs/runs.c
@@ -15,7 +15,8 @@
 }
 
 run_t *
-run_new (task_t *task, worker_t *worker, uint32_t attempt, sched_now_t now)
+run_new (sched_t *sched, task_t *task, worker_t *worker, uint32_t attempt,
+         sched_now_t now)
 {
   const job_step_t *spec = task->stage->spec;
   run_t *run = g_new0 (run_t, 1);
@@ -28,6 +29,8 @@
   if (spec->fills)
     run->holds.cpu_milli = 0;
   run->phase = RUN_PLANNED;
+  run->starting = true;
+  sched->starting++;
   run->pace = 100;
   run->since_us = now.us;
   task->run = run;
@@ -47,6 +50,13 @@
   return run;
 }
 
+void
+run_has_started (sched_t *sched, run_t *run)
+{
+  sched->starting -= run->starting;
+  run->starting = false;
+}
+
 void
 run_close (sched_t *sched, run_t *run, const char *why, sched_now_t now)
 {
@@ -64,6 +74,7 @@
                task->index, run->attempt, run->worker->id, why,
                run->active_us ? (now.us - run->active_us) / 1000 : 0);
 
+  run_has_started (sched, run);
   amounts_subtract (&run->worker->used, &run->holds);
   amounts_subtract (&job->space->used, &run->quota);
   g_ptr_array_remove_fast (run->worker->runs, run);
--- a/jobs/sched.c
+++ b/jobs/sched.c
@@ -39,13 +39,40 @@
   return space;
 }
 
+static int
+compare_accepted (const void *a, const void *b)
+{
+  const job_entry_t *l = *(const job_entry_t *const *)a;
+  const job_entry_t *r = *(const job_entry_t *const *)b;
+
+  return l->desc->accepted_ms < r->desc->accepted_ms
+             ? -1
+             : l->desc->accepted_ms > r->desc->accepted_ms;
+}
+
+/* Adds the jobs of TABLE in the order in which they came, as shares go by
+   that.  */
+static void
+add_inherited (sched_t *sched, const jobtab_t *table, sched_now_t now)
+{
+  g_autoptr (GPtrArray) entries = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer entry;
+
+  g_hash_table_iter_init (&iter, table->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &entry))
+    if (!job_state_is_final (((job_entry_t *)entry)->state))
+      g_ptr_array_add (entries, entry);
+  g_ptr_array_sort (entries, compare_accepted);
+  for (uint32_t i = 0; i < entries->len; i++)
+    sched_add_job (sched, g_ptr_array_index (entries, i), now);
+}
+
 sched_t *
 sched_new (const jobtab_t *table, uint64_t epoch, const sched_limits_t *limits,
            const rules_t *rules, sched_now_t now)
 {
   sched_t *sched = g_new0 (sched_t, 1);
-  GHashTableIter iter;
-  gpointer entry;
 
   sched->epoch = epoch;
   sched->limits = *limits;
@@ -72,9 +99,7 @@
   sched->host_orders = g_array_new (FALSE, TRUE, sizeof (host_order_t));
   sched->fleet_news = g_array_new (FALSE, TRUE, sizeof (fleet_news_t));
   sched->granted_until_us = now.us;
-  g_hash_table_iter_init (&iter, table->jobs);
-  while (g_hash_table_iter_next (&iter, NULL, &entry))
-    sched_add_job (sched, entry, now);
+  add_inherited (sched, table, now);
   return sched;
 }
 
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -68,6 +68,7 @@
   int64_t stop_us;     /* stop sent last; 0: has to be sent */
   int64_t stopped_us;  /* stop confirmed; 0: not yet */
   bool unsent;         /* STOPPING: its start never was ordered */
+  bool starting;       /* counted in sched->starting */
   uint32_t unanswered; /* starts sent without an answer */
   int64_t repeat_us; /* ORDERED: its start is sent again then; 0: it is out */
   uint32_t percent;
@@ -127,6 +128,7 @@
   uint32_t next_occurrence; /* first that is not due yet */
   uint32_t undone;          /* occurrences */
   uint32_t runs;
+  bool over; /* handed in beyond its workspace's share */
   bool begun;
   bool ended; /* final: only its runs have to stop */
   int64_t accepted_us;
@@ -184,6 +186,15 @@
   uint32_t base_hosts; /* that it had when they were first listed */
   int64_t short_us;    /* it has needed more hosts since; 0: it does not */
   int64_t surplus_us;  /* it could do with fewer since; 0: it can't */
+  amounts_t host_room; /* of one of its hosts, as seen last */
+  double arrived_ms;   /* host time that jobs asked for since rates_us */
+  double rate_fast;    /* hosts that arriving jobs keep busy, smoothed ... */
+  double rate_slow;    /* ... and over a longer time */
+  int64_t rates_us;
+  bool bursts;         /* asked for much a short while ago */
+  int64_t calm_us;     /* asks for little since; 0: it does not */
+  bool rests;          /* its burst is over: it keeps what it needs only */
+  const pool_t *after; /* the pool whose burst came before its own */
 };
 
 /* A host that a worker runs on.  */
@@ -212,6 +223,8 @@
   const char *name;
   const rules_workspace_t *rule; /* NULL: none */
   amounts_t used;
+  double allowance;     /* jobs that it may hand in now, as of ... */
+  int64_t allowance_ms; /* ... then, since 1970 */
 };
 
 struct sched
@@ -233,6 +246,9 @@
   GArray *host_orders; /* to be sent */
   GArray *fleet_news;  /* to be recorded */
   int64_t hosts_read_us;
+  bool hosts_first;         /* the list of hosts is read for the first time */
+  pool_t *last_burst;       /* the pool whose burst began last */
+  uint32_t moves_begun;     /* so far */
   bool moves_out;           /* hosts are on their way */
   bool hosts_stale;         /* an order was answered since the last list */
   int64_t hosts_plan_us;    /* next plan of waves */
@@ -246,6 +262,7 @@
   bool ends_unwritten;   /* ends were listed since the last batch */
   bool dirty;            /* something changed that may let a task start */
   int64_t place_us;      /* time alone may let a task start then */
+  uint32_t starting;     /* runs whose start is not answered */
 };
 
 /* sched.c: the plan of an owner as a whole */
@@ -274,8 +291,10 @@
 uint32_t task_next_attempt (const task_t *task);
 
 /* runs.c: attempts at tasks */
-run_t *run_new (task_t *task, worker_t *worker, uint32_t attempt,
-                sched_now_t now);
+run_t *run_new (sched_t *sched, task_t *task, worker_t *worker,
+                uint32_t attempt, sched_now_t now);
+/* run_has_started - RUN's start is answered, or will never be.  */
+void run_has_started (sched_t *sched, run_t *run);
 /* run_close - RUN is certainly over, because of WHY; its task waits again
    unless it is done.  */
 void run_close (sched_t *sched, run_t *run, const char *why, sched_now_t now);
@@ -337,6 +356,8 @@
 
 /* moves.c: hosts between pools */
 void moves_plan (sched_t *sched, sched_now_t now);
+/* moves_note_job - JOB was handed in just now.  */
+void moves_note_job (const sjob_t *job);
 /* moves_note_sizes - the list of hosts was read: how many a pool has.  */
 void moves_note_sizes (sched_t *sched);
 
--- a/jobs/stages.c
+++ b/jobs/stages.c
@@ -1,6 +1,13 @@
 #include "schedint.h"
 #include <string.h>
 
+/* A workspace may hand in the jobs of so many seconds of its share at once:
+   demand comes in bursts of some seconds.  */
+#define SHARE_SPAN_S 2.0
+
+/* A job that came so long ago says nothing of what comes next.  */
+#define JUST_NOW_US 1000000
+
 static void
 stage_clear (stage_t *stage)
 {
@@ -377,6 +384,31 @@
     }
 }
 
+/* Takes JOB off its workspace's allowance of WEIGHT jobs a second; whether it
+   is beyond it.  */
+static bool
+is_over_share (space_t *space, const job_desc_t *desc)
+{
+  double weight = space->rule ? space->rule->weight : 0;
+  int64_t passed_ms = desc->accepted_ms - space->allowance_ms;
+
+  if (weight <= 0 || desc->repeats > 0)
+    return false;
+  if (space->allowance_ms == 0)
+    space->allowance = weight * SHARE_SPAN_S;
+  if (passed_ms > 0)
+    {
+      space->allowance
+          = MIN (space->allowance + weight * (double)passed_ms / 1000,
+                 weight * SHARE_SPAN_S);
+      space->allowance_ms = desc->accepted_ms;
+    }
+  if (space->allowance < 1)
+    return true;
+  space->allowance--;
+  return false;
+}
+
 void
 sched_add_job (sched_t *sched, const job_entry_t *entry, sched_now_t now)
 {
@@ -397,11 +429,14 @@
   job->accepted_us
       = now.us
         - CLAMP (now.wall_ms - entry->desc->accepted_ms, 0, 60000) * 1000;
+  job->over = is_over_share (job->space, job->desc);
   job->entry = entry;
   measure_chains (job);
   g_hash_table_insert (sched->jobs, job->desc->id, job);
   job_open_due (sched, job, now);
   job->entry = NULL;
+  if (now.us - job->accepted_us < JUST_NOW_US)
+    moves_note_job (job);
   if (job->next_occurrence < count)
     g_ptr_array_add (sched->timed, job);
   if (job->undone > 0)
--- a/jobs/test/rig.h
+++ b/jobs/test/rig.h
@@ -19,6 +19,8 @@
   rules_t *rules;
   sched_t *sched;
   sched_now_t now;
+  const char *space;   /* that jobs are submitted for; NULL: RIG_SPACE */
+  const char *service; /* of jobs and workers; NULL: RIG_SERVICE */
 } rig_t;
 
 /* The one of this program's tests.  */
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -146,7 +146,8 @@
 
   if (!worker)
     worker = worker_add (sched, id, task->stage->job->pool, now);
-  run = run_new (task, worker, attempt, now);
+  run = run_new (sched, task, worker, attempt, now);
+  run_has_started (sched, run);
   run->phase = RUN_ACTIVE;
   run->active_us = now.us;
 }
