jobs: keep a job's tasks on few workers

Ruled out: disturbance between tasks as a reason to spread them; only filling and serving tasks disturb each other, and lasting ones are spread as before.

Change: a worker where a task of the job has started counts more than room, then its rack, then its data centre; of equals the emptiest is taken.

--- a/jobs/place.c
+++ b/jobs/place.c
@@ -12,6 +12,13 @@
    large ones.  */
 #define WORK_WEIGHT 10
 
+/* In the value of a worker for a task, what it counts that another task of the
+   job was started there, in its rack or in its data centre.  Room counts up to
+   1.  */
+#define NEAR_WORKER 1.5
+#define NEAR_RACK 0.8
+#define NEAR_CENTRE 0.5
+
 /* In the value of a worker for a lasting task, each other task of its step
    there counts against it more than anything speaks for it.  */
 #define LASTING_APART 4
@@ -165,8 +172,23 @@
   return amounts_cover (&left, need);
 }
 
-/* How good WORKER is for a task; higher is better.  The emptiest worker keeps
-   disturbance between tasks low.  */
+/* A job is late when one of its tasks is, so its tasks keep together: the
+   fewer workers, racks and data centres a job is on, the fewer failures
+   delay it.  */
+static double
+nearness (const worker_t *worker, const sjob_t *job)
+{
+  if (worker->interned == job->near_worker)
+    return NEAR_WORKER;
+  if (worker->rack && worker->rack == job->near_rack)
+    return NEAR_RACK;
+  return worker->data_centre && worker->data_centre == job->near_centre
+             ? NEAR_CENTRE
+             : 0;
+}
+
+/* How good WORKER is for a task; higher is better.  Of equals the emptiest is
+   taken, as it has room for more of the job.  */
 static double
 value_of (const worker_t *worker, const stage_t *stage, const task_t *task)
 {
@@ -180,7 +202,9 @@
     value -= 4;
   /* Lasting tasks of one step are better not lost together, but those of
      several steps share hosts: a host with one can't move to another pool.  */
-  if (stage->spec->lasts)
+  if (!stage->spec->lasts)
+    value += nearness (worker, stage->job);
+  else
     value += (worker_has_lasting (worker) ? 1.0 : 0)
              - LASTING_APART * count_of_stage (worker, stage);
   return value;
@@ -278,6 +302,9 @@
                            .attempt = run->attempt,
                            .worker = run->worker->interned };
 
+  run->task->stage->job->near_worker = run->worker->interned;
+  run->task->stage->job->near_rack = run->worker->rack;
+  run->task->stage->job->near_centre = run->worker->data_centre;
   run->batch = sched->batch;
   g_array_append_val (sched->placed, placed);
 }
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -137,6 +137,9 @@
   int64_t *tail_ms;   /* by step: longest chain of estimates from it on */
   int64_t chain_ms;   /* the longest of all */
   int64_t work;       /* of all tasks of an occurrence, milli-core ms */
+  const char *near_worker;  /* interned: where a task of it started last ... */
+  const char *near_rack;    /* ... in which rack; NULL: unknown ... */
+  const char *near_centre;  /* ... and data centre; NULL: none started yet */
   const job_entry_t *entry; /* marks to start from; only while it is added */
 };
 
--- a/jobs/test/place_test.c
+++ b/jobs/test/place_test.c
@@ -293,6 +293,35 @@
 }
 END_TEST
 
+/* srv_crash, zone_cut: a tenth of the workers is lost, and a job with tasks on
+   ten of them is sure to be late.  */
+START_TEST (test_lost_workers_hit_few_jobs)
+{
+  job_step_t step = rig_step (6);
+  g_autoptr (GArray) first = NULL;
+  g_autoptr (GArray) second = NULL;
+
+  rig_worker ("w1", 8, false);
+  rig_worker ("w2", 8, false);
+  rig_worker ("w3", 8, false);
+  rig_submit (1, &step, 1);
+  first = rig_plan (false);
+  ck_assert_uint_eq (starts_of (first, 1), 6);
+  rig_submit (2, &step, 1);
+  second = rig_plan (false);
+  ck_assert_uint_eq (starts_of (second, 2), 6);
+  for (uint32_t i = 1; i < 6; i++)
+    {
+      ck_assert_str_eq (g_array_index (first, order_t, i).worker,
+                        g_array_index (first, order_t, 0).worker);
+      ck_assert_str_eq (g_array_index (second, order_t, i).worker,
+                        g_array_index (second, order_t, 0).worker);
+    }
+  ck_assert_str_ne (g_array_index (first, order_t, 0).worker,
+                    g_array_index (second, order_t, 0).worker);
+}
+END_TEST
+
 TEST_PROGRAM_WITH ("jobs/place", rig_set_up, rig_tear_down, test_room_is_kept,
                    test_full_for_large_tasks_is_not_full_for_small_ones,
                    test_cap_holds_over_all_workers, test_spread_is_kept,
@@ -303,4 +332,5 @@
                    test_burst_lasting_tasks_first,
                    test_backlog_after_outage_does_not_delay_new_jobs,
                    test_hot_workspace_yields_beyond_its_share,
-                   test_lasting_tasks_of_two_jobs_share_hosts)
+                   test_lasting_tasks_of_two_jobs_share_hosts,
+                   test_lost_workers_hit_few_jobs)
