jobs: waves begin with lasting tasks, and hosts on the move are not down

Hosts with least to lose went first, so those with lasting tasks, which go one after another, were left for the end. A host of the wave that was moving to another pool counted as down for it, which held up the others and the end of the wave.

Ruled out: may_miss itself; each step was at work again within two seconds.

Change: hosts whose lasting tasks may go now come first; only maintenance counts as down; a wave is planned to be over in 60 % of its time.

--- a/jobs/hosts.c
+++ b/jobs/hosts.c
@@ -160,6 +160,7 @@
   sched->moves_out = true;
   host->out = true;
   host->down = true;
+  host->for_upkeep = order.kind == HOST_ORDER_UPKEEP;
   host->ordered_us = now_us;
   g_array_append_val (sched->host_orders, order);
   event_log (EV_HOST_ORDERED,
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -213,6 +213,7 @@
   bool out;             /* an order is under way */
   bool agreed;          /* the last order was answered with yes */
   bool down;            /* ordered, and not listed as up since */
+  bool for_upkeep;      /* down: for maintenance, not to move */
   char *ordered_worker; /* that ran there at the first order */
   int64_t ordered_us;   /* last order sent */
   int64_t retry_us;
--- a/jobs/test/waves_test.c
+++ b/jobs/test/waves_test.c
@@ -98,7 +98,73 @@
 }
 END_TEST
 
+/* wave: hosts with lasting tasks go one after another, so a wave that leaves
+   them for its end is late.  */
+START_TEST (test_wave_begins_with_lasting_tasks)
+{
+  static const char *const ids[] = { "w0", "w1" };
+  job_step_t step = rig_step (1);
+  host_order_t order;
+  order_t start;
+  run_row_t row;
+
+  step.lasts = true;
+  step.may_miss = 1;
+  rig_open (1);
+  rig_worker ("w0", 8, false);
+  rig_worker ("w1", 8, false);
+  rig_submit (1, &step, 1);
+  start = rig_start_one ();
+  rig_started (&start);
+  row = rig_row (&start);
+  rig_answer (start.worker, &row, 1, NULL, 0);
+  rig_list_hosts (ids, 2, UINT32_MAX);
+  rig_set_wave ("h0 h1", 1);
+  ck_assert (rig_next_order (200, &order));
+  ck_assert_str_eq (order.host, strcmp (start.worker, "w0") ? "h1" : "h0");
+}
+END_TEST
+
+/* wave beside a burst: a host of the wave that is on its way to another pool
+   is not down for the wave, which is complete without it.  */
+START_TEST (test_moving_host_does_not_hold_up_a_wave)
+{
+  static const char *const ids[] = { "w0", "w1" };
+  job_step_t step = rig_step (200);
+  rules_service_t spare
+      = { .name = g_intern_string ("spare"), .standby = true };
+  host_info_t info = { .host = "h9", .pool = "spare", .worker = "" };
+  g_autoptr (GArray) infos = g_array_new (FALSE, TRUE, sizeof info);
+  bool moved = false;
+
+  rig_open (1);
+  g_array_append_val (rig.rules->services, spare);
+  rig_worker ("w0", 8, false);
+  rig_list_hosts (ids, 2, UINT32_MAX);
+  g_array_append_val (infos, info);
+  hosts_set (rig.sched, infos, rig.now.us, rig.now);
+  rig_submit (1, &step, 1);
+  for (uint32_t i = 0; i < 5; i++)
+    {
+      GArray *orders;
+
+      rig_pass (200);
+      orders = hosts_plan (rig.sched, rig.now);
+      moved |= orders->len > 0;
+      g_array_set_size (orders, 0);
+    }
+  ck_assert (moved);
+  hosts_mark (rig.sched, 1, "h9");
+  rig_set_wave ("h9", 1);
+  rig_pass (200);
+  g_array_set_size (hosts_plan (rig.sched, rig.now), 0);
+  ck_assert (has_news (NEWS_WAVE_COMPLETE));
+}
+END_TEST
+
 TEST_PROGRAM_WITH ("jobs/waves", rig_reset, rig_tear_down,
                    test_wave_keeps_its_bound,
                    test_wave_is_complete_when_all_have_begun,
-                   test_upkeep_waits_for_lasting_tasks)
+                   test_upkeep_waits_for_lasting_tasks,
+                   test_wave_begins_with_lasting_tasks,
+                   test_moving_host_does_not_hold_up_a_wave)
--- a/jobs/waves.c
+++ b/jobs/waves.c
@@ -5,7 +5,7 @@
    back: to empty it, the maintenance itself (2 s today), and to be listed.  */
 #define UPKEEP_ESTIMATE_US 5000000
 /* Part of a wave's time in which it is planned to be over.  */
-#define WAVE_PLAN_PERCENT 75
+#define WAVE_PLAN_PERCENT 60
 /* Tasks on a host that is being emptied have so long to end by themselves.  */
 #define EMPTY_MAX_US 3000000
 
@@ -152,7 +152,28 @@
   return true;
 }
 
-/* The next host of WAVE to empty: one whose worker has least to lose.  */
+/* What speaks against emptying the host of WORKER next.  Hosts whose lasting
+   tasks may go now come first: those of one step go one after another, so what
+   is left of them late in a wave takes longest.  */
+static double
+emptying_cost (const worker_t *worker, int64_t now_us)
+{
+  double cost = (double)worker->used.cpu_milli
+                / (double)MAX (worker->room.cpu_milli, 1);
+  bool lasting = false;
+
+  for (uint32_t i = 0; i < worker->runs->len; i++)
+    {
+      const run_t *run = g_ptr_array_index (worker->runs, i);
+
+      if (!may_end (run, now_us))
+        return cost + 2;
+      lasting |= run->task->stage->spec->lasts;
+    }
+  return lasting ? cost - 2 : cost;
+}
+
+/* The next host of WAVE to empty.  */
 static host_t *
 next_host (sched_t *sched, const wave_t *wave, int64_t now_us)
 {
@@ -172,10 +193,7 @@
         continue;
       worker = g_hash_table_lookup (sched->workers, host->worker);
       if (worker)
-        cost = (double)worker->used.cpu_milli
-               / (double)MAX (worker->room.cpu_milli, 1);
-      for (uint32_t r = 0; worker && r < worker->runs->len; r++)
-        cost += !may_end (g_ptr_array_index (worker->runs, r), now_us) ? 2 : 0;
+        cost = emptying_cost (worker, now_us);
       if (best && cost >= best_cost)
         continue;
       best = host;
@@ -204,7 +222,8 @@
 
       if (!host || !host->listed)
         continue; /* not there any more */
-      down = host->down || host->out || host->state == HOST_SEEN_UPKEEP;
+      down = (host->down && host->for_upkeep)
+             || host->state == HOST_SEEN_UPKEEP;
       count.left += !g_hash_table_contains (wave->done, name);
       count.busy += (host->cordoned && !host->move_to) || down;
       count.down += down;
