jobs, entry: repeat lost looks at once, find owners sooner, ask for advice

Cause, looks: with orders applied late one look in twenty gets no answer. Cause, connections: libcurl looks at each idle connection every second, which took 30 to 50 ms of each second of the owner (trial with the time of each part of a turn). Cause, owners: after the loss of all daemons a probe asked an owner that was an earlier life of the same daemon.

Ruled out: turns of the loop that take long otherwise; none took over 30 ms.

Change: a look is held for 0.4 s and waited for 0.3 s more, then repeated without a wait; a worker is unreachable after two. Looks after a lost one and starts give no lease. Three connections to a worker, eight to the store. An owner is probed after 0.6 s of silence, and an own earlier life is replaced at once.

--- a/base/base.h
+++ b/base/base.h
@@ -157,7 +157,8 @@
   EV_WORKER_REJECTED = 1708,
   EV_HOST_ORDERED = 1709,
   EV_LINES_DROPPED = 1710,
-  EV_POOL_SIZED = 1711
+  EV_POOL_SIZED = 1711,
+  EV_ADVICE_TAKEN = 1712
 } event_id_t;
 
 /* A row of the event catalogue.  */
--- a/base/event.c
+++ b/base/event.c
@@ -68,6 +68,7 @@
   { EV_HOST_ORDERED, LEVEL_INFO, "host-ordered" },
   { EV_LINES_DROPPED, LEVEL_WARN, "lines-dropped" },
   { EV_POOL_SIZED, LEVEL_INFO, "pool-sized" },
+  { EV_ADVICE_TAKEN, LEVEL_INFO, "advice-taken" },
 };
 
 static const char *const level_names[] = { "debug", "info", "warn", "error" };
--- a/entry/calls.c
+++ b/entry/calls.c
@@ -7,9 +7,6 @@
 /* A connection within a data centre or to its neighbours takes 2 ms; a lost
    opening packet is repeated after a second.  */
 #define CONNECT_TIMEOUT_MS 1300
-/* To one address: a worker's held look and a few orders beside it; the store's
-   long polls and an append.  */
-#define ADDRESS_CONNECTIONS_MAX 8
 #define CONNECTIONS_KEPT_MAX 4096
 #define EASY_IDLE_MAX 64
 #define BODY_BYTES_MAX (16 * 1024 * 1024)
@@ -93,7 +90,7 @@
 }
 
 calls_t *
-calls_open (int epoll_fd)
+calls_open (int epoll_fd, uint32_t address_connections)
 {
   calls_t *calls = g_new0 (calls_t, 1);
 
@@ -107,7 +104,7 @@
   curl_multi_setopt (calls->multi, CURLMOPT_TIMERFUNCTION, on_timer);
   curl_multi_setopt (calls->multi, CURLMOPT_TIMERDATA, calls);
   curl_multi_setopt (calls->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
-                     (long)ADDRESS_CONNECTIONS_MAX);
+                     (long)address_connections);
   curl_multi_setopt (calls->multi, CURLMOPT_MAXCONNECTS,
                      (long)CONNECTIONS_KEPT_MAX);
   return calls;
--- a/entry/core.c
+++ b/entry/core.c
@@ -4,6 +4,12 @@
 #include <unistd.h>
 
 #define EVENTS_AT_ONCE 64
+/* Connections to one address.  The store's: three long polls, an append, a
+   snapshot and records about waves.  A worker's: its held look and orders
+   beside it; libcurl looks at each idle one every second, which took 50 ms of
+   each second with eight to each of 350 workers.  */
+#define STORE_CONNECTIONS 8
+#define WORKER_CONNECTIONS 3
 #define PIPE_ENTRIES 8192
 /* The loop turns at least so often; a turn that comes much later says that the
    process stood still.  */
@@ -254,7 +260,11 @@
   if (!core->sched || core->unsure_since_pause)
     return;
   if (sched_next_us (core->sched) <= now_us)
-    orders_send (core, sched_plan (core->sched, core_now ()));
+    {
+      orders_send (core, sched_plan (core->sched, core_now ()));
+      if (core->settings->advice && core->settings->advice[0])
+        questions_send (core, advice_questions (core->sched));
+    }
   hostcalls_run (core, now_us);
   if (core->progress_due_us <= now_us)
     append_progress (core, now_us);
@@ -408,6 +418,7 @@
   int64_t due_us = now_us + TURN_MAX_US;
 
   wake_at (&due_us, calls_due_us (core->calls));
+  wake_at (&due_us, calls_due_us (core->worker_calls));
   wake_at (&due_us, feeds_due_us (core));
   wake_at (&due_us, appends_due_us (core, now_us));
   if (core->sched && !core->unsure_since_pause)
@@ -435,6 +446,13 @@
   core->load_us = now_us;
 }
 
+static void
+run_calls (core_t *core, int64_t now_us)
+{
+  calls_run_due (core->calls, now_us);
+  calls_run_due (core->worker_calls, now_us);
+}
+
 static void
 turn (core_t *core)
 {
@@ -449,8 +467,11 @@
     if (events[i].data.fd == core->pipe.event_fd)
       take_asks (core);
     else
-      calls_ready (core->calls, events[i].data.fd, events[i].events);
-  calls_run_due (core->calls, now_us);
+      {
+        calls_ready (core->calls, events[i].data.fd, events[i].events);
+        calls_ready (core->worker_calls, events[i].data.fd, events[i].events);
+      }
+  run_calls (core, now_us);
   now_us = clock_boot_us ();
   if (atomic_load (&core->leaving))
     leave (core);
@@ -460,7 +481,7 @@
   feeds_run (core, now_us);
   keep_house (core, now_us);
   /* Starts the transfers that were added on this turn.  */
-  calls_run_due (core->calls, now_us);
+  run_calls (core, now_us);
   note_load (core, began_us);
 }
 
@@ -500,7 +521,8 @@
     return NULL;
   event.data.fd = core->pipe.event_fd;
   epoll_ctl (core->epoll_fd, EPOLL_CTL_ADD, core->pipe.event_fd, &event);
-  core->calls = calls_open (core->epoll_fd);
+  core->calls = calls_open (core->epoll_fd, STORE_CONNECTIONS);
+  core->worker_calls = calls_open (core->epoll_fd, WORKER_CONNECTIONS);
   owner_init (&core->owner, core->self, settings->cpu_share,
               (uint32_t)(hash_bytes (core->self, strlen (core->self), 0)
                          % OWNER_JITTER_US));
@@ -536,6 +558,7 @@
   hostcalls_close (core);
   feeds_close (core);
   calls_close (core->calls);
+  calls_close (core->worker_calls);
   pipe_close (&core->pipe);
   close (core->epoll_fd);
   jobtab_free (core->tab);
--- a/entry/core.h
+++ b/entry/core.h
@@ -4,6 +4,7 @@
    snapshots  the job table in a few records, written and read
    appends  group commit of records to the job log
    orders   carrying the scheduler's orders to workers
+   questions  asking the service that knows queues' policies
    hostcalls  the same for hosts, and the records of waves
    core     the loop, ownership  */
 
@@ -48,7 +49,8 @@
 {
   const entry_settings_t *settings;
   board_t *board;
-  calls_t *calls;
+  calls_t *calls;        /* of the store and of hosts */
+  calls_t *worker_calls; /* of workers */
   pipe_t pipe;
   int epoll_fd;
   pthread_t thread;
@@ -145,6 +147,9 @@
    more.  */
 void orders_clear (core_t *core);
 
+/* questions.c */
+void questions_send (core_t *core, GArray *questions);
+
 /* hostcalls.c */
 void hostcalls_open (core_t *core);
 void hostcalls_close (core_t *core);
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -41,6 +41,7 @@
   char *ready;            /* IP:PORT for the load balancer and operators */
   char *store;            /* IP:PORT */
   char *hosts_api;        /* IP:PORT; "": none */
+  char *advice;           /* IP:PORT of the advice service; "": none */
   double cpu_share;       /* of a core */
   uint32_t revoke_ms;     /* a withdrawn key has to stop working after */
   uint32_t hold_max_ms;   /* longest lease that workers grant */
@@ -164,7 +165,9 @@
 
 typedef void (*call_done_t) (void *ctx, const call_result_t *result);
 
-calls_t *calls_open (int epoll_fd);
+/* calls_open - calls whose events come from EPOLL_FD, on up to
+   ADDRESS_CONNECTIONS connections to one address.  */
+calls_t *calls_open (int epoll_fd, uint32_t address_connections);
 void calls_close (calls_t *calls);
 
 /* calls_send - send REQ, which is released, to ADDRESS; DONE is called later,
--- a/entry/orders.c
+++ b/entry/orders.c
@@ -6,7 +6,7 @@
    host seldom takes its own delay for the worker's.  */
 #define ORDER_TIMEOUT_MS 250
 /* Beyond the time for which a worker holds a look.  */
-#define HOLD_SLACK_MS 600
+#define HOLD_SLACK_MS 300
 /* Orders under way at a time, looks aside.  A daemon with a tenth of a core
    gets through so many well inside ORDER_TIMEOUT_MS; with more of them answers
    would wait here, and be taken for lost, until nothing is started any
@@ -69,7 +69,7 @@
   const order_t *order = &sent->order;
 
   counter_add (COUNT_WORKER_CALLS, 1);
-  calls_send (sent->core->calls, order->address, &sent->req,
+  calls_send (sent->core->worker_calls, order->address, &sent->req,
               timeout_ms (order), on_answer, sent);
 }
 
--- /dev/null
+++ b/jobs/advice.c
@@ -0,0 +1,220 @@
+#include "advice.h"
+#include "schedint.h"
+#include <string.h>
+
+/* Workers in one question: an objective allows for one question about so many
+   for each step.  */
+#define WORKERS_ASKED 30
+/* Questions under way at a time: one that is answered and one behind it.  */
+#define QUESTIONS_OUT 2
+/* Pause after a question without an answer.  */
+#define ASK_AGAIN_US 200000
+/* A ticket is not used in its last part, as the start takes time.  */
+#define TICKET_MARGIN_US 150000
+
+typedef struct ticket
+{
+  char *text;
+  int64_t until_us;
+} ticket_t;
+
+/* What is known of a stage's workers.  */
+struct advice
+{
+  GHashTable *tickets; /* interned worker -> ticket_t; of allowed workers */
+  GHashTable *asked;   /* set of interned workers */
+  bool out;            /* a question is under way */
+  int64_t due_us;      /* no question before */
+};
+
+static void
+ticket_free (gpointer data)
+{
+  ticket_t *ticket = data;
+
+  g_free (ticket->text);
+  g_free (ticket);
+}
+
+void
+advice_free (advice_t *advice)
+{
+  if (!advice)
+    return;
+  g_hash_table_destroy (advice->tickets);
+  g_hash_table_destroy (advice->asked);
+  g_free (advice);
+}
+
+bool
+advice_is_needed (const stage_t *stage)
+{
+  const rules_queue_t *queue = stage->job->queue;
+
+  return queue && queue->advice.valid_ms > 0;
+}
+
+const char *
+advice_ticket (const stage_t *stage, const worker_t *worker, int64_t now_us)
+{
+  const ticket_t *ticket
+      = stage->advice
+            ? g_hash_table_lookup (stage->advice->tickets, worker->interned)
+            : NULL;
+
+  return ticket && ticket->until_us - TICKET_MARGIN_US > now_us ? ticket->text
+                                                                : NULL;
+}
+
+void
+advice_reject (stage_t *stage, const worker_t *worker)
+{
+  if (!stage->advice)
+    return;
+  g_hash_table_remove (stage->advice->tickets, worker->interned);
+  g_hash_table_remove (stage->advice->asked, worker->interned);
+}
+
+static advice_t *
+advice_of (stage_t *stage)
+{
+  if (!stage->advice)
+    {
+      stage->advice = g_new0 (advice_t, 1);
+      stage->advice->tickets
+          = g_hash_table_new_full (NULL, NULL, NULL, ticket_free);
+      stage->advice->asked = g_hash_table_new (NULL, NULL);
+    }
+  return stage->advice;
+}
+
+static int
+compare_room (const void *a, const void *b)
+{
+  const worker_t *l = *(const worker_t *const *)a;
+  const worker_t *r = *(const worker_t *const *)b;
+  int64_t left = l->room.cpu_milli - l->used.cpu_milli;
+  int64_t right = r->room.cpu_milli - r->used.cpu_milli;
+
+  return left > right ? -1 : left < right;
+}
+
+/* Whether it is worth asking about WORKER: nothing is known of it, or its
+   ticket has ended.  */
+static bool
+is_open_question (const stage_t *stage, const worker_t *worker, int64_t now_us)
+{
+  const advice_t *advice = stage->advice;
+
+  if (!worker_is_open (worker, now_us))
+    return false;
+  return !g_hash_table_contains (advice->asked, worker->interned)
+         || (g_hash_table_contains (advice->tickets, worker->interned)
+             && !advice_ticket (stage, worker, now_us));
+}
+
+void
+advice_ask (sched_t *sched, stage_t *stage, sched_now_t now)
+{
+  advice_t *advice = advice_of (stage);
+  g_autoptr (GPtrArray) open = NULL;
+  const pool_t *pool = stage->job->pool;
+  question_t question = { .occurrence = stage->occurrence,
+                          .step = stage->step,
+                          .token = sched->epoch };
+
+  if (advice->out || advice->due_us > now.us
+      || sched->questions_out >= QUESTIONS_OUT)
+    return;
+  open = g_ptr_array_new ();
+  for (uint32_t i = 0; i < pool->workers->len; i++)
+    {
+      worker_t *worker = g_ptr_array_index (pool->workers, i);
+
+      if (is_open_question (stage, worker, now.us))
+        g_ptr_array_add (open, worker);
+    }
+  if (open->len == 0)
+    return;
+  g_ptr_array_sort (open, compare_room);
+  memcpy (question.id, stage->job->desc->id, sizeof question.id);
+  question.workers = g_ptr_array_new ();
+  for (uint32_t i = 0; i < MIN (open->len, WORKERS_ASKED); i++)
+    g_ptr_array_add (
+        question.workers,
+        (gpointer)((worker_t *)g_ptr_array_index (open, i))->interned);
+  advice->out = true;
+  sched->questions_out++;
+  g_array_append_val (sched->questions, question);
+}
+
+GArray *
+advice_questions (sched_t *sched)
+{
+  return sched->questions;
+}
+
+static stage_t *
+stage_of (const sched_t *sched, const question_t *question)
+{
+  task_ref_t ref
+      = { .occurrence = question->occurrence, .step = question->step };
+  task_t *task;
+
+  memcpy (ref.id, question->id, sizeof ref.id);
+  task = sched_task (sched, &ref);
+  return task ? task->stage : NULL;
+}
+
+/* The stage of QUESTION, which is not under way any more, or NULL.  */
+static stage_t *
+take_back (sched_t *sched, const question_t *question, sched_now_t now)
+{
+  stage_t *stage = stage_of (sched, question);
+
+  if (sched->questions_out > 0)
+    sched->questions_out--;
+  sched->dirty = true;
+  sched_wake_at (sched, now.us);
+  if (!stage || !stage->advice)
+    return NULL;
+  stage->advice->out = false;
+  return stage;
+}
+
+void
+advice_answer (sched_t *sched, const question_t *question,
+               const allowed_t *allowed, uint32_t count, sched_now_t now)
+{
+  stage_t *stage = take_back (sched, question, now);
+  uint32_t valid_ms;
+
+  if (!stage || !advice_is_needed (stage))
+    return;
+  valid_ms = stage->job->queue->advice.valid_ms;
+  for (uint32_t i = 0; i < question->workers->len; i++)
+    g_hash_table_add (stage->advice->asked,
+                      g_ptr_array_index (question->workers, i));
+  for (uint32_t i = 0; i < count; i++)
+    {
+      ticket_t *ticket = g_new0 (ticket_t, 1);
+
+      ticket->text = g_strdup (allowed[i].ticket);
+      ticket->until_us = now.us + (int64_t)valid_ms * 1000;
+      g_hash_table_insert (stage->advice->tickets, (gpointer)allowed[i].worker,
+                           ticket);
+    }
+  event_log (EV_ADVICE_TAKEN,
+             "id=%s occurrence=%u step=%u asked=%u allowed=%u", question->id,
+             question->occurrence, question->step, question->workers->len,
+             count);
+}
+
+void
+advice_unanswered (sched_t *sched, const question_t *question, sched_now_t now)
+{
+  stage_t *stage = take_back (sched, question, now);
+
+  if (stage)
+    stage->advice->due_us = now.us + ASK_AGAIN_US;
+}
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -80,6 +80,19 @@
                 < OWNER_RETRY_US + allowance (owner, now_us);
 }
 
+/* Whether the owner is an earlier life of this daemon, which can't answer any
+   more.  A holder is NAME#START.  */
+static bool
+is_earlier_self (const owner_t *owner, const jobtab_t *table)
+{
+  const char *mark = strrchr (owner->self, '#');
+  const char *holder = table->owner.holder;
+
+  return mark && holder && strcmp (holder, owner->self) != 0
+         && strncmp (holder, owner->self, (size_t)(mark - owner->self) + 1)
+                == 0;
+}
+
 static owner_act_t
 ask (owner_t *owner, owner_act_t act, int64_t now_us)
 {
@@ -105,6 +118,8 @@
     return now_us - owner->sign_us >= owner->stagger_us
                ? ask (owner, OWNER_CLAIM, now_us)
                : OWNER_NONE;
+  if (is_earlier_self (owner, table))
+    return ask (owner, OWNER_CLAIM, now_us);
   if (owner->probed_us != 0)
     {
       if (now_us - owner->probed_us
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -25,8 +25,8 @@
    by long poll, so an answer takes a few round trips to the store.  With both,
    a killed owner is replaced well inside a lease of its workers.
    OWNER_RETRY_US - probes and claims are repeated after so long.  */
-#define OWNER_RENEW_US 400000
-#define OWNER_SILENCE_US 900000
+#define OWNER_RENEW_US 250000
+#define OWNER_SILENCE_US 600000
 #define OWNER_ANSWER_US 450000
 #define OWNER_RETRY_US 1500000
 
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -224,7 +224,8 @@
 note_full (pool_t *pool, const stage_t *stage, const task_t *task,
            const amounts_t *need)
 {
-  if (stage->spec->label || stage->spec->spread_max > 0 || task->avoid)
+  if (stage->spec->label || stage->spec->spread_max > 0 || task->avoid
+      || advice_is_needed (stage))
     return; /* it may be refused for another reason than room */
   pool->full = *need;
   pool->is_full = true;
@@ -237,6 +238,7 @@
   amounts_t need = need_on_worker (stage->spec);
   worker_t *best = NULL;
   double best_value = -HUGE_VAL;
+  bool advised = advice_is_needed (stage);
 
   if (pool->is_full && amounts_cover (&need, &pool->full))
     return NULL;
@@ -248,6 +250,7 @@
       if (!worker_is_open (worker, now.us) || !fits (worker, &need)
           || is_avoided (pool, worker, task, now)
           || !has_label (worker, stage->spec->label)
+          || (advised && !advice_ticket (stage, worker, now.us))
           || (stage->spec->spread_max > 0
               && count_of_stage (worker, stage) >= stage->spec->spread_max))
         continue;
@@ -452,6 +455,8 @@
       if (sched->starting >= starting_max[turn->rank])
         continue;
       place_stage (sched, turn, now);
+      if (turn->stage->waiting > 0 && advice_is_needed (turn->stage))
+        advice_ask (sched, turn->stage, now);
       if (turn->stage->waiting < waiting)
         log_starts (turn, waiting, now);
     }
--- a/jobs/replies.c
+++ b/jobs/replies.c
@@ -225,9 +225,13 @@
     case REPLY_NO_TICKET:
     case REPLY_BAD:
     case REPLY_REFUSED:
-    case REPLY_LOST:
       worker->unreachable = true;
       return true;
+    case REPLY_LOST:
+      worker->unreachable = ++worker->looks_lost >= LOOKS_LOST_MAX;
+      if (!worker->unreachable)
+        worker->hold_due_us = now.us;
+      return true;
     }
   return true;
 }
@@ -253,6 +257,7 @@
   if (worker->unreachable || !worker->synced)
     sched->dirty = true;
   worker->unreachable = false;
+  worker->looks_lost = 0;
   /* What an earlier owner granted is not known, only how long it can be.  */
   if (!worker->synced && sched_inherits_leases (sched, now.us))
     worker->lease_ms
@@ -352,8 +357,11 @@
           = MAX (worker->suspect_until_us, now.us + REJECTED_PAUSE_US);
       start_rejected (sched, run, kind, 0, now);
       return;
-    case REPLY_OLD:
     case REPLY_NO_TICKET:
+      advice_reject (run->task->stage, worker);
+      start_rejected (sched, run, kind, TASK_PAUSE_US, now);
+      return;
+    case REPLY_OLD:
     case REPLY_BAD:
       start_rejected (sched, run, kind, TASK_PAUSE_US, now);
       return;
--- a/jobs/sched.c
+++ b/jobs/sched.c
@@ -1,3 +1,4 @@
+#include "advice.h"
 #include "schedint.h"
 
 static void
@@ -95,6 +96,7 @@
   sched->changes = g_array_new (FALSE, TRUE, sizeof (job_change_t));
   sched->hosts = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL,
                                         host_discard);
+  sched->questions = g_array_new (FALSE, TRUE, sizeof (question_t));
   sched->waves = g_ptr_array_new_with_free_func (wave_discard);
   sched->host_orders = g_array_new (FALSE, TRUE, sizeof (host_order_t));
   sched->fleet_news = g_array_new (FALSE, TRUE, sizeof (fleet_news_t));
@@ -121,6 +123,10 @@
   g_ptr_array_free (sched->timed, TRUE);
   g_hash_table_destroy (sched->hosts);
   g_ptr_array_free (sched->waves, TRUE);
+  for (uint32_t i = 0; i < sched->questions->len; i++)
+    g_ptr_array_free (g_array_index (sched->questions, question_t, i).workers,
+                      TRUE);
+  g_array_free (sched->questions, TRUE);
   g_array_free (sched->host_orders, TRUE);
   g_array_free (sched->fleet_news, TRUE);
   g_array_free (sched->orders, TRUE);
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -22,7 +22,10 @@
    would end with the lease before its owner is confirmed again.  */
 #define START_LEASE_MIN_US 1000000
 /* A worker answers a held look after so long when nothing ends.  */
-#define HOLD_WAIT_MS 500
+#define HOLD_WAIT_MS 400
+/* So many looks in a row without an answer make a worker unreachable.  A
+   single answer may be lost, and what ended meanwhile is waited for.  */
+#define LOOKS_LOST_MAX 2
 /* Looks at a worker whose ends can't be made durable, or that did not
    answer.  */
 #define HOLD_RETRY_US 250000
@@ -31,8 +34,8 @@
 #define BUSY_PERCENT 50
 #define LOOK_PAUSE_US 80000
 /* A worker that has not answered for so long gets no new tasks: it missed a
-   held look and the time allowed for its answer.  */
-#define WORKER_SILENT_US 1700000
+   held look and the one after it, with the time allowed for their answers.  */
+#define WORKER_SILENT_US 1200000
 
 typedef struct sjob sjob_t;
 typedef struct stage stage_t;
@@ -43,6 +46,7 @@
 typedef struct space space_t;
 typedef struct host host_t;
 typedef struct wave wave_t;
+typedef struct advice advice_t;
 
 typedef enum run_phase
 {
@@ -110,6 +114,7 @@
   uint32_t attempt;   /* of a gang */
   fails_t gang_fails; /* of the gang as a whole */
   bool listed;        /* among its pool's stages */
+  advice_t *advice;   /* of its queue's policy; NULL: not asked yet */
 };
 
 typedef struct occurrence
@@ -132,14 +137,14 @@
   bool begun;
   bool ended; /* final: only its runs have to stop */
   int64_t accepted_us;
-  int64_t started_us; /* first start ordered; 0: none */
-  uint32_t returned;  /* runs that ended without an end that counts */
-  int64_t *tail_ms;   /* by step: longest chain of estimates from it on */
-  int64_t chain_ms;   /* the longest of all */
-  int64_t work;       /* of all tasks of an occurrence, milli-core ms */
-  const char *near_worker;  /* interned: where a task of it started last ... */
-  const char *near_rack;    /* ... in which rack; NULL: unknown ... */
-  const char *near_centre;  /* ... and data centre; NULL: none started yet */
+  int64_t started_us;      /* first start ordered; 0: none */
+  uint32_t returned;       /* runs that ended without an end that counts */
+  int64_t *tail_ms;        /* by step: longest chain of estimates from it on */
+  int64_t chain_ms;        /* the longest of all */
+  int64_t work;            /* of all tasks of an occurrence, milli-core ms */
+  const char *near_worker; /* interned: where a task of it started last ... */
+  const char *near_rack;   /* ... in which rack; NULL: unknown ... */
+  const char *near_centre; /* ... and data centre; NULL: none started yet */
   const job_entry_t *entry; /* marks to start from; only while it is added */
 };
 
@@ -167,6 +172,7 @@
   int64_t lease_ms; /* latest deadline given, on its clock */
   int64_t answered_us;
   bool unreachable;
+  uint32_t looks_lost; /* in a row */
   bool hold_out;
   int64_t hold_due_us;
   uint64_t ends_seen;    /* ends up to this were taken in */
@@ -245,8 +251,10 @@
   GArray *placed;      /* progress to append */
   GArray *ends;
   GArray *changes;
-  GHashTable *hosts;   /* interned name -> host_t */
-  GPtrArray *waves;    /* wave_t */
+  GHashTable *hosts; /* interned name -> host_t */
+  GPtrArray *waves;  /* wave_t */
+  GArray *questions; /* about workers, to be asked */
+  uint32_t questions_out;
   GArray *host_orders; /* to be sent */
   GArray *fleet_news;  /* to be recorded */
   int64_t hosts_read_us;
@@ -376,6 +384,18 @@
 bool place_elsewhere (const task_t *task, const worker_t *worker,
                       sched_now_t now);
 
+/* advice.c: workers that a queue's policy allows */
+void advice_free (advice_t *advice);
+/* advice_is_needed - whether STAGE's queue has a policy.  */
+bool advice_is_needed (const stage_t *stage);
+/* advice_ticket - the ticket for STAGE on WORKER, or NULL.  */
+const char *advice_ticket (const stage_t *stage, const worker_t *worker,
+                           int64_t now_us);
+/* advice_reject - WORKER did not take the ticket.  */
+void advice_reject (stage_t *stage, const worker_t *worker);
+/* advice_ask - ask about workers for the tasks of STAGE that wait.  */
+void advice_ask (sched_t *sched, stage_t *stage, sched_now_t now);
+
 /* pace.c: filling tasks beside those that serve */
 void pace_check (worker_t *worker, sched_now_t now);
 void pace_orders (sched_t *sched, worker_t *worker, sched_now_t now);
--- a/jobs/stages.c
+++ b/jobs/stages.c
@@ -14,6 +14,7 @@
   for (uint32_t i = 0; i < stage->spec->count; i++)
     g_free (stage->tasks[i].checkpoint);
   g_free (stage->tasks);
+  advice_free (stage->advice);
 }
 
 void
--- /dev/null
+++ b/jobs/test/advice_test.c
@@ -0,0 +1,139 @@
+#include "advice.h"
+#include "rig.h"
+
+/* The queue of the rig gets a policy.  */
+static void
+set_up (void)
+{
+  rig_set_up ();
+  g_array_index (rig.rules->queues, rules_queue_t, 0).advice
+      = (rules_advice_t){ .decide_ms = 50, .period_ms = 2, .valid_ms = 2000 };
+}
+
+/* The one question that is asked now; its workers are the caller's.  */
+static question_t
+ask_one (void)
+{
+  GArray *questions;
+  question_t question;
+
+  g_array_unref (rig_plan (false));
+  questions = advice_questions (rig.sched);
+  ck_assert_uint_eq (questions->len, 1);
+  question = g_array_index (questions, question_t, 0);
+  g_array_set_size (questions, 0);
+  return question;
+}
+
+static void
+allow (const question_t *question, const char *worker)
+{
+  allowed_t allowed = { .worker = worker, .ticket = "ticket-1" };
+
+  advice_answer (rig.sched, question, &allowed, worker ? 1 : 0, rig.now);
+  g_ptr_array_free (question->workers, TRUE);
+}
+
+/* Guards against starts that a queue's policy does not allow: each is refused
+   for want of a ticket.  */
+START_TEST (test_step_starts_only_where_it_is_allowed)
+{
+  job_step_t step = rig_step (3);
+  question_t question;
+  g_autoptr (GArray) orders = NULL;
+
+  rig_worker ("w1", 8, false);
+  rig_worker ("w2", 8, false);
+  rig_submit (1, &step, 1);
+  question = ask_one ();
+  ck_assert_str_eq (question.id, rig_id (1));
+  ck_assert_uint_eq (question.workers->len, 2);
+  allow (&question, g_intern_string ("w2"));
+  orders = rig_plan (false);
+  ck_assert_uint_eq (rig_count (orders, ORDER_START), 3);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      const order_t *start = &g_array_index (orders, order_t, i);
+
+      ck_assert_str_eq (start->worker, "w2");
+      ck_assert_str_eq (start->ticket, "ticket-1");
+    }
+}
+END_TEST
+
+/* Guards against a stage that waits for ever because its question was lost or
+   the workers asked about were not allowed.  */
+START_TEST (test_question_is_repeated_and_goes_on_to_other_workers)
+{
+  job_step_t step = rig_step (1);
+  question_t question;
+
+  rig_worker ("w1", 8, false);
+  rig_submit (1, &step, 1);
+  question = ask_one ();
+  advice_unanswered (rig.sched, &question, rig.now);
+  g_ptr_array_free (question.workers, TRUE);
+  rig_pass (250);
+  question = ask_one ();
+  allow (&question, NULL);
+  g_array_unref (rig_plan (false));
+  ck_assert_uint_eq (advice_questions (rig.sched)->len, 0);
+  rig_worker ("w2", 8, false);
+  question = ask_one ();
+  ck_assert_uint_eq (question.workers->len, 1);
+  ck_assert_str_eq (g_ptr_array_index (question.workers, 0), "w2");
+  g_ptr_array_free (question.workers, TRUE);
+}
+END_TEST
+
+/* Guards against starts with a ticket that has ended.  */
+START_TEST (test_ended_ticket_is_asked_for_again)
+{
+  job_step_t step = rig_step (1);
+  job_step_t large = rig_step (1);
+  question_t question;
+  g_autoptr (GArray) first = NULL;
+  g_autoptr (GArray) late = NULL;
+
+  large.need.cpu_milli = 8000;
+  rig_worker ("w1", 8, false);
+  rig_submit (1, &step, 1);
+  question = ask_one ();
+  allow (&question, g_intern_string ("w1"));
+  first = rig_plan (false);
+  ck_assert_uint_eq (rig_count (first, ORDER_START), 1);
+  rig_submit (2, &large, 1);
+  question = ask_one ();
+  allow (&question, g_intern_string ("w1"));
+  rig_pass (2500);
+  sched_cancel_job (rig.sched, rig_id (1));
+  rig_worker ("w1", 16, false);
+  late = rig_plan (false);
+  ck_assert_uint_eq (rig_count (late, ORDER_START), 0);
+  question = ask_one ();
+  ck_assert_str_eq (question.id, rig_id (2));
+  g_ptr_array_free (question.workers, TRUE);
+}
+END_TEST
+
+/* The service takes one question at a time for each daemon, so a burst of jobs
+   must not fill its queue of 32.  */
+START_TEST (test_burst_asks_few_questions_at_a_time)
+{
+  job_step_t step = rig_step (1);
+  GArray *questions;
+
+  rig_worker ("w1", 8, false);
+  for (uint32_t i = 0; i < 10; i++)
+    rig_submit (i, &step, 1);
+  g_array_unref (rig_plan (false));
+  questions = advice_questions (rig.sched);
+  ck_assert_uint_eq (questions->len, 2);
+}
+END_TEST
+
+TEST_PROGRAM_WITH ("jobs/advice", set_up, rig_tear_down,
+                   test_step_starts_only_where_it_is_allowed,
+                   test_question_is_repeated_and_goes_on_to_other_workers,
+                   test_ended_ticket_is_asked_for_again,
+                   test_burst_asks_few_questions_at_a_time)
--- a/jobs/test/moves_test.c
+++ b/jobs/test/moves_test.c
@@ -323,6 +323,7 @@
       starts = rig_plan (false);
       ck_assert_uint_eq (rig_count (starts, ORDER_START), i * 4);
       finish (starts);
+      answer_idle (hosts);
       moves = orders_after (200);
       moved += moves->len;
     }
--- a/jobs/test/owner_test.c
+++ b/jobs/test/owner_test.c
@@ -99,7 +99,7 @@
 {
   owned_by ("a#1");
   owner_set_lag (&owner, 600 * MS, now_us);
-  ck_assert_int_eq (act_within (2300), OWNER_NONE);
+  ck_assert_int_eq (act_within (2000), OWNER_NONE);
   ck_assert_int_eq (act_within (200), OWNER_PROBE);
 }
 END_TEST
@@ -115,6 +115,15 @@
 }
 END_TEST
 
+/* Loss of all daemons: the owner's next life can't be answered by the one
+   before, so it does not wait for that.  */
+START_TEST (test_own_earlier_life_is_replaced_at_once)
+{
+  owned_by ("b#0");
+  ck_assert_int_eq (owner_next (&owner, tab, now_us), OWNER_CLAIM);
+}
+END_TEST
+
 START_TEST (test_released_decisions_are_claimed_soon)
 {
   owned_by ("a#1");
@@ -162,5 +171,6 @@
     test_owner_that_answers_keeps_the_decisions,
     test_lost_owner_is_replaced_in_time, test_slow_store_lengthens_the_wait,
     test_old_delays_are_forgotten, test_released_decisions_are_claimed_soon,
+    test_own_earlier_life_is_replaced_at_once,
     test_deposed_owner_does_not_renew, test_other_life_is_another_holder,
     test_stopping_daemon_claims_nothing)
--- a/jobs/test/workers_test.c
+++ b/jobs/test/workers_test.c
@@ -156,6 +156,36 @@
 }
 END_TEST
 
+/* applied_late: one look in twenty gets no answer, and what ended on the
+   worker meanwhile must not wait for another held look.  */
+START_TEST (test_lost_look_is_repeated_at_once)
+{
+  worker_reply_t lost = { .kind = REPLY_LOST };
+  job_step_t step = rig_step (1);
+  g_autoptr (GArray) first = NULL;
+  g_autoptr (GArray) again = NULL;
+  g_autoptr (GArray) starts = NULL;
+  const order_t *look;
+
+  rig_open (1);
+  rig_worker ("w1", 8, false);
+  first = rig_plan (true);
+  ck_assert_uint_eq (rig_count (first, ORDER_HOLD), 1);
+  ck_assert_uint_gt (g_array_index (first, order_t, 0).wait_ms, 0);
+  rig_pass (700);
+  rig_look ("w1", &lost, NULL);
+  again = rig_plan (true);
+  ck_assert_uint_eq (rig_count (again, ORDER_HOLD), 1);
+  look = &g_array_index (again, order_t, 0);
+  ck_assert_uint_eq (look->wait_ms, 0);
+  ck_assert_int_eq (look->deadline_ms, 0);
+  rig_answer ("w1", NULL, 0, NULL, 0);
+  rig_submit (1, &step, 1);
+  starts = rig_plan (false);
+  ck_assert_uint_eq (rig_count (starts, ORDER_START), 1);
+}
+END_TEST
+
 /* Guards against an owner that was replaced while it was cut off: the next one
    renews leases that it takes for ended.  */
 START_TEST (test_unconfirmed_owner_returns_no_tasks)
@@ -234,6 +264,7 @@
                    test_no_leases_without_confirmation,
                    test_old_lease_does_not_end_a_planned_start,
                    test_lost_worker_returns_tasks_after_its_lease,
+                   test_lost_look_is_repeated_at_once,
                    test_unconfirmed_owner_returns_no_tasks,
                    test_looks_at_a_silent_worker_give_no_lease,
                    test_other_boot_returns_tasks_at_once)
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -42,12 +42,20 @@
          + with_slow_clock ((worker->lease_ms - worker->clock_ms) * 1000);
 }
 
+/* Whether WORKER answered the last look at it.  Until it does it is given no
+   longer lease, or its tasks would never start again.  */
+static bool
+answers (const worker_t *worker)
+{
+  return !worker->unreachable && worker->looks_lost == 0;
+}
+
 bool
 worker_is_open (const worker_t *worker, int64_t now_us)
 {
   return worker->listed && worker->synced && worker->has_clock
          && worker->state == WORKER_READY && !worker->cordoned
-         && !worker->unreachable && worker->suspect_until_us <= now_us
+         && answers (worker) && worker->suspect_until_us <= now_us
          && now_us - worker->answered_us < WORKER_SILENT_US;
 }
 
@@ -105,6 +113,7 @@
   worker->lease_ms = 0;
   worker->synced = false;
   worker->fails_in_row = 0;
+  worker->looks_lost = 0;
   worker->suspect_until_us = 0;
   worker->hold_due_us = now.us;
 }
@@ -293,29 +302,32 @@
                     .address = worker->address,
                     .ends_durable = worker->ends_durable };
 
-  /* A worker that does not answer gets no longer lease: its tasks would never
-     start again.  */
-  if (!worker->unreachable)
+  if (answers (worker))
     order.deadline_ms = worker_deadline_ms (sched, worker, now.us);
-  if (worker->synced && !worker->unreachable
+  /* After a lost answer what has ended is to be known at once.  */
+  if (worker->synced && answers (worker)
       && worker->ends_durable == worker->ends_seen)
     order.wait_ms = HOLD_WAIT_MS;
   worker->hold_out = true;
   order_add (sched, order);
 }
 
-/* The record of RUN is in the log, so the order may go out.  */
-static void
+/* The record of RUN is in the log, so the order may go out.  Returns what
+   keeps it here, or NULL.  */
+static const char *
 order_start (sched_t *sched, run_t *run, sched_now_t now)
 {
   const task_t *task = run->task;
+  const char *ticket = advice_ticket (task->stage, run->worker, now.us);
   int64_t deadline_ms;
 
-  if (run->worker->unreachable)
-    return;
+  if (!answers (run->worker))
+    return "worker-unreachable";
+  if (!ticket && advice_is_needed (task->stage))
+    return "ticket-ended";
   deadline_ms = worker_deadline_ms (sched, run->worker, now.us);
   if (deadline_ms == 0)
-    return;
+    return "no-lease";
   run->repeat_us = 0;
   run->phase = RUN_ORDERED;
   order_add (sched, (order_t){ .kind = ORDER_START,
@@ -325,7 +337,53 @@
                                .task = task_ref (task),
                                .attempt = run->attempt,
                                .payload = task->stage->job->desc->payload,
-                               .checkpoint = task->checkpoint });
+                               .checkpoint = task->checkpoint,
+                               .ticket = ticket });
+  return NULL;
+}
+
+/* Orders the planned start of RUN, or gives it up.  */
+static void
+order_planned (sched_t *sched, run_t *run, sched_now_t now)
+{
+  const char *why;
+
+  if (run->batch > sched->durable)
+    return;
+  why = order_start (sched, run, now);
+  if (why)
+    run_close (sched, run, why, now);
+  else
+    counter_add (COUNT_TASKS_STARTED, 1);
+}
+
+/* Sends the start of RUN again when its time has come.  */
+static void
+order_again (sched_t *sched, run_t *run, sched_now_t now)
+{
+  if (run->repeat_us == 0)
+    return;
+  if (run->repeat_us > now.us)
+    sched_wake_at (sched, run->repeat_us);
+  else if (order_start (sched, run, now))
+    sched_wake_at (sched, now.us + PLACE_AGAIN_US);
+}
+
+static void
+order_stop (sched_t *sched, run_t *run, sched_now_t now)
+{
+  if (run->stopped_us != 0)
+    return;
+  if (run->stop_us == 0 || now.us - run->stop_us >= STOP_RETRY_US)
+    {
+      run->stop_us = now.us;
+      order_add (sched, (order_t){ .kind = ORDER_STOP,
+                                   .worker = run->worker->interned,
+                                   .address = run->worker->address,
+                                   .task = task_ref (run->task),
+                                   .attempt = run->attempt });
+    }
+  sched_wake_at (sched, run->stop_us + STOP_RETRY_US);
 }
 
 void
@@ -337,36 +395,20 @@
     {
       run_t *run = g_ptr_array_index (worker->runs, i);
 
-      if (run->phase == RUN_PLANNED)
-        {
-          if (run->batch > sched->durable)
-            continue;
-          order_start (sched, run, now);
-          if (run->phase == RUN_PLANNED)
-            run_close (sched, run, "worker-unreachable", now);
-          else
-            counter_add (COUNT_TASKS_STARTED, 1);
-          continue;
-        }
-      if (run->phase == RUN_ORDERED && run->repeat_us != 0)
-        {
-          if (run->repeat_us <= now.us)
-            order_start (sched, run, now);
-          else
-            sched_wake_at (sched, run->repeat_us);
-        }
-      if (run->phase != RUN_STOPPING || run->stopped_us != 0)
-        continue;
-      if (run->stop_us == 0 || now.us - run->stop_us >= STOP_RETRY_US)
+      switch (run->phase)
         {
-          run->stop_us = now.us;
-          order_add (sched, (order_t){ .kind = ORDER_STOP,
-                                       .worker = worker->interned,
-                                       .address = worker->address,
-                                       .task = task_ref (run->task),
-                                       .attempt = run->attempt });
+        case RUN_PLANNED:
+          order_planned (sched, run, now); /* may close it */
+          break;
+        case RUN_ORDERED:
+          order_again (sched, run, now);
+          break;
+        case RUN_STOPPING:
+          order_stop (sched, run, now);
+          break;
+        case RUN_ACTIVE:
+          break;
         }
-      sched_wake_at (sched, run->stop_us + STOP_RETRY_US);
     }
   pace_orders (sched, worker, now);
   if (worker->hold_out)
