jobs: hopeless jobs move no hosts; one holder orders hosts at once

Cause, pause: a new owner orders no hosts for 3 s, so that two holders don't take turns, also where the holder is an earlier life of the same daemon: 100 hosts that were to move came 4 s late.

Ruled out: the bound on moves at a time, which was not reached.

Change: tasks of jobs past three times their objective count as no demand. The pause is left out when the owner before was an earlier life of this daemon.

--- a/entry/core.c
+++ b/entry/core.c
@@ -90,6 +90,11 @@
                             .notice_ms = s->notice_ms,
                             .host_lease_ms = s->host_lease_ms };
 
+  /* Holders of hosts that take turns keep a pause between their orders; an
+     earlier life of this daemon was the same holder.  */
+  if (core->tab->owner.same_host)
+    limits.host_lease_ms = 0;
+
   counter_add (COUNT_OWNERSHIPS, 1);
   event_log (EV_OWNER_GAINED, "epoch=%" PRIu64 " jobs=%u",
              core->tab->owner.epoch, g_hash_table_size (core->tab->jobs));
--- a/jobs/jobtab.c
+++ b/jobs/jobtab.c
@@ -108,6 +108,14 @@
   return (folded_t){ FOLD_CANCELLED, entry };
 }
 
+bool
+holder_is_same_host (const char *a, const char *b)
+{
+  const char *mark = a ? strrchr (a, '#') : NULL;
+
+  return mark && b && strncmp (a, b, (size_t)(mark - a) + 1) == 0;
+}
+
 /* The first claim that follows the present epoch wins.  */
 static folded_t
 fold_claim (jobtab_t *table, job_rec_t *rec)
@@ -117,6 +125,7 @@
   if (rec->u.owner.epoch != owner->epoch + 1 || !rec->u.owner.holder)
     return (folded_t){ FOLD_NOTHING, NULL };
   owner->epoch = rec->u.owner.epoch;
+  owner->same_host = holder_is_same_host (owner->holder, rec->u.owner.holder);
   g_free (owner->holder);
   owner->holder = g_steal_pointer (&rec->u.owner.holder);
   owner->released = false;
--- a/jobs/jobtab.h
+++ b/jobs/jobtab.h
@@ -40,6 +40,7 @@
   uint64_t epoch; /* 0: nobody has owned the decisions yet */
   char *holder;
   bool released;
+  bool same_host; /* the owner before was an earlier life of this one */
 } ownership_t;
 
 typedef struct job_table
@@ -67,6 +68,10 @@
   job_entry_t *entry; /* SUBMITTED, CANCELLED */
 } folded_t;
 
+/* holder_is_same_host - whether A and B are lives of one daemon: holders are
+   NAME#START.  */
+bool holder_is_same_host (const char *a, const char *b);
+
 jobtab_t *jobtab_new (void);
 void jobtab_free (jobtab_t *table);
 
--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -77,9 +77,10 @@
 }
 
 /* Host times that the waiting tasks of POOL need, in ms.  ROOM is that of one
-   of its hosts.  */
+   of its hosts.  Hosts for jobs that are past all use would be missed
+   elsewhere.  */
 static double
-waiting_ms (const pool_t *pool, const amounts_t *room)
+waiting_ms (const pool_t *pool, const amounts_t *room, int64_t now_us)
 {
   double sum = 0;
 
@@ -88,7 +89,8 @@
       const stage_t *stage = g_ptr_array_index (pool->stages, i);
       const job_step_t *spec = stage->spec;
 
-      if (!spec->lasts && cap_allows (stage->job, &spec->need))
+      if (!spec->lasts && cap_allows (stage->job, &spec->need)
+          && !stage_is_hopeless (stage, now_us))
         sum += stage->waiting * part_of (&spec->need, room)
                * MAX (spec->estimate_ms, 1);
     }
@@ -158,7 +160,7 @@
 }
 
 static load_t
-load_of (const sched_t *sched, pool_t *pool)
+load_of (const sched_t *sched, pool_t *pool, int64_t now_us)
 {
   load_t load = { .pool = pool };
   amounts_t room = { .cpu_milli = 1, .mem_mib = 1 };
@@ -179,7 +181,7 @@
       room = worker->room;
     }
   pool->host_room = room;
-  load.waits = waiting_ms (pool, &room) / DRAIN_MS;
+  load.waits = waiting_ms (pool, &room, now_us) / DRAIN_MS;
   g_hash_table_iter_init (&iter, sched->hosts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -500,7 +502,7 @@
       load_t load;
 
       update_rates (pool, now.us);
-      load = load_of (sched, pool);
+      load = load_of (sched, pool, now.us);
       g_array_append_val (loads, load);
     }
   for (uint32_t i = 0; i < loads->len; i++)
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -81,16 +81,14 @@
 }
 
 /* Whether the owner is an earlier life of this daemon, which can't answer any
-   more.  A holder is NAME#START.  */
+   more.  */
 static bool
 is_earlier_self (const owner_t *owner, const jobtab_t *table)
 {
-  const char *mark = strrchr (owner->self, '#');
   const char *holder = table->owner.holder;
 
-  return mark && holder && strcmp (holder, owner->self) != 0
-         && strncmp (holder, owner->self, (size_t)(mark - owner->self) + 1)
-                == 0;
+  return holder && strcmp (holder, owner->self) != 0
+         && holder_is_same_host (holder, owner->self);
 }
 
 static owner_act_t
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -78,6 +78,12 @@
   return ends_us <= job->accepted_us + allowed_us ? RANK_TIMELY : RANK_LATE;
 }
 
+bool
+stage_is_hopeless (const stage_t *stage, int64_t now_us)
+{
+  return rank_of (stage, now_us) == RANK_HOPELESS;
+}
+
 static int
 compare_turns (const void *a, const void *b)
 {
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -378,6 +378,8 @@
 /* job_objective_us - how long JOB, whose queue exists, may take to be worth
    all.  */
 int64_t job_objective_us (const sjob_t *job);
+/* stage_is_hopeless - whether STAGE's job is past all use.  */
+bool stage_is_hopeless (const stage_t *stage, int64_t now_us);
 /* cap_allows - whether JOB's workspace may have NEED more at work.  */
 bool cap_allows (const sjob_t *job, const amounts_t *need);
 /* place_elsewhere - whether TASK could start on another worker now.  */
--- a/jobs/test/jobtab_test.c
+++ b/jobs/test/jobtab_test.c
@@ -93,6 +93,18 @@
 END_TEST
 
 /* Guards against states that go back: a record may be folded twice.  */
+/* Guards against a pause before orders to hosts where the holder has not
+   changed, and against leaving it out where it has.  */
+START_TEST (test_lives_of_one_host_are_told_apart_from_others)
+{
+  ck_assert (holder_is_same_host ("edge-1#100", "edge-1#200"));
+  ck_assert (!holder_is_same_host ("edge-1#100", "edge-12#100"));
+  ck_assert (!holder_is_same_host ("edge-1#100", "edge-2#100"));
+  ck_assert (!holder_is_same_host (NULL, "edge-1#100"));
+  ck_assert (!holder_is_same_host ("edge-1", "edge-1"));
+}
+END_TEST
+
 START_TEST (test_final_states_stay)
 {
   job_step_t step = rig_step (1);
@@ -184,5 +196,6 @@
 TEST_PROGRAM_WITH ("jobs/jobtab", set_up, rig_tear_down,
                    test_same_id_is_one_job, test_first_claim_wins,
                    test_progress_of_a_replaced_owner_counts_nothing,
+                   test_lives_of_one_host_are_told_apart_from_others,
                    test_final_states_stay, test_snapshot_holds_all,
                    test_final_jobs_are_kept_for_their_time)
--- a/jobs/test/moves_test.c
+++ b/jobs/test/moves_test.c
@@ -287,6 +287,37 @@
 }
 END_TEST
 
+/* platform_down, then a burst elsewhere: jobs that are past all use must not
+   keep hosts from a pool whose jobs can still be in time.  */
+START_TEST (test_hopeless_backlog_gives_hosts_to_a_burst)
+{
+  static const uint32_t hosts[POOLS] = { 8, 1 };
+  job_step_t old = rig_step (400);
+  job_step_t fresh = rig_step (30);
+  uint32_t moved = 0;
+
+  hosts_set_base (rig.sched, pool_names[0], 6);
+  hosts_set_base (rig.sched, pool_names[1], 6);
+  rig_submit (1, &old, 1);
+  rig_pass (60000);
+  list_pools (hosts, 0);
+  answer_idle (hosts);
+  g_array_unref (orders_after (200));
+  rig.service = pool_names[1];
+  rig_submit (2, &fresh, 1);
+  rig.service = NULL;
+  for (uint32_t i = 0; i < 5; i++)
+    {
+      g_autoptr (GArray) moves = NULL;
+
+      answer_idle (hosts);
+      moves = orders_after (200);
+      moved += moves->len;
+    }
+  ck_assert_uint_gt (moved, 0);
+}
+END_TEST
+
 /* All that was started is done at once.  */
 static void
 finish (const GArray *starts)
@@ -336,4 +367,5 @@
                    test_capped_work_moves_nothing, test_surplus_goes_back,
                    test_turns_pool_rests_after_its_burst,
                    test_turns_burst_before_ends_the_rest,
+                   test_hopeless_backlog_gives_hosts_to_a_burst,
                    test_ramp_moves_hosts_ahead_of_the_work)
