owner: a released owner decides until the next claim

Ruled out: the probes; the next owner claimed as soon as it read the release.

Change: a stopping owner appends its release and goes on until it reads a claim, which fences it like any owner before, or until its process ends.

--- a/entry/core.c
+++ b/entry/core.c
@@ -154,9 +154,13 @@
         sched_cancel_job (core->sched, rec->u.cancel);
       return;
     case FOLD_CLAIMED:
-    case FOLD_RELEASED:
       follow_owner (core, now_us);
       return;
+    case FOLD_RELEASED:
+      /* The next claim may be seconds away in a slow store.  */
+      if (!core->sched || !owner_decides (&core->owner, core->tab))
+        follow_owner (core, now_us);
+      return;
     case FOLD_PROGRESS:
       show_changes (core, rec);
       if (core->sched)
@@ -413,7 +417,6 @@
   append_progress (core, clock_boot_us ());
   append_owner_record (core, JREC_RELEASE, core->tab->owner.epoch);
   event_log (EV_OWNER_RELEASED, "epoch=%" PRIu64, core->tab->owner.epoch);
-  drop_sched (core);
 }
 
 static int
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -18,12 +18,18 @@
 }
 
 bool
-owner_is_self (const owner_t *owner, const jobtab_t *table)
+owner_decides (const owner_t *owner, const jobtab_t *table)
 {
-  return table->owner.holder && !table->owner.released && !owner->deposed
+  return table->owner.holder && !owner->deposed
          && strcmp (table->owner.holder, owner->self) == 0;
 }
 
+bool
+owner_is_self (const owner_t *owner, const jobtab_t *table)
+{
+  return !table->owner.released && owner_decides (owner, table);
+}
+
 void
 owner_note (owner_t *owner, const jobtab_t *table, fold_kind_t kind,
             int64_t now_us)
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -93,6 +93,11 @@
 /* owner_is_self - whether this daemon owns the decisions.  */
 bool owner_is_self (const owner_t *owner, const jobtab_t *table);
 
+/* owner_decides - whether this daemon decides: it is the owner, or it has
+   given the decisions up and nobody has claimed them yet.  A claim fences it
+   as it fences any owner before it.  */
+bool owner_decides (const owner_t *owner, const jobtab_t *table);
+
 /* owner_next - what to append now.  Calling it again before the record is
    folded gives nothing until OWNER_RETRY_US have passed.  */
 owner_act_t owner_next (owner_t *owner, const jobtab_t *table, int64_t now_us);
--- a/jobs/test/owner_test.c
+++ b/jobs/test/owner_test.c
@@ -124,6 +124,21 @@
 }
 END_TEST
 
+/* roll_term beside platform_slow: five seconds passed between an owner's last
+   order and the next one's first, as its release and the claim after it each
+   waited two seconds in the store.  */
+START_TEST (test_released_owner_decides_until_the_next_claim)
+{
+  owned_by ("b#1");
+  tab->owner.released = true;
+  owner_note (&owner, tab, FOLD_RELEASED, now_us);
+  ck_assert (!owner_is_self (&owner, tab));
+  ck_assert (owner_decides (&owner, tab));
+  owned_by ("a#1");
+  ck_assert (!owner_decides (&owner, tab));
+}
+END_TEST
+
 /* platform_slow: claims race, and a host with an eighth of a core came first;
    with 350 workers it started next to nothing for 13 s.  */
 START_TEST (test_weak_owner_is_replaced_by_a_strong_host)
@@ -206,6 +221,7 @@
     test_lost_owner_is_replaced_in_time, test_slow_store_lengthens_the_wait,
     test_old_delays_are_forgotten, test_released_decisions_are_claimed_soon,
     test_own_earlier_life_is_replaced_at_once,
+    test_released_owner_decides_until_the_next_claim,
     test_weak_owner_is_replaced_by_a_strong_host,
     test_strong_owner_is_left_alone, test_deposed_owner_does_not_renew,
     test_other_life_is_another_holder, test_stopping_daemon_claims_nothing)
