--- a/jobs/test/demand_test.c
+++ b/jobs/test/demand_test.c
@@ -33,7 +33,7 @@
   double rate;
 
   rig_worker ("w1", 8, false);
-  load = demand_load (rig.sched, rig_pool (), rig.now.us);
+  demand_load (rig.sched, rig_pool (), rig.now.us);
   demand_update (rig_pool (), rig.now.us);
   rig_submit (1, &step, 1);
   rig_pass (100);
