--- a/entry/orders.c
+++ b/entry/orders.c
@@ -64,7 +64,7 @@
 static void on_answer (void *ctx, const call_result_t *result);
 
 static void
-send (sent_order_t *sent)
+send_one (sent_order_t *sent)
 {
   const order_t *order = &sent->order;
 
@@ -79,7 +79,7 @@
   while (core->orders_out < ORDERS_OUT_MAX && core->orders->length > 0)
     {
       core->orders_out++;
-      send (g_queue_pop_head (core->orders));
+      send_one (g_queue_pop_head (core->orders));
     }
 }
 
@@ -130,7 +130,7 @@
       sent->order.checkpoint = NULL;
       sent->order.ticket = NULL;
       if (order->kind == ORDER_HOLD)
-        send (sent);
+        send_one (sent);
       else
         g_queue_push_tail (core->orders, sent);
     }
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -1,5 +1,6 @@
-/* schedint - the data that sched, stages, workers, runs, replies, place, pace,
-   stall, hosts, waves and moves work on; private to the package  */
+/* schedint - the data that sched, stages, workers, runs, replies, place,
+   advice, pace, stall, hosts, waves, demand and moves work on; private to the
+   package  */
 
 #ifndef CUMINPIN_SCHEDINT_H
 #define CUMINPIN_SCHEDINT_H
