jobs: drop a count that nothing reads; one set-up for two tests

Cause: demand_load counted hosts that leave a pool, for every pool and host ten times a second, and nothing has read it since the counts of members stand beside it. Two tests of unanswered starts opened the same rig line by line.

Change: the count is gone, and the two tests share start_beside_two_workers.

--- a/jobs/demand.c
+++ b/jobs/demand.c
@@ -150,8 +150,6 @@
 
       load.coming
           += host->move_to == pool->name && (host->down || host->cordoned);
-      load.leaving += host->move_to && host->pool == pool->name
-                      && host->cordoned && !host->down;
       load.listed
           += host->listed && host->pool == pool->name && !host->move_to;
     }
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -374,13 +374,12 @@
 typedef struct load
 {
   pool_t *pool;
-  uint32_t listed;  /* hosts that belong to it, in whatever state */
-  double lasts;     /* that its lasting tasks keep busy */
-  double runs;      /* that all its tasks keep busy */
-  double waits;     /* that its waiting tasks would, to be done in time */
-  uint32_t have;    /* in use */
-  uint32_t coming;  /* on their way */
-  uint32_t leaving; /* being emptied for a move */
+  uint32_t listed; /* hosts that belong to it, in whatever state */
+  double lasts;    /* that its lasting tasks keep busy */
+  double runs;     /* that all its tasks keep busy */
+  double waits;    /* that its waiting tasks would, to be done in time */
+  uint32_t have;   /* in use */
+  uint32_t coming; /* on their way */
 } load_t;
 
 /* demand.c: what pools ask for, in hosts */
--- a/jobs/test/replies_test.c
+++ b/jobs/test/replies_test.c
@@ -1,20 +1,28 @@
 #include "rig.h"
 
+/* The start of a job of one task, which two workers could run.  */
+static order_t
+start_beside_two_workers (void)
+{
+  job_step_t step = rig_step (1);
+
+  rig_open (1);
+  rig_worker ("w1", 8, false);
+  rig_worker ("w2", 8, false);
+  rig_submit (1, &step, 1);
+  return rig_start_one ();
+}
+
 /* Guards against starting a task elsewhere while an order without an answer
    may still be carried out.  */
 START_TEST (test_unanswered_start_is_stopped_first)
 {
-  job_step_t step = rig_step (1);
   order_t start;
   order_t repeat;
   g_autoptr (GArray) stops = NULL;
   g_autoptr (GArray) again = NULL;
 
-  rig_open (1);
-  rig_worker ("w1", 8, false);
-  rig_worker ("w2", 8, false);
-  rig_submit (1, &step, 1);
-  start = rig_start_one ();
+  start = start_beside_two_workers ();
   rig_reply (&start, REPLY_LOST);
   rig_pass (150);
   repeat = rig_start_one ();
@@ -64,15 +72,10 @@
    first, which may be carried out late.  */
 START_TEST (test_refused_repeat_is_stopped_first)
 {
-  job_step_t step = rig_step (1);
   order_t start;
   g_autoptr (GArray) orders = NULL;
 
-  rig_open (1);
-  rig_worker ("w1", 8, false);
-  rig_worker ("w2", 8, false);
-  rig_submit (1, &step, 1);
-  start = rig_start_one ();
+  start = start_beside_two_workers ();
   rig_reply (&start, REPLY_LOST);
   rig_pass (150);
   start = rig_start_one ();
