fleet: initialize the skip list of find_worker

Cause: gcc 12.2 on arm64 stops the Release build with -Werror=maybe-uninitialized: find_worker passes the list to capacity_index_find before any element is known to be set, when the job has failed on no worker.

Change: the list starts as zeros. Its count was and is right, so no element beyond it was read.

--- a/fleet/schedule.c
+++ b/fleet/schedule.c
@@ -144,7 +144,7 @@
 static worker_t *
 find_worker (const placement_t *placement, const job_t *job)
 {
-  uint32_t skip[PLACEMENT_FAILED_WORKERS_MAX];
+  uint32_t skip[PLACEMENT_FAILED_WORKERS_MAX] = { 0 };
   uint32_t n = job->failed_on_count;
   uint32_t at;
 
