jobs: log what ends a run of a long-running task, and on what knowledge

Cause: no log line said which long-running tasks an order of the owner ends, why a run is stopped, whether a host order is a repeat, how old the list behind it is, or that a worker counts as lost.

Change: events 1607 task-interrupted (order, reason, others of the step that do not serve, limit, age of the last report), 1713 worker-unreachable (with the load of the owner), 1714 worker-restarted (what showed it), 1715 host-answered; 1709 has worker, runs, repeat and the age of the list.

--- a/base/event.c
+++ b/base/event.c
@@ -56,6 +56,7 @@
   { EV_TASK_STARTED, LEVEL_INFO, "task-started" },
   { EV_TASK_ENDED, LEVEL_INFO, "task-ended" },
   { EV_TASK_RETURNED, LEVEL_WARN, "task-returned" },
+  { EV_TASK_INTERRUPTED, LEVEL_INFO, "task-interrupted" },
   { EV_OWNER_GAINED, LEVEL_INFO, "owner-gained" },
   { EV_OWNER_LOST, LEVEL_WARN, "owner-lost" },
   { EV_OWNER_RELEASED, LEVEL_INFO, "owner-released" },
@@ -69,6 +70,9 @@
   { EV_LINES_DROPPED, LEVEL_WARN, "lines-dropped" },
   { EV_POOL_SIZED, LEVEL_INFO, "pool-sized" },
   { EV_ADVICE_TAKEN, LEVEL_INFO, "advice-taken" },
+  { EV_WORKER_UNREACHABLE, LEVEL_WARN, "worker-unreachable" },
+  { EV_WORKER_RESTARTED, LEVEL_INFO, "worker-restarted" },
+  { EV_HOST_ANSWERED, LEVEL_INFO, "host-answered" },
 };
 
 static const char *const level_names[] = { "debug", "info", "warn", "error" };
--- a/jobs/hosts.c
+++ b/jobs/hosts.c
@@ -64,7 +64,7 @@
       || (host->state == HOST_STATUS_UP
           && strcmp (host->worker, host->ordered_worker) == 0))
     return;
-  worker_reset (sched, worker, now);
+  worker_reset (sched, worker, "host-list", now);
   worker->listed = false;
   worker->unreachable = true;
 }
@@ -143,6 +143,29 @@
     worker->cordoned = true;
 }
 
+/* Logs ORDER for HOST, whose tasks are those of WORKER; NULL: not known.  */
+static void
+log_order (const sched_t *sched, const host_t *host, const worker_t *worker,
+           const host_order_t *order, int64_t now_us)
+{
+  const char *kind = order->kind == HOST_ORDER_MOVE ? "move" : "upkeep";
+
+  event_log (EV_HOST_ORDERED,
+             "host=%s kind=%s pool=%s wave=%" PRIu64 " token=%" PRIu64
+             " worker=%s known=%d runs=%u repeat=%d list_age_ms=%" PRId64,
+             host->name, kind, order->pool ? order->pool : "-", order->wave,
+             order->token, host->worker[0] ? host->worker : "-",
+             worker != NULL, worker ? worker->runs->len : 0, host->down,
+             (now_us - sched->hosts_read_us) / 1000);
+  for (uint32_t i = 0; worker && i < worker->runs->len; i++)
+    {
+      const run_t *run = g_ptr_array_index (worker->runs, i);
+
+      task_log_interrupted (run->task, run->attempt, worker, kind,
+                            host->down ? "repeat" : "order", now_us);
+    }
+}
+
 void
 host_order_add (sched_t *sched, host_t *host, host_order_t order,
                 int64_t now_us)
@@ -151,12 +174,13 @@
 
   order.host = host->name;
   order.token = sched->epoch;
+  worker = g_hash_table_lookup (sched->workers, host->worker);
+  log_order (sched, host, worker, &order, now_us);
   if (!host->down)
     {
       g_free (host->ordered_worker);
       host->ordered_worker = g_strdup (host->worker);
     }
-  worker = g_hash_table_lookup (sched->workers, host->worker);
   if (worker)
     worker->going_down = true;
   sched->hosts_in_transit = true;
@@ -165,10 +189,18 @@
   host->for_maintenance = order.kind == HOST_ORDER_MAINTENANCE;
   host->ordered_us = now_us;
   g_array_append_val (sched->host_orders, order);
-  event_log (EV_HOST_ORDERED,
-             "host=%s kind=%s pool=%s wave=%" PRIu64 " token=%" PRIu64,
-             host->name, order.kind == HOST_ORDER_MOVE ? "move" : "upkeep",
-             order.pool ? order.pool : "-", order.wave, order.token);
+}
+
+static const char *
+reply_name (host_reply_t reply)
+{
+  static const char *const names[] = { [HOST_REPLY_OK] = "ok",
+                                       [HOST_REPLY_FENCED] = "fenced",
+                                       [HOST_REPLY_BUSY] = "busy",
+                                       [HOST_REPLY_REFUSED] = "refused",
+                                       [HOST_REPLY_NONE] = "none" };
+
+  return names[reply];
 }
 
 /* Whether HOST can't be drained for its move: it took too long, or a
@@ -249,6 +281,9 @@
     return false;
   if (!host)
     return true;
+  event_log (EV_HOST_ANSWERED, "host=%s kind=%s reply=%s token=%" PRIu64,
+             host->name, order->kind == HOST_ORDER_MOVE ? "move" : "upkeep",
+             reply_name (reply), order->token);
   host->order_pending = false;
   host->retry_us = now.us + ORDER_RETRY_US;
   sched->next_hosts_plan_us = 0;
--- a/jobs/replies.c
+++ b/jobs/replies.c
@@ -135,6 +135,9 @@
     {
       if (!task || task->done || task->run || task->stage->job->ended)
         {
+          if (task)
+            task_log_interrupted (task, status->attempt, worker, "stop",
+                                  "unknown-run", now.us);
           stop_unknown_run (sched, worker, status);
           return;
         }
@@ -206,6 +209,42 @@
   close_unlisted (sched, worker, report, sent_us, now);
 }
 
+static const char *
+reply_name (reply_kind_t kind)
+{
+  static const char *const names[] = {
+    [REPLY_OK] = "ok",
+    [REPLY_FENCED] = "fenced",
+    [REPLY_OLD_ATTEMPT] = "old-attempt",
+    [REPLY_LATE_ORDER] = "late-order",
+    [REPLY_NO_ROOM] = "no-room",
+    [REPLY_NO_TICKET] = "no-ticket",
+    [REPLY_BUSY] = "worker-busy",
+    [REPLY_OTHER_BOOT] = "other-boot",
+    [REPLY_REFUSED] = "connection-refused",
+    [REPLY_BAD_ORDER] = "order-not-read",
+    [REPLY_NO_ANSWER] = "no-answer",
+  };
+
+  return names[kind];
+}
+
+/* Records that WORKER does not answer its holds.  */
+static void
+set_unreachable (const sched_t *sched, worker_t *worker, const char *why,
+                 int64_t now_us)
+{
+  if (!worker->unreachable && worker->runs->len > 0)
+    event_log (EV_WORKER_UNREACHABLE,
+               "worker=%s why=%s runs=%u silent_ms=%" PRId64
+               " lease_left_ms=%" PRId64 " busy_percent=%u",
+               worker->id, why, worker->runs->len,
+               (now_us - worker->answered_us) / 1000,
+               (worker_lease_end_us (sched, worker) - now_us) / 1000,
+               sched->busy_percent);
+  worker->unreachable = true;
+}
+
 static bool
 process_hold_failure (sched_t *sched, worker_t *worker, reply_kind_t kind,
                       sched_now_t now)
@@ -216,7 +255,7 @@
     case REPLY_FENCED:
       return false;
     case REPLY_OTHER_BOOT:
-      worker_reset (sched, worker, now);
+      worker_reset (sched, worker, "hold-refused", now);
       worker->unreachable = true;
       return true;
     case REPLY_BUSY:
@@ -229,11 +268,12 @@
     case REPLY_NO_TICKET:
     case REPLY_BAD_ORDER:
     case REPLY_REFUSED:
-      worker->unreachable = true;
+      set_unreachable (sched, worker, reply_name (kind), now.us);
       return true;
     case REPLY_NO_ANSWER:
-      worker->unreachable = ++worker->holds_lost >= HOLDS_LOST_MAX;
-      if (!worker->unreachable)
+      if (++worker->holds_lost >= HOLDS_LOST_MAX)
+        set_unreachable (sched, worker, reply_name (kind), now.us);
+      else
         worker->hold_due_us = now.us;
       return true;
     }
@@ -253,7 +293,7 @@
   if (reply->kind != REPLY_OK || !report)
     return process_hold_failure (sched, worker, reply->kind, now);
   if (report->boot_ms && worker->boot_ms && report->boot_ms != worker->boot_ms)
-    worker_reset (sched, worker, now);
+    worker_reset (sched, worker, "report", now);
   if (report->boot_ms)
     worker->boot_ms = report->boot_ms;
   update_clock (worker, reply, now);
@@ -277,26 +317,6 @@
   return true;
 }
 
-static const char *
-reply_name (reply_kind_t kind)
-{
-  static const char *const names[] = {
-    [REPLY_OK] = "ok",
-    [REPLY_FENCED] = "fenced",
-    [REPLY_OLD_ATTEMPT] = "old-attempt",
-    [REPLY_LATE_ORDER] = "late-order",
-    [REPLY_NO_ROOM] = "no-room",
-    [REPLY_NO_TICKET] = "no-ticket",
-    [REPLY_BUSY] = "worker-busy",
-    [REPLY_OTHER_BOOT] = "other-boot",
-    [REPLY_REFUSED] = "connection-refused",
-    [REPLY_BAD_ORDER] = "order-not-read",
-    [REPLY_NO_ANSWER] = "no-answer",
-  };
-
-  return names[kind];
-}
-
 static void
 close_failed_start (sched_t *sched, run_t *run, reply_kind_t kind,
                     int64_t pause_us, sched_now_t now)
@@ -334,7 +354,11 @@
                        int64_t pause_us, sched_now_t now)
 {
   if (run->unanswered_starts > 0)
-    run_stop (run);
+    {
+      task_log_interrupted (run->task, run->attempt, run->worker, "stop",
+                            reply_name (kind), now.us);
+      run_stop (run);
+    }
   else
     close_failed_start (sched, run, kind, pause_us, now);
 }
@@ -421,7 +445,7 @@
   sched_wake_at (sched, now.us);
   if (reply->kind == REPLY_OTHER_BOOT)
     {
-      worker_reset (sched, worker, now);
+      worker_reset (sched, worker, "order-refused", now);
       worker->unreachable = true;
       return true;
     }
--- a/jobs/runs.c
+++ b/jobs/runs.c
@@ -14,6 +14,40 @@
          && now_us - run->worker->answered_us < WORKER_SILENCE_MAX_US;
 }
 
+uint32_t
+stage_unavailable (const stage_t *stage, const task_t *task, int64_t now_us)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < stage->spec->count; i++)
+    {
+      const task_t *other = &stage->tasks[i];
+
+      count += other != task && !task_is_serving (other, now_us);
+    }
+  return count;
+}
+
+void
+task_log_interrupted (const task_t *task, uint32_t attempt,
+                      const worker_t *worker, const char *by, const char *why,
+                      int64_t now_us)
+{
+  const stage_t *stage = task->stage;
+
+  if (!stage->spec->long_running || stage->job->ended)
+    return;
+  event_log (EV_TASK_INTERRUPTED,
+             "id=%s occurrence=%u step=%u index=%u attempt=%u worker=%s "
+             "by=%s why=%s serving=%d unavailable=%u max=%u "
+             "report_age_ms=%" PRId64,
+             stage->job->desc->id, stage->occurrence, stage->step, task->index,
+             attempt, worker->id, by, why, task_is_serving (task, now_us),
+             stage_unavailable (stage, task, now_us),
+             stage->spec->max_unavailable,
+             (now_us - worker->answered_us) / 1000);
+}
+
 run_t *
 run_new (sched_t *sched, task_t *task, worker_t *worker, uint32_t attempt,
          sched_now_t now)
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -278,6 +278,7 @@
   int64_t started_us;
   int64_t next_us;
   uint64_t durable_batch;  /* last batch read back from the log */
+  uint32_t busy_percent;   /* load of the owner, as reported last */
   int64_t hold_pause_us;   /* pause before the next hold to a worker */
   bool has_unwritten_ends; /* ends were reported since the last batch */
   bool place_needed;       /* a change may allow a task to start */
@@ -321,6 +322,15 @@
    again unless it is done.  */
 void run_close (sched_t *sched, run_t *run, const char *why, sched_now_t now);
 void run_stop (run_t *run);
+/* task_log_interrupted - log that an order of kind BY, given for the reason
+   WHY, ends ATTEMPT of TASK on WORKER, if the task is long-running and its job
+   goes on.  */
+void task_log_interrupted (const task_t *task, uint32_t attempt,
+                           const worker_t *worker, const char *by,
+                           const char *why, int64_t now_us);
+/* stage_unavailable - tasks of STAGE other than TASK that are not serving.  */
+uint32_t stage_unavailable (const stage_t *stage, const task_t *task,
+                            int64_t now_us);
 /* task_avoid_worker - prefer workers other than WORKER for the next start of
    TASK.  */
 void task_avoid_worker (task_t *task, const worker_t *worker, sched_now_t now);
@@ -336,7 +346,9 @@
 bool task_is_serving (const task_t *task, int64_t now_us);
 
 /* workers.c: workers, their clocks and leases */
-void worker_reset (sched_t *sched, worker_t *worker, sched_now_t now);
+/* worker_reset - the runs of WORKER are over, as SOURCE shows.  */
+void worker_reset (sched_t *sched, worker_t *worker, const char *source,
+                   sched_now_t now);
 int64_t worker_lease_end_us (const sched_t *sched, const worker_t *worker);
 int64_t worker_clock_at (const worker_t *worker, int64_t now_us);
 bool worker_accepts_tasks (const worker_t *worker, int64_t now_us);
--- a/jobs/waves.c
+++ b/jobs/waves.c
@@ -109,19 +109,12 @@
 may_stop_run (const run_t *run, int64_t now_us)
 {
   const stage_t *stage = run->task->stage;
-  uint32_t unavailable = 0;
 
   if (!stage->spec->long_running || stage->spec->max_unavailable == 0
       || stage->job->ended || run->phase == RUN_STOPPING)
     return true;
-  for (uint32_t i = 0; i < stage->spec->count; i++)
-    {
-      const task_t *other = &stage->tasks[i];
-
-      if (other != run->task && !task_is_serving (other, now_us))
-        unavailable++;
-    }
-  return unavailable < stage->spec->max_unavailable;
+  return stage_unavailable (stage, run->task, now_us)
+         < stage->spec->max_unavailable;
 }
 
 /* Whether WORKER may go down now.  may_stop_run judges each run on its own, so
@@ -264,6 +257,8 @@
 
       if (!run->task->stage->spec->long_running || !may_stop_run (run, now_us))
         continue;
+      task_log_interrupted (run->task, run->attempt, worker, "stop", "wave",
+                            now_us);
       run_stop (run);
       return;
     }
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -108,8 +108,13 @@
 
 /* Resets WORKER after a restart: none of its earlier runs exist any more.  */
 void
-worker_reset (sched_t *sched, worker_t *worker, sched_now_t now)
+worker_reset (sched_t *sched, worker_t *worker, const char *source,
+              sched_now_t now)
 {
+  event_log (EV_WORKER_RESTARTED,
+             "worker=%s source=%s boot=%" PRId64 " runs=%u silent_ms=%" PRId64,
+             worker->id, source, worker->boot_ms, worker->runs->len,
+             worker->answered_us ? (now.us - worker->answered_us) / 1000 : -1);
   close_all_runs (sched, worker, "other-boot", now);
   worker->ends_seen = worker->ends_durable = worker->ends_batch = 0;
   worker->has_clock = false;
@@ -167,14 +172,17 @@
 /* Stops the long-running tasks of a draining worker, so that they restart
    elsewhere before it shuts down.  */
 static void
-stop_long_running (worker_t *worker)
+stop_long_running (worker_t *worker, int64_t now_us)
 {
   for (uint32_t i = 0; i < worker->runs->len; i++)
     {
       run_t *run = g_ptr_array_index (worker->runs, i);
 
-      if (run->task->stage->spec->long_running)
-        run_stop (run);
+      if (!run->task->stage->spec->long_running)
+        continue;
+      task_log_interrupted (run->task, run->attempt, worker, "stop",
+                            "draining", now_us);
+      run_stop (run);
     }
 }
 
@@ -187,7 +195,7 @@
   if (!worker)
     worker = worker_add (sched, info->id, pool, now);
   if (info->boot_ms && worker->boot_ms && info->boot_ms != worker->boot_ms)
-    worker_reset (sched, worker, now);
+    worker_reset (sched, worker, "registration", now);
   if (info->boot_ms)
     worker->boot_ms = info->boot_ms;
   if (pool != worker->pool)
@@ -206,7 +214,7 @@
     sched->place_needed = true;
   worker->listed = true;
   if (info->state == WORKER_DRAINING && worker->state != WORKER_DRAINING)
-    stop_long_running (worker);
+    stop_long_running (worker, now.us);
   worker->state = info->state;
   sched_wake_at (sched, now.us);
 }
