jobs: holds in a module of their own

Change: holds.c has these decisions, moved without change.

Result: the tests of jobs pass; no decision changes.

--- /dev/null
+++ b/jobs/holds.c
@@ -0,0 +1,128 @@
+#include "schedint.h"
+
+/* A worker answers a hold after this time when no run ends.  */
+#define HOLD_WAIT_MS 400
+/* A worker is unreachable after this many unanswered holds in a row.  A single
+   lost answer is tolerated, as the next one lists the same ends.  */
+#define HOLDS_LOST_MAX 2
+/* Interval of holds to a worker whose ends can't be made durable yet, or that
+   did not answer.  */
+#define HOLD_RETRY_US 250000
+/* An owner that is busy for more than BUSY_PERCENT_MIN of the time pauses up
+   to HOLD_PAUSE_MAX_US between two holds to a worker.  */
+#define BUSY_PERCENT_MIN 50
+#define HOLD_PAUSE_MAX_US 80000
+bool
+worker_is_answering (const worker_t *worker)
+{
+  return !worker->unreachable && worker->holds_lost == 0;
+}
+
+static void
+add_hold_order (sched_t *sched, worker_t *worker, sched_now_t now)
+{
+  order_t order = { .kind = ORDER_HOLD,
+                    .worker = worker->interned,
+                    .address = worker->address,
+                    .ends_durable = worker->ends_durable };
+
+  if (worker_is_answering (worker))
+    order.deadline_ms = worker_deadline_ms (sched, worker, now.us);
+  /* After a lost answer the next hold returns at once, so that ends are not
+     delayed further.  */
+  if (worker->has_reported && worker_is_answering (worker)
+      && worker->ends_durable == worker->ends_seen)
+    order.wait_ms = HOLD_WAIT_MS;
+  worker->hold_pending = true;
+  sched_add_order (sched, order);
+}
+
+void
+holds_plan (sched_t *sched, worker_t *worker, sched_now_t now)
+{
+  if (worker->hold_pending)
+    return;
+  if (worker->hold_due_us <= now.us)
+    add_hold_order (sched, worker, now);
+  else
+    sched_wake_at (sched, worker->hold_due_us);
+}
+
+/* Records that WORKER does not answer its holds.  */
+static void
+set_unreachable (const sched_t *sched, worker_t *worker, const char *why,
+                 int64_t now_us)
+{
+  if (!worker->unreachable && worker->runs->len > 0)
+    event_log (EV_WORKER_UNREACHABLE,
+               "worker=%s why=%s runs=%u silent_ms=%" PRId64
+               " lease_left_ms=%" PRId64 " busy_percent=%u",
+               worker->id, why, worker->runs->len,
+               (now_us - worker->answered_us) / 1000,
+               (worker_lease_end_us (sched, worker) - now_us) / 1000,
+               sched->busy_percent);
+  worker->unreachable = true;
+}
+
+bool
+holds_process_failure (sched_t *sched, worker_t *worker, reply_kind_t kind,
+                       sched_now_t now)
+{
+  worker->hold_due_us = now.us + HOLD_RETRY_US;
+  switch (kind)
+    {
+    case REPLY_FENCED:
+      return false;
+    case REPLY_OTHER_BOOT:
+      worker_reset (sched, worker, "hold-refused", now);
+      worker->unreachable = true;
+      return true;
+    case REPLY_BUSY:
+      worker->suspect_until_us = now.us + WORKER_PAUSE_US;
+      return true;
+    case REPLY_OK:
+    case REPLY_OLD_ATTEMPT:
+    case REPLY_LATE_ORDER:
+    case REPLY_NO_ROOM:
+    case REPLY_NO_TICKET:
+    case REPLY_BAD_ORDER:
+    case REPLY_REFUSED:
+      set_unreachable (sched, worker, reply_kind_name (kind), now.us);
+      return true;
+    case REPLY_NO_ANSWER:
+      if (++worker->holds_lost >= HOLDS_LOST_MAX)
+        set_unreachable (sched, worker, reply_kind_name (kind), now.us);
+      else
+        worker->hold_due_us = now.us;
+      return true;
+    }
+  return true;
+}
+
+void
+holds_process_answer (sched_t *sched, worker_t *worker, int64_t now_us)
+{
+  worker->answered_us = now_us;
+  if (worker->unreachable || !worker->has_reported)
+    sched->place_needed = true;
+  worker->unreachable = false;
+  worker->holds_lost = 0;
+}
+
+void
+holds_schedule_next (const sched_t *sched, worker_t *worker, int64_t now_us)
+{
+  worker->hold_due_us = worker->ends_seen > worker->ends_durable
+                            ? now_us + HOLD_RETRY_US
+                            : now_us + sched->hold_pause_us;
+}
+
+void
+sched_set_load (sched_t *sched, uint32_t busy_percent)
+{
+  uint32_t over = MIN (busy_percent, 100);
+
+  sched->busy_percent = busy_percent;
+  over = over > BUSY_PERCENT_MIN ? over - BUSY_PERCENT_MIN : 0;
+  sched->hold_pause_us = HOLD_PAUSE_MAX_US * over / (100 - BUSY_PERCENT_MIN);
+}
--- a/jobs/replies.c
+++ b/jobs/replies.c
@@ -4,8 +4,6 @@
    failures.  Faulty jobs seldom fail twice in a status on one worker.  */
 #define SUSPECT_FAILURES 2
 #define SUSPECT_PAUSE_US 3000000
-/* Pause of a worker after it lacked capacity or was unhealthy.  */
-#define WORKER_PAUSE_US 250000
 /* Delay before a task whose start failed is placed again.  */
 #define TASK_PAUSE_US 50000
 /* An unanswered start is sent again, which is safe because a worker accepts an
@@ -18,6 +16,26 @@
 /* A worker lists at most this many ends in one reply.  */
 #define REPORT_ENDS_MAX 500
 
+const char *
+reply_kind_name (reply_kind_t kind)
+{
+  static const char *const names[] = {
+    [REPLY_OK] = "ok",
+    [REPLY_FENCED] = "fenced",
+    [REPLY_OLD_ATTEMPT] = "old-attempt",
+    [REPLY_LATE_ORDER] = "late-order",
+    [REPLY_NO_ROOM] = "no-room",
+    [REPLY_NO_TICKET] = "no-ticket",
+    [REPLY_BUSY] = "worker-busy",
+    [REPLY_OTHER_BOOT] = "other-boot",
+    [REPLY_REFUSED] = "connection-refused",
+    [REPLY_BAD_ORDER] = "order-not-read",
+    [REPLY_NO_ANSWER] = "no-answer",
+  };
+
+  return names[kind];
+}
+
 static void
 update_clock (worker_t *worker, const worker_reply_t *reply, sched_now_t now)
 {
@@ -209,77 +227,6 @@
   close_unlisted (sched, worker, report, sent_us, now);
 }
 
-static const char *
-reply_name (reply_kind_t kind)
-{
-  static const char *const names[] = {
-    [REPLY_OK] = "ok",
-    [REPLY_FENCED] = "fenced",
-    [REPLY_OLD_ATTEMPT] = "old-attempt",
-    [REPLY_LATE_ORDER] = "late-order",
-    [REPLY_NO_ROOM] = "no-room",
-    [REPLY_NO_TICKET] = "no-ticket",
-    [REPLY_BUSY] = "worker-busy",
-    [REPLY_OTHER_BOOT] = "other-boot",
-    [REPLY_REFUSED] = "connection-refused",
-    [REPLY_BAD_ORDER] = "order-not-read",
-    [REPLY_NO_ANSWER] = "no-answer",
-  };
-
-  return names[kind];
-}
-
-/* Records that WORKER does not answer its holds.  */
-static void
-set_unreachable (const sched_t *sched, worker_t *worker, const char *why,
-                 int64_t now_us)
-{
-  if (!worker->unreachable && worker->runs->len > 0)
-    event_log (EV_WORKER_UNREACHABLE,
-               "worker=%s why=%s runs=%u silent_ms=%" PRId64
-               " lease_left_ms=%" PRId64 " busy_percent=%u",
-               worker->id, why, worker->runs->len,
-               (now_us - worker->answered_us) / 1000,
-               (worker_lease_end_us (sched, worker) - now_us) / 1000,
-               sched->busy_percent);
-  worker->unreachable = true;
-}
-
-static bool
-process_hold_failure (sched_t *sched, worker_t *worker, reply_kind_t kind,
-                      sched_now_t now)
-{
-  worker->hold_due_us = now.us + HOLD_RETRY_US;
-  switch (kind)
-    {
-    case REPLY_FENCED:
-      return false;
-    case REPLY_OTHER_BOOT:
-      worker_reset (sched, worker, "hold-refused", now);
-      worker->unreachable = true;
-      return true;
-    case REPLY_BUSY:
-      worker->suspect_until_us = now.us + WORKER_PAUSE_US;
-      return true;
-    case REPLY_OK:
-    case REPLY_OLD_ATTEMPT:
-    case REPLY_LATE_ORDER:
-    case REPLY_NO_ROOM:
-    case REPLY_NO_TICKET:
-    case REPLY_BAD_ORDER:
-    case REPLY_REFUSED:
-      set_unreachable (sched, worker, reply_name (kind), now.us);
-      return true;
-    case REPLY_NO_ANSWER:
-      if (++worker->holds_lost >= HOLDS_LOST_MAX)
-        set_unreachable (sched, worker, reply_name (kind), now.us);
-      else
-        worker->hold_due_us = now.us;
-      return true;
-    }
-  return true;
-}
-
 bool
 sched_hold_reply (sched_t *sched, const char *id, const worker_reply_t *reply,
                   const worker_report_t *report, sched_now_t now)
@@ -291,17 +238,13 @@
     return reply->kind != REPLY_FENCED;
   worker->hold_pending = false;
   if (reply->kind != REPLY_OK || !report)
-    return process_hold_failure (sched, worker, reply->kind, now);
+    return holds_process_failure (sched, worker, reply->kind, now);
   if (report->boot_ms && worker->boot_ms && report->boot_ms != worker->boot_ms)
     worker_reset (sched, worker, "report", now);
   if (report->boot_ms)
     worker->boot_ms = report->boot_ms;
   update_clock (worker, reply, now);
-  worker->answered_us = now.us;
-  if (worker->unreachable || !worker->has_reported)
-    sched->place_needed = true;
-  worker->unreachable = false;
-  worker->holds_lost = 0;
+  holds_process_answer (sched, worker, now.us);
   /* The leases of an earlier owner are unknown, but not longer than
      SCHED_LEASE_HORIZON_MS.  */
   if (!worker->has_reported && sched_inherits_leases (sched, now.us))
@@ -311,9 +254,7 @@
   process_report (sched, worker, report, reply->sent_us, now);
   stall_check (sched, worker, now);
   pace_update (worker, now);
-  worker->hold_due_us = worker->ends_seen > worker->ends_durable
-                            ? now.us + HOLD_RETRY_US
-                            : now.us + sched->hold_pause_us;
+  holds_schedule_next (sched, worker, now.us);
   return true;
 }
 
@@ -323,7 +264,7 @@
 {
   run->task->not_before_us = now.us + pause_us;
   sched_wake_at (sched, run->task->not_before_us);
-  run_close (sched, run, reply_name (kind), now);
+  run_close (sched, run, reply_kind_name (kind), now);
 }
 
 /* Handles an unanswered start of RUN, which may still be carried out.  A long-
@@ -356,7 +297,7 @@
   if (run->unanswered_starts > 0)
     {
       task_log_interrupted (run->task, run->attempt, run->worker, "stop",
-                            reply_name (kind), now.us);
+                            reply_kind_name (kind), now.us);
       run_stop (run);
     }
   else
--- a/jobs/sched.c
+++ b/jobs/sched.c
@@ -236,16 +236,6 @@
   return rec;
 }
 
-void
-sched_set_load (sched_t *sched, uint32_t busy_percent)
-{
-  uint32_t over = MIN (busy_percent, 100);
-
-  sched->busy_percent = busy_percent;
-  over = over > BUSY_PERCENT_MIN ? over - BUSY_PERCENT_MIN : 0;
-  sched->hold_pause_us = HOLD_PAUSE_MAX_US * over / (100 - BUSY_PERCENT_MIN);
-}
-
 void
 sched_set_durable (sched_t *sched, uint64_t batch)
 {
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -1,6 +1,6 @@
 /* schedint - data shared by the modules of the scheduler: sched, stages,
-   workers, runs, replies, place, advice, pace, stall, hosts, waves, demand and
-   moves.  Private to jobs/.  */
+   workers, holds, runs, replies, place, advice, pace, stall, hosts, waves,
+   demand and moves.  Private to jobs/.  */
 
 #ifndef CUMINPIN_SCHEDINT_H
 #define CUMINPIN_SCHEDINT_H
@@ -22,18 +22,8 @@
 /* Shortest lease for a start.  With a shorter one the task would end with the
    lease before the ownership is confirmed again.  */
 #define START_LEASE_MIN_US 1000000
-/* A worker answers a hold after this time when no run ends.  */
-#define HOLD_WAIT_MS 400
-/* A worker is unreachable after this many unanswered holds in a row.  A single
-   lost answer is tolerated, as the next one lists the same ends.  */
-#define HOLDS_LOST_MAX 2
-/* Interval of holds to a worker whose ends can't be made durable yet, or that
-   did not answer.  */
-#define HOLD_RETRY_US 250000
-/* An owner that is busy for more than BUSY_PERCENT_MIN of the time pauses up
-   to HOLD_PAUSE_MAX_US between two holds to a worker.  */
-#define BUSY_PERCENT_MIN 50
-#define HOLD_PAUSE_MAX_US 80000
+/* Pause of a worker after it lacked capacity or was unhealthy.  */
+#define WORKER_PAUSE_US 250000
 /* A worker that hasn't answered for this time gets no new tasks.  It covers
    two consecutive holds and the timeouts of their answers.  */
 #define WORKER_SILENCE_MAX_US 1200000
@@ -374,6 +364,28 @@
    run.  */
 int64_t stop_duration_max_us (const sched_t *sched);
 
+/* holds.c: when each worker is asked for its lists, and leases extended */
+/* worker_is_answering - whether WORKER answered the last hold.  Until it does,
+   its lease isn't extended; otherwise its tasks would never restart
+   elsewhere.  */
+bool worker_is_answering (const worker_t *worker);
+/* holds_plan - order a hold of WORKER if it is due.  */
+void holds_plan (sched_t *sched, worker_t *worker, sched_now_t now);
+/* holds_process_failure - WORKER's hold failed with KIND.  False: a later
+   owner exists.  */
+bool holds_process_failure (sched_t *sched, worker_t *worker,
+                            reply_kind_t kind, sched_now_t now);
+/* holds_process_answer - WORKER has answered a hold.
+   holds_schedule_next - set when its next hold is due; its report was
+   processed.  */
+void holds_process_answer (sched_t *sched, worker_t *worker, int64_t now_us);
+void holds_schedule_next (const sched_t *sched, worker_t *worker,
+                          int64_t now_us);
+
+/* replies.c: answers to orders */
+/* reply_kind_name - KIND as it stands in log lines.  */
+const char *reply_kind_name (reply_kind_t kind);
+
 /* hosts.c: the list of hosts and orders for them */
 void host_free (gpointer data);
 /* host_order_add - order HOST down; it counts as down from now on.  */
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -44,20 +44,12 @@
          + add_clock_drift ((worker->lease_end_ms - worker->clock_ms) * 1000);
 }
 
-/* Whether WORKER answered the last hold.  Until it does, its lease isn't
-   extended; otherwise its tasks would never restart elsewhere.  */
-static bool
-is_answering (const worker_t *worker)
-{
-  return !worker->unreachable && worker->holds_lost == 0;
-}
-
 bool
 worker_accepts_tasks (const worker_t *worker, int64_t now_us)
 {
   return worker->listed && worker->has_reported && worker->has_clock
          && worker->state == WORKER_READY && !worker->cordoned
-         && is_answering (worker) && worker->suspect_until_us <= now_us
+         && worker_is_answering (worker) && worker->suspect_until_us <= now_us
          && now_us - worker->answered_us < WORKER_SILENCE_MAX_US;
 }
 
@@ -306,25 +298,6 @@
     worker_remove (sched, g_ptr_array_index (gone, i), now);
 }
 
-static void
-add_hold_order (sched_t *sched, worker_t *worker, sched_now_t now)
-{
-  order_t order = { .kind = ORDER_HOLD,
-                    .worker = worker->interned,
-                    .address = worker->address,
-                    .ends_durable = worker->ends_durable };
-
-  if (is_answering (worker))
-    order.deadline_ms = worker_deadline_ms (sched, worker, now.us);
-  /* After a lost answer the next hold returns at once, so that ends are not
-     delayed further.  */
-  if (worker->has_reported && is_answering (worker)
-      && worker->ends_durable == worker->ends_seen)
-    order.wait_ms = HOLD_WAIT_MS;
-  worker->hold_pending = true;
-  sched_add_order (sched, order);
-}
-
 /* Orders the start of RUN, whose record is durable.  Returns NULL, or the
    reason why it can't be ordered.  */
 static const char *
@@ -334,7 +307,7 @@
   const char *ticket = advice_ticket (task->stage, run->worker, now.us);
   int64_t deadline_ms;
 
-  if (!is_answering (run->worker))
+  if (!worker_is_answering (run->worker))
     return "worker-unreachable";
   if (!ticket && advice_is_needed (task->stage))
     return "ticket-ended";
@@ -426,10 +399,5 @@
         }
     }
   pace_plan_orders (sched, worker, now);
-  if (worker->hold_pending)
-    return;
-  if (worker->hold_due_us <= now.us)
-    add_hold_order (sched, worker, now);
-  else
-    sched_wake_at (sched, worker->hold_due_us);
+  holds_plan (sched, worker, now);
 }
