tests: a busy owner lets the leases of sound workers end (red)

The owner is busy with holds, takes replies that it has not read yet for lost, and extends those leases no longer.

Change: jobs/holds plays an owner with 3,000 sound workers, a cost for each reply and no loss; entry/calls reads a reply after the time of its call was over.

--- /dev/null
+++ b/entry/test/calls_test.c
@@ -0,0 +1,135 @@
+#include "../../test/run_suite.h"
+#include "../entry.h"
+#include <arpa/inet.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define TIMEOUT_MS 300
+#define WAIT_MAX_US 5000000
+#define REQUEST_BYTES_MAX 4096
+
+static const char response[]
+    = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+
+static int epoll_fd;
+static int listen_fd;
+static int server_fd;
+static char address[32];
+static calls_t *calls;
+static bool completed;
+static uint32_t status;
+
+static void
+on_done (void *ctx, const call_result_t *result)
+{
+  (void)ctx;
+  completed = true;
+  status = result->status;
+}
+
+static void
+set_up (void)
+{
+  struct sockaddr_in self = { .sin_family = AF_INET };
+  socklen_t len = sizeof self;
+
+  self.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
+  listen_fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  ck_assert_int_eq (bind (listen_fd, (struct sockaddr *)&self, sizeof self),
+                    0);
+  ck_assert_int_eq (listen (listen_fd, 1), 0);
+  ck_assert_int_eq (getsockname (listen_fd, (struct sockaddr *)&self, &len),
+                    0);
+  g_snprintf (address, sizeof address, "127.0.0.1:%u", ntohs (self.sin_port));
+  server_fd = -1;
+  completed = false;
+  status = 0;
+  calls = calls_open (epoll_fd, 1);
+}
+
+static void
+tear_down (void)
+{
+  calls_close (calls);
+  close (server_fd);
+  close (listen_fd);
+  close (epoll_fd);
+}
+
+/* Waits until FD can be read, or for MS.  */
+static bool
+wait_readable (int fd, int ms)
+{
+  struct pollfd poll_fd = { .fd = fd, .events = POLLIN };
+
+  return poll (&poll_fd, 1, ms) > 0;
+}
+
+/* One iteration of the loop that owns CALLS.  */
+static void
+iterate (int wait_ms)
+{
+  struct epoll_event event;
+  int count = epoll_wait (epoll_fd, &event, 1, wait_ms);
+
+  if (count > 0)
+    calls_handle_event (calls, event.data.fd, event.events);
+  calls_run_due (calls, clock_boot_us ());
+}
+
+/* Sends a request and reads it at the server.  */
+static void
+send_request (void)
+{
+  platform_req_t req = { .path = g_strdup ("/hold") };
+  char request[REQUEST_BYTES_MAX];
+
+  calls_send (calls, address, &req, TIMEOUT_MS, on_done, NULL);
+  while (!wait_readable (listen_fd, 0))
+    iterate (1);
+  server_fd = accept (listen_fd, NULL, NULL);
+  ck_assert_int_ge (server_fd, 0);
+  while (!wait_readable (server_fd, 0))
+    iterate (1);
+  ck_assert_int_gt (recv (server_fd, request, sizeof request, 0), 0);
+}
+
+/* Guards against a reply that is taken for lost because this daemon was too
+   busy to read it in time.  The leases of sound workers ended for that.  */
+START_TEST (test_reply_that_waited_unread_is_no_timeout)
+{
+  int64_t late_us;
+
+  send_request ();
+  late_us = clock_boot_us () + 2 * TIMEOUT_MS * 1000;
+  ck_assert_int_eq (send (server_fd, response, sizeof response - 1, 0),
+                    sizeof response - 1);
+  while (clock_boot_us () < late_us)
+    wait_readable (listen_fd, 1);
+  for (int64_t end_us = late_us + WAIT_MAX_US;
+       !completed && clock_boot_us () < end_us;)
+    iterate (1);
+  ck_assert (completed);
+  ck_assert_uint_eq (status, 200);
+}
+END_TEST
+
+/* Guards against calls that wait forever for a silent server.  */
+START_TEST (test_silence_is_a_timeout)
+{
+  send_request ();
+  for (int64_t end_us = clock_boot_us () + WAIT_MAX_US;
+       !completed && clock_boot_us () < end_us;)
+    iterate (1);
+  ck_assert (completed);
+  ck_assert_uint_eq (status, 0);
+}
+END_TEST
+
+TEST_PROGRAM_WITH ("entry/calls", set_up, tear_down,
+                   test_reply_that_waited_unread_is_no_timeout,
+                   test_silence_is_a_timeout)
--- /dev/null
+++ b/jobs/test/holds_test.c
@@ -0,0 +1,256 @@
+#include "rig.h"
+
+/* A scheduler with many sound workers, on a daemon that takes a while for each
+   reply.  Nothing is lost, so every delay is the owner's own.  */
+
+/* Workers of the largest deployment that is played.  */
+#define WORKERS 3000
+/* A reply takes an owner 0.28 ms of a core, and it has a quarter of one.  */
+#define REPLY_COST_US 1100
+#define NETWORK_US 2000
+/* The owner reads this many replies before it plans again.  */
+#define REPLIES_PER_PLAN 16
+#define LOAD_WINDOW_US 100000
+
+/* A worker, as it sees itself.  Its clock is the owner's.  */
+typedef struct fake_worker
+{
+  const char *id;
+  int64_t lease_end_ms; /* 0: it has no lease */
+  GArray *runs;         /* run_status_t */
+} fake_worker_t;
+
+typedef struct fake_reply
+{
+  order_t order;
+  int64_t sent_us;
+  int64_t arrival_us;
+} fake_reply_t;
+
+static fake_worker_t workers[WORKERS];
+static GHashTable *workers_by_id;
+static GSequence *replies;
+static int64_t window_us;
+static int64_t busy_us;
+
+static gint
+compare_arrival (gconstpointer a, gconstpointer b, gpointer ctx)
+{
+  const fake_reply_t *l = a;
+  const fake_reply_t *r = b;
+
+  (void)ctx;
+  return l->arrival_us < r->arrival_us ? -1 : l->arrival_us > r->arrival_us;
+}
+
+static void
+set_up (void)
+{
+  rig_reset ();
+  workers_by_id = g_hash_table_new (g_str_hash, g_str_equal);
+  replies = g_sequence_new (g_free);
+  for (uint32_t i = 0; i < WORKERS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("w%u", i);
+
+      workers[i] = (fake_worker_t){
+        .id = g_intern_string (id),
+        .runs = g_array_new (FALSE, FALSE, sizeof (run_status_t)),
+      };
+      g_hash_table_insert (workers_by_id, (gpointer)workers[i].id,
+                           &workers[i]);
+    }
+}
+
+static void
+register_workers (void)
+{
+  for (uint32_t i = 0; i < WORKERS; i++)
+    rig_worker (workers[i].id, 16, true);
+  window_us = rig.now.us;
+  busy_us = 0;
+}
+
+static void
+tear_down (void)
+{
+  rig_tear_down ();
+  for (uint32_t i = 0; i < WORKERS; i++)
+    g_array_free (workers[i].runs, TRUE);
+  g_hash_table_destroy (workers_by_id);
+  g_sequence_free (replies);
+}
+
+/* The worker carries ORDER out on its arrival.  */
+static void
+carry_out (const order_t *order)
+{
+  fake_worker_t *worker = g_hash_table_lookup (workers_by_id, order->worker);
+  int64_t wait_us = order->kind == ORDER_HOLD ? order->wait_ms * 1000 : 0;
+  fake_reply_t *reply = g_new0 (fake_reply_t, 1);
+
+  worker->lease_end_ms = MAX (worker->lease_end_ms, order->deadline_ms);
+  if (order->kind == ORDER_START)
+    {
+      run_status_t row = rig_status (order);
+
+      g_array_append_val (worker->runs, row);
+    }
+  *reply = (fake_reply_t){ .order = *order,
+                           .sent_us = rig.now.us,
+                           .arrival_us = rig.now.us + NETWORK_US + wait_us };
+  g_sequence_insert_sorted (replies, reply, compare_arrival, NULL);
+}
+
+static void
+send_orders (void)
+{
+  g_autoptr (GArray) orders = rig_plan (true);
+
+  for (uint32_t i = 0; i < orders->len; i++)
+    carry_out (&g_array_index (orders, order_t, i));
+}
+
+static void
+spend (int64_t us, bool busy)
+{
+  rig.now.us += us;
+  rig.now.wall_ms = 1700000000000 + rig.now.us / 1000;
+  busy_us += busy ? us : 0;
+  if (rig.now.us - window_us < LOAD_WINDOW_US)
+    return;
+  sched_set_load (rig.sched,
+                  (uint32_t)(busy_us * 100 / (rig.now.us - window_us)));
+  window_us = rig.now.us;
+  busy_us = 0;
+}
+
+static void
+read_reply (void)
+{
+  GSequenceIter *first = g_sequence_get_begin_iter (replies);
+  const fake_reply_t *reply = g_sequence_get (first);
+  const fake_worker_t *worker
+      = g_hash_table_lookup (workers_by_id, reply->order.worker);
+  worker_reply_t answer = { .kind = REPLY_OK,
+                            .clock_ms = reply->arrival_us / 1000,
+                            .has_clock = true,
+                            .sent_us = reply->sent_us };
+  worker_report_t report = { .runs = (run_status_t *)worker->runs->data,
+                             .runs_count = worker->runs->len };
+
+  spend (REPLY_COST_US, true);
+  if (reply->order.kind == ORDER_HOLD)
+    rig_hold_reply (worker->id, &answer, &report);
+  else
+    sched_order_reply (rig.sched, &reply->order, &answer, rig.now);
+  g_sequence_remove (first);
+}
+
+static bool
+reply_is_here (void)
+{
+  const fake_reply_t *reply;
+
+  if (g_sequence_is_empty (replies))
+    return false;
+  reply = g_sequence_get (g_sequence_get_begin_iter (replies));
+  return reply->arrival_us <= rig.now.us;
+}
+
+/* The number of workers that run something without a lease.  */
+static uint32_t
+count_lapsed (void)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < WORKERS; i++)
+    count += workers[i].runs->len > 0
+             && workers[i].lease_end_ms < rig.now.us / 1000;
+  return count;
+}
+
+/* Lets the owner work for MS; returns the number of workers whose lease ended
+   meanwhile.  */
+static uint32_t
+work (int64_t ms)
+{
+  int64_t end_us = rig.now.us + ms * 1000;
+  uint32_t lapsed = 0;
+
+  while (rig.now.us < end_us)
+    {
+      sched_confirm_ownership (rig.sched, rig.now.us);
+      send_orders ();
+      for (uint32_t i = 0; i < REPLIES_PER_PLAN && reply_is_here (); i++)
+        read_reply ();
+      if (!reply_is_here ())
+        spend (1000, false);
+      lapsed = MAX (lapsed, count_lapsed ());
+    }
+  return lapsed;
+}
+
+static uint32_t
+count_serving (void)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < WORKERS; i++)
+    count += workers[i].runs->len;
+  return count;
+}
+
+static void
+submit_services (uint32_t count)
+{
+  job_step_t step = rig_step (5);
+
+  step.long_running = true;
+  step.max_unavailable = 1;
+  for (uint32_t i = 0; i < count; i++)
+    rig_submit (i + 1, &step, 1);
+}
+
+/* Guards against leases of sound workers that end because the owner is busy
+   with holds of idle ones (valtel-sched with 1,176 workers and more: AVAIL,
+   as all tasks of a long-running step are lost together).  */
+START_TEST (test_idle_workers_delay_no_lease)
+{
+  rig_open_sched (1);
+  register_workers ();
+  work (6000);
+  submit_services (20);
+  ck_assert_uint_eq (work (10000), 0);
+  ck_assert_uint_eq (count_serving (), 100);
+}
+END_TEST
+
+/* Guards against a new owner that reads the lists of idle workers while the
+   leases of an earlier owner end on the others.  */
+START_TEST (test_new_owner_extends_leases_first)
+{
+  rig.now = (sched_now_t){ .us = 1000000000, .wall_ms = 1700000000000 };
+  submit_services (20);
+  for (uint32_t i = 0; i < 100; i++)
+    {
+      fake_worker_t *worker = &workers[i * (WORKERS / 100)];
+      run_status_t row = { .task = rig_task_ref (i / 5 + 1, i % 5),
+                           .attempt = 1,
+                           .checkpoint = "",
+                           .percent = 100 };
+
+      rig_record_start (i / 5 + 1, i % 5, 1, worker->id);
+      g_array_append_val (worker->runs, row);
+      /* The rest of a lease of 3 s when an owner is replaced.  */
+      worker->lease_end_ms = rig.now.us / 1000 + 1300;
+    }
+  rig_open_sched (2);
+  register_workers ();
+  ck_assert_uint_eq (work (6000), 0);
+}
+END_TEST
+
+TEST_PROGRAM_WITH ("jobs/holds", set_up, tear_down,
+                   test_idle_workers_delay_no_lease,
+                   test_new_owner_extends_leases_first)
