entry: a call times out only when no reply waits to be read

Cause: the owner takes its own delay for the silence of others. libcurl ends a call at its timeout before it looks at the socket, and the loop ran the timers after at most 64 events. A busy owner so reported replies as missing that had been there in time; after two, the worker counted as lost, its lease was not extended, and its tasks ended.

Change: the calls have their own deadlines. A call whose time is over ends only once all replies were read that had arrived by then; a daemon that has been behind for 2 s goes by what it has read.

Why this works: a worker that answers is never taken for lost because of the order in which this daemon handles events, however busy it is.

--- a/entry/calls.c
+++ b/entry/calls.c
@@ -20,6 +20,8 @@
   call_result_t result;
   call_done_t done;
   void *ctx;
+  int64_t deadline_us;
+  GSequenceIter *place; /* in calls->by_deadline */
   /* Data may have been sent, on this connection or on one that libcurl
      abandoned before.  */
   bool request_started;
@@ -29,9 +31,10 @@
 {
   CURLM *multi;
   int epoll_fd;
-  int64_t due_us;
-  GPtrArray *idle;     /* CURL handles without a call */
-  GByteArray *watched; /* by descriptor: whether it is in the epoll set */
+  int64_t due_us;         /* of libcurl's timers */
+  GSequence *by_deadline; /* calls under way */
+  GPtrArray *idle;        /* CURL handles without a call */
+  GByteArray *watched;    /* by descriptor: whether it is in the epoll set */
 };
 
 static void
@@ -98,6 +101,7 @@
 
   calls->epoll_fd = epoll_fd;
   calls->due_us = INT64_MAX;
+  calls->by_deadline = g_sequence_new (NULL);
   calls->idle = g_ptr_array_new_with_free_func (curl_easy_cleanup);
   calls->watched = g_byte_array_new ();
   calls->multi = curl_multi_init ();
@@ -118,6 +122,7 @@
   g_ptr_array_unref (calls->idle);
   curl_multi_cleanup (calls->multi);
   g_byte_array_unref (calls->watched);
+  g_sequence_free (calls->by_deadline);
   g_free (calls);
 }
 
@@ -179,6 +184,17 @@
   return list;
 }
 
+static gint
+compare_deadlines (gconstpointer a, gconstpointer b, gpointer ctx)
+{
+  const call_t *l = a;
+  const call_t *r = b;
+
+  (void)ctx;
+  return l->deadline_us < r->deadline_us ? -1
+                                         : l->deadline_us > r->deadline_us;
+}
+
 void
 calls_send (calls_t *calls, const char *address, platform_req_t *req,
             uint32_t timeout_ms, call_done_t done, void *ctx)
@@ -194,9 +210,11 @@
   call->ctx = ctx;
   call->result.sent_us = clock_boot_us ();
   call->result.body = g_byte_array_new ();
+  call->deadline_us = call->result.sent_us + (int64_t)timeout_ms * 1000;
+  call->place = g_sequence_insert_sorted (calls->by_deadline, call,
+                                          compare_deadlines, NULL);
   curl_easy_setopt (call->easy, CURLOPT_URL, url);
   curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
-  curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
   curl_easy_setopt (call->easy, CURLOPT_WRITEDATA, call->result.body);
   curl_easy_setopt (call->easy, CURLOPT_PRIVATE, call);
   curl_easy_setopt (call->easy, CURLOPT_PREREQDATA, call);
@@ -224,6 +242,7 @@
   if (code == CURLE_OK)
     call->result.status = (uint32_t)status;
   call->result.not_sent = code != CURLE_OK && !call->request_started;
+  g_sequence_remove (call->place);
   curl_multi_remove_handle (calls->multi, call->easy);
   if (calls->idle->len < IDLE_HANDLES_MAX)
     g_ptr_array_add (calls->idle, call->easy);
@@ -272,9 +291,30 @@
   process_socket (calls, fd, events);
 }
 
+/* The call with the earliest deadline, or NULL.  */
+static call_t *
+first_call (const calls_t *calls)
+{
+  GSequenceIter *first = g_sequence_get_begin_iter (calls->by_deadline);
+
+  return g_sequence_iter_is_end (first) ? NULL : g_sequence_get (first);
+}
+
+/* libcurl's own timeout is not used: it ends a call whose reply has arrived in
+   time but was not read yet.  */
+static void
+end_expired_calls (calls_t *calls, int64_t read_us)
+{
+  call_t *call;
+
+  while ((call = first_call (calls)) && call->deadline_us <= read_us)
+    complete_call (calls, call, CURLE_OPERATION_TIMEDOUT);
+}
+
 void
-calls_run_due (calls_t *calls, int64_t now_us)
+calls_run_due (calls_t *calls, int64_t read_us, int64_t now_us)
 {
+  end_expired_calls (calls, MIN (read_us, now_us));
   if (calls->due_us > now_us)
     return;
   calls->due_us = INT64_MAX;
@@ -284,5 +324,7 @@
 int64_t
 calls_due_us (const calls_t *calls)
 {
-  return calls->due_us;
+  const call_t *call = first_call (calls);
+
+  return call ? MIN (calls->due_us, call->deadline_us) : calls->due_us;
 }
--- a/entry/core.c
+++ b/entry/core.c
@@ -19,6 +19,9 @@
    store but delays the final states that clients see.  */
 #define PROGRESS_INTERVAL_US 10000
 #define LOAD_WINDOW_US 100000
+/* A daemon that has had replies to read for this time goes by those that it
+   has read; otherwise no call would time out while it is overloaded.  */
+#define READ_LAG_MAX_US 2000000
 /* Pending counts may be up to 2 s old.  */
 #define HOUSEKEEPING_INTERVAL_US 500000
 /* How long a stopping daemon waits for its last appends.  */
@@ -457,8 +460,19 @@
 static void
 run_calls (core_t *core, int64_t now_us)
 {
-  calls_run_due (core->calls, now_us);
-  calls_run_due (core->worker_calls, now_us);
+  calls_run_due (core->calls, core->read_us, now_us);
+  calls_run_due (core->worker_calls, core->read_us, now_us);
+}
+
+/* Notes how far replies are read after COUNT events were handled that were
+   ready at NOW_US.  More are ready if the list was full.  */
+static void
+update_read_time (core_t *core, int count, int64_t now_us)
+{
+  if (count < EPOLL_EVENTS_MAX)
+    core->read_us = now_us;
+  else
+    core->read_us = MAX (core->read_us, now_us - READ_LAG_MAX_US);
 }
 
 static void
@@ -480,6 +494,7 @@
         calls_handle_event (core->worker_calls, events[i].data.fd,
                             events[i].events);
       }
+  update_read_time (core, count, now_us);
   run_calls (core, now_us);
   now_us = clock_boot_us ();
   if (atomic_load (&core->release_requested))
--- a/entry/core.h
+++ b/entry/core.h
@@ -67,6 +67,7 @@
   bool resync_needed; /* no orders until the log was read */
   int64_t pause_detected_us;
   int64_t iteration_us; /* start of the last iteration of the loop */
+  int64_t read_us;      /* replies that had arrived by then were read */
   int64_t busy_us;      /* time not spent waiting since load_window_us */
   int64_t load_window_us;
   int64_t progress_due_us;
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -188,9 +188,11 @@
    CALLS.  */
 void calls_handle_event (calls_t *calls, int fd, uint32_t ready);
 
-/* calls_run_due - handle expired timers.
+/* calls_run_due - handle expired timers.  All replies that had arrived by
+   READ_US were handled; a call whose time was over later may have its reply
+   waiting and goes on.
    calls_due_us - when the next timer expires.  */
-void calls_run_due (calls_t *calls, int64_t now_us);
+void calls_run_due (calls_t *calls, int64_t read_us, int64_t now_us);
 int64_t calls_due_us (const calls_t *calls);
 
 /* Core.  */
