jobs: idle workers give way to leases when the owner is busy

What callers saw: with many workers all tasks of a long-running step were away at once (AVAIL), and jobs were not run (LOST).

Cause: every worker was held every 400 ms, whether it ran anything or not. A hold takes the owner 0.28 ms of a core (392 workers: 0.23 of its 0.25 cores), so from about 450 workers on the holds of idle workers used up the owner, and leases of others ended before they were extended. A new owner read the lists of all workers before it extended any lease.

Change: a worker that runs nothing and has no ends to forget is idle. An owner that is busy for over 70 % of the time doubles the pause of idle workers every 100 ms, up to one hold for 10 ms of its time, and shortens it when it has time again. First holds to idle workers are limited in flight, so workers with runs on record come first after a take-over. A worker that was not asked does not count as silent.

Why this works: what an owner does without being asked to grows with what runs, no longer with the fleet.

--- a/jobs/holds.c
+++ b/jobs/holds.c
@@ -12,12 +12,46 @@
    to HOLD_PAUSE_MAX_US between two holds to a worker.  */
 #define BUSY_PERCENT_MIN 50
 #define HOLD_PAUSE_MAX_US 80000
+/* An owner that is busy for more than IDLE_SLOW_PERCENT of the time doubles
+   the pause between two holds to an idle worker, and shortens it by an
+   IDLE_FAST_DIVISOR-th when it is busy for less than BUSY_PERCENT_MIN.  */
+#define IDLE_SLOW_PERCENT 70
+#define IDLE_PAUSE_MIN_US 100000
+#define IDLE_FAST_DIVISOR 8
+/* Holds to idle workers that an owner sends in a second, however busy it is.
+ */
+#define IDLE_HOLDS_PER_S_MIN 100
+/* Limit on holds in flight to workers that have not reported yet.  Their
+   replies queue up in the owner, before those that extend leases.  */
+#define FIRST_HOLDS_MAX 64
+
 bool
 worker_is_answering (const worker_t *worker)
 {
   return !worker->unreachable && worker->holds_lost == 0;
 }
 
+/* Whether WORKER has no lease that has to be extended and no ends to forget.
+ */
+static bool
+is_idle (const worker_t *worker)
+{
+  return worker->runs->len == 0 && worker->ends_seen == worker->ends_durable;
+}
+
+static bool
+is_first_hold (const worker_t *worker)
+{
+  return !worker->has_reported && is_idle (worker);
+}
+
+bool
+worker_is_silent (const worker_t *worker, int64_t now_us)
+{
+  return worker->asked_us != 0
+         && now_us - worker->asked_us >= WORKER_SILENCE_MAX_US;
+}
+
 static void
 add_hold_order (sched_t *sched, worker_t *worker, sched_now_t now)
 {
@@ -34,18 +68,42 @@
       && worker->ends_durable == worker->ends_seen)
     order.wait_ms = HOLD_WAIT_MS;
   worker->hold_pending = true;
+  worker->first_hold = is_first_hold (worker);
+  sched->first_holds += worker->first_hold;
+  if (worker->asked_us == 0)
+    worker->asked_us = now.us;
   sched_add_order (sched, order);
 }
 
+void
+holds_clear_pending (sched_t *sched, worker_t *worker)
+{
+  sched->first_holds -= worker->first_hold;
+  worker->first_hold = false;
+  worker->hold_pending = false;
+}
+
+/* When the next hold to WORKER is due.  Idle workers give way when the owner
+   is busy: it would otherwise lose leases for want of time.  */
+static int64_t
+hold_due_us (const sched_t *sched, const worker_t *worker)
+{
+  return is_idle (worker) && worker->has_reported
+             ? worker->hold_due_us + sched->idle_pause_us
+             : worker->hold_due_us;
+}
+
 void
 holds_plan (sched_t *sched, worker_t *worker, sched_now_t now)
 {
+  int64_t due_us = hold_due_us (sched, worker);
+
   if (worker->hold_pending)
     return;
-  if (worker->hold_due_us <= now.us)
+  if (due_us > now.us)
+    sched_wake_at (sched, due_us);
+  else if (!is_first_hold (worker) || sched->first_holds < FIRST_HOLDS_MAX)
     add_hold_order (sched, worker, now);
-  else
-    sched_wake_at (sched, worker->hold_due_us);
 }
 
 /* Records that WORKER does not answer its holds.  */
@@ -107,6 +165,7 @@
     sched->place_needed = true;
   worker->unreachable = false;
   worker->holds_lost = 0;
+  worker->asked_us = 0;
 }
 
 void
@@ -117,11 +176,27 @@
                             : now_us + sched->hold_pause_us;
 }
 
+static void
+update_idle_pause (sched_t *sched, uint32_t busy_percent)
+{
+  int64_t max_us = (int64_t)g_hash_table_size (sched->workers) * 1000000
+                   / IDLE_HOLDS_PER_S_MIN;
+  int64_t *pause_us = &sched->idle_pause_us;
+
+  if (busy_percent > IDLE_SLOW_PERCENT)
+    *pause_us = MIN (MAX (*pause_us * 2, IDLE_PAUSE_MIN_US), max_us);
+  else if (busy_percent < BUSY_PERCENT_MIN)
+    *pause_us -= MIN (*pause_us,
+                      MAX (*pause_us / IDLE_FAST_DIVISOR, IDLE_PAUSE_MIN_US));
+}
+
 void
 sched_set_load (sched_t *sched, uint32_t busy_percent)
 {
   uint32_t over = MIN (busy_percent, 100);
 
+  update_idle_pause (sched, busy_percent);
+
   sched->busy_percent = busy_percent;
   over = over > BUSY_PERCENT_MIN ? over - BUSY_PERCENT_MIN : 0;
   sched->hold_pause_us = HOLD_PAUSE_MAX_US * over / (100 - BUSY_PERCENT_MIN);
--- a/jobs/replies.c
+++ b/jobs/replies.c
@@ -236,7 +236,7 @@
   sched_wake_at (sched, now.us);
   if (!worker)
     return reply->kind != REPLY_FENCED;
-  worker->hold_pending = false;
+  holds_clear_pending (sched, worker);
   if (reply->kind != REPLY_OK || !report)
     return holds_process_failure (sched, worker, reply->kind, now);
   if (report->boot_ms && worker->boot_ms && report->boot_ms != worker->boot_ms)
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -24,8 +24,8 @@
 #define START_LEASE_MIN_US 1000000
 /* Pause of a worker after it lacked capacity or was unhealthy.  */
 #define WORKER_PAUSE_US 250000
-/* A worker that hasn't answered for this time gets no new tasks.  It covers
-   two consecutive holds and the timeouts of their answers.  */
+/* A worker that was asked and hasn't answered for this time gets no new tasks.
+   It covers two consecutive holds and the timeouts of their answers.  */
 #define WORKER_SILENCE_MAX_US 1200000
 
 typedef struct sched_job sched_job_t;
@@ -164,7 +164,9 @@
   bool unreachable;
   uint32_t holds_lost; /* consecutive */
   bool hold_pending;
-  int64_t hold_due_us;
+  bool first_hold;       /* the one pending is counted in sched->first_holds */
+  int64_t asked_us;      /* first hold sent since it answered last; 0: none */
+  int64_t hold_due_us;   /* while it is idle, idle_pause_us later */
   uint64_t ends_seen;    /* last end that was processed */
   uint64_t ends_batch;   /* batch in which these ends become durable */
   uint64_t ends_durable; /* last durable end */
@@ -270,6 +272,8 @@
   uint64_t durable_batch;  /* last batch read back from the log */
   uint32_t busy_percent;   /* load of the owner, as reported last */
   int64_t hold_pause_us;   /* pause before the next hold to a worker */
+  int64_t idle_pause_us;   /* the same, in addition, for an idle worker */
+  uint32_t first_holds;    /* pending, to workers that have not reported */
   bool has_unwritten_ends; /* ends were reported since the last batch */
   bool place_needed;       /* a change may allow a task to start */
   int64_t next_place_us;   /* time of the next placement without a change */
@@ -369,8 +373,13 @@
    its lease isn't extended; otherwise its tasks would never restart
    elsewhere.  */
 bool worker_is_answering (const worker_t *worker);
+/* worker_is_silent - whether WORKER has been asked and has not answered for
+   WORKER_SILENCE_MAX_US.  A worker that was not asked is not silent.  */
+bool worker_is_silent (const worker_t *worker, int64_t now_us);
 /* holds_plan - order a hold of WORKER if it is due.  */
 void holds_plan (sched_t *sched, worker_t *worker, sched_now_t now);
+/* holds_clear_pending - the hold of WORKER, if any, has ended.  */
+void holds_clear_pending (sched_t *sched, worker_t *worker);
 /* holds_process_failure - WORKER's hold failed with KIND.  False: a later
    owner exists.  */
 bool holds_process_failure (sched_t *sched, worker_t *worker,
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -50,7 +50,7 @@
   return worker->listed && worker->has_reported && worker->has_clock
          && worker->state == WORKER_READY && !worker->cordoned
          && worker_is_answering (worker) && worker->suspect_until_us <= now_us
-         && now_us - worker->answered_us < WORKER_SILENCE_MAX_US;
+         && !worker_is_silent (worker, now_us);
 }
 
 bool
@@ -114,6 +114,7 @@
   worker->has_reported = false;
   worker->consecutive_failures = 0;
   worker->holds_lost = 0;
+  worker->asked_us = 0;
   worker->suspect_until_us = 0;
   worker->hold_due_us = now.us;
 }
@@ -125,6 +126,7 @@
              worker->id, worker->pool->name,
              worker->answered_us ? (now.us - worker->answered_us) / 1000 : -1);
   close_all_runs (sched, worker, "worker-gone", now);
+  holds_clear_pending (sched, worker);
   g_ptr_array_remove_fast (worker->pool->workers, worker);
   g_hash_table_remove (sched->workers, worker->id);
 }
