waves: a stop that is not confirmed does not count as done

What callers would see: more tasks of a long-running step away than it allows.

Cause: may_stop_run took a run that is being stopped for one that has ended, and a stop was repeated every 250 ms without another look at its step. While a stop is lost or late the task serves on. If another task of its step becomes unavailable meanwhile, the repeat, or maintenance of its host, ends a serving task beyond max_unavailable.

Change: run_may_be_interrupted judges each run that may still serve, in any phase, and is asked before each stop and host order. Draining workers are left out: their tasks end anyway.

Why this works: others that are away are counted on what is known when the order leaves, not when it was thought of.

--- a/jobs/runs.c
+++ b/jobs/runs.c
@@ -28,6 +28,18 @@
   return count;
 }
 
+bool
+run_may_be_interrupted (const run_t *run, int64_t now_us)
+{
+  const stage_t *stage = run->task->stage;
+
+  /* A run that is being stopped may still serve: its stop may be lost.  */
+  return !stage->spec->long_running || stage->spec->max_unavailable == 0
+         || stage->job->ended || run->worker->state == WORKER_DRAINING
+         || stage_unavailable (stage, run->task, now_us)
+                < stage->spec->max_unavailable;
+}
+
 void
 task_log_interrupted (const task_t *task, uint32_t attempt,
                       const worker_t *worker, const char *by, const char *why,
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -316,6 +316,11 @@
    again unless it is done.  */
 void run_close (sched_t *sched, run_t *run, const char *why, sched_now_t now);
 void run_stop (run_t *run);
+/* run_may_be_interrupted - whether an order that ends RUN leaves its step with
+   at most max_unavailable of its tasks unavailable, as far as is known.  Asked
+   each time before such an order is sent, repeats included: meanwhile other
+   tasks may have become unavailable.  */
+bool run_may_be_interrupted (const run_t *run, int64_t now_us);
 /* task_log_interrupted - log that an order of kind BY, given for the reason
    WHY, ends ATTEMPT of TASK on WORKER, if the task is long-running and its job
    goes on.  */
--- a/jobs/test/waves_test.c
+++ b/jobs/test/waves_test.c
@@ -163,9 +163,177 @@
 }
 END_TEST
 
+/* Jobs of two long-running tasks, of which one may be unavailable: those of
+   QUOTES run on w0 and w1, those of PROOFS on w0 and w2.  */
+enum
+{
+  QUOTES = 1,
+  PROOFS = 2
+};
+
+#define ROWS_MAX 4
+
+/* What a worker runs.  */
+typedef struct worker_rows
+{
+  const char *id;
+  run_status_t rows[ROWS_MAX];
+  uint32_t count;
+  uint64_t ends;
+} worker_rows_t;
+
+static worker_rows_t services[3];
+
+static void
+report_services (void)
+{
+  for (uint32_t i = 0; i < G_N_ELEMENTS (services); i++)
+    rig_report (services[i].id, services[i].rows, services[i].count, NULL, 0);
+}
+
+static void
+add_row (worker_rows_t *worker, run_status_t row)
+{
+  worker->rows[worker->count++] = row;
+}
+
+static void
+open_services (void)
+{
+  job_step_t step = rig_step (2);
+  const uint32_t jobs[] = { QUOTES, QUOTES, PROOFS, PROOFS };
+  const uint32_t places[] = { 0, 1, 0, 2 };
+  static const char *const ids[] = { "w0", "w1", "w2" };
+
+  step.long_running = true;
+  step.max_unavailable = 1;
+  rig_open_sched (1);
+  memset (services, 0, sizeof services);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (services); i++)
+    {
+      services[i].id = ids[i];
+      rig_worker (ids[i], 8, false);
+    }
+  g_array_unref (rig_plan (true)); /* grants the leases */
+  rig_submit (QUOTES, &step, 1);
+  rig_submit (PROOFS, &step, 1);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (jobs); i++)
+    add_row (&services[places[i]],
+             (run_status_t){ .task = rig_task_ref (jobs[i], i % 2),
+                             .attempt = 1,
+                             .checkpoint = "",
+                             .percent = 100 });
+  report_services ();
+}
+
+/* Task 1 of JOB fails on its worker.  */
+static void
+fail_task (uint32_t job)
+{
+  task_ref_t task = rig_task_ref (job, 1);
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (services); i++)
+    for (uint32_t j = 0; j < services[i].count; j++)
+      {
+        worker_rows_t *worker = &services[i];
+        run_end_t end = { .sequence = worker->ends + 1,
+                          .task = task,
+                          .attempt = worker->rows[j].attempt,
+                          .kind = RUN_FAILED,
+                          .checkpoint = "" };
+
+        if (!task_ref_equal (&worker->rows[j].task, &task))
+          continue;
+        worker->ends++;
+        worker->rows[j] = worker->rows[--worker->count];
+        rig_report (worker->id, worker->rows, worker->count, &end, 1);
+        return;
+      }
+}
+
+/* The workers carry out the starts in ORDERS; the tasks serve.  */
+static void
+take_starts (const GArray *orders)
+{
+  for (uint32_t i = 0; i < orders->len; i++)
+    {
+      const order_t *order = &g_array_index (orders, order_t, i);
+
+      if (order->kind != ORDER_START)
+        continue;
+      rig_confirm_start (order);
+      for (uint32_t w = 0; w < G_N_ELEMENTS (services); w++)
+        if (strcmp (services[w].id, order->worker) == 0)
+          add_row (&services[w], rig_status (order));
+    }
+  report_services ();
+}
+
+/* The tasks that have failed are started again and serve.  */
+static void
+serve_again (void)
+{
+  g_autoptr (GArray) orders = rig_plan (false);
+
+  take_starts (orders);
+}
+
+/* Guards against maintenance that interrupts a task whose stop was ordered but
+   not confirmed, while another task of its step is unavailable.  */
+START_TEST (test_unconfirmed_stop_allows_no_maintenance)
+{
+  static const char *const hosts[] = { "w0" };
+  host_order_t order;
+
+  open_services ();
+  rig_list_hosts (hosts, 1, UINT32_MAX);
+  rig_set_wave ("h0", 1);
+  /* The proofs on w0 may not be interrupted, so the wave has the quotes
+     stopped; the stop does not arrive.  */
+  fail_task (PROOFS);
+  ck_assert (!rig_next_order (200, &order));
+  serve_again ();
+  fail_task (QUOTES);
+  ck_assert (!rig_next_order (200, &order));
+  serve_again ();
+  ck_assert (rig_next_order (200, &order));
+}
+END_TEST
+
+/* Guards against a stop that is sent again after another task of the step has
+   become unavailable: the first one may have been lost.  */
+START_TEST (test_stop_is_not_repeated_while_others_are_unavailable)
+{
+  static const char *const hosts[] = { "w0" };
+  host_order_t order;
+  g_autoptr (GArray) first = NULL;
+  g_autoptr (GArray) repeat = NULL;
+  g_autoptr (GArray) later = NULL;
+
+  open_services ();
+  rig_list_hosts (hosts, 1, UINT32_MAX);
+  rig_set_wave ("h0", 1);
+  fail_task (PROOFS);
+  ck_assert (!rig_next_order (200, &order));
+  first = rig_plan (false);
+  ck_assert_uint_eq (rig_count_orders (first, ORDER_STOP), 1);
+  fail_task (QUOTES);
+  rig_advance_clock (300);
+  report_services ();
+  repeat = rig_plan (false);
+  ck_assert_uint_eq (rig_count_orders (repeat, ORDER_STOP), 0);
+  take_starts (repeat);
+  rig_advance_clock (300);
+  later = rig_plan (false);
+  ck_assert_uint_eq (rig_count_orders (later, ORDER_STOP), 1);
+}
+END_TEST
+
 TEST_PROGRAM_WITH ("jobs/waves", rig_reset, rig_tear_down,
                    test_wave_keeps_its_limit,
                    test_wave_is_complete_when_all_have_begun,
                    test_maintenance_waits_for_long_running_tasks,
                    test_wave_begins_with_long_running_tasks,
-                   test_moving_host_does_not_hold_up_a_wave)
+                   test_moving_host_does_not_hold_up_a_wave,
+                   test_unconfirmed_stop_allows_no_maintenance,
+                   test_stop_is_not_repeated_while_others_are_unavailable)
--- a/jobs/waves.c
+++ b/jobs/waves.c
@@ -103,22 +103,8 @@
   return false;
 }
 
-/* Whether stopping RUN leaves its step with at most max_unavailable of its
-   tasks unavailable.  */
-static bool
-may_stop_run (const run_t *run, int64_t now_us)
-{
-  const stage_t *stage = run->task->stage;
-
-  if (!stage->spec->long_running || stage->spec->max_unavailable == 0
-      || stage->job->ended || run->phase == RUN_STOPPING)
-    return true;
-  return stage_unavailable (stage, run->task, now_us)
-         < stage->spec->max_unavailable;
-}
-
-/* Whether WORKER may go down now.  may_stop_run judges each run on its own, so
-   two runs of one step that has a limit are refused here.  */
+/* Whether WORKER may go down now.  run_may_be_interrupted judges each run on
+   its own, so two runs of one step that has a limit are refused here.  */
 static bool
 may_take_down (const worker_t *worker, int64_t since_us, int64_t now_us)
 {
@@ -129,7 +115,7 @@
 
       if (stage->spec->long_running)
         {
-          if (!may_stop_run (run, now_us))
+          if (!run_may_be_interrupted (run, now_us))
             return false;
           for (uint32_t j = 0; j < i; j++)
             {
@@ -160,7 +146,7 @@
     {
       const run_t *run = g_ptr_array_index (worker->runs, i);
 
-      if (!may_stop_run (run, now_us))
+      if (!run_may_be_interrupted (run, now_us))
         return cost + 2;
       long_running |= run->task->stage->spec->long_running;
     }
@@ -255,7 +241,8 @@
     {
       run_t *run = g_ptr_array_index (worker->runs, i);
 
-      if (!run->task->stage->spec->long_running || !may_stop_run (run, now_us))
+      if (!run->task->stage->spec->long_running
+          || !run_may_be_interrupted (run, now_us))
         continue;
       task_log_interrupted (run->task, run->attempt, worker, "stop", "wave",
                             now_us);
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -364,6 +364,12 @@
 {
   if (run->stop_confirmed_us != 0)
     return;
+  /* A run that never served takes none from its step.  */
+  if (run->active_us != 0 && !run_may_be_interrupted (run, now.us))
+    {
+      sched_wake_at (sched, now.us + STOP_RETRY_US);
+      return;
+    }
   if (run->stop_sent_us == 0 || now.us - run->stop_sent_us >= STOP_RETRY_US)
     {
       run->stop_sent_us = now.us;
