hosts: an unanswered order stays open until it is settled, and is judged again

What callers would see: more tasks of a long-running step away than it allows.

Cause: an order for a host that got no answer may be carried out later, yet - its repeat was sent without another look at the tasks on the host; - a list of hosts that shows the host as up, or a refusal of the repeat, made its tasks count as serving again, so that a second host could go down.

Change: an order is settled when it is accepted or another worker runs on the host; until then the host counts as down. Repeats are judged like first orders, only that short tasks had their time. Hosts that are no longer listed get no orders.

Result: three new tests of jobs/waves fail before and pass (orders for h1 while h0 is open, and for h0 while another task is away); a fourth guards against a host that stays out of use.

--- a/jobs/hosts.c
+++ b/jobs/hosts.c
@@ -69,6 +69,16 @@
   worker->unreachable = true;
 }
 
+/* Whether a list that was requested after the last order for HOST, and shows
+   HOST as up, shows that the order is done with: it was accepted, or another
+   worker runs there.  Otherwise it may still be carried out.  */
+static bool
+order_is_settled (const host_t *host)
+{
+  return host->order_accepted
+         || strcmp (host->worker, host->ordered_worker) != 0;
+}
+
 static void
 uncordon (sched_t *sched, host_t *host)
 {
@@ -120,9 +130,9 @@
       if (host->down && sent_us > host->ordered_us)
         clear_stopped_worker (sched, host, now);
       if (host->down && !host->order_pending && host->state == HOST_STATUS_UP
-          && sent_us > host->ordered_us)
+          && sent_us > host->ordered_us && order_is_settled (host))
         {
-          host->down = false;
+          host->down = host->unanswered = false;
           uncordon (sched, host);
         }
       /* Its next worker is not listed yet.  */
@@ -225,13 +235,13 @@
       host_t *host = value;
       const worker_t *worker;
 
-      if (!host->move_to || host->order_pending || host->order_accepted
-          || host->retry_us > now.us)
+      if (!host->listed || !host->move_to || host->order_pending
+          || host->order_accepted || host->retry_us > now.us)
         continue;
       worker = g_hash_table_lookup (sched->workers, host->worker);
       if (should_cancel_move (host, worker, now.us))
         uncordon (sched, host);
-      else if (host->down || !worker || worker->runs->len == 0)
+      else if (!worker || worker->runs->len == 0)
         host_order_add (
             sched, host,
             (host_order_t){ .kind = HOST_ORDER_MOVE, .pool = host->move_to },
@@ -293,17 +303,22 @@
     case HOST_REPLY_OK:
       host->ordered_us = now.us;
       host->order_accepted = true;
+      host->unanswered = false;
       sched->hosts_stale = true;
       waves_record_begun (sched, host, order);
       return true;
     case HOST_REPLY_BUSY:
     case HOST_REPLY_REFUSED:
+      if (host->unanswered)
+        return true; /* an earlier order may be carried out */
       host->down = false;
       worker = g_hash_table_lookup (sched->workers, host->worker);
       if (worker)
         worker->going_down = false;
       return true;
     case HOST_REPLY_NONE:
+      host->unanswered = true;
+      return true;
     case HOST_REPLY_FENCED:
       return true;
     }
--- a/jobs/hosts.h
+++ b/jobs/hosts.h
@@ -11,8 +11,9 @@
      interrupted tasks than it allows.
 
      A host counts as down from the order until it is listed as up again.  An
-     order without an answer may have been carried out: it is repeated until
-     there is one, and the host counts as down meanwhile.  */
+     order without an answer may have been carried out, or may be later: it is
+     repeated until it is accepted or another worker runs on the host, and the
+     host counts as down meanwhile.  A repeat is judged like a first order.  */
 
 #ifndef CUMINPIN_HOSTS_H
 #define CUMINPIN_HOSTS_H
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -218,6 +218,7 @@
   int64_t cordoned_us;
   bool order_pending;   /* an order was sent and not answered */
   bool order_accepted;  /* the last order was accepted */
+  bool unanswered;      /* an order since it was up may be carried out */
   bool down;            /* ordered, and not listed as up since */
   bool for_maintenance; /* the order was for maintenance, not a move */
   char *ordered_worker; /* on the host when it was first ordered down */
--- a/jobs/test/waves_test.c
+++ b/jobs/test/waves_test.c
@@ -329,6 +329,106 @@
 }
 END_TEST
 
+/* A wave over WAVE_HOSTS of h0 and h1, whose workers run both tasks of the
+   quotes: the first order is for h0 and gets no answer.  */
+static void
+order_without_answer (const char *wave_hosts)
+{
+  static const char *const hosts[] = { "w0", "w1" };
+  host_order_t order;
+
+  open_services ();
+  rig_list_hosts (hosts, 2, UINT32_MAX);
+  rig_set_wave (wave_hosts, 2);
+  ck_assert (rig_next_order (200, &order));
+  ck_assert_str_eq (order.host, "h0");
+  hosts_reply (rig.sched, &order, HOST_REPLY_NONE, rig.now);
+}
+
+/* Guards against an order that is repeated without regard to tasks that have
+   become unavailable since it was sent first.  */
+START_TEST (test_unanswered_order_is_judged_again)
+{
+  host_order_t order;
+
+  order_without_answer ("h0");
+  fail_task (QUOTES);
+  ck_assert (!rig_next_order (500, &order));
+  serve_again ();
+  ck_assert (rig_next_order (200, &order));
+  ck_assert_str_eq (order.host, "h0");
+}
+END_TEST
+
+/* Guards against counting the tasks on a host as serving while an unanswered
+   order for it may still be carried out: the list shows it as up.  */
+START_TEST (test_list_does_not_settle_an_unanswered_order)
+{
+  static const char *const hosts[] = { "w0", "w1" };
+  host_order_t order;
+
+  order_without_answer ("h0 h1");
+  rig_advance_clock (100);
+  rig_list_hosts (hosts, 2, UINT32_MAX);
+  for (uint32_t i = 0; i < 10; i++)
+    {
+      report_services ();
+      if (!rig_next_order (200, &order))
+        continue;
+      ck_assert_str_eq (order.host, "h0");
+      hosts_reply (rig.sched, &order, HOST_REPLY_NONE, rig.now);
+    }
+}
+END_TEST
+
+/* Guards against the same when the repeat of the order is refused: the first
+   one may have been carried out.  */
+START_TEST (test_refused_repeat_does_not_settle_an_unanswered_order)
+{
+  static const host_reply_t replies[]
+      = { HOST_REPLY_BUSY, HOST_REPLY_REFUSED };
+  host_order_t order;
+
+  order_without_answer ("h0 h1");
+  for (uint32_t i = 0; i < 10; i++)
+    {
+      report_services ();
+      if (!rig_next_order (200, &order))
+        continue;
+      ck_assert_str_eq (order.host, "h0");
+      hosts_reply (rig.sched, &order, replies[i % 2], rig.now);
+    }
+}
+END_TEST
+
+/* Guards against a host that stays out of use after its order was lost and it
+   has restarted.  */
+START_TEST (test_restarted_host_is_ordered_anew)
+{
+  static const char *const hosts[] = { "w9", "w1" };
+  host_order_t order;
+  uint32_t orders = 0;
+
+  order_without_answer ("h0 h1");
+  sched_unlist_worker (rig.sched, "w0", rig.now);
+  rig_worker ("w9", 8, false);
+  rig_advance_clock (100);
+  rig_list_hosts (hosts, 2, UINT32_MAX);
+  services[0].count = 0;
+  for (uint32_t i = 0; i < 20; i++)
+    {
+      rig_report ("w9", NULL, 0, NULL, 0);
+      report_services ();
+      serve_again ();
+      if (!rig_next_order (200, &order))
+        continue;
+      orders++;
+      hosts_reply (rig.sched, &order, HOST_REPLY_REFUSED, rig.now);
+    }
+  ck_assert_uint_gt (orders, 0);
+}
+END_TEST
+
 TEST_PROGRAM_WITH ("jobs/waves", rig_reset, rig_tear_down,
                    test_wave_keeps_its_limit,
                    test_wave_is_complete_when_all_have_begun,
@@ -336,4 +436,8 @@
                    test_wave_begins_with_long_running_tasks,
                    test_moving_host_does_not_hold_up_a_wave,
                    test_unconfirmed_stop_allows_no_maintenance,
-                   test_stop_is_not_repeated_while_others_are_unavailable)
+                   test_stop_is_not_repeated_while_others_are_unavailable,
+                   test_unanswered_order_is_judged_again,
+                   test_list_does_not_settle_an_unanswered_order,
+                   test_refused_repeat_does_not_settle_an_unanswered_order,
+                   test_restarted_host_is_ordered_anew)
--- a/jobs/waves.c
+++ b/jobs/waves.c
@@ -103,8 +103,9 @@
   return false;
 }
 
-/* Whether WORKER may go down now.  run_may_be_interrupted judges each run on
-   its own, so two runs of one step that has a limit are refused here.  */
+/* Whether WORKER may go down now.  Short tasks are given until DRAIN_MAX_US
+   after SINCE_US.  run_may_be_interrupted judges each run on its own, so two
+   runs of one step that has a limit are refused here.  */
 static bool
 may_take_down (const worker_t *worker, int64_t since_us, int64_t now_us)
 {
@@ -266,7 +267,8 @@
              (now_us - host->cordoned_us) / 1000);
 }
 
-/* Orders the maintenance of a host of WAVE that is ready for it.  */
+/* Orders the maintenance of a host of WAVE that is ready for it, or orders it
+   again if there was no answer.  */
 static void
 order_maintenance (sched_t *sched, const wave_t *wave, uint32_t down,
                    sched_now_t now)
@@ -276,16 +278,20 @@
       const char *name = g_ptr_array_index (wave->names, i);
       host_t *host = g_hash_table_lookup (sched->hosts, name);
       const worker_t *worker;
+      int64_t since_us;
 
-      if (!host || (!host->down && down >= wave->at_once) || !host->cordoned
-          || host->move_to || host->order_pending || host->retry_us > now.us
+      if (!host || !host->listed || (!host->down && down >= wave->at_once)
+          || !host->cordoned || host->move_to || host->order_pending
+          || host->retry_us > now.us
           || g_hash_table_contains (wave->begun, name))
         continue;
       worker = g_hash_table_lookup (sched->workers, host->worker);
-      if (!host->down && worker
-          && !may_take_down (worker, host->cordoned_us, now.us))
+      /* Short tasks had their time before the first order.  */
+      since_us = host->down ? 0 : host->cordoned_us;
+      if (worker && !may_take_down (worker, since_us, now.us))
         {
-          stop_one_long_running (worker, now.us);
+          if (!host->down)
+            stop_one_long_running (worker, now.us);
           log_waiting (wave, host, worker, now.us);
           continue;
         }
