hosts: find the tasks of a host through the registrations of its workers

What callers would see: more tasks of a long-running step away than it allows.

Cause: the guard before maintenance and moves looked up the tasks of a host by the worker in the last list of hosts, up to 0.7 s old and older while the host service fails. A host that has restarted runs another worker by then, which was not cordoned either and took tasks. The order ended them unseen.

Change: a worker says in its registration which host it runs on. The guard, the cordon and the count of tasks that are going down regard all workers known on the host, by registration and by list. A worker that registers on a host that is being drained is cordoned.

Result: test_maintenance_regards_the_registered_worker failed before (an order for h0); test_restarted_worker_of_a_drained_host_gets_no_tasks fails without the cordon; both pass.

--- a/jobs/hosts.c
+++ b/jobs/hosts.c
@@ -23,6 +23,47 @@
   g_free (host);
 }
 
+GPtrArray *
+host_workers (const sched_t *sched, const host_t *host)
+{
+  const GPtrArray *registered
+      = g_hash_table_lookup (sched->workers_by_host, host->name);
+  worker_t *listed = g_hash_table_lookup (sched->workers, host->worker);
+  GPtrArray *workers = g_ptr_array_new ();
+
+  for (uint32_t i = 0; registered && i < registered->len; i++)
+    g_ptr_array_add (workers, g_ptr_array_index (registered, i));
+  if (listed && !g_ptr_array_find (workers, listed, NULL))
+    g_ptr_array_add (workers, listed);
+  return workers;
+}
+
+void
+hosts_set_worker (sched_t *sched, worker_t *worker, const char *name)
+{
+  const host_t *host;
+  GPtrArray *workers;
+
+  if (name == worker->host)
+    return;
+  if (worker->host)
+    g_ptr_array_remove_fast (
+        g_hash_table_lookup (sched->workers_by_host, worker->host), worker);
+  worker->host = name;
+  if (!name)
+    return;
+  workers = g_hash_table_lookup (sched->workers_by_host, name);
+  if (!workers)
+    {
+      workers = g_ptr_array_new ();
+      g_hash_table_insert (sched->workers_by_host, (gpointer)name, workers);
+    }
+  g_ptr_array_add (workers, worker);
+  host = g_hash_table_lookup (sched->hosts, name);
+  if (host && host->cordoned && !host->down)
+    worker->cordoned = true;
+}
+
 void
 fleet_update_add (sched_t *sched, fleet_update_kind_t kind, uint64_t number,
                   const char *name)
@@ -82,13 +123,17 @@
 static void
 uncordon (sched_t *sched, host_t *host)
 {
-  worker_t *worker = g_hash_table_lookup (sched->workers, host->worker);
+  g_autoptr (GPtrArray) workers = host_workers (sched, host);
 
   host->cordoned = false;
   host->order_accepted = false;
   host->move_to = NULL;
-  if (worker)
-    worker->cordoned = worker->going_down = false;
+  for (uint32_t i = 0; i < workers->len; i++)
+    {
+      worker_t *worker = g_ptr_array_index (workers, i);
+
+      worker->cordoned = worker->going_down = false;
+    }
   sched->place_needed = true;
 }
 
@@ -145,54 +190,63 @@
 void
 host_cordon (sched_t *sched, host_t *host, int64_t now_us)
 {
-  worker_t *worker = g_hash_table_lookup (sched->workers, host->worker);
+  g_autoptr (GPtrArray) workers = host_workers (sched, host);
 
   host->cordoned = true;
   host->cordoned_us = now_us;
-  if (worker)
-    worker->cordoned = true;
+  for (uint32_t i = 0; i < workers->len; i++)
+    ((worker_t *)g_ptr_array_index (workers, i))->cordoned = true;
 }
 
-/* Logs ORDER for HOST, whose tasks are those of WORKER; NULL: not known.  */
+/* Logs ORDER for HOST, on which WORKERS run.  */
 static void
-log_order (const sched_t *sched, const host_t *host, const worker_t *worker,
+log_order (const sched_t *sched, const host_t *host, const GPtrArray *workers,
            const host_order_t *order, int64_t now_us)
 {
   const char *kind = order->kind == HOST_ORDER_MOVE ? "move" : "upkeep";
 
   event_log (EV_HOST_ORDERED,
              "host=%s kind=%s pool=%s wave=%" PRIu64 " token=%" PRIu64
-             " worker=%s known=%d runs=%u repeat=%d list_age_ms=%" PRId64,
+             " worker=%s known=%u repeat=%d list_age_ms=%" PRId64,
              host->name, kind, order->pool ? order->pool : "-", order->wave,
-             order->token, host->worker[0] ? host->worker : "-",
-             worker != NULL, worker ? worker->runs->len : 0, host->down,
-             (now_us - sched->hosts_read_us) / 1000);
-  for (uint32_t i = 0; worker && i < worker->runs->len; i++)
+             order->token, host->worker[0] ? host->worker : "-", workers->len,
+             host->down, (now_us - sched->hosts_read_us) / 1000);
+  for (uint32_t i = 0; i < workers->len; i++)
     {
-      const run_t *run = g_ptr_array_index (worker->runs, i);
+      const worker_t *worker = g_ptr_array_index (workers, i);
+
+      for (uint32_t j = 0; j < worker->runs->len; j++)
+        {
+          const run_t *run = g_ptr_array_index (worker->runs, j);
 
-      task_log_interrupted (run->task, run->attempt, worker, kind,
-                            host->down ? "repeat" : "order", now_us);
+          task_log_interrupted (run->task, run->attempt, worker, kind,
+                                host->down ? "repeat" : "order", now_us);
+        }
     }
 }
 
+static void
+set_going_down (const GPtrArray *workers, bool going_down)
+{
+  for (uint32_t i = 0; i < workers->len; i++)
+    ((worker_t *)g_ptr_array_index (workers, i))->going_down = going_down;
+}
+
 void
 host_order_add (sched_t *sched, host_t *host, host_order_t order,
                 int64_t now_us)
 {
-  worker_t *worker;
+  g_autoptr (GPtrArray) workers = host_workers (sched, host);
 
   order.host = host->name;
   order.token = sched->epoch;
-  worker = g_hash_table_lookup (sched->workers, host->worker);
-  log_order (sched, host, worker, &order, now_us);
+  log_order (sched, host, workers, &order, now_us);
   if (!host->down)
     {
       g_free (host->ordered_worker);
       host->ordered_worker = g_strdup (host->worker);
     }
-  if (worker)
-    worker->going_down = true;
+  set_going_down (workers, true);
   sched->hosts_in_transit = true;
   host->order_pending = true;
   host->down = true;
@@ -214,13 +268,26 @@
 }
 
 /* Whether HOST can't be drained for its move: it took too long, or a
-   long-running task has started there.  */
+   long-running task has started on one of its WORKERS.  */
+static bool
+should_cancel_move (const host_t *host, const GPtrArray *workers,
+                    int64_t now_us)
+{
+  if (host->down)
+    return false;
+  for (uint32_t i = 0; i < workers->len; i++)
+    if (worker_has_long_running (g_ptr_array_index (workers, i)))
+      return true;
+  return now_us - host->cordoned_us > MOVE_DRAIN_MAX_US;
+}
+
 static bool
-should_cancel_move (const host_t *host, const worker_t *worker, int64_t now_us)
+have_no_runs (const GPtrArray *workers)
 {
-  return !host->down
-         && (now_us - host->cordoned_us > MOVE_DRAIN_MAX_US
-             || (worker && worker_has_long_running (worker)));
+  for (uint32_t i = 0; i < workers->len; i++)
+    if (((const worker_t *)g_ptr_array_index (workers, i))->runs->len > 0)
+      return false;
+  return true;
 }
 
 static void
@@ -233,15 +300,15 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       host_t *host = value;
-      const worker_t *worker;
+      g_autoptr (GPtrArray) workers = NULL;
 
       if (!host->listed || !host->move_to || host->order_pending
           || host->order_accepted || host->retry_us > now.us)
         continue;
-      worker = g_hash_table_lookup (sched->workers, host->worker);
-      if (should_cancel_move (host, worker, now.us))
+      workers = host_workers (sched, host);
+      if (should_cancel_move (host, workers, now.us))
         uncordon (sched, host);
-      else if (!worker || worker->runs->len == 0)
+      else if (have_no_runs (workers))
         host_order_add (
             sched, host,
             (host_order_t){ .kind = HOST_ORDER_MOVE, .pool = host->move_to },
@@ -285,7 +352,7 @@
              sched_now_t now)
 {
   host_t *host = g_hash_table_lookup (sched->hosts, order->host);
-  worker_t *worker;
+  g_autoptr (GPtrArray) workers = NULL;
 
   if (reply == HOST_REPLY_FENCED)
     return false;
@@ -312,9 +379,8 @@
       if (host->unanswered)
         return true; /* an earlier order may be carried out */
       host->down = false;
-      worker = g_hash_table_lookup (sched->workers, host->worker);
-      if (worker)
-        worker->going_down = false;
+      workers = host_workers (sched, host);
+      set_going_down (workers, false);
       return true;
     case HOST_REPLY_NONE:
       host->unanswered = true;
--- a/jobs/sched.c
+++ b/jobs/sched.c
@@ -96,6 +96,8 @@
   sched->changes = g_array_new (FALSE, TRUE, sizeof (job_change_t));
   sched->hosts
       = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, host_free);
+  sched->workers_by_host = g_hash_table_new_full (
+      g_direct_hash, g_direct_equal, NULL, (GDestroyNotify)g_ptr_array_unref);
   sched->advice_requests
       = g_array_new (FALSE, TRUE, sizeof (advice_request_t));
   sched->waves = g_ptr_array_new_with_free_func (wave_free);
@@ -123,6 +125,7 @@
   g_hash_table_destroy (sched->workspaces);
   g_ptr_array_free (sched->recurring_jobs, TRUE);
   g_hash_table_destroy (sched->hosts);
+  g_hash_table_destroy (sched->workers_by_host);
   g_ptr_array_free (sched->waves, TRUE);
   for (uint32_t i = 0; i < sched->advice_requests->len; i++)
     g_ptr_array_free (
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -146,6 +146,7 @@
   const char *address;     /* interned; NULL: not registered with this owner */
   const char *data_centre; /* interned */
   const char *rack;        /* interned or NULL */
+  const char *host;        /* that it registered on; interned or NULL */
   char **labels;
   pool_t *pool;
   amounts_t capacity;
@@ -252,9 +253,10 @@
   GArray *placed;            /* progress to append: placed, ends, changes */
   GArray *ends;
   GArray *changes;
-  GHashTable *hosts;       /* interned name -> host_t */
-  GPtrArray *waves;        /* wave_t */
-  GArray *advice_requests; /* advice_request_t to send */
+  GHashTable *hosts;           /* interned name -> host_t */
+  GHashTable *workers_by_host; /* interned name -> array of worker_t */
+  GPtrArray *waves;            /* wave_t */
+  GArray *advice_requests;     /* advice_request_t to send */
   uint32_t advice_pending;
   GArray *host_orders;     /* to be sent */
   GArray *fleet_updates;   /* to be recorded */
@@ -403,6 +405,13 @@
 
 /* hosts.c: the list of hosts and orders for them */
 void host_free (gpointer data);
+/* host_workers - the workers on HOST as far as is known: the one in the list
+   of hosts, and those that have registered there.  The list may be older than
+   the last restart.  The caller frees the array.  */
+GPtrArray *host_workers (const sched_t *sched, const host_t *host);
+/* hosts_set_worker - WORKER runs on the host NAME, which is interned; NULL: on
+   none.  */
+void hosts_set_worker (sched_t *sched, worker_t *worker, const char *name);
 /* host_order_add - order HOST down; it counts as down from now on.  */
 void host_order_add (sched_t *sched, host_t *host, host_order_t order,
                      int64_t now_us);
--- a/jobs/scheduler.h
+++ b/jobs/scheduler.h
@@ -71,6 +71,7 @@
   const char *address; /* HOST:PORT */
   const char *data_centre;
   const char *rack;          /* NULL: unknown */
+  const char *host;          /* that it runs on; NULL: unknown */
   const char *const *labels; /* NULL-terminated */
   amounts_t capacity;
   int64_t boot_ms; /* boot time, since 1970; 0: unknown */
--- a/jobs/test/rig.c
+++ b/jobs/test/rig.c
@@ -129,6 +129,7 @@
           .address = "10.0.0.1:80",
           .data_centre = "dc-1",
           .rack = "r1",
+          .host = rig.host,
           .labels = labels,
           .capacity = { .cpu_milli = 1000 * (int64_t)cores, .mem_mib = 65536 },
           .state = WORKER_READY };
--- a/jobs/test/rig.h
+++ b/jobs/test/rig.h
@@ -21,6 +21,7 @@
   sched_now_t now;
   const char *workspace; /* of submitted jobs; NULL: RIG_WORKSPACE */
   const char *service;   /* of jobs and workers; NULL: RIG_SERVICE */
+  const char *host;      /* that registered workers run on; NULL: unknown */
 } rig_t;
 
 /* The rig of this test program.  */
--- a/jobs/test/waves_test.c
+++ b/jobs/test/waves_test.c
@@ -429,6 +429,49 @@
 }
 END_TEST
 
+/* Guards against maintenance of a host whose tasks the owner looks up by the
+   worker in an old list: it has restarted as another worker since.  */
+START_TEST (test_maintenance_regards_the_registered_worker)
+{
+  static const char *const old_list[] = { "w7" };
+  host_order_t order;
+
+  open_services ();
+  rig.host = "h0";
+  rig_worker ("w0", 8, true);
+  rig_list_hosts (old_list, 1, UINT32_MAX);
+  rig_set_wave ("h0", 1);
+  fail_task (QUOTES);
+  ck_assert (!rig_next_order (200, &order));
+  serve_again ();
+  ck_assert (rig_next_order (200, &order));
+}
+END_TEST
+
+/* Guards against tasks that start on a host that is about to go down, because
+   it has restarted as another worker while it was drained.  */
+START_TEST (test_restarted_worker_of_a_drained_host_gets_no_tasks)
+{
+  static const char *const hosts[] = { "w0" };
+  job_step_t step = rig_step (1);
+  host_order_t order;
+  g_autoptr (GArray) orders = NULL;
+
+  open_services ();
+  rig_list_hosts (hosts, 1, UINT32_MAX);
+  rig_set_wave ("h0", 1);
+  fail_task (PROOFS);
+  ck_assert (!rig_next_order (200, &order)); /* h0 is drained from now on */
+  rig.host = "h0";
+  rig_worker ("w9", 64, false);
+  step.need.cpu_milli = 32000; /* fits on w9 only */
+  rig_submit (3, &step, 1);
+  orders = rig_plan (false);
+  for (uint32_t i = 0; i < orders->len; i++)
+    ck_assert_str_ne (g_array_index (orders, order_t, i).worker, "w9");
+}
+END_TEST
+
 TEST_PROGRAM_WITH ("jobs/waves", rig_reset, rig_tear_down,
                    test_wave_keeps_its_limit,
                    test_wave_is_complete_when_all_have_begun,
@@ -440,4 +483,6 @@
                    test_unanswered_order_is_judged_again,
                    test_list_does_not_settle_an_unanswered_order,
                    test_refused_repeat_does_not_settle_an_unanswered_order,
-                   test_restarted_host_is_ordered_anew)
+                   test_restarted_host_is_ordered_anew,
+                   test_maintenance_regards_the_registered_worker,
+                   test_restarted_worker_of_a_drained_host_gets_no_tasks)
--- a/jobs/waves.c
+++ b/jobs/waves.c
@@ -133,6 +133,16 @@
   return true;
 }
 
+/* Whether all WORKERS of a host may go down now.  */
+static bool
+may_all_go_down (const GPtrArray *workers, int64_t since_us, int64_t now_us)
+{
+  for (uint32_t i = 0; i < workers->len; i++)
+    if (!may_take_down (g_ptr_array_index (workers, i), since_us, now_us))
+      return false;
+  return true;
+}
+
 /* The cost of draining the host of WORKER next.  Hosts with long-running tasks
    that may be stopped now come first: those of one step have to go one after
    another, so left for the end they would delay the wave.  */
@@ -254,16 +264,15 @@
 
 /* Logs that HOST does not go down yet, every DRAIN_MAX_US.  */
 static void
-log_waiting (const wave_t *wave, host_t *host, const worker_t *worker,
-             int64_t now_us)
+log_waiting (const wave_t *wave, host_t *host, int64_t now_us)
 {
   if (now_us - host->cordoned_us < DRAIN_MAX_US || host->next_log_us > now_us)
     return;
   host->next_log_us = now_us + DRAIN_MAX_US;
   event_log (EV_WAVE_WAITING,
-             "wave=%" PRIu64 " host=%s worker=%s runs=%u emptying_ms=%" PRId64
+             "wave=%" PRIu64 " host=%s worker=%s emptying_ms=%" PRId64
              " why=long-running-tasks-unavailable",
-             wave->number, host->name, worker->id, worker->runs->len,
+             wave->number, host->name, host->worker,
              (now_us - host->cordoned_us) / 1000);
 }
 
@@ -277,7 +286,7 @@
     {
       const char *name = g_ptr_array_index (wave->names, i);
       host_t *host = g_hash_table_lookup (sched->hosts, name);
-      const worker_t *worker;
+      g_autoptr (GPtrArray) workers = NULL;
       int64_t since_us;
 
       if (!host || !host->listed || (!host->down && down >= wave->at_once)
@@ -285,14 +294,14 @@
           || host->retry_us > now.us
           || g_hash_table_contains (wave->begun, name))
         continue;
-      worker = g_hash_table_lookup (sched->workers, host->worker);
+      workers = host_workers (sched, host);
       /* Short tasks had their time before the first order.  */
       since_us = host->down ? 0 : host->cordoned_us;
-      if (worker && !may_take_down (worker, since_us, now.us))
+      if (!may_all_go_down (workers, since_us, now.us))
         {
-          if (!host->down)
-            stop_one_long_running (worker, now.us);
-          log_waiting (wave, host, worker, now.us);
+          for (uint32_t w = 0; !host->down && w < workers->len; w++)
+            stop_one_long_running (g_ptr_array_index (workers, w), now.us);
+          log_waiting (wave, host, now.us);
           continue;
         }
       host_order_add (sched, host,
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -127,6 +127,7 @@
              worker->answered_us ? (now.us - worker->answered_us) / 1000 : -1);
   close_all_runs (sched, worker, "worker-gone", now);
   holds_clear_pending (sched, worker);
+  hosts_set_worker (sched, worker, NULL);
   g_ptr_array_remove_fast (worker->pool->workers, worker);
   g_hash_table_remove (sched->workers, worker->id);
 }
@@ -203,6 +204,8 @@
     worker->labels = g_strdupv ((char **)info->labels);
   worker->data_centre = g_intern_string (info->data_centre);
   worker->rack = info->rack ? g_intern_string (info->rack) : NULL;
+  hosts_set_worker (sched, worker,
+                    info->host ? g_intern_string (info->host) : NULL);
   worker->capacity = info->capacity;
   if (!worker->listed || worker->state != info->state)
     sched->place_needed = true;
