workers: ignore what a former boot of a worker said

What callers would see: long-running tasks that serve are ended, and started elsewhere at the same time.

Cause: a registration is read seconds after it was written when the store is slow, and answers on different connections overtake each other. Any boot other than the one known last counted as newer, so the registration of a former boot, read after a report of the present one, reset the worker: its runs counted as over and were started elsewhere, and those that served were stopped as unknown.

Change: the former boot of a worker is remembered; what it said is ignored, reports and registrations alike. Boots are not compared by time, since the clock that numbers them is stepped.

Result: two new tests of jobs/workers fail before (a start on another worker) and pass.

--- a/jobs/replies.c
+++ b/jobs/replies.c
@@ -239,10 +239,8 @@
   holds_clear_pending (sched, worker);
   if (reply->kind != REPLY_OK || !report)
     return holds_process_failure (sched, worker, reply->kind, now);
-  if (report->boot_ms && worker->boot_ms && report->boot_ms != worker->boot_ms)
-    worker_reset (sched, worker, "report", now);
-  if (report->boot_ms)
-    worker->boot_ms = report->boot_ms;
+  if (!worker_set_boot (sched, worker, report->boot_ms, "report", now))
+    return true;
   update_clock (worker, reply, now);
   holds_process_answer (sched, worker, now.us);
   /* The leases of an earlier owner are unknown, but not longer than
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -151,7 +151,8 @@
   pool_t *pool;
   amounts_t capacity;
   amounts_t allocated;
-  int64_t boot_ms;
+  int64_t boot_ms;        /* 0: unknown */
+  int64_t former_boot_ms; /* before that; 0: none known */
   worker_state_t state;
   bool listed;
   bool has_reported; /* has answered a hold in this epoch */
@@ -351,6 +352,12 @@
 /* worker_reset - the runs of WORKER are over, as SOURCE shows.  */
 void worker_reset (sched_t *sched, worker_t *worker, const char *source,
                    sched_now_t now);
+/* worker_set_boot - SOURCE says that WORKER was booted at BOOT_MS; 0: it does
+   not say.  False if that is its former boot: registrations are read later
+   than reports arrive, and reports on different connections overtake each
+   other. Boots aren't compared by time, as clocks are stepped.  */
+bool worker_set_boot (sched_t *sched, worker_t *worker, int64_t boot_ms,
+                      const char *source, sched_now_t now);
 int64_t worker_lease_end_us (const sched_t *sched, const worker_t *worker);
 int64_t worker_clock_at (const worker_t *worker, int64_t now_us);
 bool worker_accepts_tasks (const worker_t *worker, int64_t now_us);
--- a/jobs/test/workers_test.c
+++ b/jobs/test/workers_test.c
@@ -260,6 +260,89 @@
 }
 END_TEST
 
+static void
+register_boot (int64_t boot_ms, worker_state_t state)
+{
+  static const char *const labels[] = { NULL };
+  worker_info_t info = { .id = "w1",
+                         .service = RIG_SERVICE,
+                         .address = "10.0.0.1:80",
+                         .data_centre = "dc-1",
+                         .labels = labels,
+                         .capacity = { .cpu_milli = 8000, .mem_mib = 65536 },
+                         .boot_ms = boot_ms,
+                         .state = state };
+
+  sched_set_worker (rig.sched, &info, rig.now);
+}
+
+static void
+report_boot (int64_t boot_ms, run_status_t *row)
+{
+  worker_reply_t reply = { .kind = REPLY_OK,
+                           .clock_ms = rig.now.us / 1000,
+                           .has_clock = true,
+                           .sent_us = rig.now.us };
+  worker_report_t report
+      = { .boot_ms = boot_ms, .runs = row, .runs_count = row ? 1 : 0 };
+
+  rig_hold_reply ("w1", &reply, &report);
+}
+
+/* Guards against a registration of a former boot that is read after a report
+   of the present one: its state is not that of the worker, and the runs of the
+   present boot go on.  */
+START_TEST (test_registration_of_a_former_boot_is_ignored)
+{
+  job_step_t step = rig_step (1);
+  order_t start;
+  run_status_t row;
+  g_autoptr (GArray) orders = NULL;
+
+  step.long_running = true;
+  step.max_unavailable = 1;
+  rig_open_sched (1);
+  register_boot (1000, WORKER_READY);
+  report_boot (1000, NULL);
+  report_boot (2000, NULL); /* it has restarted */
+  rig_submit (1, &step, 1);
+  start = rig_start_one ();
+  rig_confirm_start (&start);
+  row = rig_status (&start);
+  report_boot (2000, &row);
+  rig_worker ("w2", 8, false);
+  register_boot (1000, WORKER_DRAINING);
+  orders = rig_plan (false);
+  ck_assert_uint_eq (orders->len, 0);
+}
+END_TEST
+
+/* Guards against a report of a former boot that arrives late, on another
+   connection.  */
+START_TEST (test_report_of_a_former_boot_is_ignored)
+{
+  job_step_t step = rig_step (1);
+  order_t start;
+  run_status_t row;
+  g_autoptr (GArray) orders = NULL;
+
+  rig_open_sched (1);
+  register_boot (1000, WORKER_READY);
+  report_boot (1000, NULL);
+  register_boot (2000, WORKER_READY);
+  report_boot (2000, NULL);
+  rig_submit (1, &step, 1);
+  start = rig_start_one ();
+  rig_confirm_start (&start);
+  row = rig_status (&start);
+  report_boot (2000, &row);
+  rig_worker ("w2", 8, false);
+  report_boot (1000, NULL);
+  orders = rig_plan (false);
+  ck_assert_uint_eq (orders->len, 0);
+}
+END_TEST
+
 TEST_PROGRAM_WITH ("jobs/workers", rig_reset, rig_tear_down,
                    test_recorded_start_waits_for_its_worker,
                    test_recorded_start_that_is_not_listed_is_repeated,
@@ -270,4 +353,6 @@
                    test_lost_hold_is_repeated_at_once,
                    test_unconfirmed_owner_returns_no_tasks,
                    test_holds_to_an_unreachable_worker_grant_no_lease,
-                   test_other_boot_returns_tasks_at_once)
+                   test_other_boot_returns_tasks_at_once,
+                   test_registration_of_a_former_boot_is_ignored,
+                   test_report_of_a_former_boot_is_ignored)
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -119,6 +119,21 @@
   worker->hold_due_us = now.us;
 }
 
+bool
+worker_set_boot (sched_t *sched, worker_t *worker, int64_t boot_ms,
+                 const char *source, sched_now_t now)
+{
+  if (boot_ms == 0 || boot_ms == worker->boot_ms)
+    return true;
+  if (boot_ms == worker->former_boot_ms)
+    return false;
+  if (worker->boot_ms != 0)
+    worker_reset (sched, worker, source, now);
+  worker->former_boot_ms = worker->boot_ms;
+  worker->boot_ms = boot_ms;
+  return true;
+}
+
 static void
 worker_remove (sched_t *sched, worker_t *worker, sched_now_t now)
 {
@@ -189,10 +204,8 @@
 
   if (!worker)
     worker = worker_add (sched, info->id, pool, now);
-  if (info->boot_ms && worker->boot_ms && info->boot_ms != worker->boot_ms)
-    worker_reset (sched, worker, "registration", now);
-  if (info->boot_ms)
-    worker->boot_ms = info->boot_ms;
+  if (!worker_set_boot (sched, worker, info->boot_ms, "registration", now))
+    return;
   if (pool != worker->pool)
     {
       g_ptr_array_remove_fast (worker->pool->workers, worker);
