replies: a repeat that comes too late does not end the run

What callers would see: a task starts a second time, and the run that serves is stopped.

Cause: a start without an answer is sent again. When the worker said that the repeat was too late, the run was closed, although the first start may have been carried out.

Change: after an unanswered start, a late repeat counts like one without an answer: it is sent again, with a later deadline.

Result: test_late_repeat_does_not_end_a_run fails before (attempt 2 is started) and passes.

--- a/jobs/replies.c
+++ b/jobs/replies.c
@@ -335,7 +335,12 @@
       handle_rejected_start (sched, run, kind, TASK_PAUSE_US, now);
       return;
     case REPLY_LATE_ORDER:
-      close_failed_start (sched, run, kind, TASK_PAUSE_US, now);
+      /* An unanswered start may have been carried out; the repeat has a later
+         deadline.  */
+      if (run->unanswered_starts > 0)
+        handle_unanswered_start (sched, run, now);
+      else
+        close_failed_start (sched, run, kind, TASK_PAUSE_US, now);
       return;
     case REPLY_NO_ANSWER:
       handle_unanswered_start (sched, run, now);
--- a/jobs/test/replies_test.c
+++ b/jobs/test/replies_test.c
@@ -87,6 +87,34 @@
 }
 END_TEST
 
+/* Guards against closing a run because its second start came too late, while
+   the first, unanswered one may have been carried out: the task would start
+   elsewhere, and the run that serves would be stopped as unknown.  */
+START_TEST (test_late_repeat_does_not_end_a_run)
+{
+  order_t start;
+  run_status_t row;
+  g_autoptr (GArray) orders = NULL;
+  g_autoptr (GArray) listed = NULL;
+
+  start = start_with_two_workers ();
+  rig_reply (&start, REPLY_NO_ANSWER);
+  rig_advance_clock (150);
+  start = rig_start_one ();
+  rig_reply (&start, REPLY_LATE_ORDER);
+  rig_advance_clock (100);
+  orders = rig_plan (false);
+  for (uint32_t i = 0; i < orders->len; i++)
+    ck_assert_uint_eq (g_array_index (orders, order_t, i).attempt,
+                       start.attempt);
+  row = rig_status (&start);
+  row.percent = 10;
+  rig_report (start.worker, &row, 1, NULL, 0);
+  listed = rig_plan (false);
+  ck_assert_uint_eq (listed->len, 0);
+}
+END_TEST
+
 /* Guards against treating leases of an earlier owner as expired when the
    answer to a stop reveals the worker's clock before its first report.  */
 START_TEST (test_stop_answer_ends_no_inherited_lease)
@@ -262,6 +290,7 @@
                    test_unanswered_start_is_stopped_first,
                    test_unanswered_start_of_a_long_running_task_is_not_stopped,
                    test_rejected_resend_is_stopped_first,
+                   test_late_repeat_does_not_end_a_run,
                    test_stop_answer_ends_no_inherited_lease,
                    test_end_is_forgotten_only_once_durable,
                    test_failures_count_in_any_order,
