orders: judge a queued order again when it is sent

Cause: no more than 48 orders are in flight, the others wait in the daemon. Each lost answer holds a place for 250 ms, so orders waited for seconds and were then sent as they had been planned. Starts without an answer were also repeated to workers that drain.

Change: an order that had to wait is judged again before it is sent: a start goes to no draining worker, and not after its run was stopped; a stop goes only if its step bears it. A start that was never sent frees its task at once.

Result: three new tests, in jobs/workers and jobs/waves, for a function that was not there before; the one of a repeated start fails without its change.

--- a/entry/orders.c
+++ b/entry/orders.c
@@ -41,16 +41,20 @@
   core->orders = g_queue_new ();
 }
 
+static void
+free_order_call (order_call_t *call)
+{
+  platform_req_clear (&call->req);
+  g_free (call);
+}
+
 void
 orders_clear (core_t *core)
 {
   order_call_t *call;
 
   while ((call = g_queue_pop_head (core->orders)))
-    {
-      platform_req_clear (&call->req);
-      g_free (call);
-    }
+    free_order_call (call);
 }
 
 void
@@ -78,8 +82,15 @@
   while (core->orders_in_flight < ORDERS_IN_FLIGHT_MAX
          && core->orders->length > 0)
     {
-      core->orders_in_flight++;
-      send_order (g_queue_pop_head (core->orders));
+      order_call_t *call = g_queue_pop_head (core->orders);
+
+      if (sched_order_is_due (core->sched, &call->order, core_now ()))
+        {
+          core->orders_in_flight++;
+          send_order (call);
+        }
+      else
+        free_order_call (call);
     }
 }
 
--- a/jobs/scheduler.h
+++ b/jobs/scheduler.h
@@ -206,10 +206,17 @@
 bool sched_order_reply (sched_t *sched, const order_t *order,
                         const worker_reply_t *reply, sched_now_t now);
 
-/* sched_plan - the orders to send now, an array of order_t.  The caller sends
-   all of them and empties the array before it calls the scheduler again.  */
+/* sched_plan - the orders to send now, an array of order_t.  The caller takes
+   all of them and empties the array before it calls the scheduler again.
+   Orders that it doesn't send at once are judged again before they are sent.
+ */
 GArray *sched_plan (sched_t *sched, sched_now_t now);
 
+/* sched_order_is_due - judge ORDER of an earlier plan again, before it is
+   sent. False: it must not be sent, as what it was based on has changed.  */
+bool sched_order_is_due (sched_t *sched, const order_t *order,
+                         sched_now_t now);
+
 /* sched_next_us - the latest time for the next call of sched_plan.  */
 int64_t sched_next_us (const sched_t *sched);
 
--- a/jobs/test/waves_test.c
+++ b/jobs/test/waves_test.c
@@ -329,6 +329,36 @@
 }
 END_TEST
 
+/* Guards against a stop that waits behind other orders and is sent after
+   another task of its step has become unavailable.  */
+START_TEST (test_queued_stop_is_judged_when_it_is_sent)
+{
+  static const char *const hosts[] = { "w0" };
+  host_order_t order;
+  g_autoptr (GArray) queued = NULL;
+  g_autoptr (GArray) later = NULL;
+  const order_t *stop = NULL;
+
+  open_services ();
+  rig_list_hosts (hosts, 1, UINT32_MAX);
+  rig_set_wave ("h0", 1);
+  fail_task (PROOFS);
+  ck_assert (!rig_next_order (200, &order));
+  queued = rig_plan (false);
+  for (uint32_t i = 0; i < queued->len; i++)
+    if (g_array_index (queued, order_t, i).kind == ORDER_STOP)
+      stop = &g_array_index (queued, order_t, i);
+  ck_assert_ptr_nonnull (stop);
+  ck_assert (sched_order_is_due (rig.sched, stop, rig.now));
+  fail_task (QUOTES);
+  ck_assert (!sched_order_is_due (rig.sched, stop, rig.now));
+  take_starts (queued);
+  serve_again ();
+  later = rig_plan (false);
+  ck_assert_uint_eq (rig_count_orders (later, ORDER_STOP), 1);
+}
+END_TEST
+
 /* A wave over WAVE_HOSTS of h0 and h1, whose workers run both tasks of the
    quotes: the first order is for h0 and gets no answer.  */
 static void
@@ -480,6 +510,7 @@
                    test_moving_host_does_not_hold_up_a_wave,
                    test_unconfirmed_stop_allows_no_maintenance,
                    test_stop_is_not_repeated_while_others_are_unavailable,
+                   test_queued_stop_is_judged_when_it_is_sent,
                    test_unanswered_order_is_judged_again,
                    test_list_does_not_settle_an_unanswered_order,
                    test_refused_repeat_does_not_settle_an_unanswered_order,
--- a/jobs/test/workers_test.c
+++ b/jobs/test/workers_test.c
@@ -289,6 +289,52 @@
   rig_hold_reply ("w1", &reply, &report);
 }
 
+/* Guards against a start that is sent long after it was ordered, behind
+   others: its worker may be draining by then.  */
+START_TEST (test_queued_start_is_judged_when_it_is_sent)
+{
+  job_step_t step = rig_step (1);
+  order_t start;
+  g_autoptr (GArray) orders = NULL;
+
+  rig_open_sched (1);
+  rig_worker ("w1", 8, false);
+  rig_submit (1, &step, 1);
+  start = rig_start_one ();
+  ck_assert (sched_order_is_due (rig.sched, &start, rig.now));
+  register_boot (1000, WORKER_DRAINING);
+  ck_assert (!sched_order_is_due (rig.sched, &start, rig.now));
+  /* It was never sent, so the task may start elsewhere at once.  */
+  rig_worker ("w2", 8, false);
+  start = rig_start_one ();
+  ck_assert_str_eq (start.worker, "w2");
+  sched_cancel_job (rig.sched, rig_id (1));
+  ck_assert (!sched_order_is_due (rig.sched, &start, rig.now));
+  orders = rig_plan (false);
+  ck_assert_uint_eq (orders->len, 0);
+}
+END_TEST
+
+/* Guards against a start that is sent again to a draining worker.  */
+START_TEST (test_start_is_not_repeated_to_a_draining_worker)
+{
+  job_step_t step = rig_step (1);
+  order_t start;
+  g_autoptr (GArray) orders = NULL;
+
+  rig_open_sched (1);
+  register_boot (1000, WORKER_READY);
+  report_boot (1000, NULL);
+  rig_submit (1, &step, 1);
+  start = rig_start_one ();
+  rig_reply (&start, REPLY_NO_ANSWER);
+  register_boot (1000, WORKER_DRAINING);
+  rig_advance_clock (150);
+  orders = rig_plan (false);
+  ck_assert_uint_eq (rig_count_orders (orders, ORDER_START), 0);
+}
+END_TEST
+
 /* Guards against a registration of a former boot that is read after a report
    of the present one: its state is not that of the worker, and the runs of the
    present boot go on.  */
@@ -354,5 +400,7 @@
                    test_unconfirmed_owner_returns_no_tasks,
                    test_holds_to_an_unreachable_worker_grant_no_lease,
                    test_other_boot_returns_tasks_at_once,
+                   test_queued_start_is_judged_when_it_is_sent,
+                   test_start_is_not_repeated_to_a_draining_worker,
                    test_registration_of_a_former_boot_is_ignored,
                    test_report_of_a_former_boot_is_ignored)
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -327,6 +327,8 @@
 
   if (!worker_is_answering (run->worker))
     return "worker-unreachable";
+  if (run->worker->state == WORKER_DRAINING)
+    return "worker-draining";
   if (!ticket && advice_is_needed (task->stage))
     return "ticket-ended";
   deadline_ms = worker_deadline_ms (sched, run->worker, now.us);
@@ -371,17 +373,29 @@
     return;
   if (run->resend_us > now.us)
     sched_wake_at (sched, run->resend_us);
+  else if (run->worker->state == WORKER_DRAINING)
+    {
+      run_stop (run); /* the start may have been carried out */
+      sched_wake_at (sched, now.us);
+    }
   else if (add_start_order (sched, run, now))
     sched_wake_at (sched, now.us + PLACE_RETRY_US);
 }
 
+/* Whether RUN's stop leaves enough of its step.  A run that never served takes
+   none from it.  */
+static bool
+may_stop_now (const run_t *run, int64_t now_us)
+{
+  return run->active_us == 0 || run_may_be_interrupted (run, now_us);
+}
+
 static void
 add_stop_order (sched_t *sched, run_t *run, sched_now_t now)
 {
   if (run->stop_confirmed_us != 0)
     return;
-  /* A run that never served takes none from its step.  */
-  if (run->active_us != 0 && !run_may_be_interrupted (run, now.us))
+  if (!may_stop_now (run, now.us))
     {
       sched_wake_at (sched, now.us + STOP_RETRY_US);
       return;
@@ -398,6 +412,53 @@
   sched_wake_at (sched, run->stop_sent_us + STOP_RETRY_US);
 }
 
+static bool
+start_is_due (sched_t *sched, run_t *run, sched_now_t now)
+{
+  if (run->phase == RUN_ORDERED && run->worker->state != WORKER_DRAINING)
+    return true;
+  if (run->phase == RUN_ORDERED || run->phase == RUN_STOPPING)
+    {
+      run_stop (run);
+      /* An earlier start may have been carried out.  */
+      run->never_sent = run->unanswered_starts == 0 && run->active_us == 0;
+      sched_wake_at (sched, now.us);
+    }
+  return false;
+}
+
+static bool
+stop_is_due (sched_t *sched, run_t *run, sched_now_t now)
+{
+  if (run->phase == RUN_STOPPING && may_stop_now (run, now.us))
+    return true;
+  run->stop_sent_us = 0;
+  sched_wake_at (sched, now.us + STOP_RETRY_US);
+  return false;
+}
+
+bool
+sched_order_is_due (sched_t *sched, const order_t *order, sched_now_t now)
+{
+  worker_t *worker = g_hash_table_lookup (sched->workers, order->worker);
+  task_t *task = sched_task (sched, &order->task);
+  run_t *run = worker && task ? run_find (worker, task, order->attempt) : NULL;
+
+  switch (order->kind)
+    {
+    case ORDER_START:
+      return run && start_is_due (sched, run, now);
+    case ORDER_STOP:
+      /* A run that is not known has to stop.  */
+      return !run || stop_is_due (sched, run, now);
+    case ORDER_PACE:
+      return run != NULL;
+    case ORDER_HOLD:
+      return true;
+    }
+  return true;
+}
+
 void
 worker_plan_orders (sched_t *sched, worker_t *worker, sched_now_t now)
 {
