route: a time-out that this daemon noticed late does not count against the upstream

Change: a time-out that is noticed over 20 ms after its deadline is recorded like a cancelled attempt. The rule is a function of route/health, together with the one about requests that had too little time.

--- a/daemon/flow.c
+++ b/daemon/flow.c
@@ -247,15 +247,14 @@
   return true;
 }
 
-/* The result to record for the upstream's health: a time-out of a request that
-   had less time than requests usually take is no sign of a fault.  */
+/* The result to record for the upstream's health.  */
 static try_result_t
 health_result (const req_t *req, try_result_t result, int64_t now_us)
 {
-  if (result == TRY_TIMED_OUT
-      && now_us - req->sent_us < estimate_bound_us (&req->service->run_time))
-    return TRY_CANCELLED;
-  return result;
+  return result == TRY_TIMED_OUT ? health_timeout_result (
+             req->sent_us, req->deadline_us,
+             estimate_bound_us (&req->service->run_time), now_us)
+                                 : result;
 }
 
 static void
--- a/route/health.c
+++ b/route/health.c
@@ -96,6 +96,16 @@
   return atomic_exchange (&health->probing, false);
 }
 
+try_result_t
+health_timeout_result (int64_t sent_us, int64_t deadline_us, int64_t usual_us,
+                       int64_t now_us)
+{
+  return now_us - sent_us < usual_us
+                 || now_us - deadline_us > HEALTH_OWN_DELAY_MAX_US
+             ? TRY_CANCELLED
+             : TRY_TIMED_OUT;
+}
+
 bool
 health_record_result (health_t *health, try_result_t result,
                       int64_t latency_us, int64_t now_us)
--- a/route/route.h
+++ b/route/route.h
@@ -75,6 +75,17 @@
 bool health_record_result (health_t *health, try_result_t result,
                            int64_t latency_us, int64_t now_us);
 
+/* A timer fires a few milliseconds late; beyond this, the daemon is busy.  */
+#define HEALTH_OWN_DELAY_MAX_US 20000
+
+/* health_timeout_result - how an attempt of SENT_US that timed out counts: as
+   TRY_TIMED_OUT, or as TRY_CANCELLED if that is no sign of a fault.  It is
+   none if the attempt had less time than USUAL_US, or if this daemon noticed
+   at NOW_US that the time was over at DEADLINE_US: the response may have
+   waited here.  */
+try_result_t health_timeout_result (int64_t sent_us, int64_t deadline_us,
+                                    int64_t usual_us, int64_t now_us);
+
 /* Time for which one notice of leaving is valid.  The platform's list still
    shows a leaving host as live for a while, so an entry as live doesn't end
    it; an entry as leaving renews it.  */
--- a/route/test/health_test.c
+++ b/route/test/health_test.c
@@ -87,6 +87,26 @@
 }
 END_TEST
 
+/* Guards against ejecting sound upstreams because this daemon is too busy to
+   read their responses in time, and for requests that had too little time.  */
+START_TEST (own_delay_is_no_failure)
+{
+  const int64_t sent_us = 1000000;
+  const int64_t deadline_us = 2000000;
+  const int64_t late_us = deadline_us + HEALTH_OWN_DELAY_MAX_US + 1;
+
+  ck_assert_int_eq (
+      health_timeout_result (sent_us, deadline_us, 500000, deadline_us + 2000),
+      TRY_TIMED_OUT);
+  ck_assert_int_eq (
+      health_timeout_result (sent_us, deadline_us, 500000, late_us),
+      TRY_CANCELLED);
+  ck_assert_int_eq (health_timeout_result (sent_us, deadline_us, 1500000,
+                                           deadline_us + 2000),
+                    TRY_CANCELLED);
+}
+END_TEST
+
 TEST_PROGRAM ("health", consecutive_failures_eject,
               probe_result_ends_or_renews_ejection,
-              earlier_responses_and_leaving)
+              earlier_responses_and_leaving, own_delay_is_no_failure)
