workers: only a report written since shows that a run is over

A run was closed when its stop had been confirmed and its grace period was over without a listed end, though no report of the worker had been read since: its holds had no answer, and it had listed the run as done. Likewise two reports that lack a run counted as apart by the time at which this daemon read them.

Change: the time that counts is when the hold of a report was sent. A worker with such a run is held without a wait.

Result: two new tests of jobs/workers fail before (a second start) and pass.

--- a/jobs/holds.c
+++ b/jobs/holds.c
@@ -52,6 +52,17 @@
          && now_us - worker->asked_us >= WORKER_SILENCE_MAX_US;
 }
 
+/* Whether a report of WORKER is needed now, to tell that a run is over.  */
+static bool
+report_is_urgent (const sched_t *sched, const worker_t *worker, int64_t now_us)
+{
+  for (uint32_t i = 0; i < worker->runs->len; i++)
+    if (run_stop_is_overdue (sched, g_ptr_array_index (worker->runs, i),
+                             now_us))
+      return true;
+  return false;
+}
+
 static void
 add_hold_order (sched_t *sched, worker_t *worker, sched_now_t now)
 {
@@ -65,7 +76,8 @@
   /* After a lost answer the next hold returns at once, so that ends are not
      delayed further.  */
   if (worker->has_reported && worker_is_answering (worker)
-      && worker->ends_durable == worker->ends_seen)
+      && worker->ends_durable == worker->ends_seen
+      && !report_is_urgent (sched, worker, now.us))
     order.wait_ms = HOLD_WAIT_MS;
   worker->hold_pending = true;
   worker->first_hold = is_first_hold (worker);
--- a/jobs/replies.c
+++ b/jobs/replies.c
@@ -201,7 +201,7 @@
         run->unlisted_us = 0;
       else if (run->unlisted_us == 0)
         run->unlisted_us = now.us;
-      else if (now.us - run->unlisted_us >= stop_duration_max_us (sched))
+      else if (sent_us - run->unlisted_us >= stop_duration_max_us (sched))
         run_close (sched, run, "not-listed", now);
     }
 }
@@ -249,6 +249,7 @@
     worker->lease_end_ms = MAX (worker->lease_end_ms,
                                 worker->clock_ms + SCHED_LEASE_HORIZON_MS);
   worker->has_reported = true;
+  worker->report_sent_us = MAX (worker->report_sent_us, reply->sent_us);
   process_report (sched, worker, report, reply->sent_us, now);
   stall_check (sched, worker, now);
   pace_update (worker, now);
--- a/jobs/test/workers_test.c
+++ b/jobs/test/workers_test.c
@@ -260,6 +260,69 @@
 }
 END_TEST
 
+/* Guards against taking a stopped run for over because no report has listed
+   its end, when no report was read since: it may have ended as done
+   (valtel-sched with 1,176 workers, day t2: TWICE).  */
+START_TEST (test_stop_is_over_only_when_a_report_shows_it)
+{
+  job_step_t step = rig_step (1);
+  order_t start;
+  run_end_t end;
+  g_autoptr (GArray) stops = NULL;
+  g_autoptr (GArray) early = NULL;
+  g_autoptr (GArray) late = NULL;
+
+  rig_open_sched (1);
+  rig_worker ("w1", 8, false);
+  rig_worker ("w2", 8, false);
+  rig_submit (1, &step, 1);
+  start = rig_start_one ();
+  rig_reply (&start, REPLY_NO_ANSWER);
+  rig_advance_clock (150);
+  start = rig_start_one ();
+  rig_reply (&start, REPLY_NO_ANSWER);
+  stops = rig_plan (false);
+  ck_assert_uint_eq (rig_count_orders (stops, ORDER_STOP), 1);
+  rig_reply (&g_array_index (stops, order_t, 0), REPLY_OK);
+  rig_advance_clock (400);
+  early = rig_plan (false);
+  ck_assert_uint_eq (rig_count_orders (early, ORDER_START), 0);
+  end = rig_end (&start, 1, RUN_DONE);
+  rig_report (start.worker, NULL, 0, &end, 1);
+  late = rig_plan (false);
+  ck_assert_uint_eq (rig_count_orders (late, ORDER_START), 0);
+  ck_assert_int_eq (rig_job_state (1), JOB_STATE_COMPLETE);
+}
+END_TEST
+
+/* Guards against taking a run for over because two reports don't list it that
+   were read long after each other, but written one right after the other: it
+   is being stopped.  */
+START_TEST (test_run_is_over_only_when_reports_lie_apart)
+{
+  job_step_t step = rig_step (1);
+  worker_reply_t reply = { .kind = REPLY_OK, .has_clock = true };
+  worker_report_t report = { .runs = NULL };
+  g_autoptr (GArray) early = NULL;
+  g_autoptr (GArray) late = NULL;
+
+  rig_submit (1, &step, 1);
+  rig_record_start (1, 0, 1, "w1");
+  rig_open_sched (2);
+  rig_advance_clock (5);
+  rig_worker ("w1", 8, false);
+  reply.sent_us = rig.now.us + 1000;
+  rig_advance_clock (330);
+  reply.clock_ms = rig.now.us / 1000;
+  rig_hold_reply ("w1", &reply, &report);
+  early = rig_plan (false);
+  ck_assert_uint_eq (rig_count_orders (early, ORDER_START), 0);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  late = rig_plan (false);
+  ck_assert_uint_eq (rig_count_orders (late, ORDER_START), 1);
+}
+END_TEST
+
 static void
 register_boot (int64_t boot_ms, worker_state_t state)
 {
@@ -400,6 +463,8 @@
                    test_unconfirmed_owner_returns_no_tasks,
                    test_holds_to_an_unreachable_worker_grant_no_lease,
                    test_other_boot_returns_tasks_at_once,
+                   test_stop_is_over_only_when_a_report_shows_it,
+                   test_run_is_over_only_when_reports_lie_apart,
                    test_queued_start_is_judged_when_it_is_sent,
                    test_start_is_not_repeated_to_a_draining_worker,
                    test_registration_of_a_former_boot_is_ignored,
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -263,17 +263,21 @@
   return (int64_t)sched->limits.stop_grace_ms * 1000 + STOP_MARGIN_US;
 }
 
-/* Whether the grace period of RUN's confirmed stop is over.  WORKER is
-   reachable, so it would have listed an end by now.  */
-static bool
-stop_grace_is_over (const sched_t *sched, const worker_t *worker,
-                    const run_t *run, int64_t now_us)
+bool
+run_stop_is_overdue (const sched_t *sched, const run_t *run, int64_t now_us)
 {
   return run->phase == RUN_STOPPING && run->stop_confirmed_us != 0
-         && !worker->unreachable
          && now_us - run->stop_confirmed_us >= stop_duration_max_us (sched);
 }
 
+/* Whether a report that was written after the grace period of RUN's confirmed
+   stop lists no end of it, or WORKER would have closed it.  */
+static bool
+stop_is_over (const sched_t *sched, const worker_t *worker, const run_t *run)
+{
+  return run_stop_is_overdue (sched, run, worker->report_sent_us);
+}
+
 static void
 check_timeouts (sched_t *sched, worker_t *worker, sched_now_t now)
 {
@@ -283,7 +287,7 @@
 
       if (run->never_sent)
         run_close (sched, run, "not-sent", now);
-      else if (stop_grace_is_over (sched, worker, run, now.us))
+      else if (stop_is_over (sched, worker, run))
         run_close (sched, run, "stop-confirmed", now);
       else if (run->stop_confirmed_us != 0)
         sched_wake_at (sched, now.us + STOP_MARGIN_US);
