jobs: a worker is idle only when it was told to forget its ends

A worker whose last end had become durable counted as idle before a hold had told it so; on a busy owner it went on listing that end for up to seconds. Callers lose nothing by it, but the worker would run the risk of listing ends that were never taken note of.

Change: the last end that a hold named, and that the worker answered, is kept beside the last durable one.

Result: test_durable_ends_are_told_to_idle_workers failed before and passes.

--- a/jobs/holds.c
+++ b/jobs/holds.c
@@ -36,7 +36,7 @@
 static bool
 is_idle (const worker_t *worker)
 {
-  return worker->runs->len == 0 && worker->ends_seen == worker->ends_durable;
+  return worker->runs->len == 0 && worker->ends_seen == worker->ends_forgotten;
 }
 
 /* Whether WORKER is idle and was not asked yet by this owner.  One that was
@@ -89,6 +89,7 @@
       && !report_is_urgent (sched, worker, now.us))
     order.wait_ms = HOLD_WAIT_MS;
   worker->hold_pending = true;
+  worker->ends_sent = worker->ends_durable;
   worker->first_hold = is_first_hold (worker);
   sched->first_holds += worker->first_hold;
   if (worker->asked_us == 0)
@@ -187,6 +188,7 @@
   worker->unreachable = false;
   worker->holds_lost = 0;
   worker->asked_us = 0;
+  worker->ends_forgotten = MAX (worker->ends_forgotten, worker->ends_sent);
 }
 
 void
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -173,6 +173,8 @@
   uint64_t ends_seen;    /* last end that was processed */
   uint64_t ends_batch;   /* batch in which these ends become durable */
   uint64_t ends_durable; /* last durable end */
+  uint64_t ends_sent;    /* last one to forget, in the last hold */
+  uint64_t ends_forgotten; /* the same, in the last hold that was answered */
   GPtrArray *runs;
   uint32_t consecutive_failures;
   int64_t suspect_until_us;
--- a/jobs/test/holds_test.c
+++ b/jobs/test/holds_test.c
@@ -278,7 +278,42 @@
 }
 END_TEST
 
+/* Guards against a worker that is not told for seconds to forget its last end,
+   because it has nothing left to run and the owner is busy.  */
+START_TEST (test_durable_ends_are_told_to_idle_workers)
+{
+  job_step_t step = rig_step (1);
+  order_t start;
+  run_end_t end;
+  g_autoptr (GArray) orders = NULL;
+  bool told = false;
+
+  rig_open_sched (1);
+  for (uint32_t i = 0; i < 100; i++)
+    rig_worker (workers[i].id, 16, false);
+  rig_submit (1, &step, 1);
+  start = rig_start_one ();
+  rig_confirm_start (&start);
+  for (uint32_t i = 0; i < 10; i++)
+    sched_set_load (rig.sched, 99);
+  end = rig_end (&start, 1, RUN_DONE);
+  rig_report (start.worker, NULL, 0, &end, 1);
+  g_array_unref (rig_plan (true)); /* makes the end durable */
+  rig_advance_clock (100);
+  orders = rig_plan (true);
+  for (uint32_t i = 0; i < orders->len; i++)
+    {
+      const order_t *order = &g_array_index (orders, order_t, i);
+
+      told |= order->kind == ORDER_HOLD && order->worker == start.worker
+              && order->ends_durable == 1;
+    }
+  ck_assert (told);
+}
+END_TEST
+
 TEST_PROGRAM_WITH ("jobs/holds", set_up, tear_down,
                    test_idle_workers_delay_no_lease,
                    test_new_owner_extends_leases_first,
-                   test_lost_workers_keep_none_from_its_first_hold)
+                   test_lost_workers_keep_none_from_its_first_hold,
+                   test_durable_ends_are_told_to_idle_workers)
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -109,6 +109,7 @@
              worker_silent_ms (worker, now.us));
   close_all_runs (sched, worker, "other-boot", now);
   worker->ends_seen = worker->ends_durable = worker->ends_batch = 0;
+  worker->ends_sent = worker->ends_forgotten = 0;
   worker->has_clock = false;
   worker->lease_end_ms = 0;
   worker->has_reported = false;
