holds: ask soon again where a first answer was lost or a run is missing

Cause: (1) A worker whose first hold had no answer got the long pause of idle workers, though nothing can start there before it has reported. (2) Since only a report that was written since shows that a run is over, a new owner needed two more holds of 400 ms, longer on a busy owner, before it knew that a recorded start had never arrived; it was replaced before that.

Change: (1) Until a worker has reported, the interval of its holds is doubled from 250 ms on, up to the pause. (2) While a run is missing or its stop is confirmed, holds wait no longer than until the report that settles it.

--- a/jobs/holds.c
+++ b/jobs/holds.c
@@ -8,6 +8,9 @@
 /* Interval of holds to a worker whose ends can't be made durable yet, or that
    did not answer.  */
 #define HOLD_RETRY_US 250000
+/* The interval of holds to an idle worker that has not reported yet is doubled
+   up to this many times.  */
+#define RETRY_DOUBLINGS_MAX 6
 /* An owner that is busy for more than BUSY_PERCENT_MIN of the time pauses up
    to HOLD_PAUSE_MAX_US between two holds to a worker.  */
 #define BUSY_PERCENT_MIN 50
@@ -61,15 +64,34 @@
   return worker->answered_us ? (now_us - worker->answered_us) / 1000 : -1;
 }
 
-/* Whether a report of WORKER is needed now, to tell that a run is over.  */
-static bool
-report_is_urgent (const sched_t *sched, const worker_t *worker, int64_t now_us)
+/* When a report of WORKER is needed, to tell that a run is over; INT64_MAX:
+   there is no such run.  */
+static int64_t
+report_due_us (const sched_t *sched, const worker_t *worker)
 {
+  int64_t due_us = INT64_MAX;
+
   for (uint32_t i = 0; i < worker->runs->len; i++)
-    if (run_stop_is_overdue (sched, g_ptr_array_index (worker->runs, i),
-                             now_us))
-      return true;
-  return false;
+    {
+      const run_t *run = g_ptr_array_index (worker->runs, i);
+
+      if (run->unlisted_us != 0)
+        due_us = MIN (due_us, run->unlisted_us + stop_duration_max_us (sched));
+      if (run->phase == RUN_STOPPING && run->stop_confirmed_us != 0)
+        due_us = MIN (due_us,
+                      run->stop_confirmed_us + stop_duration_max_us (sched));
+    }
+  return due_us;
+}
+
+static uint32_t
+hold_wait_ms (const sched_t *sched, const worker_t *worker, int64_t now_us)
+{
+  int64_t due_us = report_due_us (sched, worker);
+
+  if (due_us == INT64_MAX)
+    return HOLD_WAIT_MS;
+  return (uint32_t)CLAMP ((due_us - now_us + 999) / 1000, 0, HOLD_WAIT_MS);
 }
 
 static void
@@ -85,9 +107,8 @@
   /* After a lost answer the next hold returns at once, so that ends are not
      delayed further.  */
   if (worker->has_reported && worker_is_answering (worker)
-      && worker->ends_durable == worker->ends_seen
-      && !report_is_urgent (sched, worker, now.us))
-    order.wait_ms = HOLD_WAIT_MS;
+      && worker->ends_durable == worker->ends_seen)
+    order.wait_ms = hold_wait_ms (sched, worker, now.us);
   worker->hold_pending = true;
   worker->ends_sent = worker->ends_durable;
   worker->first_hold = is_first_hold (worker);
@@ -110,9 +131,15 @@
 static int64_t
 next_hold_us (const sched_t *sched, const worker_t *worker)
 {
-  return is_idle (worker) && !is_first_hold (worker)
-             ? worker->hold_due_us + sched->idle_pause_us
-             : worker->hold_due_us;
+  uint32_t doublings = MIN (worker->holds_failed, RETRY_DOUBLINGS_MAX);
+  int64_t pause_us = sched->idle_pause_us;
+
+  if (!is_idle (worker) || is_first_hold (worker))
+    return worker->hold_due_us;
+  /* Until it has reported, nothing can be started there.  */
+  if (!worker->has_reported)
+    pause_us = MIN (pause_us, (int64_t)HOLD_RETRY_US << doublings);
+  return worker->hold_due_us + pause_us;
 }
 
 void
@@ -149,6 +176,7 @@
                        sched_now_t now)
 {
   worker->hold_due_us = now.us + HOLD_RETRY_US;
+  worker->holds_failed++;
   switch (kind)
     {
     case REPLY_FENCED:
@@ -186,7 +214,7 @@
   if (worker->unreachable || !worker->has_reported)
     sched->place_needed = true;
   worker->unreachable = false;
-  worker->holds_lost = 0;
+  worker->holds_lost = worker->holds_failed = 0;
   worker->asked_us = 0;
   worker->ends_forgotten = MAX (worker->ends_forgotten, worker->ends_sent);
 }
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -165,7 +165,8 @@
   int64_t answered_us;
   int64_t report_sent_us; /* when the hold of its last report was sent */
   bool unreachable;
-  uint32_t holds_lost; /* consecutive */
+  uint32_t holds_lost;   /* consecutive */
+  uint32_t holds_failed; /* consecutive, for any reason */
   bool hold_pending;
   bool first_hold;       /* the one pending is counted in sched->first_holds */
   int64_t asked_us;      /* first hold sent since it answered last; 0: none */
@@ -379,10 +380,6 @@
 void worker_expect_run (sched_t *sched, task_t *task, uint32_t attempt,
                         const char *id, sched_now_t now);
 void sched_add_order (sched_t *sched, order_t order);
-/* run_stop_is_overdue - whether RUN's stop was confirmed and its grace period
-   is over at NOW_US, with no end listed yet.  */
-bool run_stop_is_overdue (const sched_t *sched, const run_t *run,
-                          int64_t now_us);
 /* sched_inherits_leases - whether a lease of an earlier owner may still be
    valid.  */
 bool sched_inherits_leases (const sched_t *sched, int64_t now_us);
--- a/jobs/test/holds_test.c
+++ b/jobs/test/holds_test.c
@@ -19,6 +19,7 @@
 {
   const char *id;
   bool dead;            /* does not answer */
+  uint32_t lost;        /* answers to holds that get lost */
   bool reported;        /* has answered a hold */
   int64_t lease_end_ms; /* 0: it has no lease */
   GArray *runs;         /* run_status_t */
@@ -147,11 +148,17 @@
                              .runs_count = worker->runs->len };
 
   spend (REPLY_COST_US, true);
-  if (worker->dead)
-    answer = (worker_reply_t){ .kind = REPLY_NO_ANSWER };
-  worker->reported |= reply->order.kind == ORDER_HOLD && !worker->dead;
+  if (worker->dead || worker->lost > 0)
+    {
+      rig_hold_reply (worker->id, &(worker_reply_t){ .kind = REPLY_NO_ANSWER },
+                      NULL);
+      worker->lost -= MIN (worker->lost, 1);
+      g_sequence_remove (first);
+      return;
+    }
+  worker->reported |= reply->order.kind == ORDER_HOLD;
   if (reply->order.kind == ORDER_HOLD)
-    rig_hold_reply (worker->id, &answer, worker->dead ? NULL : &report);
+    rig_hold_reply (worker->id, &answer, &report);
   else
     sched_order_reply (rig.sched, &reply->order, &answer, rig.now);
   g_sequence_remove (first);
@@ -278,6 +285,47 @@
 }
 END_TEST
 
+/* Guards against a new owner that is busy and leaves workers alone for long
+   whose first answer was lost.  */
+START_TEST (test_lost_first_answer_is_soon_asked_for_again)
+{
+  uint32_t reported = 0;
+
+  for (uint32_t i = 0; i < WORKERS; i += 3)
+    workers[i].lost = 1;
+  rig_open_sched (1);
+  register_workers ();
+  work (8000);
+  for (uint32_t i = 0; i < WORKERS; i++)
+    reported += workers[i].reported;
+  ck_assert_uint_eq (reported, WORKERS);
+}
+END_TEST
+
+/* Guards against tasks that wait for a long hold after a take-over, before it
+   is known that their recorded starts never arrived (valtel-sched with 1,176
+   workers, day t3: LOST).  */
+START_TEST (test_missing_run_shortens_the_hold)
+{
+  job_step_t step = rig_step (1);
+  g_autoptr (GArray) orders = NULL;
+  g_autoptr (GArray) again = NULL;
+
+  rig_submit (1, &step, 1);
+  rig_record_start (1, 0, 1, "w0");
+  rig_open_sched (2);
+  rig_advance_clock (5);
+  rig_worker ("w0", 16, false);
+  orders = rig_plan (true);
+  ck_assert_uint_eq (orders->len, 1);
+  ck_assert_uint_le (g_array_index (orders, order_t, 0).wait_ms, 300);
+  rig_advance_clock (g_array_index (orders, order_t, 0).wait_ms);
+  rig_report ("w0", NULL, 0, NULL, 0);
+  again = rig_plan (true);
+  ck_assert_uint_eq (rig_count_orders (again, ORDER_START), 1);
+}
+END_TEST
+
 /* Guards against a worker that is not told for seconds to forget its last end,
    because it has nothing left to run and the owner is busy.  */
 START_TEST (test_durable_ends_are_told_to_idle_workers)
@@ -316,4 +364,6 @@
                    test_idle_workers_delay_no_lease,
                    test_new_owner_extends_leases_first,
                    test_lost_workers_keep_none_from_its_first_hold,
+                   test_lost_first_answer_is_soon_asked_for_again,
+                   test_missing_run_shortens_the_hold,
                    test_durable_ends_are_told_to_idle_workers)
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -114,7 +114,7 @@
   worker->lease_end_ms = 0;
   worker->has_reported = false;
   worker->consecutive_failures = 0;
-  worker->holds_lost = 0;
+  worker->holds_lost = worker->holds_failed = 0;
   worker->asked_us = 0;
   worker->suspect_until_us = 0;
   worker->hold_due_us = now.us;
@@ -264,19 +264,14 @@
   return (int64_t)sched->limits.stop_grace_ms * 1000 + STOP_MARGIN_US;
 }
 
-bool
-run_stop_is_overdue (const sched_t *sched, const run_t *run, int64_t now_us)
-{
-  return run->phase == RUN_STOPPING && run->stop_confirmed_us != 0
-         && now_us - run->stop_confirmed_us >= stop_duration_max_us (sched);
-}
-
 /* Whether a report that was written after the grace period of RUN's confirmed
    stop lists no end of it, or WORKER would have closed it.  */
 static bool
 stop_is_over (const sched_t *sched, const worker_t *worker, const run_t *run)
 {
-  return run_stop_is_overdue (sched, run, worker->report_sent_us);
+  return run->phase == RUN_STOPPING && run->stop_confirmed_us != 0
+         && worker->report_sent_us - run->stop_confirmed_us
+                >= stop_duration_max_us (sched);
 }
 
 static void
