--- a/entry/core.c
+++ b/entry/core.c
@@ -26,8 +26,8 @@
 #define HOUSEKEEPING_INTERVAL_US 500000
 /* How long a stopping daemon waits for its last appends.  */
 #define STOP_APPENDS_MAX_US 200000
-/* Snapshots written per retention period of the store.  */
-#define SNAPSHOTS_PER_RETENTION 4
+/* Interval at which an owner whose history is at risk looks again.  */
+#define AT_RISK_RETRY_US 50000
 /* Final jobs are shown longer than required, because clocks differ.  */
 #define STATUS_KEPT_PERCENT 125
 
@@ -84,6 +84,41 @@
   core->housekeeping_due_us = 0;
 }
 
+static void
+append_owner_record (core_t *core, job_rec_kind_t kind, uint64_t epoch)
+{
+  job_rec_t rec = { .kind = kind };
+
+  rec.u.owner.epoch = epoch;
+  rec.u.owner.holder = core->holder;
+  appends_add (core, job_rec_pack (&rec), NULL);
+}
+
+void
+core_note_gap (core_t *core, uint64_t end)
+{
+  if (history_is_complete (&core->history))
+    event_log (EV_TABLE_INCOMPLETE,
+               "next=%" PRIu64 " first=%" PRIu64 " owner=%d", core->tab->next,
+               end, core->sched != NULL);
+  history_note_gap (&core->history, end);
+  core->owner.incomplete = true;
+  if (!core->sched)
+    return;
+  append_owner_record (core, JREC_RELEASE, core->tab->owner.epoch);
+  core_lose_ownership (core, "gap-in-the-log");
+}
+
+void
+core_fill_gap (core_t *core)
+{
+  if (history_is_complete (&core->history))
+    return;
+  event_log (EV_TABLE_COMPLETE, "next=%" PRIu64, core->tab->next);
+  history_fill_gap (&core->history);
+  core->owner.incomplete = false;
+}
+
 static void
 start_sched (core_t *core, int64_t now_us)
 {
@@ -101,6 +136,9 @@
   counter_add (COUNT_OWNERSHIPS, 1);
   event_log (EV_OWNER_GAINED, "epoch=%" PRIu64 " jobs=%u",
              core->tab->owner.epoch, g_hash_table_size (core->tab->jobs));
+  /* No daemon has all records, or it would have claimed earlier.  */
+  core_fill_gap (core);
+  history_start_owner (&core->history, now_us);
   core->sched = sched_new (core->tab, core->tab->owner.epoch, &limits,
                            core->rules, core_now ());
   core->progress_due_us = now_us;
@@ -141,8 +179,9 @@
                     int64_t now_us)
 {
   owner_note_record (&core->owner, core->tab, fold.kind, now_us);
-  core->tab_changed |= fold.kind != FOLD_NOTHING && fold.kind != FOLD_RENEWED
-                       && fold.kind != FOLD_PROBED;
+  if (fold.kind != FOLD_NOTHING && fold.kind != FOLD_RENEWED
+      && fold.kind != FOLD_PROBED)
+    history_add_record (&core->history, now_us);
   switch (fold.kind)
     {
     case FOLD_SUBMITTED:
@@ -178,7 +217,9 @@
 void
 core_caught_up (core_t *core, int64_t sent_us, int64_t now_us)
 {
-  atomic_store (&core->model->log_known_us, sent_us);
+  /* Without all records this daemon can't tell that a job does not exist.  */
+  if (history_is_complete (&core->history))
+    atomic_store (&core->model->log_known_us, sent_us);
   owner_caught_up (&core->owner, core->tab, now_us);
   if (sent_us >= core->pause_detected_us)
     core->resync_needed = false;
@@ -215,16 +256,6 @@
   update_ownership (core, clock_boot_us ());
 }
 
-static void
-append_owner_record (core_t *core, job_rec_kind_t kind, uint64_t epoch)
-{
-  job_rec_t rec = { .kind = kind };
-
-  rec.u.owner.epoch = epoch;
-  rec.u.owner.holder = core->holder;
-  appends_add (core, job_rec_pack (&rec), NULL);
-}
-
 static void
 run_owner (core_t *core, int64_t now_us)
 {
@@ -265,6 +296,21 @@
   core->progress_due_us = now_us + PROGRESS_INTERVAL_US;
 }
 
+/* Whether a record of progress that is appended now may be deleted before a
+   snapshot holds it.  */
+static bool
+check_history (core_t *core, int64_t now_us)
+{
+  bool at_risk = history_is_at_risk (&core->history, now_us);
+
+  if (at_risk != core->at_risk)
+    event_log (at_risk ? EV_HISTORY_AT_RISK : EV_HISTORY_SAFE,
+               "next=%" PRIu64 " keep_ms=%" PRId64, core->tab->next,
+               core->history.keep_us / 1000);
+  core->at_risk = at_risk;
+  return at_risk;
+}
+
 static void
 run_sched (core_t *core, int64_t now_us)
 {
@@ -277,7 +323,11 @@
         advice_calls_send (core, advice_requests (core->sched));
     }
   hostcalls_run (core, now_us);
-  if (core->progress_due_us <= now_us)
+  if (core->progress_due_us > now_us)
+    return;
+  if (check_history (core, now_us))
+    core->progress_due_us = now_us + AT_RISK_RETRY_US;
+  else
     append_progress (core, now_us);
 }
 
@@ -363,9 +413,8 @@
 static void
 run_housekeeping (core_t *core, int64_t now_us)
 {
-  int64_t snapshot_every_us
-      = (int64_t)core->settings->keep_s * 1000000 / SNAPSHOTS_PER_RETENTION;
-
+  if (core->sched && history_snapshot_is_due (&core->history, now_us))
+    snapshot_write (core, now_us);
   if (core->housekeeping_due_us > now_us)
     return;
   core->housekeeping_due_us = now_us + HOUSEKEEPING_INTERVAL_US;
@@ -374,9 +423,6 @@
   jobtab_purge (core->tab, clock_wall_ms (),
                 (int64_t)core->settings->status_s * 10 * STATUS_KEPT_PERCENT,
                 remove_from_readmodel, core);
-  if (core->sched && core->tab_changed && !core->snapshot_in_flight
-      && now_us - core->snapshot_us >= snapshot_every_us)
-    snapshot_write (core, now_us);
 }
 
 static void
@@ -540,6 +586,7 @@
   core->holder
       = holder_name (settings->name, clock_wall_ms (), settings->cpu_share);
   core->tab = jobtab_new ();
+  history_init (&core->history, (int64_t)settings->keep_s * 1000000);
   core->epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
   if (core->epoll_fd < 0 || !pipe_open (&core->pipe, PIPE_ENTRIES_MAX))
     return NULL;
@@ -553,6 +600,7 @@
   appends_open (core);
   orders_open (core);
   hostcalls_open (core);
+  snapshots_open (core);
   feeds_open (core, now_us);
   if (pthread_create (&core->thread, NULL, run, core) != 0)
     return NULL;
@@ -583,6 +631,7 @@
   feeds_close (core);
   calls_close (core->calls);
   calls_close (core->worker_calls);
+  snapshots_close (core);
   pipe_close (&core->pipe);
   close (core->epoll_fd);
   jobtab_free (core->tab);
--- a/entry/core.h
+++ b/entry/core.h
@@ -13,6 +13,7 @@
 #define CUMINPIN_CORE_H
 
 #include "entry.h"
+#include "history.h"
 #include "owner.h"
 #include <pthread.h>
 
@@ -60,7 +61,8 @@
   char *holder; /* identifies this process as owner */
 
   jobtab_t *tab;
-  bool tab_changed; /* since the last snapshot was written */
+  history_t history;
+  bool at_risk; /* history_is_at_risk, as logged last */
   owner_t owner;
   rules_t *rules;     /* owned by the read model */
   sched_t *sched;     /* NULL: this daemon is not the owner */
@@ -72,8 +74,10 @@
   int64_t load_window_us;
   int64_t progress_due_us;
   int64_t housekeeping_due_us;
-  int64_t snapshot_us;
-  bool snapshot_in_flight;
+
+  GArray *snapshot_items; /* platform_item_t on the pages read so far */
+  uint32_t snapshot_set;  /* that holds the newest snapshot known */
+  struct snapshot_write *snapshot_write; /* NULL: none is being written */
 
   feed_t jobs_feed;
   feed_t rules_feed;
@@ -128,6 +132,8 @@
 GArray *feed_items_new (void);
 
 /* snapshots.c */
+void snapshots_open (core_t *core);
+void snapshots_close (core_t *core);
 void on_snapshot (void *ctx, const call_result_t *result);
 void snapshot_write (core_t *core, int64_t now_us);
 
@@ -177,6 +183,10 @@
 void core_set_rules (core_t *core, rules_t *rules);
 /* core_replace_table - replace the job table by TAB, read from a snapshot.  */
 void core_replace_table (core_t *core, jobtab_t *tab);
+/* core_note_gap - the store has deleted records before END that TAB lacks.
+   core_fill_gap - TAB has them now.  */
+void core_note_gap (core_t *core, uint64_t end);
+void core_fill_gap (core_t *core);
 /* core_lose_ownership - stop scheduling because REFUSED_BY, a worker or a
    host, knows a higher fencing token.  */
 void core_lose_ownership (core_t *core, const char *refused_by);
--- a/entry/feeds.c
+++ b/entry/feeds.c
@@ -313,6 +313,8 @@
                  : core->sched || core->pending_cancels->len > 0
                      ? now_us + OWNER_READ_INTERVAL_US
                      : now_us + STANDBY_READ_INTERVAL_US;
+  if (!core->sched && history_reread_is_due (&core->history, now_us))
+    feed_restart (feed, now_us);
 }
 
 static void
@@ -369,8 +371,9 @@
         platform_read_req (PLATFORM_TOPIC_JOBS, core->tab->next, wait_ms),
         wait_ms, on_job_records);
   else
-    send_read (feed, platform_newest_req (PLATFORM_TOPIC_SNAPSHOT, NULL), 0,
-               on_snapshot);
+    send_read (feed,
+               platform_newest_req (PLATFORM_TOPIC_SNAPSHOT, feed->page_after),
+               0, on_snapshot);
 }
 
 void
--- a/entry/snapshots.c
+++ b/entry/snapshots.c
@@ -1,82 +1,92 @@
 #include "core.h"
-#include <string.h>
+#include "snapset.h"
 
 /* A snapshot consists of a few large records, so it gets as much time as a
    long poll.  */
 #define WRITE_TIMEOUT_MS 2500
-/* A snapshot is split into records of at most this size.  Each starts with a
-   snapshot_head_t in big-endian byte order.  */
-#define SNAPSHOT_PART_BYTES (200 * 1024)
-#define SNAPSHOT_BYTES_MAX (2 * 1024 * 1024)
+/* Well below the platform's limit of 2 MiB for one append.  */
+#define CALL_BYTES_MAX (1536 * 1024)
 
-typedef struct snapshot_head
+/* A snapshot that is being written, a few parts with each append.  */
+struct snapshot_write
 {
-  uint64_t next;  /* first offset of the job log after the snapshot */
-  uint32_t part;  /* index of this part */
-  uint32_t parts; /* number of parts */
-} snapshot_head_t;
-
-/* Joins the parts; NULL if the first or the last is missing, or if one belongs
-   to another snapshot.  */
-static GByteArray *
-join_parts (const GArray *items, snapshot_head_t *head)
-{
-  GByteArray *snapshot = g_byte_array_new ();
+  GPtrArray *records; /* GBytes, in order */
+  uint32_t sent;      /* records of the appends so far */
+  uint32_t set;
+};
 
-  memset (head, 0, sizeof *head);
-  for (uint32_t i = 0; i < items->len; i++)
-    {
-      const platform_item_t *item = &g_array_index (items, platform_item_t, i);
-      snapshot_head_t part;
-
-      if (item->len < sizeof part)
-        continue;
-      memcpy (&part, item->value, sizeof part);
-      part.next = GUINT64_FROM_BE (part.next);
-      part.part = GUINT32_FROM_BE (part.part);
-      part.parts = GUINT32_FROM_BE (part.parts);
-      if (part.part == 0)
-        *head = part;
-      if (part.part >= head->parts)
-        continue; /* left over from a longer snapshot */
-      if (part.next != head->next)
-        break;
-      g_byte_array_append (snapshot, item->value + sizeof part,
-                           (guint)(item->len - sizeof part));
-      if (part.part + 1 == head->parts)
-        return snapshot;
-    }
-  g_byte_array_unref (snapshot);
-  return NULL;
+void
+snapshots_open (core_t *core)
+{
+  core->snapshot_items = feed_items_new ();
 }
 
 static void
-load_snapshot (core_t *core, const GArray *items)
+end_write (core_t *core, bool stored)
+{
+  if (stored)
+    core->snapshot_set = core->snapshot_write->set;
+  g_ptr_array_unref (core->snapshot_write->records);
+  g_clear_pointer (&core->snapshot_write, g_free);
+  history_end_snapshot (&core->history, stored);
+}
+
+void
+snapshots_close (core_t *core)
+{
+  if (core->snapshot_write)
+    end_write (core, false);
+  g_array_unref (core->snapshot_items);
+}
+
+/* Replaces the table by the newest snapshot that was read, if that holds more;
+   whether it did.  */
+static bool
+load_snapshot (core_t *core)
 {
   g_autoptr (GError) error = NULL;
-  snapshot_head_t head;
-  GByteArray *snapshot;
+  g_autoptr (GByteArray) snapshot = NULL;
+  uint64_t next = 0;
   jobtab_t *tab;
 
-  if (items->len == 0)
-    return;
-  snapshot = join_parts (items, &head);
+  if (core->snapshot_items->len == 0)
+    return false;
+  snapshot = snapset_join (core->snapshot_items, &next, &core->snapshot_set);
   if (!snapshot)
     {
       event_log (EV_SNAPSHOT_REJECTED, "reason=\"missing or mixed parts\"");
-      return;
+      return false;
     }
-  if (head.next <= core->tab->next)
+  if (next <= core->tab->next
+      && (history_is_complete (&core->history)
+          || !history_covers (&core->history, next)))
+    return false;
+  tab = jobtab_unpack (snapshot->data, snapshot->len, &error);
+  if (!tab)
     {
-      g_byte_array_unref (snapshot);
-      return;
+      event_log (EV_SNAPSHOT_REJECTED, "reason=\"%s\"", error->message);
+      return false;
     }
-  tab = jobtab_unpack (snapshot->data, snapshot->len, &error);
-  g_byte_array_unref (snapshot);
-  if (tab)
-    core_replace_table (core, tab);
-  else
-    event_log (EV_SNAPSHOT_REJECTED, "reason=\"%s\"", error->message);
+  core_replace_table (core, tab);
+  return true;
+}
+
+/* All pages were read.  */
+static void
+apply_snapshot (feed_t *feed)
+{
+  core_t *core = feed->core;
+  bool loaded = load_snapshot (core);
+
+  g_array_set_size (core->snapshot_items, 0);
+  if (loaded && history_covers (&core->history, core->tab->next))
+    core_fill_gap (core);
+  if (core->tab->next < feed->next_offset)
+    {
+      core_note_gap (core, feed->next_offset);
+      core->tab->next = feed->next_offset;
+    }
+  feed->loaded = true;
 }
 
 void
@@ -85,73 +95,88 @@
   feed_t *feed = ctx;
   core_t *core = feed->core;
   int64_t now_us = clock_boot_us ();
-  g_autoptr (GArray) items = feed_items_new ();
   bool more = false;
   uint64_t end = 0;
-  store_reply_t reply = platform_newest_reply (result->status, result->body,
-                                               items, &more, &end);
+  store_reply_t reply = platform_newest_reply (
+      result->status, result->body, core->snapshot_items, &more, &end);
 
   feed->in_flight = false;
   /* Status 404: no snapshot was written yet.  */
   if (reply != STORE_OK && result->status != 404)
     {
+      g_array_set_size (core->snapshot_items, 0);
+      g_clear_pointer (&feed->page_after, g_free);
       feed_failed (feed, now_us);
       return;
     }
-  if (reply == STORE_OK)
-    load_snapshot (core, items);
-  if (core->tab->next < feed->next_offset)
-    core->tab->next = feed->next_offset; /* the records between were deleted */
-  feed->loaded = true;
   feed->due_us = now_us;
+  g_clear_pointer (&feed->page_after, g_free);
+  if (more && core->snapshot_items->len > 0)
+    feed->page_after
+        = g_strdup (g_array_index (core->snapshot_items, platform_item_t,
+                                   core->snapshot_items->len - 1)
+                        .key);
+  else
+    apply_snapshot (feed);
 }
 
+static void send_parts (core_t *core);
+
 static void
-on_snapshot_written (void *ctx, const call_result_t *result)
+on_parts_written (void *ctx, const call_result_t *result)
 {
   core_t *core = ctx;
 
-  core->snapshot_in_flight = false;
+  if (!core->snapshot_write)
+    return; /* the core is stopping */
   if (platform_append_reply (result->status) != STORE_OK)
-    core->tab_changed = true;
+    end_write (core, false);
+  else if (core->snapshot_write->sent < core->snapshot_write->records->len)
+    send_parts (core);
+  else
+    end_write (core, true);
 }
 
-void
-snapshot_write (core_t *core, int64_t now_us)
+/* Appends the next parts.  */
+static void
+send_parts (core_t *core)
 {
-  g_autoptr (GPtrArray) records
-      = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
-  GBytes *snapshot = jobtab_pack (core->tab);
-  gsize len;
-  const uint8_t *data = g_bytes_get_data (snapshot, &len);
-  uint32_t parts = (uint32_t)(len / SNAPSHOT_PART_BYTES) + 1;
+  struct snapshot_write *write = core->snapshot_write;
+  g_autoptr (GPtrArray) records = g_ptr_array_new ();
+  size_t bytes = 0;
   platform_req_t req;
 
-  core->snapshot_us = now_us;
-  if (len > SNAPSHOT_BYTES_MAX)
-    {
-      event_log (EV_SNAPSHOT_REJECTED, "reason=\"too large\" bytes=%zu", len);
-      g_bytes_unref (snapshot);
-      return;
-    }
-  for (uint32_t i = 0; i < parts; i++)
+  while (write->sent < write->records->len)
     {
-      snapshot_head_t head = { GUINT64_TO_BE (core->tab->next),
-                               GUINT32_TO_BE (i), GUINT32_TO_BE (parts) };
-      g_autoptr (GByteArray) value = g_byte_array_new ();
-      g_autofree char *key = g_strdup_printf ("%04u", i);
-      size_t at = (size_t)i * SNAPSHOT_PART_BYTES;
-
-      g_byte_array_append (value, (const guint8 *)&head, sizeof head);
-      g_byte_array_append (value, data + at,
-                           (guint)MIN (len - at, SNAPSHOT_PART_BYTES));
-      g_ptr_array_add (records,
-                       platform_keyed_record (key, value->data, value->len));
+      GBytes *record = g_ptr_array_index (write->records, write->sent);
+
+      bytes += g_bytes_get_size (record);
+      if (records->len > 0 && bytes > CALL_BYTES_MAX)
+        break;
+      g_ptr_array_add (records, record);
+      write->sent++;
     }
-  g_bytes_unref (snapshot);
-  core->snapshot_in_flight = true;
-  core->tab_changed = false;
+  counter_add (COUNT_STORE_CALLS, 1);
   req = platform_append_req (PLATFORM_TOPIC_SNAPSHOT, records);
   calls_send (core->calls, core->settings->store, &req, WRITE_TIMEOUT_MS,
-              on_snapshot_written, core);
+              on_parts_written, core);
+}
+
+void
+snapshot_write (core_t *core, int64_t now_us)
+{
+  GBytes *snapshot = jobtab_pack (core->tab);
+  GPtrArray *parts
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+  uint32_t set = snapset_other (core->snapshot_set);
+
+  snapset_split (snapshot, core->tab->next, set, parts);
+  core->snapshot_write = g_new0 (struct snapshot_write, 1);
+  core->snapshot_write->records = parts;
+  core->snapshot_write->set = set;
+  event_log (EV_SNAPSHOT_WRITTEN, "next=%" PRIu64 " bytes=%zu parts=%u",
+             core->tab->next, g_bytes_get_size (snapshot), parts->len);
+  g_bytes_unref (snapshot);
+  history_begin_snapshot (&core->history, now_us);
+  send_parts (core);
 }
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -136,6 +136,9 @@
     }
   if (!owner->may_claim || owner->last_record_us == 0)
     return OWNER_NONE;
+  if (owner->incomplete
+      && now_us - owner->last_record_us < OWNER_INCOMPLETE_WAIT_US)
+    return OWNER_NONE;
   if (table->owner.epoch == 0 || table->owner.released)
     return now_us - owner->last_record_us >= owner->stagger_us
                ? request (owner, OWNER_CLAIM, now_us)
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -60,6 +60,11 @@
 #define OWNER_WEAKER_PERCENT 60
 #define OWNER_TAKEOVER_WAIT_US 700000
 
+/* OWNER_INCOMPLETE_WAIT_US - a daemon that lacks records of the log waits this
+   long after the owner's last record before it probes or claims.  Any daemon
+   that has all records replaces the owner earlier.  */
+#define OWNER_INCOMPLETE_WAIT_US 3500000
+
 typedef enum owner_action
 {
   OWNER_NONE,
@@ -85,6 +90,7 @@
   int64_t renewed_us;        /* when this daemon last appended as owner */
   bool superseded; /* a worker knows a higher epoch than the log shows */
   bool may_claim;  /* false while the daemon is stopping */
+  bool incomplete; /* the table lacks records that the store has deleted */
 } owner_t;
 
 void owner_init (owner_t *owner, const char *self, double cpu_share,
--- a/jobs/test/owner_test.c
+++ b/jobs/test/owner_test.c
@@ -221,6 +221,29 @@
 }
 END_TEST
 
+/* Guards against the claim of a daemon whose table lacks ends, while daemons
+   that have all records would have claimed a moment later.  */
+START_TEST (test_incomplete_daemon_claims_last)
+{
+  set_owner ("a#1");
+  owner.incomplete = true;
+  table->owner.released = true;
+  owner_note_record (&owner, table, FOLD_RELEASED, now_us);
+  ck_assert_int_eq (action_within (3000), OWNER_NONE);
+  ck_assert_int_eq (action_within (1000), OWNER_CLAIM);
+}
+END_TEST
+
+/* Guards against a fleet without an owner when no daemon has all records.  */
+START_TEST (test_incomplete_daemon_replaces_a_lost_owner)
+{
+  set_owner ("a#1");
+  owner.incomplete = true;
+  ck_assert_int_eq (action_within (3000), OWNER_NONE);
+  ck_assert_int_eq (action_within (1000), OWNER_PROBE);
+}
+END_TEST
+
 TEST_PROGRAM_WITH ("jobs/owner", set_up, tear_down,
                    test_no_claim_before_the_log_is_read,
                    test_no_claim_without_a_folded_probe,
@@ -235,4 +258,6 @@
                    test_owner_with_enough_cpu_is_not_replaced,
                    test_superseded_owner_does_not_renew,
                    test_earlier_process_is_another_holder,
-                   test_stopping_daemon_claims_nothing)
+                   test_stopping_daemon_claims_nothing,
+                   test_incomplete_daemon_claims_last,
+                   test_incomplete_daemon_replaces_a_lost_owner)
