--- a/base/counter.c
+++ b/base/counter.c
@@ -56,6 +56,7 @@
   [COUNT_TASKS_RETURNED] = "tasks_returned",
   [COUNT_STORE_CALLS] = "store_calls",
   [COUNT_WORKER_CALLS] = "worker_calls",
+  [COUNT_RELAYED_ORDERS] = "relayed_orders",
   [COUNT_HOST_ORDERS] = "host_orders",
   [COUNT_OWNERSHIPS] = "ownerships",
 };
--- /dev/null
+++ b/entry/agent.c
@@ -0,0 +1,242 @@
+#include "core.h"
+#include <string.h>
+
+/* Delay before the owner is connected to again.  */
+#define RECONNECT_US 500000
+/* How long records are appended directly after the owner failed to do it.  */
+#define DIRECT_APPENDS_US 2000000
+/* An owner has stored a batch, or failed to, after this time.  */
+#define FORWARD_TIMEOUT_US 700000
+
+/* An order that this daemon carries out for the owner.  */
+typedef struct agent_call
+{
+  core_t *core;
+  uint64_t connection;
+  uint64_t serial;
+  order_kind_t kind;
+  uint64_t token;
+} agent_call_t;
+
+static void
+send_msg (core_t *core, const linkmsg_t *msg)
+{
+  msgpack_sbuffer buf;
+
+  if (!core->agent.link)
+    return;
+  msgpack_sbuffer_init (&buf);
+  linkmsg_pack (&buf, msg);
+  link_send (core->agent.link, buf.data, buf.size);
+  msgpack_sbuffer_destroy (&buf);
+}
+
+static void
+send_reply (core_t *core, uint64_t serial,
+            const platform_order_reply_t *answer)
+{
+  linkmsg_t msg = { .kind = LINKMSG_REPLY, .serial = serial };
+
+  msg.u.reply.reply = answer->reply;
+  msg.u.reply.has_report = answer->has_report;
+  msg.u.reply.report = answer->report;
+  send_msg (core, &msg);
+}
+
+static void
+on_order_reply (void *ctx, const call_result_t *result)
+{
+  agent_call_t *call = ctx;
+  core_t *core = call->core;
+  platform_order_reply_t answer;
+
+  platform_order_reply (call->kind, result->status, result->body, &answer);
+  if (result->not_sent)
+    answer.reply.kind = REPLY_REFUSED;
+  if (answer.reply.kind == REPLY_FENCED)
+    core->agent.fenced = MAX (core->agent.fenced, call->token);
+  if (call->connection == core->agent.connection)
+    send_reply (core, call->serial, &answer);
+  platform_order_reply_clear (&answer);
+  g_free (call);
+}
+
+static void
+carry_out (core_t *core, uint64_t serial, const order_t *order)
+{
+  agent_call_t *call;
+  platform_req_t req;
+
+  if (order->token <= core->agent.fenced)
+    {
+      platform_order_reply_t answer = { .reply.kind = REPLY_FENCED };
+
+      send_reply (core, serial, &answer);
+      return;
+    }
+  call = g_new0 (agent_call_t, 1);
+  *call = (agent_call_t){ .core = core,
+                          .connection = core->agent.connection,
+                          .serial = serial,
+                          .kind = order->kind,
+                          .token = order->token };
+  req = platform_order_req (order);
+  counter_add (COUNT_WORKER_CALLS, 1);
+  calls_send (core->worker_calls, order->address, &req,
+              orders_timeout_ms (order), on_order_reply, call);
+}
+
+/* The batch that the owner was to append did not get through.  */
+static void
+fail_forward (core_t *core, bool maybe_stored, int64_t now_us)
+{
+  core->agent.append_serial = 0;
+  core->agent.direct_until_us = now_us + DIRECT_APPENDS_US;
+  appends_retry (core, maybe_stored, now_us);
+}
+
+static void
+on_stored (core_t *core, const linkmsg_t *msg, int64_t now_us)
+{
+  if (msg->serial == 0 || msg->serial != core->agent.append_serial)
+    return; /* its time is over, or it was read back */
+  core->agent.append_serial = 0;
+  if (msg->u.stored.stored)
+    appends_complete (core, now_us);
+  else
+    fail_forward (core, msg->u.stored.unknown, now_us);
+}
+
+static void
+on_frame (void *ctx, link_t *link, const uint8_t *data, size_t len)
+{
+  core_t *core = ctx;
+  g_autoptr (GError) error = NULL;
+  linkmsg_t msg;
+
+  if (!linkmsg_unpack (data, len, &msg, &error))
+    {
+      event_log (EV_PEER_REFUSED, "error=\"%s\"", error->message);
+      link_close (link, "malformed-message");
+      return;
+    }
+  switch (msg.kind)
+    {
+    case LINKMSG_ORDER:
+      carry_out (core, msg.serial, &msg.u.order);
+      break;
+    case LINKMSG_STORED:
+      on_stored (core, &msg, clock_boot_us ());
+      break;
+    case LINKMSG_HELLO:
+    case LINKMSG_APPEND:
+    case LINKMSG_REPLY:
+      link_close (link, "unexpected-message");
+      break;
+    }
+  linkmsg_clear (&msg);
+}
+
+static void
+on_closed (void *ctx, link_t *link, const char *why)
+{
+  core_t *core = ctx;
+
+  if (link != core->agent.link)
+    return; /* replaced */
+  event_log (EV_PEER_DOWN, "peer=owner address=%s why=%s", core->agent.address,
+             why);
+  core->agent.link = NULL;
+  core->agent.connection++;
+  if (core->agent.append_serial != 0)
+    fail_forward (core, true, clock_boot_us ());
+}
+
+/* Ends the link to a daemon that is no longer the owner.  */
+static void
+disconnect (core_t *core, const char *why)
+{
+  link_t *link = core->agent.link;
+
+  if (!link)
+    return;
+  link_close (link, why);
+  core->agent.link = NULL;
+  core->agent.connection++;
+  if (core->agent.append_serial != 0)
+    fail_forward (core, true, clock_boot_us ());
+}
+
+static void
+connect_to_owner (core_t *core, const char *address, int64_t now_us)
+{
+  link_handler_t handler
+      = { .on_frame = on_frame, .on_closed = on_closed, .ctx = core };
+  linkmsg_t msg = { .kind = LINKMSG_HELLO };
+
+  core->agent.retry_us = now_us + RECONNECT_US;
+  g_free (core->agent.address);
+  core->agent.address = g_strdup (address);
+  core->agent.link = links_connect (core->links, address, &handler, now_us);
+  msg.u.hello.name = core->settings->name;
+  msg.u.hello.data_centre = core->settings->data_centre;
+  msg.u.hello.share_percent = (uint32_t)(core->settings->cpu_share * 100);
+  send_msg (core, &msg);
+}
+
+void
+agent_run (core_t *core, int64_t read_us, int64_t now_us)
+{
+  const char *address = holder_address (core->tab->owner.holder);
+  bool wanted = address && !core->sched
+                && strcmp (core->tab->owner.holder, core->holder) != 0;
+
+  if (core->agent.append_serial != 0
+      && core->agent.append_deadline_us <= MIN (read_us, now_us))
+    fail_forward (core, true, now_us);
+  if (core->agent.link
+      && (!wanted || strcmp (address, core->agent.address) != 0))
+    disconnect (core, "owner-changed");
+  if (wanted && !core->agent.link && core->agent.retry_us <= now_us)
+    connect_to_owner (core, address, now_us);
+}
+
+int64_t
+agent_due_us (const core_t *core)
+{
+  return core->agent.append_serial != 0 ? core->agent.append_deadline_us
+                                        : INT64_MAX;
+}
+
+bool
+agent_append (core_t *core, GPtrArray *records, int64_t now_us)
+{
+  linkmsg_t msg = { .kind = LINKMSG_APPEND };
+
+  if (!core->agent.link || core->agent.direct_until_us > now_us)
+    return false;
+  msg.serial = ++core->agent.serial;
+  msg.u.append = records;
+  core->agent.append_serial = msg.serial;
+  core->agent.append_deadline_us = now_us + FORWARD_TIMEOUT_US;
+  send_msg (core, &msg);
+  return true;
+}
+
+void
+agent_forget_append (core_t *core)
+{
+  core->agent.append_serial = 0;
+}
+
+void
+agent_reset (core_t *core)
+{
+  disconnect (core, "process-paused");
+}
+
+void
+agent_close (core_t *core)
+{
+  g_free (core->agent.address);
+}
--- a/entry/appends.c
+++ b/entry/appends.c
@@ -1,10 +1,6 @@
 #include "core.h"
 #include <string.h>
 
-/* An append normally takes 4 ms.  In a store that is 75 times slower it takes
-   300 ms, one after another for all daemons; a retry while the first attempt
-   is still queued there only lengthens that queue.  */
-#define APPEND_TIMEOUT_MS 3000
 /* Delay before a retry.  */
 #define APPEND_RETRY_US 80000
 /* Well below the platform's limit of 2 MiB for one append.  */
@@ -70,6 +66,16 @@
   g_ptr_array_add (core->append_queue, queued);
 }
 
+void
+appends_add_direct (core_t *core, GBytes *record)
+{
+  queued_append_t *queued;
+
+  appends_add (core, record, NULL);
+  queued = g_ptr_array_index (core->append_queue, core->append_queue->len - 1);
+  queued->direct = true;
+}
+
 bool
 appends_idle (const core_t *core)
 {
@@ -113,6 +119,21 @@
   g_ptr_array_set_free_func (core->append_batch, queued_append_free);
 }
 
+void
+appends_complete (core_t *core, int64_t now_us)
+{
+  int64_t took_us = now_us - core->append_sent_us;
+
+  core->append_call = NULL;
+  core_set_store_reached (core, true, "append");
+  histogram_add (HIST_APPEND, took_us);
+  rto_add_reply (&core->append_rto, took_us);
+  owner_set_store_delay (&core->owner, took_us, now_us);
+  for (uint32_t i = 0; i < core->append_batch->len; i++)
+    note_stored (core, g_ptr_array_index (core->append_batch, i));
+  g_ptr_array_set_size (core->append_batch, 0);
+}
+
 static void
 on_appended (void *ctx, const call_result_t *result)
 {
@@ -120,18 +141,45 @@
   store_reply_t reply = platform_append_reply (result->status);
   int64_t now_us = clock_boot_us ();
 
-  core_set_store_reached (core, reply == STORE_OK, "append");
   if (reply == STORE_OK)
     {
-      histogram_add (HIST_APPEND, now_us - result->sent_us);
-      owner_set_store_delay (&core->owner, now_us - result->sent_us, now_us);
-      for (uint32_t i = 0; i < core->append_batch->len; i++)
-        note_stored (core, g_ptr_array_index (core->append_batch, i));
-      g_ptr_array_set_size (core->append_batch, 0);
+      appends_complete (core, now_us);
       return;
     }
-  requeue_batch (core, reply == STORE_INVALID && !result->not_sent);
-  core->append_due_us = now_us + APPEND_RETRY_US;
+  core->append_call = NULL;
+  core_set_store_reached (core, false, "append");
+  if (result->status == 0)
+    rto_add_timeout (&core->append_rto);
+  appends_retry (core, reply == STORE_INVALID && !result->not_sent,
+                 now_us + APPEND_RETRY_US);
+}
+
+void
+appends_retry (core_t *core, bool maybe_stored, int64_t at_us)
+{
+  requeue_batch (core, maybe_stored);
+  core->append_due_us = at_us;
+}
+
+void
+appends_read_back (core_t *core, const uint8_t *data, size_t len,
+                   int64_t now_us)
+{
+  const queued_append_t *expected;
+  gsize expected_len;
+  const void *expected_data;
+
+  if (core->append_batch->len == 0)
+    return;
+  expected = g_ptr_array_index (core->append_batch, core->append_read_back);
+  expected_data = g_bytes_get_data (expected->record, &expected_len);
+  if (len != expected_len || memcmp (data, expected_data, len) != 0
+      || ++core->append_read_back < core->append_batch->len)
+    return;
+  if (core->append_call)
+    calls_cancel (core->calls, core->append_call);
+  agent_forget_append (core);
+  appends_complete (core, now_us);
 }
 
 /* Completes requests whose deadline has passed.  Records that were certainly
@@ -173,6 +221,7 @@
 {
   g_autoptr (GPtrArray) records = NULL;
   uint64_t bytes = 0;
+  bool direct = false;
   platform_req_t req;
 
   expire_requests (core->append_queue, false, now_us);
@@ -189,14 +238,20 @@
       bytes += g_bytes_get_size (queued->record);
       if (records->len > 0 && bytes > BATCH_BYTES_MAX)
         break;
+      direct |= queued->direct;
       g_ptr_array_add (records, queued->record);
       g_ptr_array_add (core->append_batch,
                        g_ptr_array_steal_index (core->append_queue, 0));
     }
+  core->append_read_back = 0;
+  core->append_sent_us = now_us;
+  if (!direct && agent_append (core, records, now_us))
+    return;
   counter_add (COUNT_STORE_CALLS, 1);
   req = platform_append_req (PLATFORM_TOPIC_JOBS, records);
-  calls_send (core->calls, core->settings->store, &req, APPEND_TIMEOUT_MS,
-              on_appended, core);
+  core->append_call
+      = calls_send (core->calls, core->settings->store, &req,
+                    rto_timeout_ms (&core->append_rto), on_appended, core);
 }
 
 static int64_t
--- a/entry/calls.c
+++ b/entry/calls.c
@@ -12,7 +12,7 @@
 #define WATCHED_GROWTH 64
 #define REPLY_BYTES_MAX (16 * 1024 * 1024)
 
-typedef struct call
+struct call
 {
   CURL *easy;
   struct curl_slist *headers;
@@ -25,7 +25,7 @@
   /* Data may have been sent, on this connection or on one that libcurl
      abandoned before.  */
   bool request_started;
-} call_t;
+};
 
 struct calls
 {
@@ -195,7 +195,7 @@
                                          : l->deadline_us > r->deadline_us;
 }
 
-void
+call_t *
 calls_send (calls_t *calls, const char *address, platform_req_t *req,
             uint32_t timeout_ms, call_done_t done, void *ctx)
 {
@@ -231,24 +231,24 @@
     curl_easy_setopt (call->easy, CURLOPT_HTTPGET, 1L);
   platform_req_clear (req);
   curl_multi_add_handle (calls->multi, call->easy);
+  return call;
 }
 
+/* Takes CALL out of the calls under way and keeps its handle.  */
 static void
-complete_call (calls_t *calls, call_t *call, CURLcode code)
+remove_call (calls_t *calls, call_t *call)
 {
-  long status = 0;
-
-  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
-  if (code == CURLE_OK)
-    call->result.status = (uint32_t)status;
-  call->result.not_sent = code != CURLE_OK && !call->request_started;
   g_sequence_remove (call->place);
   curl_multi_remove_handle (calls->multi, call->easy);
   if (calls->idle->len < IDLE_HANDLES_MAX)
     g_ptr_array_add (calls->idle, call->easy);
   else
     curl_easy_cleanup (call->easy);
-  call->done (call->ctx, &call->result);
+}
+
+static void
+free_call (call_t *call)
+{
   curl_slist_free_all (call->headers);
   if (call->body)
     g_bytes_unref (call->body);
@@ -256,6 +256,27 @@
   g_free (call);
 }
 
+static void
+complete_call (calls_t *calls, call_t *call, CURLcode code)
+{
+  long status = 0;
+
+  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+  if (code == CURLE_OK)
+    call->result.status = (uint32_t)status;
+  call->result.not_sent = code != CURLE_OK && !call->request_started;
+  remove_call (calls, call);
+  call->done (call->ctx, &call->result);
+  free_call (call);
+}
+
+void
+calls_cancel (calls_t *calls, call_t *call)
+{
+  remove_call (calls, call);
+  free_call (call);
+}
+
 static void
 process_socket (calls_t *calls, curl_socket_t fd, int events)
 {
--- a/entry/core.c
+++ b/entry/core.c
@@ -91,7 +91,7 @@
 
   rec.u.owner.epoch = epoch;
   rec.u.owner.holder = core->holder;
-  appends_add (core, job_rec_pack (&rec), NULL);
+  appends_add_direct (core, job_rec_pack (&rec));
 }
 
 void
@@ -420,6 +420,7 @@
   core->housekeeping_due_us = now_us + HOUSEKEEPING_INTERVAL_US;
   publish_pending (core);
   update_dump (core);
+  hub_update_workers (core);
   jobtab_purge (core->tab, clock_wall_ms (),
                 (int64_t)core->settings->status_s * 10 * STATUS_KEPT_PERCENT,
                 remove_from_readmodel, core);
@@ -453,6 +454,7 @@
   core->resync_needed = true;
   core->pause_detected_us = now_us;
   owner_note_pause (&core->owner, now_us);
+  agent_reset (core);
 }
 
 static void
@@ -478,6 +480,9 @@
   due_min (&due_us, calls_due_us (core->worker_calls));
   due_min (&due_us, feeds_due_us (core));
   due_min (&due_us, appends_due_us (core, now_us));
+  due_min (&due_us, links_due_us (core->links));
+  due_min (&due_us, hub_due_us (core));
+  due_min (&due_us, agent_due_us (core));
   if (core->sched && !core->resync_needed)
     {
       due_min (&due_us, sched_next_us (core->sched));
@@ -534,7 +539,8 @@
   for (int i = 0; i < count; i++)
     if (events[i].data.fd == core->pipe.event_fd)
       take_requests (core);
-    else
+    else if (!links_handle_event (core->links, events[i].data.fd,
+                                  events[i].events, now_us))
       {
         calls_handle_event (core->calls, events[i].data.fd, events[i].events);
         calls_handle_event (core->worker_calls, events[i].data.fd,
@@ -542,6 +548,8 @@
       }
   update_read_time (core, count, now_us);
   run_calls (core, now_us);
+  hub_expire (core, core->read_us, now_us);
+  agent_run (core, core->read_us, now_us);
   now_us = clock_boot_us ();
   if (atomic_load (&core->release_requested))
     release_ownership (core);
@@ -552,6 +560,7 @@
   run_housekeeping (core, now_us);
   /* Starts the transfers that were added in this iteration.  */
   run_calls (core, now_us);
+  links_run (core->links, core->read_us, now_us);
   update_load (core, began_us);
 }
 
@@ -583,8 +592,8 @@
   core->model = model;
   core->store_reached = true;
   g_mutex_init (&core->dump_lock);
-  core->holder
-      = holder_name (settings->name, clock_wall_ms (), settings->cpu_share);
+  core->holder = holder_name (settings->name, clock_wall_ms (),
+                              settings->cpu_share, settings->peer);
   core->tab = jobtab_new ();
   history_init (&core->history, (int64_t)settings->keep_s * 1000000);
   core->epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
@@ -597,6 +606,8 @@
   owner_init (&core->owner, core->holder, settings->cpu_share,
               (uint32_t)(hash_bytes (core->holder, strlen (core->holder), 0)
                          % OWNER_JITTER_US));
+  if (!hub_open (core))
+    return NULL;
   appends_open (core);
   orders_open (core);
   hostcalls_open (core);
@@ -627,6 +638,8 @@
   appends_close (core);
   drop_sched (core);
   orders_close (core);
+  agent_close (core);
+  hub_close (core);
   hostcalls_close (core);
   feeds_close (core);
   calls_close (core->calls);
--- a/entry/core.h
+++ b/entry/core.h
@@ -5,6 +5,8 @@
      snapshots   reads and writes snapshots of the job table
      appends     group commit of records to the job log
      orders      sends the scheduler's orders to workers
+     hub         links of other daemons to this one, while it is the owner
+     agent       this daemon's link to the owner, while it is not
      advicecalls sends requests for tickets to the advice service
      hostcalls   calls the host service; reads and writes records of waves
      core        event loop and ownership  */
@@ -14,7 +16,10 @@
 
 #include "entry.h"
 #include "history.h"
+#include "link.h"
+#include "linkmsg.h"
 #include "owner.h"
+#include "rto.h"
 #include <pthread.h>
 
 typedef enum feed_kind
@@ -45,8 +50,46 @@
   GBytes *record;
   append_req_t *request; /* NULL: no request waits for it */
   bool maybe_stored;     /* an earlier append may have stored it */
+  bool direct;           /* not through the owner */
 } queued_append_t;
 
+/* An order that is carried out by a relay, or waits for it.  */
+typedef struct order_call
+{
+  core_t *core;
+  order_t order;
+  uint64_t peer; /* id of the hub's peer */
+  uint64_t serial;
+  GBytes *frame; /* until it is sent */
+  int64_t sent_us;
+  int64_t deadline_us;
+  GSequenceIter *place; /* in relayed_by_deadline, once it is sent */
+} order_call_t;
+
+/* A daemon that is linked to this one.  */
+typedef struct hub_peer
+{
+  uint64_t id;
+  link_t *link;
+  relay_t *relay; /* NULL: it has not introduced itself */
+  GQueue *orders; /* order_call_t above the limit in flight */
+  uint32_t orders_in_flight;
+} hub_peer_t;
+
+/* This daemon's link to the owner.  */
+typedef struct agent
+{
+  link_t *link;        /* NULL: there is none */
+  char *address;       /* it leads to */
+  uint64_t connection; /* number of the link */
+  int64_t retry_us;    /* no new link before */
+  uint64_t fenced;     /* orders with tokens up to this one are refused */
+  uint64_t serial;
+  uint64_t append_serial; /* of the batch that the owner appends; 0: none */
+  int64_t append_deadline_us;
+  int64_t direct_until_us; /* records are appended directly until then */
+} agent_t;
+
 struct core
 {
   const entry_settings_t *settings;
@@ -85,9 +128,18 @@
   feed_t fleet_feed;
   GHashTable *listed_workers; /* ids on the pages read so far */
 
-  GQueue *orders; /* order_call_t above the limit in flight */
+  GQueue *orders; /* direct_call_t above the limit in flight */
   uint32_t orders_in_flight;
 
+  links_t *links;
+  dispatch_t *dispatch;
+  GHashTable *hub_peers; /* id -> hub_peer_t */
+  uint64_t peer_serial;
+  GHashTable *relayed; /* serial -> order_call_t, those that were sent */
+  GSequence *relayed_by_deadline;
+  uint64_t order_serial;
+  agent_t agent;
+
   GArray *waves; /* wave_record_t */
   bool hosts_in_flight;
   int64_t hosts_due_us;
@@ -96,8 +148,12 @@
   GArray *fleet_retries; /* fleet_write_t that the store rejected */
   int64_t fleet_retry_us;
 
-  GPtrArray *append_queue;    /* queued_append_t */
-  GPtrArray *append_batch;    /* queued_append_t in flight */
+  GPtrArray *append_queue;   /* queued_append_t */
+  GPtrArray *append_batch;   /* queued_append_t in flight */
+  call_t *append_call;       /* of that batch */
+  int64_t append_sent_us;    /* ... and when it was sent */
+  uint32_t append_read_back; /* records of the batch read from the log */
+  rto_t append_rto;
   GPtrArray *pending_cancels; /* append_req_t stored but not yet folded */
   int64_t append_due_us;
   bool store_reached;
@@ -143,8 +199,21 @@
 /* appends_add - queue RECORD and take ownership of it; REQUEST, which may be
    NULL, is completed when the outcome is known.  */
 void appends_add (core_t *core, GBytes *record, append_req_t *request);
+/* appends_add_direct - the same for a record that does not go through the
+   owner, because it is about its loss.  */
+void appends_add_direct (core_t *core, GBytes *record);
+/* appends_complete - the batch in flight is stored.
+   appends_retry - it is not, or perhaps not; its records are appended again,
+   at AT_US or later.  */
+void appends_complete (core_t *core, int64_t now_us);
+void appends_retry (core_t *core, bool maybe_stored, int64_t at_us);
 void appends_run (core_t *core, int64_t now_us);
 int64_t appends_due_us (const core_t *core, int64_t now_us);
+/* appends_read_back - a record of DATA was read from the log.  When the batch
+   in flight was read back as a whole, it is stored, whether its reply comes or
+   not.  */
+void appends_read_back (core_t *core, const uint8_t *data, size_t len,
+                        int64_t now_us);
 /* appends_handle_record - complete the requests for REC, which was read from
    the log.  */
 void appends_handle_record (core_t *core, const job_rec_t *rec);
@@ -154,10 +223,54 @@
 void orders_open (core_t *core);
 void orders_close (core_t *core);
 void orders_send (core_t *core, GArray *orders);
+/* orders_timeout_ms - how long a worker has to reply to ORDER.
+   orders_forget_strings - drop what is valid only until the next call of the
+   scheduler.
+   orders_process_reply - pass the REPLY to ORDER to the scheduler; REPORT may
+   be NULL.  */
+uint32_t orders_timeout_ms (const order_t *order);
+void orders_forget_strings (order_t *order);
+void orders_process_reply (core_t *core, const order_t *order,
+                           const worker_reply_t *reply,
+                           const worker_report_t *report);
 /* orders_clear - drop the orders that are not sent yet, because this daemon is
    no longer the owner.  */
 void orders_clear (core_t *core);
 
+/* hub.c */
+
+/* hub_open - accept links, if the settings give an address.  False if that
+   fails.  */
+bool hub_open (core_t *core);
+void hub_close (core_t *core);
+/* hub_send_order - have RELAY carry ORDER out.  */
+void hub_send_order (core_t *core, relay_t *relay, const order_t *order,
+                     int64_t now_us);
+/* hub_expire - end the orders whose relay did not answer in time, as far as
+   replies were read.
+   hub_due_us - when the next one ends.  */
+void hub_expire (core_t *core, int64_t read_us, int64_t now_us);
+int64_t hub_due_us (const core_t *core);
+/* hub_clear_orders - forget all orders, because this daemon is no longer the
+   owner.  */
+void hub_clear_orders (core_t *core);
+/* hub_update_workers - choose the relays for the present workers.  */
+void hub_update_workers (core_t *core);
+
+/* agent.c */
+
+/* agent_run - keep a link to the owner.  */
+void agent_run (core_t *core, int64_t read_us, int64_t now_us);
+int64_t agent_due_us (const core_t *core);
+/* agent_append - have the owner append RECORDS, an array of GBytes, as the
+   batch in flight; false if there is no link to it.
+   agent_forget_append - the batch was read back from the log.  */
+bool agent_append (core_t *core, GPtrArray *records, int64_t now_us);
+void agent_forget_append (core_t *core);
+/* agent_reset - end the link, because what has arrived on it is old.  */
+void agent_reset (core_t *core);
+void agent_close (core_t *core);
+
 /* advicecalls.c */
 void advice_calls_send (core_t *core, GArray *requests);
 
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -40,6 +40,7 @@
   char *ready;            /* IP:PORT for the load balancer and operators */
   char *store;            /* IP:PORT */
   char *hosts_api;        /* IP:PORT; "": none */
+  char *peer;             /* IP:PORT for links of other daemons; "": none */
   char *advice;           /* IP:PORT of the advice service; "": none */
   double cpu_share;       /* CPU limit, in cores */
   uint32_t revoke_ms;     /* time in which a withdrawn key must stop working */
@@ -172,6 +173,7 @@
   int64_t sent_us;
 } call_result_t;
 
+typedef struct call call_t;
 typedef void (*call_done_t) (void *ctx, const call_result_t *result);
 
 /* calls_open - an HTTP client that registers its sockets with EPOLL_FD and
@@ -180,9 +182,11 @@
 void calls_close (calls_t *calls);
 
 /* calls_send - send REQ to ADDRESS and clear it.  DONE is called later, never
-   from calls_send itself.  */
-void calls_send (calls_t *calls, const char *address, platform_req_t *req,
-                 uint32_t timeout_ms, call_done_t done, void *ctx);
+   from calls_send itself.  The call is valid until then.
+   calls_cancel - end CALL without a result.  It may have had an effect.  */
+call_t *calls_send (calls_t *calls, const char *address, platform_req_t *req,
+                    uint32_t timeout_ms, call_done_t done, void *ctx);
+void calls_cancel (calls_t *calls, call_t *call);
 
 /* calls_handle_event - handle the epoll events READY of FD, if it is one of
    CALLS.  */
--- a/entry/feeds.c
+++ b/entry/feeds.c
@@ -274,6 +274,7 @@
   job_rec_t rec;
 
   core->tab->next++;
+  appends_read_back (core, record->data, record->len, now_us);
   if (!job_rec_unpack (record->data, record->len, &rec, &error))
     {
       event_log (EV_RECORD_MALFORMED,
--- /dev/null
+++ b/entry/link.c
@@ -0,0 +1,427 @@
+#include "link.h"
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define HEADER_BYTES 4
+#define READ_BYTES (64 * 1024)
+#define LISTEN_BACKLOG 256
+
+struct link
+{
+  links_t *links;
+  link_handler_t handler;
+  void *data;
+  int fd;
+  bool connecting;
+  bool dirty;         /* in links->dirty */
+  const char *closed; /* why it was closed; NULL: it is open */
+  GByteArray *input;
+  GByteArray *output;
+  guint written; /* bytes of OUTPUT that were written */
+  uint32_t events;
+  int64_t heard_us; /* last bytes were read */
+};
+
+struct links
+{
+  int epoll_fd;
+  int listen_fd;
+  uint16_t port;
+  link_handler_t accept_handler;
+  GHashTable *by_fd; /* fd -> link_t */
+  GPtrArray *dirty;  /* link_t with output, or closed */
+  uint8_t *buffer;   /* READ_BYTES */
+  int64_t timer_us;
+};
+
+links_t *
+links_open (int epoll_fd)
+{
+  links_t *links = g_new0 (links_t, 1);
+
+  links->epoll_fd = epoll_fd;
+  links->listen_fd = -1;
+  links->by_fd = g_hash_table_new (g_direct_hash, g_direct_equal);
+  links->dirty = g_ptr_array_new ();
+  links->buffer = g_malloc (READ_BYTES);
+  return links;
+}
+
+static void
+free_link (link_t *link)
+{
+  close (link->fd);
+  g_byte_array_unref (link->input);
+  g_byte_array_unref (link->output);
+  g_free (link);
+}
+
+void
+links_close (links_t *links)
+{
+  GHashTableIter iter;
+  gpointer link;
+
+  g_hash_table_iter_init (&iter, links->by_fd);
+  while (g_hash_table_iter_next (&iter, NULL, &link))
+    free_link (link);
+  if (links->listen_fd >= 0)
+    close (links->listen_fd);
+  g_hash_table_unref (links->by_fd);
+  g_ptr_array_unref (links->dirty);
+  g_free (links->buffer);
+  g_free (links);
+}
+
+static bool
+parse_address (const char *text, struct sockaddr_in *address)
+{
+  const char *colon = strrchr (text, ':');
+  g_autofree char *ip = colon ? g_strndup (text, (gsize)(colon - text)) : NULL;
+  guint64 port;
+
+  memset (address, 0, sizeof *address);
+  address->sin_family = AF_INET;
+  if (!colon || inet_pton (AF_INET, ip, &address->sin_addr) != 1
+      || !g_ascii_string_to_unsigned (colon + 1, 10, 0, UINT16_MAX, &port,
+                                      NULL))
+    return false;
+  address->sin_port = htons ((uint16_t)port);
+  return true;
+}
+
+/* Sets the options of a link's socket.  Failures leave the defaults, with
+   which the link works, if slower.  */
+static void
+set_options (int fd)
+{
+  int on = 1;
+  unsigned int timeout_ms = LINK_SILENCE_US / 1000;
+
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+              sizeof timeout_ms);
+}
+
+static void
+watch (link_t *link, uint32_t events, int op)
+{
+  struct epoll_event event = { .events = events, .data.fd = link->fd };
+
+  if (link->events == events && op == EPOLL_CTL_MOD)
+    return;
+  link->events = events;
+  epoll_ctl (link->links->epoll_fd, op, link->fd, &event);
+}
+
+static link_t *
+add_link (links_t *links, int fd, const link_handler_t *handler,
+          bool connecting, int64_t now_us)
+{
+  link_t *link = g_new0 (link_t, 1);
+
+  link->links = links;
+  link->handler = *handler;
+  link->fd = fd;
+  link->connecting = connecting;
+  link->input = g_byte_array_new ();
+  link->output = g_byte_array_new ();
+  link->heard_us = now_us;
+  set_options (fd);
+  g_hash_table_insert (links->by_fd, GINT_TO_POINTER (fd), link);
+  watch (link, EPOLLIN | (connecting ? EPOLLOUT : 0), EPOLL_CTL_ADD);
+  return link;
+}
+
+bool
+links_listen (links_t *links, const char *address,
+              const link_handler_t *handler)
+{
+  struct sockaddr_in self;
+  socklen_t len = sizeof self;
+  struct epoll_event event = { .events = EPOLLIN };
+  int on = 1;
+  int fd;
+
+  if (!parse_address (address, &self))
+    return false;
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return false;
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (bind (fd, (struct sockaddr *)&self, sizeof self) != 0
+      || listen (fd, LISTEN_BACKLOG) != 0
+      || getsockname (fd, (struct sockaddr *)&self, &len) != 0)
+    {
+      close (fd);
+      return false;
+    }
+  event.data.fd = fd;
+  epoll_ctl (links->epoll_fd, EPOLL_CTL_ADD, fd, &event);
+  links->listen_fd = fd;
+  links->port = ntohs (self.sin_port);
+  links->accept_handler = *handler;
+  return true;
+}
+
+uint16_t
+links_port (const links_t *links)
+{
+  return links->port;
+}
+
+link_t *
+links_connect (links_t *links, const char *address,
+               const link_handler_t *handler, int64_t now_us)
+{
+  struct sockaddr_in peer;
+  int fd;
+
+  if (!parse_address (address, &peer))
+    return NULL;
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return NULL;
+  if (connect (fd, (struct sockaddr *)&peer, sizeof peer) != 0
+      && errno != EINPROGRESS)
+    {
+      close (fd);
+      return NULL;
+    }
+  return add_link (links, fd, handler, true, now_us);
+}
+
+static void
+mark_dirty (link_t *link)
+{
+  if (link->dirty)
+    return;
+  link->dirty = true;
+  g_ptr_array_add (link->links->dirty, link);
+}
+
+void
+link_close (link_t *link, const char *why)
+{
+  if (link->closed)
+    return;
+  link->closed = why;
+  mark_dirty (link);
+}
+
+void
+link_send (link_t *link, const void *data, size_t len)
+{
+  uint32_t header = GUINT32_TO_BE ((uint32_t)len);
+
+  if (link->closed)
+    return;
+  if (link->output->len - link->written + len > LINK_QUEUE_MAX)
+    {
+      link_close (link, "peer-does-not-read");
+      return;
+    }
+  g_byte_array_append (link->output, (const guint8 *)&header, sizeof header);
+  if (len > 0)
+    g_byte_array_append (link->output, data, (guint)len);
+  mark_dirty (link);
+}
+
+void *
+link_data (const link_t *link)
+{
+  return link->data;
+}
+
+void
+link_set_data (link_t *link, void *data)
+{
+  link->data = data;
+}
+
+/* Passes the complete frames of LINK's input on.  */
+static void
+handle_frames (link_t *link)
+{
+  guint at = 0;
+
+  while (!link->closed && link->input->len - at >= HEADER_BYTES)
+    {
+      uint32_t len;
+
+      memcpy (&len, link->input->data + at, HEADER_BYTES);
+      len = GUINT32_FROM_BE (len);
+      if (len > LINK_FRAME_MAX)
+        {
+          link_close (link, "frame-too-long");
+          break;
+        }
+      if (link->input->len - at - HEADER_BYTES < len)
+        break;
+      if (len > 0)
+        link->handler.on_frame (link->handler.ctx, link,
+                                link->input->data + at + HEADER_BYTES, len);
+      at += HEADER_BYTES + len;
+    }
+  if (at > 0)
+    g_byte_array_remove_range (link->input, 0, at);
+}
+
+static void
+read_link (link_t *link, int64_t now_us)
+{
+  uint8_t *buffer = link->links->buffer;
+  ssize_t count;
+
+  do
+    {
+      count = recv (link->fd, buffer, READ_BYTES, 0);
+      if (count <= 0)
+        break;
+      link->heard_us = now_us;
+      g_byte_array_append (link->input, buffer, (guint)count);
+    }
+  while (count == READ_BYTES);
+  if (count == 0)
+    link_close (link, "closed-by-peer");
+  else if (count < 0 && errno != EAGAIN && errno != EINTR)
+    link_close (link, g_strerror (errno));
+  /* A link that was closed by its peer has its last frames handled.  */
+  if (link->input->len > 0)
+    {
+      const char *closed = link->closed;
+
+      link->closed = NULL;
+      handle_frames (link);
+      link->closed = closed ? closed : link->closed;
+    }
+}
+
+static void
+write_link (link_t *link)
+{
+  guint left = link->output->len - link->written;
+  ssize_t count = 0;
+
+  if (link->connecting)
+    return;
+  if (left > 0)
+    count = send (link->fd, link->output->data + link->written, left,
+                  MSG_NOSIGNAL);
+  if (count < 0 && errno != EAGAIN && errno != EINTR)
+    {
+      link_close (link, g_strerror (errno));
+      return;
+    }
+  link->written += (guint)MAX (count, 0);
+  if (link->written == link->output->len)
+    {
+      g_byte_array_set_size (link->output, 0);
+      link->written = 0;
+    }
+  watch (link, EPOLLIN | (link->output->len > 0 ? EPOLLOUT : 0),
+         EPOLL_CTL_MOD);
+}
+
+static void
+finish_connect (link_t *link)
+{
+  int error = 0;
+  socklen_t len = sizeof error;
+
+  getsockopt (link->fd, SOL_SOCKET, SO_ERROR, &error, &len);
+  if (error != 0)
+    link_close (link, g_strerror (error));
+  link->connecting = false;
+}
+
+static void
+accept_links (links_t *links, int64_t now_us)
+{
+  int fd;
+
+  while ((fd = accept4 (links->listen_fd, NULL, NULL,
+                        SOCK_NONBLOCK | SOCK_CLOEXEC))
+         >= 0)
+    add_link (links, fd, &links->accept_handler, false, now_us);
+}
+
+bool
+links_handle_event (links_t *links, int fd, uint32_t ready, int64_t now_us)
+{
+  link_t *link = g_hash_table_lookup (links->by_fd, GINT_TO_POINTER (fd));
+
+  if (fd == links->listen_fd)
+    {
+      accept_links (links, now_us);
+      return true;
+    }
+  if (!link)
+    return false;
+  if (link->closed)
+    return true;
+  if (link->connecting && (ready & (EPOLLOUT | EPOLLERR | EPOLLHUP)))
+    finish_connect (link);
+  if (!link->closed && (ready & (EPOLLIN | EPOLLERR | EPOLLHUP)))
+    read_link (link, now_us);
+  if (!link->closed && (ready & EPOLLOUT))
+    mark_dirty (link);
+  return true;
+}
+
+static void
+run_timers (links_t *links, int64_t read_us, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, links->by_fd);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      link_t *link = value;
+
+      if (read_us - link->heard_us >= LINK_SILENCE_US)
+        link_close (link, "silent");
+      else if (!link->connecting)
+        link_send (link, NULL, 0);
+    }
+  links->timer_us = now_us + LINK_PING_US;
+}
+
+void
+links_run (links_t *links, int64_t read_us, int64_t now_us)
+{
+  if (links->timer_us <= now_us)
+    run_timers (links, MIN (read_us, now_us), now_us);
+  /* Closing a link may close others or send on them.  */
+  while (links->dirty->len > 0)
+    {
+      link_t *link
+          = g_ptr_array_steal_index_fast (links->dirty, links->dirty->len - 1);
+
+      link->dirty = false;
+      if (!link->closed)
+        write_link (link);
+      if (!link->closed)
+        continue;
+      if (link->dirty)
+        g_ptr_array_remove_fast (links->dirty, link);
+      g_hash_table_remove (links->by_fd, GINT_TO_POINTER (link->fd));
+      link->handler.on_closed (link->handler.ctx, link, link->closed);
+      free_link (link);
+    }
+}
+
+int64_t
+links_due_us (const links_t *links)
+{
+  if (links->dirty->len > 0)
+    return 0;
+  return g_hash_table_size (links->by_fd) > 0 ? links->timer_us : INT64_MAX;
+}
--- /dev/null
+++ b/entry/link.h
@@ -0,0 +1,76 @@
+/* link - framed TCP connections between daemons
+
+   NAME
+     links, link
+
+   DESCRIPTION
+     A link carries frames: a length in 4 bytes, big endian, and as many bytes.
+     Both sides send an empty frame every second; a link on which nothing was
+     read for LINK_SILENCE_US is closed, as connections may fall silent without
+     a reset.  Links belong to the thread of the epoll set.
+
+     Frames are written once in an iteration of the loop, all frames of a link
+     together.  */
+
+#ifndef CUMINPIN_LINK_H
+#define CUMINPIN_LINK_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define LINK_PING_US 1000000
+#define LINK_SILENCE_US 3000000
+/* Longest frame: a batch of records to append.  */
+#define LINK_FRAME_MAX (2 * 1024 * 1024)
+/* A link whose peer does not read is closed when this much is queued.  */
+#define LINK_QUEUE_MAX (8 * 1024 * 1024)
+
+typedef struct links links_t;
+typedef struct link link_t;
+
+/* What happens on a link.  The functions are called from links_handle_event
+   and links_run.  The link is freed after ON_CLOSED.  */
+typedef struct link_handler
+{
+  void (*on_frame) (void *ctx, link_t *link, const uint8_t *data, size_t len);
+  void (*on_closed) (void *ctx, link_t *link, const char *why);
+  void *ctx;
+} link_handler_t;
+
+links_t *links_open (int epoll_fd);
+void links_close (links_t *links);
+
+/* links_listen - accept links on ADDRESS, IP:PORT; HANDLER is that of the
+   accepted links.  False if the address can't be used.
+   links_port - the port of the listener.  */
+bool links_listen (links_t *links, const char *address,
+                   const link_handler_t *handler);
+uint16_t links_port (const links_t *links);
+
+/* links_connect - a link to ADDRESS, IP:PORT; NULL if the address is malformed
+   or no socket is available.  What is sent before the connection is there
+   waits for it.  */
+link_t *links_connect (links_t *links, const char *address,
+                       const link_handler_t *handler, int64_t now_us);
+
+/* link_send - queue a frame of LEN bytes of DATA.
+   link_close - close LINK after the present call; ON_CLOSED follows.  */
+void link_send (link_t *link, const void *data, size_t len);
+void link_close (link_t *link, const char *why);
+
+/* link_data, link_set_data - a pointer of the caller.  */
+void *link_data (const link_t *link);
+void link_set_data (link_t *link, void *data);
+
+/* links_handle_event - handle the epoll events READY of FD; false if FD is
+   none of LINKS. links_run - write what is queued, and close silent links. All
+   bytes that had arrived by READ_US were read. links_due_us - when links_run
+   is due.  */
+bool links_handle_event (links_t *links, int fd, uint32_t ready,
+                         int64_t now_us);
+void links_run (links_t *links, int64_t read_us, int64_t now_us);
+int64_t links_due_us (const links_t *links);
+
+#endif
--- /dev/null
+++ b/entry/linkmsg.h
@@ -0,0 +1,66 @@
+/* linkmsg - messages between the owner and the other daemons
+
+   NAME
+     linkmsg_pack, linkmsg_unpack
+
+   DESCRIPTION
+     A daemon that is not the owner connects to it, introduces itself with
+     HELLO, and has the owner append its records (APPEND, STORED).  The owner
+     has it carry out orders to workers (ORDER, REPLY).
+
+     Strings of a message that was unpacked point into the bytes that were
+     unpacked.  */
+
+#ifndef CUMINPIN_LINKMSG_H
+#define CUMINPIN_LINKMSG_H
+
+#include "scheduler.h"
+#include <msgpack.h>
+
+typedef enum linkmsg_kind
+{
+  LINKMSG_HELLO = 1,
+  LINKMSG_APPEND = 2,
+  LINKMSG_STORED = 3,
+  LINKMSG_ORDER = 4,
+  LINKMSG_REPLY = 5
+} linkmsg_kind_t;
+
+typedef struct linkmsg
+{
+  linkmsg_kind_t kind;
+  uint64_t serial; /* APPEND, ORDER; that of the request in STORED, REPLY */
+  union
+  {
+    struct
+    {
+      const char *name;
+      const char *data_centre;
+      uint32_t share_percent;
+    } hello;
+    GPtrArray *append; /* GBytes; unpacked: owned by the message */
+    struct
+    {
+      bool stored;
+      bool unknown; /* not STORED: the records may be stored all the same */
+    } stored;
+    order_t order;
+    struct
+    {
+      worker_reply_t reply; /* without sent_us */
+      bool has_report;
+      worker_report_t report; /* unpacked: owned by the message */
+    } reply;
+  } u;
+} linkmsg_t;
+
+/* linkmsg_pack - append the encoding of MSG to BUF.  */
+void linkmsg_pack (msgpack_sbuffer *buf, const linkmsg_t *msg);
+
+/* linkmsg_unpack - decode LEN bytes of DATA; false and *ERROR if they are no
+   message.  linkmsg_clear releases it.  */
+bool linkmsg_unpack (const void *data, size_t len, linkmsg_t *msg,
+                     GError **error);
+void linkmsg_clear (linkmsg_t *msg);
+
+#endif
--- a/entry/orders.c
+++ b/entry/orders.c
@@ -12,8 +12,8 @@
    would wait here until they time out, and finally no task would start.  */
 #define ORDERS_IN_FLIGHT_MAX 48
 
-static uint32_t
-timeout_ms (const order_t *order)
+uint32_t
+orders_timeout_ms (const order_t *order)
 {
   switch (order->kind)
     {
@@ -27,13 +27,13 @@
   return ORDER_TIMEOUT_MS;
 }
 
-/* An order in flight or in the queue.  */
-typedef struct order_call
+/* An order that this daemon sends itself.  */
+typedef struct direct_call
 {
   core_t *core;
   order_t order;
   platform_req_t req; /* cleared when it is sent */
-} order_call_t;
+} direct_call_t;
 
 void
 orders_open (core_t *core)
@@ -42,7 +42,7 @@
 }
 
 static void
-free_order_call (order_call_t *call)
+free_direct_call (direct_call_t *call)
 {
   platform_req_clear (&call->req);
   g_free (call);
@@ -51,10 +51,11 @@
 void
 orders_clear (core_t *core)
 {
-  order_call_t *call;
+  direct_call_t *call;
 
   while ((call = g_queue_pop_head (core->orders)))
-    free_order_call (call);
+    free_direct_call (call);
+  hub_clear_orders (core);
 }
 
 void
@@ -67,22 +68,22 @@
 static void on_order_reply (void *ctx, const call_result_t *result);
 
 static void
-send_order (order_call_t *call)
+send_order (direct_call_t *call)
 {
   const order_t *order = &call->order;
 
   counter_add (COUNT_WORKER_CALLS, 1);
   calls_send (call->core->worker_calls, order->address, &call->req,
-              timeout_ms (order), on_order_reply, call);
+              orders_timeout_ms (order), on_order_reply, call);
 }
 
 static void
 send_queued (core_t *core)
 {
-  while (core->orders_in_flight < ORDERS_IN_FLIGHT_MAX
+  while (core->sched && core->orders_in_flight < ORDERS_IN_FLIGHT_MAX
          && core->orders->length > 0)
     {
-      order_call_t *call = g_queue_pop_head (core->orders);
+      direct_call_t *call = g_queue_pop_head (core->orders);
 
       if (sched_order_is_due (core->sched, &call->order, core_now ()))
         {
@@ -90,62 +91,111 @@
           send_order (call);
         }
       else
-        free_order_call (call);
+        free_direct_call (call);
     }
 }
 
+void
+orders_process_reply (core_t *core, const order_t *order,
+                      const worker_reply_t *reply,
+                      const worker_report_t *report)
+{
+  bool still_owner;
+
+  if (!core->sched || order->token != core->tab->owner.epoch)
+    return;
+  still_owner
+      = order->kind == ORDER_HOLD
+            ? sched_hold_reply (core->sched, order->worker, reply, report,
+                                core_now ())
+            : sched_order_reply (core->sched, order, reply, core_now ());
+  if (!still_owner)
+    core_lose_ownership (core, order->worker);
+}
+
 static void
 on_order_reply (void *ctx, const call_result_t *result)
 {
-  order_call_t *call = ctx;
+  direct_call_t *call = ctx;
   core_t *core = call->core;
-  const order_t *order = &call->order;
+  order_t order = call->order;
   platform_order_reply_t answer;
-  bool still_owner = true;
 
-  if (core->sched && order->token == core->tab->owner.epoch)
-    {
-      platform_order_reply (order->kind, result->status, result->body,
-                            &answer);
-      answer.reply.sent_us = result->sent_us;
-      if (result->not_sent)
-        answer.reply.kind = REPLY_REFUSED;
-      still_owner
-          = order->kind == ORDER_HOLD
-                ? sched_hold_reply (core->sched, order->worker, &answer.reply,
-                                    answer.has_report ? &answer.report : NULL,
-                                    core_now ())
-                : sched_order_reply (core->sched, order, &answer.reply,
-                                     core_now ());
-      platform_order_reply_clear (&answer);
-    }
-  if (order->kind != ORDER_HOLD)
-    core->orders_in_flight--;
-  if (!still_owner)
-    core_lose_ownership (core, order->worker);
   g_free (call);
+  platform_order_reply (order.kind, result->status, result->body, &answer);
+  answer.reply.sent_us = result->sent_us;
+  if (result->not_sent)
+    answer.reply.kind = REPLY_REFUSED;
+  if (order.kind != ORDER_HOLD)
+    core->orders_in_flight--;
+  orders_process_reply (core, &order, &answer.reply,
+                        answer.has_report ? &answer.report : NULL);
+  platform_order_reply_clear (&answer);
   send_queued (core);
 }
 
+void
+orders_forget_strings (order_t *order)
+{
+  order->payload = NULL;
+  order->checkpoint = NULL;
+  order->ticket = NULL;
+}
+
+static void
+send_direct (core_t *core, const order_t *order)
+{
+  direct_call_t *call = g_new0 (direct_call_t, 1);
+
+  call->core = core;
+  call->order = *order;
+  call->req = platform_order_req (order);
+  orders_forget_strings (&call->order);
+  if (order->kind == ORDER_HOLD)
+    send_order (call);
+  else
+    g_queue_push_tail (core->orders, call);
+}
+
+/* Whether a relay may carry ORDER out.  Stops and paces are few, and judged
+   just before they are sent, so this daemon sends them itself.  */
+static bool
+may_be_relayed (const order_t *order)
+{
+  switch (order->kind)
+    {
+    case ORDER_HOLD:
+    case ORDER_START:
+      return true;
+    case ORDER_STOP:
+    case ORDER_PACE:
+      return false;
+    }
+  return false;
+}
+
 void
 orders_send (core_t *core, GArray *orders)
 {
+  int64_t now_us = clock_boot_us ();
+
   for (uint32_t i = 0; i < orders->len; i++)
     {
       const order_t *order = &g_array_index (orders, order_t, i);
-      order_call_t *call = g_new0 (order_call_t, 1);
-
-      call->core = core;
-      call->order = *order;
-      call->req = platform_order_req (order);
-      /* These are valid only until the next call of the scheduler.  */
-      call->order.payload = NULL;
-      call->order.checkpoint = NULL;
-      call->order.ticket = NULL;
-      if (order->kind == ORDER_HOLD)
-        send_order (call);
-      else
-        g_queue_push_tail (core->orders, call);
+      route_t route = { .kind = ROUTE_DIRECT };
+
+      if (may_be_relayed (order))
+        route = dispatch_route (core->dispatch, order->worker,
+                                order->data_centre, now_us);
+      switch (route.kind)
+        {
+        case ROUTE_DIRECT:
+          send_direct (core, order);
+          break;
+        case ROUTE_RELAY:
+          hub_send_order (core, route.u.relay, order, now_us);
+          break;
+        }
     }
   g_array_set_size (orders, 0);
   send_queued (core);
--- a/entry/settings.c
+++ b/entry/settings.c
@@ -18,6 +18,8 @@
   TEXT_FIELD (ready, 1),
   TEXT_FIELD (store, 1),
   TEXT_FIELD (hosts_api, 0),
+  CYAML_FIELD_STRING_PTR ("peer", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+                          entry_settings_t, peer, 0, TEXT_LEN_MAX),
   CYAML_FIELD_STRING_PTR ("advice", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
                           entry_settings_t, advice, 0, TEXT_LEN_MAX),
   CYAML_FIELD_FLOAT ("cpu_share", CYAML_FLAG_OPTIONAL, entry_settings_t,
@@ -98,6 +100,8 @@
     field = "hosts_api", expected = "IP:PORT, or nothing";
   else if (s->advice && s->advice[0] && !is_endpoint (s->advice))
     field = "advice", expected = "IP:PORT, or nothing";
+  else if (s->peer && s->peer[0] && !is_endpoint (s->peer))
+    field = "peer", expected = "IP:PORT, or nothing";
   else if (s->cpu_share <= 0)
     field = "cpu_share", expected = "a number above 0";
   else if (s->revoke_ms < 1000)
--- /dev/null
+++ b/entry/test/link_test.c
@@ -0,0 +1,233 @@
+#include "../../test/run_suite.h"
+#include "link.h"
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define EVENTS_MAX 16
+#define ROUNDS_MAX 2000
+#define FRAMES 300
+
+static int epoll_fd;
+static links_t *links;
+static int64_t now_us;
+static GByteArray *received;
+static uint32_t frames;
+static uint32_t closed;
+static char close_reason[64];
+static link_t *accepted;
+
+static void
+on_frame (void *ctx, link_t *link, const uint8_t *data, size_t len)
+{
+  (void)ctx;
+  accepted = link;
+  frames++;
+  g_byte_array_append (received, data, (guint)len);
+}
+
+static void
+on_closed (void *ctx, link_t *link, const char *why)
+{
+  (void)ctx;
+  (void)link;
+  closed++;
+  g_strlcpy (close_reason, why, sizeof close_reason);
+}
+
+static const link_handler_t handler
+    = { .on_frame = on_frame, .on_closed = on_closed };
+
+static void
+set_up (void)
+{
+  epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
+  links = links_open (epoll_fd);
+  now_us = 1000000000;
+  received = g_byte_array_new ();
+  frames = closed = 0;
+  accepted = NULL;
+  ck_assert (links_listen (links, "127.0.0.1:0", &handler));
+}
+
+static void
+tear_down (void)
+{
+  links_close (links);
+  close (epoll_fd);
+  g_byte_array_unref (received);
+}
+
+/* One iteration of the event loop.  */
+static void
+run_once (void)
+{
+  struct epoll_event events[EVENTS_MAX];
+  int count;
+
+  links_run (links, now_us, now_us);
+  count = epoll_wait (epoll_fd, events, EVENTS_MAX, 5);
+  for (int i = 0; i < count; i++)
+    links_handle_event (links, events[i].data.fd, events[i].events, now_us);
+}
+
+static link_t *
+connect_self (void)
+{
+  g_autofree char *address
+      = g_strdup_printf ("127.0.0.1:%u", links_port (links));
+  link_t *link = links_connect (links, address, &handler, now_us);
+
+  ck_assert_ptr_nonnull (link);
+  return link;
+}
+
+/* A socket that is connected to the listener but speaks no frames.  */
+static int
+connect_raw (void)
+{
+  struct sockaddr_in peer = { .sin_family = AF_INET };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  peer.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  peer.sin_port = htons (links_port (links));
+  ck_assert_int_eq (connect (fd, (struct sockaddr *)&peer, sizeof peer), 0);
+  return fd;
+}
+
+/* Guards against frames that are lost, split or out of order, also when they
+   are sent before the connection is there and exceed the socket's buffer.  */
+START_TEST (test_frames_arrive_in_order)
+{
+  link_t *link = connect_self ();
+  g_autoptr (GByteArray) sent = g_byte_array_new ();
+
+  for (uint32_t i = 0; i < FRAMES; i++)
+    {
+      g_autofree uint8_t *data = g_malloc0 (1 + i * 100);
+
+      memset (data, (int)i, 1 + i * 100);
+      g_byte_array_append (sent, data, 1 + i * 100);
+      link_send (link, data, 1 + i * 100);
+    }
+  for (uint32_t i = 0; i < ROUNDS_MAX && frames < FRAMES; i++)
+    run_once ();
+  ck_assert_uint_eq (frames, FRAMES);
+  ck_assert_uint_eq (received->len, sent->len);
+  ck_assert_mem_eq (received->data, sent->data, sent->len);
+  ck_assert_uint_eq (closed, 0);
+}
+END_TEST
+
+/* Guards against a link to a lost process that is not noticed.  */
+START_TEST (test_silent_link_is_closed)
+{
+  int fd = connect_raw ();
+
+  run_once ();
+  for (int64_t us = 0; us < LINK_SILENCE_US - LINK_PING_US;
+       us += LINK_PING_US / 2)
+    {
+      now_us += LINK_PING_US / 2;
+      run_once ();
+    }
+  ck_assert_uint_eq (closed, 0);
+  now_us += 2 * LINK_PING_US;
+  run_once ();
+  ck_assert_uint_eq (closed, 1);
+  ck_assert_str_eq (close_reason, "silent");
+  close (fd);
+}
+END_TEST
+
+/* Guards against closing a link because this daemon had no time to read.  */
+START_TEST (test_unread_link_is_not_silent)
+{
+  connect_self ();
+  run_once ();
+  run_once ();
+  links_run (links, now_us, now_us + 2 * LINK_SILENCE_US);
+  ck_assert_uint_eq (closed, 0);
+}
+END_TEST
+
+/* Guards against idle links that are taken for silent.  */
+START_TEST (test_idle_link_stays_open)
+{
+  connect_self ();
+  for (uint32_t i = 0; i < 30; i++)
+    {
+      now_us += LINK_PING_US / 2;
+      run_once ();
+      run_once ();
+    }
+  ck_assert_uint_eq (closed, 0);
+}
+END_TEST
+
+/* Guards against a length that makes the process allocate without bound.  */
+START_TEST (test_long_frame_is_refused)
+{
+  int fd = connect_raw ();
+  uint32_t header = htonl (LINK_FRAME_MAX + 1);
+
+  ck_assert_int_eq (send (fd, &header, sizeof header, 0), sizeof header);
+  for (uint32_t i = 0; i < 10; i++)
+    run_once ();
+  ck_assert_uint_eq (closed, 1);
+  ck_assert_str_eq (close_reason, "frame-too-long");
+  close (fd);
+}
+END_TEST
+
+/* Guards against the loss of what a peer sent just before it ended.  */
+START_TEST (test_last_frames_of_a_closed_link_are_handled)
+{
+  int fd = connect_raw ();
+  const uint8_t data[] = { 0, 0, 0, 1, 'x' };
+
+  ck_assert_int_eq (send (fd, data, sizeof data, 0), sizeof data);
+  close (fd);
+  for (uint32_t i = 0; i < 10; i++)
+    run_once ();
+  ck_assert_uint_eq (frames, 1);
+  ck_assert_uint_eq (closed, 1);
+}
+END_TEST
+
+START_TEST (test_refused_connection_is_reported)
+{
+  ck_assert_ptr_null (links_connect (links, "host:1", &handler, now_us));
+  ck_assert_ptr_null (
+      links_connect (links, "127.0.0.1:65536", &handler, now_us));
+  if (links_connect (links, "127.0.0.1:1", &handler, now_us))
+    {
+      for (uint32_t i = 0; i < 10; i++)
+        run_once ();
+      ck_assert_uint_eq (closed, 1);
+    }
+}
+END_TEST
+
+/* Guards against a peer that does not read and takes all memory.  */
+START_TEST (test_full_queue_closes_the_link)
+{
+  static uint8_t data[LINK_FRAME_MAX];
+  link_t *link = connect_self ();
+
+  for (uint32_t i = 0; i < 2 * LINK_QUEUE_MAX / LINK_FRAME_MAX; i++)
+    link_send (link, data, sizeof data);
+  links_run (links, now_us, now_us);
+  ck_assert_uint_eq (closed, 1);
+}
+END_TEST
+
+TEST_PROGRAM_WITH ("entry/link", set_up, tear_down,
+                   test_frames_arrive_in_order, test_silent_link_is_closed,
+                   test_unread_link_is_not_silent, test_idle_link_stays_open,
+                   test_long_frame_is_refused,
+                   test_last_frames_of_a_closed_link_are_handled,
+                   test_refused_connection_is_reported,
+                   test_full_queue_closes_the_link)
--- /dev/null
+++ b/entry/test/linkmsg_test.c
@@ -0,0 +1,202 @@
+#include "../../test/run_suite.h"
+#include "link.h"
+#include "linkmsg.h"
+#include <string.h>
+
+#define MUTATIONS 20000
+
+static msgpack_sbuffer buf;
+static linkmsg_t out;
+
+static void
+set_up (void)
+{
+  msgpack_sbuffer_init (&buf);
+}
+
+static void
+tear_down (void)
+{
+  msgpack_sbuffer_destroy (&buf);
+}
+
+/* Packs MSG and unpacks it to out.  */
+static void
+send_through (const linkmsg_t *msg)
+{
+  g_autoptr (GError) error = NULL;
+
+  msgpack_sbuffer_clear (&buf);
+  linkmsg_pack (&buf, msg);
+  ck_assert_msg (linkmsg_unpack (buf.data, buf.size, &out, &error), "%s",
+                 error ? error->message : "");
+  ck_assert_int_eq (out.kind, msg->kind);
+  ck_assert_uint_eq (out.serial, msg->serial);
+}
+
+static const task_ref_t ref
+    = { .id = "5c0e7a21d94b36f8", .occurrence = 1, .step = 2, .index = 3 };
+
+static linkmsg_t
+order_msg (void)
+{
+  return (linkmsg_t){ .kind = LINKMSG_ORDER,
+                      .serial = UINT64_MAX,
+                      .u.order = { .kind = ORDER_START,
+                                   .worker = "w1",
+                                   .address = "10.0.0.1:80",
+                                   .token = 7,
+                                   .deadline_ms = 486000,
+                                   .task = ref,
+                                   .attempt = 2,
+                                   .payload = "text \" \xc3\xa9",
+                                   .ticket = "t" } };
+}
+
+/* Guards against an order that a relay carries out otherwise than the owner
+   gave it.  */
+START_TEST (test_orders_arrive_whole)
+{
+  linkmsg_t msg = order_msg ();
+  const order_t *order = &out.u.order;
+
+  send_through (&msg);
+  ck_assert_int_eq (order->kind, ORDER_START);
+  ck_assert_str_eq (order->worker, "w1");
+  ck_assert_str_eq (order->address, "10.0.0.1:80");
+  ck_assert_uint_eq (order->token, 7);
+  ck_assert_int_eq (order->deadline_ms, 486000);
+  ck_assert (task_ref_equal (&order->task, &ref));
+  ck_assert_uint_eq (order->attempt, 2);
+  ck_assert_str_eq (order->payload, msg.u.order.payload);
+  ck_assert_ptr_null (order->checkpoint);
+  ck_assert_str_eq (order->ticket, "t");
+  linkmsg_clear (&out);
+}
+END_TEST
+
+static linkmsg_t
+reply_msg (run_status_t *run, run_end_t *end)
+{
+  linkmsg_t msg = { .kind = LINKMSG_REPLY, .serial = 9 };
+
+  *run = (run_status_t){
+    .task = ref, .attempt = 4, .checkpoint = "c1", .percent = 41, .load = 77
+  };
+  *end = (run_end_t){ .sequence = 58,
+                      .task = ref,
+                      .attempt = 1,
+                      .kind = RUN_BROKEN,
+                      .checkpoint = "" };
+  msg.u.reply.reply = (worker_reply_t){ .kind = REPLY_OK,
+                                        .clock_ms = -5,
+                                        .has_clock = true };
+  msg.u.reply.has_report = true;
+  msg.u.reply.report = (worker_report_t){
+    .boot_ms = 123, .runs = run, .runs_count = 1, .ends = end, .ends_count = 1
+  };
+  return msg;
+}
+
+/* Guards against ends or runs that get lost on the way through a relay.  */
+START_TEST (test_reports_arrive_whole)
+{
+  run_status_t run;
+  run_end_t end;
+  linkmsg_t msg = reply_msg (&run, &end);
+  const worker_report_t *report = &out.u.reply.report;
+
+  send_through (&msg);
+  ck_assert_int_eq (out.u.reply.reply.kind, REPLY_OK);
+  ck_assert_int_eq (out.u.reply.reply.clock_ms, -5);
+  ck_assert (out.u.reply.reply.has_clock);
+  ck_assert (out.u.reply.has_report);
+  ck_assert_int_eq (report->boot_ms, 123);
+  ck_assert_uint_eq (report->runs_count, 1);
+  ck_assert (task_ref_equal (&report->runs[0].task, &ref));
+  ck_assert_uint_eq (report->runs[0].attempt, 4);
+  ck_assert_str_eq (report->runs[0].checkpoint, "c1");
+  ck_assert_uint_eq (report->runs[0].percent, 41);
+  ck_assert_uint_eq (report->runs[0].load, 77);
+  ck_assert_uint_eq (report->ends_count, 1);
+  ck_assert_uint_eq (report->ends[0].sequence, 58);
+  ck_assert_int_eq (report->ends[0].kind, RUN_BROKEN);
+  linkmsg_clear (&out);
+}
+END_TEST
+
+START_TEST (test_other_messages_arrive_whole)
+{
+  linkmsg_t msg = { .kind = LINKMSG_HELLO };
+  g_autoptr (GPtrArray) records
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+
+  msg.u.hello.name = "e1";
+  msg.u.hello.data_centre = "a";
+  msg.u.hello.share_percent = 25;
+  send_through (&msg);
+  ck_assert_str_eq (out.u.hello.name, "e1");
+  ck_assert_str_eq (out.u.hello.data_centre, "a");
+  ck_assert_uint_eq (out.u.hello.share_percent, 25);
+  linkmsg_clear (&out);
+
+  g_ptr_array_add (records, g_bytes_new ("one", 3));
+  g_ptr_array_add (records, g_bytes_new ("", 0));
+  msg = (linkmsg_t){ .kind = LINKMSG_APPEND, .serial = 3 };
+  msg.u.append = records;
+  send_through (&msg);
+  ck_assert_uint_eq (out.u.append->len, 2);
+  ck_assert (g_bytes_equal (g_ptr_array_index (out.u.append, 0),
+                            g_ptr_array_index (records, 0)));
+  linkmsg_clear (&out);
+
+  msg = (linkmsg_t){ .kind = LINKMSG_STORED, .serial = 3 };
+  msg.u.stored.unknown = true;
+  send_through (&msg);
+  ck_assert (!out.u.stored.stored);
+  ck_assert (out.u.stored.unknown);
+  linkmsg_clear (&out);
+}
+END_TEST
+
+/* Decodes the bytes of MSG with a few of them changed, or cut short.  */
+static void
+mutate (const linkmsg_t *msg, GRand *rand)
+{
+  msgpack_sbuffer_clear (&buf);
+  linkmsg_pack (&buf, msg);
+  for (uint32_t i = 0; i < MUTATIONS; i++)
+    {
+      g_autofree char *data = g_memdup2 (buf.data, buf.size);
+      size_t len = (size_t)g_rand_int_range (rand, 0, (gint32)buf.size + 1);
+      g_autoptr (GError) error = NULL;
+      linkmsg_t decoded;
+
+      for (uint32_t n = 0; n < 1 + i % 3; n++)
+        data[g_rand_int_range (rand, 0, (gint32)buf.size)]
+            = (char)g_rand_int_range (rand, 0, 256);
+      if (linkmsg_unpack (data, i % 2 ? len : buf.size, &decoded, &error))
+        linkmsg_clear (&decoded);
+      else
+        ck_assert_ptr_nonnull (error);
+    }
+}
+
+/* Guards against a malformed message that ends the process.  */
+START_TEST (test_malformed_messages_are_refused)
+{
+  g_autoptr (GRand) rand = g_rand_new_with_seed (run_seed ("entry/linkmsg"));
+  run_status_t run;
+  run_end_t end;
+  linkmsg_t order = order_msg ();
+  linkmsg_t reply = reply_msg (&run, &end);
+
+  mutate (&order, rand);
+  mutate (&reply, rand);
+}
+END_TEST
+
+TEST_PROGRAM_WITH ("entry/linkmsg", set_up, tear_down,
+                   test_orders_arrive_whole, test_reports_arrive_whole,
+                   test_other_messages_arrive_whole,
+                   test_malformed_messages_are_refused)
--- a/entry/test/settings_test.c
+++ b/entry/test/settings_test.c
@@ -57,6 +57,8 @@
       "e.yaml:4: ready: expected IP:PORT" },
     { "store: 10.0.0.2:80", "store: 10.0.0.2:65536",
       "e.yaml:5: store: expected IP:PORT" },
+    { "hosts_api: \"\"", "hosts_api: \"\"\npeer: 10.0.0.1",
+      "e.yaml:7: peer: expected IP:PORT, or nothing" },
     { "hosts_api: \"\"", "hosts_api: x:1",
       "e.yaml:6: hosts_api: expected IP:PORT, or nothing" },
     { "revoke_ms: 2000", "revoke_ms: 999",
--- a/jobs/holds.c
+++ b/jobs/holds.c
@@ -97,10 +97,7 @@
 static void
 add_hold_order (sched_t *sched, worker_t *worker, sched_now_t now)
 {
-  order_t order = { .kind = ORDER_HOLD,
-                    .worker = worker->interned,
-                    .address = worker->address,
-                    .ends_durable = worker->ends_durable };
+  order_t order = { .kind = ORDER_HOLD, .ends_durable = worker->ends_durable };
 
   if (worker_is_answering (worker))
     order.deadline_ms = worker_deadline_ms (sched, worker, now.us);
@@ -115,7 +112,7 @@
   sched->first_holds += worker->first_hold;
   if (worker->asked_us == 0)
     worker->asked_us = now.us;
-  sched_add_order (sched, order);
+  sched_add_order (sched, worker, order);
 }
 
 void
--- a/jobs/jobtab.c
+++ b/jobs/jobtab.c
@@ -109,10 +109,27 @@
 }
 
 char *
-holder_name (const char *daemon, int64_t start_ms, double cpu_share)
+holder_name (const char *daemon, int64_t start_ms, double cpu_share,
+             const char *address)
 {
-  return g_strdup_printf ("%s#%" PRId64 "#%.0f", daemon, start_ms,
-                          cpu_share * 100);
+  bool has_address = address && address[0];
+
+  return g_strdup_printf ("%s#%" PRId64 "#%.0f%s%s", daemon, start_ms,
+                          cpu_share * 100, has_address ? "#" : "",
+                          has_address ? address : "");
+}
+
+const char *
+holder_address (const char *holder)
+{
+  const char *at = holder;
+
+  for (uint32_t i = 0; at && i < 3; i++)
+    {
+      at = strchr (at, '#');
+      at = at ? at + 1 : NULL;
+    }
+  return at;
 }
 
 bool
--- a/jobs/jobtab.h
+++ b/jobs/jobtab.h
@@ -67,14 +67,19 @@
   job_entry_t *entry; /* for FOLD_SUBMITTED and FOLD_CANCELLED */
 } fold_result_t;
 
-/* A holder is named DAEMON#START#SHARE: the daemon's name, the start time of
-   its process, and its CPU share in percent of a core.
-   holder_name - the holder name of a process; the caller frees it.
+/* A holder is named DAEMON#START#SHARE#ADDRESS: the daemon's name, the start
+   time of its process, its CPU share in percent of a core, and IP:PORT where
+   it accepts links, if it does.
+   holder_name - the holder name of a process; the caller frees it.  ADDRESS
+   may be NULL.
    holder_is_same_daemon - whether A and B are processes of the same daemon.
-   holder_share_percent - the CPU share, or 0 when HOLDER has none.  */
-char *holder_name (const char *daemon, int64_t start_ms, double cpu_share);
+   holder_share_percent - the CPU share, or 0 when HOLDER has none.
+   holder_address - the address, which points into HOLDER, or NULL.  */
+char *holder_name (const char *daemon, int64_t start_ms, double cpu_share,
+                   const char *address);
 bool holder_is_same_daemon (const char *a, const char *b);
 uint32_t holder_share_percent (const char *holder);
+const char *holder_address (const char *holder);
 
 jobtab_t *jobtab_new (void);
 void jobtab_free (jobtab_t *table);
--- a/jobs/pace.c
+++ b/jobs/pace.c
@@ -67,10 +67,8 @@
       if (now.us - run->pace_sent_us < PACE_RETRY_US)
         continue;
       run->pace_sent_us = now.us;
-      sched_add_order (sched,
+      sched_add_order (sched, worker,
                        (order_t){ .kind = ORDER_PACE,
-                                  .worker = worker->interned,
-                                  .address = worker->address,
                                   .task = task_ref (run->task),
                                   .attempt = run->attempt,
                                   .percent = worker->filler_pace_percent });
--- a/jobs/replies.c
+++ b/jobs/replies.c
@@ -123,11 +123,10 @@
 stop_unknown_run (sched_t *sched, const worker_t *worker,
                   const run_status_t *status)
 {
-  sched_add_order (sched, (order_t){ .kind = ORDER_STOP,
-                                     .worker = worker->interned,
-                                     .address = worker->address,
-                                     .task = status->task,
-                                     .attempt = status->attempt });
+  sched_add_order (sched, worker,
+                   (order_t){ .kind = ORDER_STOP,
+                              .task = status->task,
+                              .attempt = status->attempt });
 }
 
 static void
--- a/jobs/sched.c
+++ b/jobs/sched.c
@@ -301,6 +301,37 @@
   return sched->orders;
 }
 
+static void
+count_worker (const worker_t *worker, GArray *centres)
+{
+  dispatch_centre_t centre
+      = { .data_centre = worker->data_centre, .workers = 1 };
+
+  for (uint32_t i = 0; i < centres->len; i++)
+    {
+      dispatch_centre_t *known
+          = &g_array_index (centres, dispatch_centre_t, i);
+
+      if (known->data_centre != centre.data_centre)
+        continue;
+      known->workers++;
+      return;
+    }
+  g_array_append_val (centres, centre);
+}
+
+void
+sched_count_workers (const sched_t *sched, GArray *centres)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, sched->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((const worker_t *)value)->listed)
+      count_worker (value, centres);
+}
+
 void
 sched_dump (const sched_t *sched, GString *out, sched_now_t now)
 {
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -379,7 +379,8 @@
    expired.  */
 void worker_expect_run (sched_t *sched, task_t *task, uint32_t attempt,
                         const char *id, sched_now_t now);
-void sched_add_order (sched_t *sched, order_t order);
+/* sched_add_order - add ORDER, which is for WORKER, to the plan.  */
+void sched_add_order (sched_t *sched, const worker_t *worker, order_t order);
 /* sched_inherits_leases - whether a lease of an earlier owner may still be
    valid.  */
 bool sched_inherits_leases (const sched_t *sched, int64_t now_us);
--- a/jobs/scheduler.h
+++ b/jobs/scheduler.h
@@ -24,6 +24,7 @@
 #ifndef CUMINPIN_SCHEDULER_H
 #define CUMINPIN_SCHEDULER_H
 
+#include "dispatch.h"
 #include "jobtab.h"
 #include "rules.h"
 
@@ -153,9 +154,10 @@
 typedef struct order
 {
   order_kind_t kind;
-  const char *worker;  /* interned */
-  const char *address; /* interned */
-  uint64_t token;      /* fencing token */
+  const char *worker;      /* interned */
+  const char *address;     /* interned */
+  const char *data_centre; /* interned; of the worker */
+  uint64_t token;          /* fencing token */
   int64_t deadline_ms; /* HOLD, START: end of the lease on the worker's clock;
                           0: none */
   uint64_t ends_durable; /* HOLD: last durable end */
@@ -236,6 +238,10 @@
    the log, and the next owner then ignores these ends.  */
 void sched_set_durable (sched_t *sched, uint64_t batch);
 
+/* sched_count_workers - append the number of registered workers of each data
+   centre to CENTRES, an array of dispatch_centre_t.  */
+void sched_count_workers (const sched_t *sched, GArray *centres);
+
 /* sched_dump - append the state as text, for operators.  */
 void sched_dump (const sched_t *sched, GString *out, sched_now_t now);
 
--- a/jobs/test/jobtab_test.c
+++ b/jobs/test/jobtab_test.c
@@ -106,6 +106,12 @@
   ck_assert (holder_is_same_daemon ("edge-1#100#50", "edge-1#200#12"));
   ck_assert_uint_eq (holder_share_percent ("edge-1#100#50"), 50);
   ck_assert_uint_eq (holder_share_percent ("edge-1#100"), 0);
+  ck_assert_uint_eq (holder_share_percent ("edge-1#100#50#10.0.0.1:7000"), 50);
+  ck_assert_str_eq (holder_address ("edge-1#100#50#10.0.0.1:7000"),
+                    "10.0.0.1:7000");
+  ck_assert_ptr_null (holder_address ("edge-1#100#50"));
+  ck_assert_ptr_null (holder_address ("edge-1"));
+  ck_assert_ptr_null (holder_address (NULL));
 }
 END_TEST
 
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -12,8 +12,11 @@
 }
 
 void
-sched_add_order (sched_t *sched, order_t order)
+sched_add_order (sched_t *sched, const worker_t *worker, order_t order)
 {
+  order.worker = worker->interned;
+  order.address = worker->address;
+  order.data_centre = worker->data_centre;
   order.token = sched->epoch;
   g_array_append_val (sched->orders, order);
 }
@@ -336,10 +339,8 @@
     return "no-lease";
   run->resend_us = 0;
   run->phase = RUN_ORDERED;
-  sched_add_order (sched,
+  sched_add_order (sched, run->worker,
                    (order_t){ .kind = ORDER_START,
-                              .worker = run->worker->interned,
-                              .address = run->worker->address,
                               .deadline_ms = deadline_ms,
                               .task = task_ref (task),
                               .attempt = run->attempt,
@@ -403,11 +404,10 @@
   if (run->stop_sent_us == 0 || now.us - run->stop_sent_us >= STOP_RETRY_US)
     {
       run->stop_sent_us = now.us;
-      sched_add_order (sched, (order_t){ .kind = ORDER_STOP,
-                                         .worker = run->worker->interned,
-                                         .address = run->worker->address,
-                                         .task = task_ref (run->task),
-                                         .attempt = run->attempt });
+      sched_add_order (sched, run->worker,
+                       (order_t){ .kind = ORDER_STOP,
+                                  .task = task_ref (run->task),
+                                  .attempt = run->attempt });
     }
   sched_wake_at (sched, run->stop_sent_us + STOP_RETRY_US);
 }
--- a/test/soak/soak_main.c
+++ b/test/soak/soak_main.c
@@ -45,6 +45,7 @@
   pid_t pid;
   uint16_t front;
   uint16_t ready;
+  uint16_t peer;
   char *settings;
   bool paused;
 } process_t;
@@ -110,12 +111,15 @@
 
   process->front = free_port ();
   process->ready = free_port ();
+  process->peer = free_port ();
   process->settings = g_strdup_printf ("%s/d%u.yaml", soak->dir, index);
   text = g_strdup_printf (
       "name: d%u\ndata_centre: dc\nfront: 127.0.0.1:%u\nready: "
-      "127.0.0.1:%u\nstore: 127.0.0.1:%u\nhosts_api: \"\"\ncpu_share: "
+      "127.0.0.1:%u\npeer: 127.0.0.1:%u\nstore: 127.0.0.1:%u\nhosts_api: "
+      "\"\"\ncpu_share: "
       "1.0\nhold_max_ms: 3000\nstop_grace_ms: 100\ngrace_s: 3\nkeep_s: 8\n",
-      index, process->front, process->ready, store_port (soak->store));
+      index, process->front, process->ready, process->peer,
+      store_port (soak->store));
   if (!g_file_set_contents (process->settings, text, -1, NULL))
     exit (EXIT_FAILURE);
   start_daemon (soak, process);
@@ -374,6 +378,9 @@
     g_usleep (100000);
   if (workers_running (soak->workers) > 0)
     report_violation (soak, "tasks still run after all jobs ended", "");
+  /* Guards against a run in which no daemon serves, which finds nothing.  */
+  if (accepted == 0)
+    report_violation (soak, "no job was accepted", "");
   soak->violations += workers_violations (soak->workers);
   printf ("jobs %u accepted %u violations %u\n", soak->jobs->len, accepted,
           soak->violations);
