wakeups: a plan looks after the workers that are due, not after all of them

Cause: a profile of the owner of 540 workers (perf, cpu-clock, 2,076 samples) showed 82 % of its time in loops over all workers: timeouts, orders and paces of each plan, and the ends of each batch. It plans after each reply, so the work grew with the square of the fleet.

Change: each worker has a time at which it needs attention; a plan takes those that are due, and replies, registrations, runs and durable batches set them due. All workers are looked after every 250 ms as before.

--- a/jobs/holds.c
+++ b/jobs/holds.c
@@ -27,6 +27,8 @@
 /* Limit on holds in flight to workers that were not asked yet.  Their replies
    queue up in the owner, before those that extend leases.  */
 #define FIRST_HOLDS_MAX 64
+/* Interval at which a worker that waits for this limit is looked after.  */
+#define FIRST_HOLD_RETRY_US 10000
 
 bool
 worker_is_answering (const worker_t *worker)
@@ -147,9 +149,11 @@
   if (worker->hold_pending)
     return;
   if (due_us > now.us)
-    sched_wake_at (sched, due_us);
+    worker_wake_at (sched, worker, due_us);
   else if (!is_first_hold (worker) || sched->first_holds < FIRST_HOLDS_MAX)
     add_hold_order (sched, worker, now);
+  else
+    worker_wake_at (sched, worker, now.us + FIRST_HOLD_RETRY_US);
 }
 
 /* Records that WORKER does not answer its holds.  */
--- a/jobs/hosts.c
+++ b/jobs/hosts.c
@@ -108,6 +108,7 @@
   worker_reset (sched, worker, "host-list", now);
   worker->listed = false;
   worker->unreachable = true;
+  worker_wake_at (sched, worker, now.us);
 }
 
 /* Whether a list that was requested after the last order for HOST, and shows
--- a/jobs/pace.c
+++ b/jobs/pace.c
@@ -63,7 +63,7 @@
       if (!run->task->stage->spec->filler || run->phase != RUN_ACTIVE
           || run->pace_percent == worker->filler_pace_percent)
         continue;
-      sched_wake_at (sched, run->pace_sent_us + PACE_RETRY_US);
+      worker_wake_at (sched, worker, run->pace_sent_us + PACE_RETRY_US);
       if (now.us - run->pace_sent_us < PACE_RETRY_US)
         continue;
       run->pace_sent_us = now.us;
--- a/jobs/replies.c
+++ b/jobs/replies.c
@@ -218,6 +218,7 @@
         continue;
       worker->ends_seen = end->sequence;
       worker->ends_batch = sched->batch;
+      worker_await_batch (sched, worker);
       sched->has_unwritten_ends = true;
       process_end (sched, worker, end, now);
     }
@@ -232,9 +233,9 @@
 {
   worker_t *worker = g_hash_table_lookup (sched->workers, id);
 
-  sched_wake_at (sched, now.us);
   if (!worker)
     return reply->kind != REPLY_FENCED;
+  worker_wake_at (sched, worker, now.us);
   holds_clear_pending (sched, worker);
   if (reply->kind != REPLY_OK || !report)
     return holds_process_failure (sched, worker, reply->kind, now);
@@ -277,11 +278,11 @@
       || task->stage->spec->long_running)
     {
       run->resend_us = now.us + START_RESEND_US;
-      sched_wake_at (sched, run->resend_us);
+      worker_wake_at (sched, run->worker, run->resend_us);
       return;
     }
   task_avoid_worker (task, run->worker, now);
-  run_stop (run);
+  run_stop (sched, run);
   if (task->stage->spec->speculative)
     run_detach (sched, run);
 }
@@ -296,7 +297,7 @@
     {
       task_log_interrupted (run->task, run->attempt, run->worker, "stop",
                             reply_kind_name (kind), now.us);
-      run_stop (run);
+      run_stop (sched, run);
     }
   else
     close_failed_start (sched, run, kind, pause_us, now);
@@ -386,7 +387,7 @@
     return false;
   if (!worker)
     return true;
-  sched_wake_at (sched, now.us);
+  worker_wake_at (sched, worker, now.us);
   if (reply->kind == REPLY_OTHER_BOOT)
     {
       worker_reset (sched, worker, "order-refused", now);
--- a/jobs/runs.c
+++ b/jobs/runs.c
@@ -92,6 +92,8 @@
   amounts_add (&worker->allocated, &run->reserved);
   amounts_add (&task->stage->job->workspace->allocated, &run->charged);
   g_ptr_array_add (worker->runs, run);
+  worker_wake_at (sched, worker, now.us);
+  worker_await_batch (sched, worker);
   return run;
 }
 
@@ -123,6 +125,7 @@
   amounts_subtract (&run->worker->allocated, &run->reserved);
   amounts_subtract (&job->workspace->allocated, &run->charged);
   g_ptr_array_remove_fast (run->worker->runs, run);
+  worker_wake_at (sched, run->worker, now.us);
   task->run_count--;
   job->run_count--;
   sched->place_needed = true;
@@ -170,10 +173,11 @@
 }
 
 void
-run_stop (run_t *run)
+run_stop (sched_t *sched, run_t *run)
 {
   run->never_sent |= run->phase == RUN_PLANNED;
   run->phase = RUN_STOPPING;
+  worker_wake_at (sched, run->worker, 0);
 }
 
 void
@@ -194,7 +198,7 @@
 
           if (run->task->stage->job != job || (task && run->task != task))
             continue;
-          run_stop (run);
+          run_stop (sched, run);
           left--;
         }
     }
--- a/jobs/sched.c
+++ b/jobs/sched.c
@@ -89,6 +89,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, pool_free);
   sched->workspaces
       = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+  sched->wakeups = g_sequence_new (NULL);
+  sched->batch_waiters = g_ptr_array_new ();
   sched->recurring_jobs = g_ptr_array_new ();
   sched->orders = g_array_new (FALSE, TRUE, sizeof (order_t));
   sched->placed = g_array_new (FALSE, TRUE, sizeof (task_placed_t));
@@ -121,6 +123,8 @@
     g_ptr_array_set_free_func (((worker_t *)worker)->runs, g_free);
   g_hash_table_destroy (sched->jobs);
   g_hash_table_destroy (sched->workers);
+  g_sequence_free (sched->wakeups);
+  g_ptr_array_unref (sched->batch_waiters);
   g_hash_table_destroy (sched->pools);
   g_hash_table_destroy (sched->workspaces);
   g_ptr_array_free (sched->recurring_jobs, TRUE);
@@ -200,13 +204,9 @@
 static void
 skip_batch (sched_t *sched)
 {
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, sched->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  for (uint32_t i = 0; i < sched->batch_waiters->len; i++)
     {
-      worker_t *worker = value;
+      worker_t *worker = g_ptr_array_index (sched->batch_waiters, i);
 
       if (worker->ends_batch == sched->batch)
         worker->ends_batch = sched->batch - 1;
@@ -239,25 +239,41 @@
   return rec;
 }
 
+/* Whether WORKER has planned starts or ends of a batch that is not durable. */
+static bool
+awaits_batch (const sched_t *sched, const worker_t *worker)
+{
+  if (worker->ends_durable != worker->ends_seen)
+    return true;
+  for (uint32_t i = 0; i < worker->runs->len; i++)
+    {
+      const run_t *run = g_ptr_array_index (worker->runs, i);
+
+      if (run->phase == RUN_PLANNED && run->batch > sched->durable_batch)
+        return true;
+    }
+  return false;
+}
+
 void
 sched_set_durable (sched_t *sched, uint64_t batch)
 {
-  GHashTableIter iter;
-  gpointer value;
-
   sched->durable_batch = MAX (sched->durable_batch, batch);
-  sched->next_us = 0; /* starts of this batch may now be sent */
-  g_hash_table_iter_init (&iter, sched->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  for (uint32_t i = sched->batch_waiters->len; i-- > 0;)
     {
-      worker_t *worker = value;
-
-      if (worker->ends_durable == worker->ends_seen
-          || worker->ends_batch > batch)
+      worker_t *worker = g_ptr_array_index (sched->batch_waiters, i);
+
+      if (worker->ends_durable != worker->ends_seen
+          && worker->ends_batch <= batch)
+        {
+          worker->ends_durable = worker->ends_seen;
+          worker->hold_due_us = worker->answered_us + sched->hold_pause_us;
+        }
+      worker_wake_at (sched, worker, 0); /* starts may now be sent */
+      if (awaits_batch (sched, worker))
         continue;
-      worker->ends_durable = worker->ends_seen;
-      worker->hold_due_us = worker->answered_us + sched->hold_pause_us;
-      sched->next_us = 0;
+      worker->awaits_batch = false;
+      g_ptr_array_remove_index_fast (sched->batch_waiters, i);
     }
 }
 
@@ -276,8 +292,7 @@
 GArray *
 sched_plan (sched_t *sched, sched_now_t now)
 {
-  GHashTableIter iter;
-  gpointer worker;
+  g_autoptr (GPtrArray) due = g_ptr_array_new ();
 
   sched->next_us = INT64_MAX;
   for (uint32_t i = sched->recurring_jobs->len; i-- > 0;)
@@ -288,16 +303,23 @@
       if (job->next_occurrence == job_occurrences (job->desc))
         g_ptr_array_remove_index_fast (sched->recurring_jobs, i);
     }
-  workers_check_timeouts (sched, now);
+  wakeups_take (sched, due, now.us);
+  workers_check_timeouts (sched, due, now);
   if (sched->place_needed || sched->next_place_us <= now.us)
     {
       sched->place_needed = false;
       place_pools (sched, now);
     }
   sched_wake_at (sched, sched->next_place_us);
-  g_hash_table_iter_init (&iter, sched->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &worker))
-    worker_plan_orders (sched, worker, now);
+  wakeups_take (sched, due, now.us);
+  for (uint32_t i = 0; i < due->len; i++)
+    {
+      worker_t *worker = g_ptr_array_index (due, i);
+
+      worker->taken = false;
+      worker_plan_orders (sched, worker, now);
+    }
+  sched_wake_at (sched, wakeups_next_us (sched));
   return sched->orders;
 }
 
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -1,6 +1,6 @@
 /* schedint - data shared by the modules of the scheduler: sched, stages,
-   workers, holds, runs, replies, place, advice, pace, stall, hosts, waves,
-   demand and moves.  Private to jobs/.  */
+   workers, wakeups, holds, runs, replies, place, advice, pace, stall, hosts,
+   waves, demand and moves.  Private to jobs/.  */
 
 #ifndef CUMINPIN_SCHEDINT_H
 #define CUMINPIN_SCHEDINT_H
@@ -11,6 +11,9 @@
 #define CLOCK_DRIFT_MAX_PERCENT 3
 /* Added to the end of a lease, because a worker acts on it a little later.  */
 #define LEASE_MARGIN_US 100000
+/* Interval at which a worker whose lease has ended is looked after until the
+   ownership is confirmed.  */
+#define LEASE_RECHECK_US 20000
 /* An unconfirmed stop is sent again after this time.  */
 #define STOP_RETRY_US 250000
 /* Added to the grace period of a confirmed stop before its run counts as over
@@ -181,6 +184,10 @@
   int64_t suspect_until_us;
   uint32_t filler_pace_percent; /* pace of the filler tasks */
   int64_t pace_changed_us;      /* last change */
+  int64_t wake_us;              /* when it needs attention */
+  GSequenceIter *wake_place;    /* in sched->wakeups */
+  bool taken;                   /* it is looked after in this plan */
+  bool awaits_batch;            /* in sched->batch_waiters */
 };
 
 struct pool
@@ -250,6 +257,10 @@
   const rules_t *rules;
   GHashTable *jobs;          /* id -> sched_job_t */
   GHashTable *workers;       /* id -> worker_t */
+  GSequence *wakeups;        /* all workers, by wake_us */
+  int64_t sweep_us;          /* when all workers are due */
+  GPtrArray *batch_waiters;  /* worker_t with planned starts or ends that wait
+                                until a batch is durable */
   GHashTable *pools;         /* name -> pool_t */
   GHashTable *workspaces;    /* name -> workspace_t */
   amounts_t host_room;       /* of some host, as seen last */
@@ -323,7 +334,7 @@
 /* run_close - RUN is certainly over for the reason WHY. Its task is queued
    again unless it is done.  */
 void run_close (sched_t *sched, run_t *run, const char *why, sched_now_t now);
-void run_stop (run_t *run);
+void run_stop (sched_t *sched, run_t *run);
 /* run_may_be_interrupted - whether an order that ends RUN leaves its step with
    at most max_unavailable of its tasks unavailable, as far as is known.  Asked
    each time before such an order is sent, repeats included: meanwhile other
@@ -366,9 +377,9 @@
 int64_t worker_clock_at (const worker_t *worker, int64_t now_us);
 bool worker_accepts_tasks (const worker_t *worker, int64_t now_us);
 void worker_free (gpointer data);
-/* workers_check_timeouts - close runs whose stop or lease has timed out, and
-   remove unlisted workers without runs.  */
-void workers_check_timeouts (sched_t *sched, sched_now_t now);
+/* workers_check_timeouts - close runs on the workers DUE whose stop or lease
+   has timed out.  Unlisted workers without runs are removed, also from DUE. */
+void workers_check_timeouts (sched_t *sched, GPtrArray *due, sched_now_t now);
 void worker_plan_orders (sched_t *sched, worker_t *worker, sched_now_t now);
 /* worker_deadline_ms - the end of a lease granted now, on WORKER's clock; 0
    when none may be granted.  */
@@ -388,6 +399,20 @@
    run.  */
 int64_t stop_duration_max_us (const sched_t *sched);
 
+/* wakeups.c: which workers need attention.  A plan looks after those that are
+   due, and not after all of them: with 540 workers that took the owner most of
+   its time.  */
+void wakeups_add_worker (sched_t *sched, worker_t *worker, int64_t now_us);
+void wakeups_remove_worker (sched_t *sched, worker_t *worker);
+/* worker_wake_at - look after WORKER at AT_US or earlier.  */
+void worker_wake_at (sched_t *sched, worker_t *worker, int64_t at_us);
+/* worker_await_batch - look after WORKER once the present batch is durable. */
+void worker_await_batch (sched_t *sched, worker_t *worker);
+/* wakeups_take - append the workers that are due to DUE and set taken, unless
+   it is set already.  */
+void wakeups_take (sched_t *sched, GPtrArray *due, int64_t now_us);
+int64_t wakeups_next_us (const sched_t *sched);
+
 /* holds.c: when each worker is asked for its lists, and leases extended */
 /* worker_is_answering - whether WORKER answered the last hold.  Until it does,
    its lease isn't extended; otherwise its tasks would never restart
--- a/jobs/stall.c
+++ b/jobs/stall.c
@@ -102,7 +102,7 @@
   if (task->stage->spec->speculative)
     run_detach (sched, run);
   else
-    run_stop (run);
+    run_stop (sched, run);
 }
 
 void
--- a/jobs/waves.c
+++ b/jobs/waves.c
@@ -239,7 +239,7 @@
 /* Stops one long-running task of WORKER, so that it starts again elsewhere.
    Two tasks of one step on one host would block its maintenance for good.  */
 static void
-stop_one_long_running (const worker_t *worker, int64_t now_us)
+stop_one_long_running (sched_t *sched, const worker_t *worker, int64_t now_us)
 {
   for (uint32_t i = 0; i < worker->runs->len; i++)
     {
@@ -257,7 +257,7 @@
         continue;
       task_log_interrupted (run->task, run->attempt, worker, "stop", "wave",
                             now_us);
-      run_stop (run);
+      run_stop (sched, run);
       return;
     }
 }
@@ -300,7 +300,8 @@
       if (!may_all_go_down (workers, since_us, now.us))
         {
           for (uint32_t w = 0; !host->down && w < workers->len; w++)
-            stop_one_long_running (g_ptr_array_index (workers, w), now.us);
+            stop_one_long_running (sched, g_ptr_array_index (workers, w),
+                                   now.us);
           log_waiting (wave, host, now.us);
           continue;
         }
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -147,6 +147,7 @@
   close_all_runs (sched, worker, "worker-gone", now);
   holds_clear_pending (sched, worker);
   hosts_set_worker (sched, worker, NULL);
+  wakeups_remove_worker (sched, worker);
   g_ptr_array_remove_fast (worker->pool->workers, worker);
   g_hash_table_remove (sched->workers, worker->id);
 }
@@ -164,6 +165,8 @@
   worker->hold_due_us = now.us;
   g_ptr_array_add (worker->pool->workers, worker);
   g_hash_table_insert (sched->workers, worker->id, worker);
+  wakeups_add_worker (sched, worker, now.us);
+  sched_wake_at (sched, now.us);
   event_log (EV_WORKER_LISTED, "worker=%s pool=%s", worker->id, pool->name);
   return worker;
 }
@@ -186,7 +189,7 @@
 /* Stops the long-running tasks of a draining worker, so that they restart
    elsewhere before it shuts down.  */
 static void
-stop_long_running (worker_t *worker, int64_t now_us)
+stop_long_running (sched_t *sched, worker_t *worker, int64_t now_us)
 {
   for (uint32_t i = 0; i < worker->runs->len; i++)
     {
@@ -196,7 +199,7 @@
         continue;
       task_log_interrupted (run->task, run->attempt, worker, "stop",
                             "draining", now_us);
-      run_stop (run);
+      run_stop (sched, run);
     }
 }
 
@@ -228,9 +231,9 @@
     sched->place_needed = true;
   worker->listed = true;
   if (info->state == WORKER_DRAINING && worker->state != WORKER_DRAINING)
-    stop_long_running (worker, now.us);
+    stop_long_running (sched, worker, now.us);
   worker->state = info->state;
-  sched_wake_at (sched, now.us);
+  worker_wake_at (sched, worker, now.us);
 }
 
 void
@@ -241,7 +244,7 @@
   if (!worker)
     return;
   worker->listed = false;
-  sched_wake_at (sched, now.us);
+  worker_wake_at (sched, worker, now.us);
 }
 
 void
@@ -255,10 +258,11 @@
     {
       worker_t *worker = value;
 
-      if (!g_hash_table_contains (ids, worker->id))
-        worker->listed = false;
+      if (g_hash_table_contains (ids, worker->id))
+        continue;
+      worker->listed = false;
+      worker_wake_at (sched, worker, now.us);
     }
-  sched_wake_at (sched, now.us);
 }
 
 int64_t
@@ -280,6 +284,8 @@
 static void
 check_timeouts (sched_t *sched, worker_t *worker, sched_now_t now)
 {
+  int64_t lease_end_us;
+
   for (uint32_t i = worker->runs->len; i-- > 0;)
     {
       run_t *run = g_ptr_array_index (worker->runs, i);
@@ -289,34 +295,33 @@
       else if (stop_is_over (sched, worker, run))
         run_close (sched, run, "stop-confirmed", now);
       else if (run->stop_confirmed_us != 0)
-        sched_wake_at (sched, now.us + STOP_MARGIN_US);
+        worker_wake_at (sched, worker, now.us + STOP_MARGIN_US);
     }
   /* Leases count as expired only up to the last confirmed ownership, because a
      later owner may have renewed them.  */
-  if (worker->runs->len > 0
-      && worker_lease_end_us (sched, worker)
-             < MIN (now.us, sched->confirmed_us))
+  if (worker->runs->len == 0)
+    return;
+  lease_end_us = worker_lease_end_us (sched, worker);
+  if (lease_end_us < MIN (now.us, sched->confirmed_us))
     close_expired_runs (sched, worker, now);
+  else
+    worker_wake_at (sched, worker,
+                    MAX (lease_end_us, now.us) + LEASE_RECHECK_US);
 }
 
 void
-workers_check_timeouts (sched_t *sched, sched_now_t now)
+workers_check_timeouts (sched_t *sched, GPtrArray *due, sched_now_t now)
 {
-  g_autoptr (GPtrArray) gone = g_ptr_array_new ();
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, sched->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  for (uint32_t i = due->len; i-- > 0;)
     {
-      worker_t *worker = value;
+      worker_t *worker = g_ptr_array_index (due, i);
 
       check_timeouts (sched, worker, now);
-      if (!worker->listed && worker->runs->len == 0)
-        g_ptr_array_add (gone, worker);
+      if (worker->listed || worker->runs->len > 0)
+        continue;
+      g_ptr_array_remove_index_fast (due, i);
+      worker_remove (sched, worker, now);
     }
-  for (uint32_t i = 0; i < gone->len; i++)
-    worker_remove (sched, g_ptr_array_index (gone, i), now);
 }
 
 /* Orders the start of RUN, whose record is durable.  Returns NULL, or the
@@ -373,14 +378,13 @@
   if (run->resend_us == 0)
     return;
   if (run->resend_us > now.us)
-    sched_wake_at (sched, run->resend_us);
+    worker_wake_at (sched, run->worker, run->resend_us);
   else if (run->worker->state == WORKER_DRAINING)
     {
-      run_stop (run); /* the start may have been carried out */
-      sched_wake_at (sched, now.us);
+      run_stop (sched, run); /* the start may have been carried out */
     }
   else if (add_start_order (sched, run, now))
-    sched_wake_at (sched, now.us + PLACE_RETRY_US);
+    worker_wake_at (sched, run->worker, now.us + PLACE_RETRY_US);
 }
 
 /* Whether RUN's stop leaves enough of its step.  A run that never served takes
@@ -398,7 +402,7 @@
     return;
   if (!may_stop_now (run, now.us))
     {
-      sched_wake_at (sched, now.us + STOP_RETRY_US);
+      worker_wake_at (sched, run->worker, now.us + STOP_RETRY_US);
       return;
     }
   if (run->stop_sent_us == 0 || now.us - run->stop_sent_us >= STOP_RETRY_US)
@@ -409,20 +413,19 @@
                                   .task = task_ref (run->task),
                                   .attempt = run->attempt });
     }
-  sched_wake_at (sched, run->stop_sent_us + STOP_RETRY_US);
+  worker_wake_at (sched, run->worker, run->stop_sent_us + STOP_RETRY_US);
 }
 
 static bool
-start_is_due (sched_t *sched, run_t *run, sched_now_t now)
+start_is_due (sched_t *sched, run_t *run)
 {
   if (run->phase == RUN_ORDERED && run->worker->state != WORKER_DRAINING)
     return true;
   if (run->phase == RUN_ORDERED || run->phase == RUN_STOPPING)
     {
-      run_stop (run);
+      run_stop (sched, run);
       /* An earlier start may have been carried out.  */
       run->never_sent = run->unanswered_starts == 0 && run->active_us == 0;
-      sched_wake_at (sched, now.us);
     }
   return false;
 }
@@ -433,7 +436,7 @@
   if (run->phase == RUN_STOPPING && may_stop_now (run, now.us))
     return true;
   run->stop_sent_us = 0;
-  sched_wake_at (sched, now.us + STOP_RETRY_US);
+  worker_wake_at (sched, run->worker, now.us + STOP_RETRY_US);
   return false;
 }
 
@@ -447,7 +450,7 @@
   switch (order->kind)
     {
     case ORDER_START:
-      return run && start_is_due (sched, run, now);
+      return run && start_is_due (sched, run);
     case ORDER_STOP:
       /* A run that is not known has to stop.  */
       return !run || stop_is_due (sched, run, now);
