--- a/entry/core.h
+++ b/entry/core.h
@@ -126,7 +126,8 @@
   feed_t rules_feed;
   feed_t workers_feed;
   feed_t fleet_feed;
-  GHashTable *listed_workers; /* ids on the pages read so far */
+  GHashTable *listed_workers;   /* ids on the pages read so far */
+  GHashTable *rejected_workers; /* ids whose malformed entry was logged */
 
   GQueue *orders; /* direct_call_t above the limit in flight */
   uint32_t orders_in_flight;
--- a/entry/feeds.c
+++ b/entry/feeds.c
@@ -14,6 +14,8 @@
    the owner it delays the start of jobs.  */
 #define STANDBY_READ_INTERVAL_US 60000
 #define OWNER_READ_INTERVAL_US 4000
+/* Most malformed registrations that are remembered, and logged.  */
+#define REJECTED_LOGGED_MAX 1024
 /* Each worker registers about once a second, so a short delay does no harm. */
 #define WORKERS_READ_INTERVAL_US 200000
 
@@ -128,6 +130,17 @@
 
 /* Workers' registrations.  */
 
+/* Logs a malformed entry once, although its writer may repeat it every
+   second.  */
+static void
+log_rejected (core_t *core, const char *id, const GError *error)
+{
+  if (g_hash_table_size (core->rejected_workers) >= REJECTED_LOGGED_MAX
+      || !g_hash_table_add (core->rejected_workers, g_strdup (id)))
+    return;
+  event_log (EV_WORKER_REJECTED, "worker=%s error=\"%s\"", id, error->message);
+}
+
 static void
 apply_worker (core_t *core, const char *id, const void *data, size_t len)
 {
@@ -142,10 +155,10 @@
     }
   if (!platform_parse_worker (id, data, len, &worker, &error))
     {
-      event_log (EV_WORKER_REJECTED, "worker=%s error=\"%s\"", id,
-                 error->message);
+      log_rejected (core, id, error);
       return;
     }
+  g_hash_table_remove (core->rejected_workers, id);
   sched_set_worker (core->sched, &worker.info, now);
   platform_worker_clear (&worker);
 }
@@ -331,6 +344,8 @@
   open_feed (core, &core->rules_feed, FEED_RULES, now_us);
   open_feed (core, &core->workers_feed, FEED_WORKERS, 0);
   open_feed (core, &core->fleet_feed, FEED_FLEET, 0);
+  core->rejected_workers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   core->listed_workers
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 }
@@ -343,6 +358,7 @@
   g_free (core->workers_feed.page_after);
   g_free (core->fleet_feed.page_after);
   g_hash_table_destroy (core->listed_workers);
+  g_hash_table_destroy (core->rejected_workers);
 }
 
 static void
