links: a daemon waits for the owner's append while the link lives

Change: the forwarding daemon waits 3 s; an owner whose appends have failed for 0.7 s gives the records back, and they are appended directly.

--- a/entry/agent.c
+++ b/entry/agent.c
@@ -5,8 +5,10 @@
 #define RECONNECT_US 500000
 /* How long records are appended directly after the owner failed to do it.  */
 #define DIRECT_APPENDS_US 2000000
-/* An owner has stored a batch, or failed to, after this time.  */
-#define FORWARD_TIMEOUT_US 700000
+/* An owner has stored a batch, or said that it can't, after this time.  In a
+   slow store a direct append would wait as long, and lengthen the queue there.
+ */
+#define FORWARD_TIMEOUT_US 3000000
 
 /* Payloads that are kept for later starts of their jobs.  */
 #define PAYLOADS_MAX 2048
--- a/entry/appends.c
+++ b/entry/appends.c
@@ -1,6 +1,9 @@
 #include "core.h"
 #include <string.h>
 
+/* A daemon whose appends have failed for this time is perhaps alone cut off
+   from the store.  */
+#define FAILING_MAX_US 700000
 /* Delay before a retry.  */
 #define APPEND_RETRY_US 80000
 /* Well below the platform's limit of 2 MiB for one append.  */
@@ -125,6 +128,7 @@
   int64_t took_us = now_us - core->append_sent_us;
 
   core->append_call = NULL;
+  core->append_failing_us = 0;
   core_set_store_reached (core, true, "append");
   histogram_add (HIST_APPEND, took_us);
   rto_add_reply (&core->append_rto, took_us);
@@ -150,6 +154,10 @@
   core_set_store_reached (core, false, "append");
   if (result->status == 0)
     rto_add_timeout (&core->append_rto);
+  if (core->append_failing_us == 0)
+    core->append_failing_us = result->sent_us;
+  if (now_us - core->append_failing_us >= FAILING_MAX_US)
+    hub_give_up_records (core);
   appends_retry (core, reply == STORE_INVALID && !result->not_sent,
                  now_us + APPEND_RETRY_US);
 }
--- a/entry/core.h
+++ b/entry/core.h
@@ -141,6 +141,7 @@
   GHashTable *relayed; /* serial -> order_call_t, those that were sent */
   GSequence *relayed_by_deadline;
   uint64_t order_serial;
+  GHashTable *forwards; /* batches of other daemons that are being appended */
   agent_t agent;
 
   GArray *waves; /* wave_record_t */
@@ -157,6 +158,8 @@
   int64_t append_sent_us;    /* ... and when it was sent */
   uint32_t append_read_back; /* records of the batch read from the log */
   rto_t append_rto;
+  int64_t append_failing_us;  /* appends have failed since; 0: the last one was
+                                 stored */
   GPtrArray *pending_cancels; /* append_req_t stored but not yet folded */
   int64_t append_due_us;
   bool store_reached;
@@ -257,6 +260,9 @@
 /* hub_clear_orders - forget all orders, because this daemon is no longer the
    owner.  */
 void hub_clear_orders (core_t *core);
+/* hub_give_up_records - this daemon can't append; the daemons whose records it
+   was to append do it themselves.  */
+void hub_give_up_records (core_t *core);
 /* hub_update_workers - choose the relays for the present workers.  */
 void hub_update_workers (core_t *core);
 
--- a/entry/hub.c
+++ b/entry/hub.c
@@ -22,6 +22,7 @@
   uint32_t pending; /* records without an outcome */
   bool failed;      /* some record is not stored ... */
   bool unknown;     /* ... or may be stored */
+  bool given_up;    /* the peer appends them itself */
 } forward_t;
 
 /* One record of a batch.  */
@@ -254,11 +255,32 @@
 
   msg.u.stored.stored = !forward->failed;
   msg.u.stored.unknown = forward->unknown;
-  if (peer)
+  if (peer && !forward->given_up)
     send_msg (peer->link, &msg);
+  g_hash_table_remove (forward->core->forwards, forward);
   g_free (forward);
 }
 
+void
+hub_give_up_records (core_t *core)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, core->forwards);
+  while (g_hash_table_iter_next (&iter, &value, NULL))
+    {
+      forward_t *forward = value;
+      const hub_peer_t *peer = find_peer (core, forward->peer);
+      linkmsg_t msg = { .kind = LINKMSG_STORED, .serial = forward->serial };
+
+      msg.u.stored.unknown = true;
+      if (peer && !forward->given_up)
+        send_msg (peer->link, &msg);
+      forward->given_up = true;
+    }
+}
+
 static void
 on_forward_done (append_req_t *append)
 {
@@ -283,6 +305,7 @@
                           .peer = peer->id,
                           .serial = msg->serial,
                           .pending = msg->u.append->len };
+  g_hash_table_add (core->forwards, forward);
   if (msg->u.append->len == 0)
     finish_forward (forward);
   for (uint32_t i = 0; i < msg->u.append->len; i++)
@@ -439,6 +462,7 @@
   core->dispatch = dispatch_new (core->settings->cpu_share);
   core->hub_peers
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, peer_free);
+  core->forwards = g_hash_table_new (g_direct_hash, g_direct_equal);
   core->relayed = g_hash_table_new (g_int64_hash, g_int64_equal);
   core->relayed_by_deadline = g_sequence_new (NULL);
   core->links = links_open (core->epoll_fd);
@@ -453,6 +477,7 @@
   links_close (core->links);
   g_hash_table_unref (core->hub_peers);
   g_hash_table_unref (core->relayed);
+  g_hash_table_unref (core->forwards);
   g_sequence_free (core->relayed_by_deadline);
   dispatch_free (core->dispatch);
 }
