place: starts under way follow the delay of the log

Cause: at most 512 starts may be unanswered, counted from the plan.

Change: as many more may be under way as the time from plan to order exceeds 50 ms, 16 times as many at most.

--- a/jobs/place.c
+++ b/jobs/place.c
@@ -46,6 +46,13 @@
         [RANK_OVER_SHARE] = 128,
         [RANK_EXPIRED] = 48 };
 
+/* START_DELAY_USUAL_US - in a fast store a start is ordered this long after it
+   was planned, at most.  When it takes longer, as many more may be pending, or
+   the log would bound the starts a second.
+   START_DELAY_FACTOR_MAX - limit of that factor.  */
+#define START_DELAY_USUAL_US 50000
+#define START_DELAY_FACTOR_MAX 16
+
 /* A stage with tasks to start, and its keys in the order of starts.  */
 typedef struct candidate
 {
@@ -363,6 +370,15 @@
                "gang-does-not-fit", now);
 }
 
+static bool
+may_plan_start (const sched_t *sched, rank_t rank)
+{
+  uint64_t factor = (uint64_t)CLAMP (
+      sched->start_delay_us / START_DELAY_USUAL_US, 1, START_DELAY_FACTOR_MAX);
+
+  return sched->starts_pending < starts_pending_max[rank] * factor;
+}
+
 /* Plans tasks of CANDIDATE's stage while workers have capacity and the limit
    of unanswered starts isn't reached.  */
 static void
@@ -383,7 +399,7 @@
 
       if (task->done || task->run)
         continue;
-      if (sched->starts_pending >= starts_pending_max[candidate->rank])
+      if (!may_plan_start (sched, candidate->rank))
         return;
       if (task->not_before_us > now.us)
         {
@@ -469,7 +485,7 @@
           = &g_array_index (candidates, candidate_t, i);
       uint32_t waiting = candidate->stage->unstarted;
 
-      if (sched->starts_pending >= starts_pending_max[candidate->rank])
+      if (!may_plan_start (sched, candidate->rank))
         continue;
       place_stage (sched, candidate, now);
       if (candidate->stage->unstarted > 0
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -297,6 +297,8 @@
   bool place_needed;       /* a change may allow a task to start */
   int64_t next_place_us;   /* time of the next placement without a change */
   uint32_t starts_pending; /* runs whose start is unanswered */
+  int64_t start_delay_us;  /* from a plan until its starts are ordered, which
+                              waits for the log; smoothed */
 };
 
 /* sched.c: creation, progress records and the plan */
--- a/jobs/test/place_test.c
+++ b/jobs/test/place_test.c
@@ -328,17 +328,69 @@
 }
 END_TEST
 
-TEST_PROGRAM_WITH ("jobs/place", rig_set_up, rig_tear_down,
-                   test_capacity_is_not_exceeded,
-                   test_small_task_starts_when_a_large_one_does_not_fit,
-                   test_cap_covers_all_workers,
-                   test_spread_max_is_not_exceeded, test_label_is_required,
-                   test_gang_starts_completely_or_not,
-                   test_burst_small_jobs_before_wide_ones,
-                   test_overload_wide_jobs_do_not_starve,
-                   test_overload_expired_jobs_come_last,
-                   test_burst_long_running_tasks_first,
-                   test_backlog_after_outage_does_not_delay_new_jobs,
-                   test_hot_workspace_yields_beyond_its_share,
-                   test_long_running_tasks_of_two_jobs_share_hosts,
-                   test_lost_workers_hit_few_jobs)
+/* Worker ID answers a hold that was sent before its runs started.  */
+static void
+answer_hold (const char *id)
+{
+  worker_reply_t reply
+      = { .kind = REPLY_OK, .clock_ms = rig.now.us / 1000, .has_clock = true };
+  worker_report_t report = { 0 };
+
+  rig_hold_reply (id, &reply, &report);
+}
+
+/* Load: 2,000 tasks wait while the store is 75 times slower, so that a plan is
+   in the log after 600 ms.  Guards against a limit of starts under way that
+   counts those that wait for the log, and bounds the starts a second by it. */
+START_TEST (test_slow_log_does_not_bound_the_starts)
+{
+  job_step_t step = rig_step (100);
+  uint32_t started = 0;
+
+  step.estimate_ms = 60000; /* none ends, and none is taken for stalled */
+  for (uint32_t i = 0; i < 70; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("w%u", i);
+
+      rig_worker (id, 64, false);
+    }
+  for (uint32_t i = 0; i < 20; i++)
+    rig_submit (i + 1, &step, 1);
+  for (uint32_t cycle = 0; cycle < 3; cycle++)
+    {
+      GArray *orders;
+
+      sched_plan (rig.sched, rig.now);
+      rig_advance_clock (600);
+      sched_confirm_ownership (rig.sched, rig.now.us);
+      rig_commit ();
+      orders = sched_plan (rig.sched, rig.now);
+      for (uint32_t i = 0; i < orders->len; i++)
+        {
+          order_t order = g_array_index (orders, order_t, i);
+
+          if (order.kind == ORDER_HOLD)
+            answer_hold (order.worker);
+          if (order.kind != ORDER_START)
+            continue;
+          started++;
+          rig_confirm_start (&order);
+        }
+      g_array_set_size (orders, 0);
+    }
+  ck_assert_uint_eq (started, 2000);
+}
+END_TEST
+
+TEST_PROGRAM_WITH (
+    "jobs/place", rig_set_up, rig_tear_down, test_capacity_is_not_exceeded,
+    test_small_task_starts_when_a_large_one_does_not_fit,
+    test_cap_covers_all_workers, test_spread_max_is_not_exceeded,
+    test_label_is_required, test_gang_starts_completely_or_not,
+    test_burst_small_jobs_before_wide_ones,
+    test_overload_wide_jobs_do_not_starve,
+    test_overload_expired_jobs_come_last, test_burst_long_running_tasks_first,
+    test_backlog_after_outage_does_not_delay_new_jobs,
+    test_hot_workspace_yields_beyond_its_share,
+    test_long_running_tasks_of_two_jobs_share_hosts,
+    test_lost_workers_hit_few_jobs, test_slow_log_does_not_bound_the_starts)
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -355,6 +355,10 @@
   return NULL;
 }
 
+/* Weight of one start in the smoothed delay: the starts of a batch have the
+   same one.  */
+#define START_DELAY_DIVISOR 64
+
 /* Orders the planned start of RUN once its record is durable, or closes RUN if
    that is impossible.  */
 static void
@@ -364,6 +368,8 @@
 
   if (run->batch > sched->durable_batch)
     return;
+  sched->start_delay_us += (now.us - run->planned_us - sched->start_delay_us)
+                           / START_DELAY_DIVISOR;
   why = add_start_order (sched, run, now);
   if (why)
     run_close (sched, run, why, now);
