owner: a linked owner that runs is not probed in a slow store

The queue was 28 s long, the owner's answer came too late, and it was replaced although it was sound.

Change: while something was received on the link to the owner within 0.9 s, it may be silent in the log for 3 s. An owner that can't append says so on all links, and is then probed as before, like one whose link is silent. Links send something every 0.4 s.

--- a/entry/agent.c
+++ b/entry/agent.c
@@ -10,6 +10,9 @@
  */
 #define FORWARD_TIMEOUT_US 3000000
 
+/* How long an owner that said that it can't append is not taken for sound
+   because of its link.  */
+#define OWNER_FAILING_US 3000000
 /* Payloads that are kept for later starts of their jobs.  */
 #define PAYLOADS_MAX 2048
 
@@ -136,7 +139,14 @@
 static void
 on_stored (core_t *core, const linkmsg_t *msg, int64_t now_us)
 {
-  if (msg->serial == 0 || msg->serial != core->agent.append_serial)
+  if (msg->serial == 0)
+    {
+      core->agent.owner_failing_until_us = now_us + OWNER_FAILING_US;
+      if (core->agent.append_serial != 0)
+        fail_forward (core, true, now_us);
+      return;
+    }
+  if (msg->serial != core->agent.append_serial)
     return; /* its time is over, or it was read back */
   core->agent.append_serial = 0;
   if (msg->u.stored.stored)
@@ -230,6 +240,11 @@
   bool wanted = address && !core->sched
                 && strcmp (core->tab->owner.holder, core->holder) != 0;
 
+  owner_set_link (&core->owner,
+                  core->agent.link
+                          && core->agent.owner_failing_until_us <= now_us
+                      ? link_received_us (core->agent.link)
+                      : 0);
   if (core->agent.append_serial != 0
       && core->agent.append_deadline_us <= MIN (read_us, now_us))
     fail_forward (core, true, now_us);
--- a/entry/core.h
+++ b/entry/core.h
@@ -89,6 +89,7 @@
   uint64_t serial;
   uint64_t append_serial; /* of the batch that the owner appends; 0: none */
   int64_t append_deadline_us;
+  int64_t owner_failing_until_us; /* the owner said that it can't append */
   int64_t direct_until_us; /* records are appended directly until then */
 } agent_t;
 
@@ -260,8 +261,8 @@
 /* hub_clear_orders - forget all orders, because this daemon is no longer the
    owner.  */
 void hub_clear_orders (core_t *core);
-/* hub_give_up_records - this daemon can't append; the daemons whose records it
-   was to append do it themselves.  */
+/* hub_give_up_records - this daemon can't append, and tells all others; they
+   append their records themselves, and replace it if it stays silent.  */
 void hub_give_up_records (core_t *core);
 /* hub_update_workers - choose the relays for the present workers.  */
 void hub_update_workers (core_t *core);
--- a/entry/hub.c
+++ b/entry/hub.c
@@ -264,21 +264,17 @@
 void
 hub_give_up_records (core_t *core)
 {
+  linkmsg_t msg = { .kind = LINKMSG_STORED };
   GHashTableIter iter;
   gpointer value;
 
+  msg.u.stored.unknown = true;
+  g_hash_table_iter_init (&iter, core->hub_peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    send_msg (((hub_peer_t *)value)->link, &msg);
   g_hash_table_iter_init (&iter, core->forwards);
   while (g_hash_table_iter_next (&iter, &value, NULL))
-    {
-      forward_t *forward = value;
-      const hub_peer_t *peer = find_peer (core, forward->peer);
-      linkmsg_t msg = { .kind = LINKMSG_STORED, .serial = forward->serial };
-
-      msg.u.stored.unknown = true;
-      if (peer && !forward->given_up)
-        send_msg (peer->link, &msg);
-      forward->given_up = true;
-    }
+    ((forward_t *)value)->given_up = true;
 }
 
 static void
--- a/entry/link.c
+++ b/entry/link.c
@@ -25,7 +25,8 @@
   GByteArray *output;
   guint written; /* bytes of OUTPUT that were written */
   uint32_t events;
-  int64_t heard_us; /* last bytes were read */
+  int64_t heard_us;    /* last bytes were read, or it was opened */
+  int64_t received_us; /* last bytes were read; 0: none yet */
 };
 
 struct links
@@ -233,6 +234,12 @@
   mark_dirty (link);
 }
 
+int64_t
+link_received_us (const link_t *link)
+{
+  return link->received_us;
+}
+
 void *
 link_data (const link_t *link)
 {
@@ -284,7 +291,7 @@
       count = recv (link->fd, buffer, READ_BYTES, 0);
       if (count <= 0)
         break;
-      link->heard_us = now_us;
+      link->heard_us = link->received_us = now_us;
       g_byte_array_append (link->input, buffer, (guint)count);
     }
   while (count == READ_BYTES);
--- a/entry/link.h
+++ b/entry/link.h
@@ -5,9 +5,9 @@
 
    DESCRIPTION
      A link carries frames: a length in 4 bytes, big endian, and as many bytes.
-     Both sides send an empty frame every second; a link on which nothing was
-     read for LINK_SILENCE_US is closed, as connections may fall silent without
-     a reset.  Links belong to the thread of the epoll set.
+     Both sides send an empty frame every LINK_PING_US; a link on which nothing
+   was read for LINK_SILENCE_US is closed, as connections may fall silent
+   without a reset.  Links belong to the thread of the epoll set.
 
      Frames are written once in an iteration of the loop, all frames of a link
      together.  */
@@ -20,7 +20,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define LINK_PING_US 1000000
+#define LINK_PING_US 400000
 #define LINK_SILENCE_US 3000000
 /* Longest frame: a batch of records to append.  */
 #define LINK_FRAME_MAX (2 * 1024 * 1024)
@@ -60,6 +60,9 @@
 void link_send (link_t *link, const void *data, size_t len);
 void link_close (link_t *link, const char *why);
 
+/* link_received_us - when something was last received on LINK; 0: never.  */
+int64_t link_received_us (const link_t *link);
+
 /* link_data, link_set_data - a pointer of the caller.  */
 void *link_data (const link_t *link);
 void link_set_data (link_t *link, void *data);
--- a/entry/linkmsg.h
+++ b/entry/linkmsg.h
@@ -5,8 +5,9 @@
 
    DESCRIPTION
      A daemon that is not the owner connects to it, introduces itself with
-     HELLO, and has the owner append its records (APPEND, STORED).  The owner
-     has it carry out orders to workers (ORDER, REPLY).
+     HELLO, and has the owner append its records (APPEND, STORED).  STORED with
+     serial 0 says that the owner can't append.  The owner has it carry out
+     orders to workers (ORDER, REPLY).
 
      Strings of a message that was unpacked point into the bytes that were
      unpacked.  */
--- a/entry/test/link_test.c
+++ b/entry/test/link_test.c
@@ -153,6 +153,21 @@
 }
 END_TEST
 
+/* Guards against a link to a host without power that counts as heard of.  */
+START_TEST (test_new_link_has_received_nothing)
+{
+  link_t *link = connect_self ();
+
+  ck_assert_int_eq (link_received_us (link), 0);
+  for (uint32_t i = 0; i < 10; i++)
+    {
+      now_us += LINK_PING_US / 2;
+      run_once ();
+    }
+  ck_assert_int_gt (link_received_us (link), 0);
+}
+END_TEST
+
 /* Guards against idle links that are taken for silent.  */
 START_TEST (test_idle_link_stays_open)
 {
@@ -226,8 +241,9 @@
 
 TEST_PROGRAM_WITH ("entry/link", set_up, tear_down,
                    test_frames_arrive_in_order, test_silent_link_is_closed,
-                   test_unread_link_is_not_silent, test_idle_link_stays_open,
-                   test_long_frame_is_refused,
+                   test_unread_link_is_not_silent,
+                   test_new_link_has_received_nothing,
+                   test_idle_link_stays_open, test_long_frame_is_refused,
                    test_last_frames_of_a_closed_link_are_handled,
                    test_refused_connection_is_reported,
                    test_full_queue_closes_the_link)
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -95,6 +95,23 @@
                 >= OWNER_TAKEOVER_WAIT_US + owner->stagger_us;
 }
 
+void
+owner_set_link (owner_t *owner, int64_t heard_us)
+{
+  owner->linked_us = heard_us;
+}
+
+/* How long the owner may be silent in the log.  */
+static int64_t
+silence_max_us (const owner_t *owner, int64_t now_us)
+{
+  int64_t max_us = OWNER_SILENCE_US + delay_allowance (owner, now_us);
+
+  if (owner->linked_us != 0 && now_us - owner->linked_us < OWNER_LINK_AGE_US)
+    max_us = MAX (max_us, OWNER_LINKED_SILENCE_US);
+  return max_us;
+}
+
 static bool
 has_requested (const owner_t *owner, int64_t now_us)
 {
@@ -146,6 +163,8 @@
   if (is_earlier_process (owner, table)
       || owner_is_weak (owner, table, now_us))
     return request (owner, OWNER_CLAIM, now_us);
+  if (now_us - owner->last_record_us < silence_max_us (owner, now_us))
+    return OWNER_NONE;
   if (owner->probed_us != 0)
     {
       if (now_us - owner->probed_us < OWNER_ANSWER_TIMEOUT_US
@@ -156,9 +175,6 @@
       owner->requested_us = now_us;
       return OWNER_CLAIM;
     }
-  if (now_us - owner->last_record_us
-      < OWNER_SILENCE_US + delay_allowance (owner, now_us))
-    return OWNER_NONE;
   return request (owner, OWNER_PROBE, now_us);
 }
 
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -60,6 +60,14 @@
 #define OWNER_WEAKER_PERCENT 60
 #define OWNER_TAKEOVER_WAIT_US 700000
 
+/* OWNER_LINK_AGE_US - a link to the owner on which something was received
+   within this time shows that its process runs. OWNER_LINKED_SILENCE_US -
+   limit for the silence of such an owner in the log. In a slow store its
+   records take that long; probes of all daemons would fill the queue there,
+   and the owner's answer would come too late.  */
+#define OWNER_LINK_AGE_US 900000
+#define OWNER_LINKED_SILENCE_US 3000000
+
 /* OWNER_INCOMPLETE_WAIT_US - a daemon that lacks records of the log waits this
    long after the owner's last record before it probes or claims.  Any daemon
    that has all records replaces the owner earlier.  */
@@ -87,6 +95,8 @@
                                 folded a probe */
   int64_t store_delay_us;    /* duration of the last append ... */
   int64_t store_delay_at_us; /* ... and when it was measured */
+  int64_t linked_us;         /* when something was last received from the
+                                owner; 0: it is not linked, or can't append */
   int64_t renewed_us;        /* when this daemon last appended as owner */
   bool superseded; /* a worker knows a higher epoch than the log shows */
   bool may_claim;  /* false while the daemon is stopping */
@@ -120,6 +130,10 @@
 /* owner_set_store_delay - an append took DELAY_US.  */
 void owner_set_store_delay (owner_t *owner, int64_t delay_us, int64_t now_us);
 
+/* owner_set_link - HEARD_US is when something was last received on the link to
+   the owner; 0: there is none, or the owner can't append.  */
+void owner_set_link (owner_t *owner, int64_t heard_us);
+
 /* owner_note_pause - this process was suspended, so its measured times are
    invalid.  */
 void owner_note_pause (owner_t *owner, int64_t now_us);
--- a/jobs/test/owner_test.c
+++ b/jobs/test/owner_test.c
@@ -244,6 +244,56 @@
 }
 END_TEST
 
+/* Load: 96 followers and a store in which records of the owner take 2 s.
+   Guards against probes of all of them, and against replacing an owner that
+   runs.  */
+START_TEST (test_linked_owner_is_not_probed_in_a_slow_store)
+{
+  set_owner ("a#1");
+  for (uint32_t i = 0; i < 290; i++)
+    {
+      owner_set_link (&owner, now_us);
+      ck_assert_int_eq (action_within (0), OWNER_NONE);
+    }
+  /* Nor does the probe of another daemon lead to a claim.  */
+  owner_note_record (&owner, table, FOLD_RENEWED, now_us);
+  owner_note_record (&owner, table, FOLD_PROBED, now_us);
+  for (uint32_t i = 0; i < 290; i++)
+    {
+      owner_set_link (&owner, now_us);
+      ck_assert_int_eq (action_within (0), OWNER_NONE);
+    }
+}
+END_TEST
+
+/* Guards against an owner that runs but never appends, and is not replaced. */
+START_TEST (test_linked_owner_without_records_is_probed)
+{
+  owner_action_t action = OWNER_NONE;
+  int64_t from_us;
+
+  set_owner ("a#1");
+  from_us = now_us;
+  while (action == OWNER_NONE && now_us - from_us < 5000 * MS)
+    {
+      owner_set_link (&owner, now_us);
+      action = action_within (0);
+    }
+  ck_assert_int_eq (action, OWNER_PROBE);
+  ck_assert_int_ge (now_us - from_us, OWNER_LINKED_SILENCE_US);
+}
+END_TEST
+
+/* Guards against a late replacement of an owner that lost power: its link
+   stays open.  */
+START_TEST (test_owner_with_a_silent_link_is_probed_soon)
+{
+  set_owner ("a#1");
+  owner_set_link (&owner, now_us);
+  ck_assert_int_eq (action_within (OWNER_LINK_AGE_US / MS + 10), OWNER_PROBE);
+}
+END_TEST
+
 TEST_PROGRAM_WITH ("jobs/owner", set_up, tear_down,
                    test_no_claim_before_the_log_is_read,
                    test_no_claim_without_a_folded_probe,
@@ -260,4 +310,7 @@
                    test_earlier_process_is_another_holder,
                    test_stopping_daemon_claims_nothing,
                    test_incomplete_daemon_claims_last,
-                   test_incomplete_daemon_replaces_a_lost_owner)
+                   test_incomplete_daemon_replaces_a_lost_owner,
+                   test_linked_owner_is_not_probed_in_a_slow_store,
+                   test_linked_owner_without_records_is_probed,
+                   test_owner_with_a_silent_link_is_probed_soon)
