links: nothing waits behind a batch that a lost owner was to append

All daemons probed at 3.7 s, but each had a batch under way at the lost owner and gave it 3 s, so the probes were not sent, and the next owner came at 6.6 s.

Change: a batch is appended directly once the owner's link was silent for 0.9 s, or when this daemon probes or claims; both shares are rounded up.

--- a/entry/agent.c
+++ b/entry/agent.c
@@ -245,6 +245,10 @@
                           && core->agent.owner_failing_until_us <= now_us
                       ? link_received_us (core->agent.link)
                       : 0);
+  if (core->agent.append_serial != 0 && core->agent.link
+      && MIN (read_us, now_us) - link_received_us (core->agent.link)
+             >= OWNER_LINK_AGE_US)
+    fail_forward (core, true, now_us); /* the owner is perhaps lost */
   if (core->agent.append_serial != 0
       && core->agent.append_deadline_us <= MIN (read_us, now_us))
     fail_forward (core, true, now_us);
@@ -258,8 +262,21 @@
 int64_t
 agent_due_us (const core_t *core)
 {
-  return core->agent.append_serial != 0 ? core->agent.append_deadline_us
-                                        : INT64_MAX;
+  int64_t due_us = core->agent.append_deadline_us;
+
+  if (core->agent.append_serial == 0)
+    return INT64_MAX;
+  if (core->agent.link)
+    due_us = MIN (due_us,
+                  link_received_us (core->agent.link) + OWNER_LINK_AGE_US);
+  return due_us;
+}
+
+void
+agent_suspect_owner (core_t *core, int64_t now_us)
+{
+  if (core->agent.append_serial != 0)
+    fail_forward (core, true, now_us);
 }
 
 bool
@@ -267,7 +284,8 @@
 {
   linkmsg_t msg = { .kind = LINKMSG_APPEND };
 
-  if (!core->agent.link || core->agent.direct_until_us > now_us)
+  if (!core->agent.link || core->agent.direct_until_us > now_us
+      || now_us - link_received_us (core->agent.link) >= OWNER_LINK_AGE_US)
     return false;
   msg.serial = ++core->agent.serial;
   msg.u.append = records;
--- a/entry/core.c
+++ b/entry/core.c
@@ -272,9 +272,11 @@
     case OWNER_PROBE:
       event_log (EV_OWNER_PROBED, "epoch=%" PRIu64 " silent_ms=%" PRId64,
                  epoch, (now_us - core->owner.last_record_us) / 1000);
+      agent_suspect_owner (core, now_us);
       append_owner_record (core, JREC_PROBE, epoch);
       return;
     case OWNER_CLAIM:
+      agent_suspect_owner (core, now_us);
       append_owner_record (core, JREC_CLAIM, epoch + 1);
       return;
     case OWNER_RENEW:
--- a/entry/core.h
+++ b/entry/core.h
@@ -277,6 +277,9 @@
    agent_forget_append - the batch was read back from the log.  */
 bool agent_append (core_t *core, GPtrArray *records, int64_t now_us);
 void agent_forget_append (core_t *core);
+/* agent_suspect_owner - the owner is perhaps lost: the batch that it was to
+   append is appended directly, and nothing waits behind it.  */
+void agent_suspect_owner (core_t *core, int64_t now_us);
 /* agent_reset - end the link, because what has arrived on it is old.  */
 void agent_reset (core_t *core);
 void agent_open (core_t *core);
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -89,6 +89,8 @@
 {
   uint32_t share = holder_share_percent (table->owner.holder);
 
+  if (share > 0)
+    share = MAX (share, (uint32_t)(CPU_SHARE_MIN * 100));
   return share > 0 && share * 100 < owner->share_percent * OWNER_WEAKER_PERCENT
          && delay_allowance (owner, now_us) < OWNER_TAKEOVER_WAIT_US / 2
          && now_us - owner->epoch_seen_us
--- a/jobs/test/owner_test.c
+++ b/jobs/test/owner_test.c
@@ -294,6 +294,20 @@
 }
 END_TEST
 
+/* Guards against daemons with very small shares that replace each other for
+   ever: the share of one was rounded up, that of the other was not.  */
+START_TEST (test_owner_with_the_same_tiny_share_is_not_replaced)
+{
+  owner_init (&owner, "b#1#1", 0.01, 0);
+  set_owner ("a#1#1");
+  for (uint32_t i = 0; i < 20; i++)
+    {
+      owner_note_record (&owner, table, FOLD_RENEWED, now_us);
+      ck_assert_int_eq (action_within (200), OWNER_NONE);
+    }
+}
+END_TEST
+
 TEST_PROGRAM_WITH ("jobs/owner", set_up, tear_down,
                    test_no_claim_before_the_log_is_read,
                    test_no_claim_without_a_folded_probe,
@@ -313,4 +327,5 @@
                    test_incomplete_daemon_replaces_a_lost_owner,
                    test_linked_owner_is_not_probed_in_a_slow_store,
                    test_linked_owner_without_records_is_probed,
-                   test_owner_with_a_silent_link_is_probed_soon)
+                   test_owner_with_a_silent_link_is_probed_soon,
+                   test_owner_with_the_same_tiny_share_is_not_replaced)
