review: steps that wait for advice are never started

Cause: the time given to a call for advice leaves out the call before it, so each call is given up while it waits behind one that was given up. Result: the script fails (exit 1) with 8 jobs in a second, and passes with the same jobs 3 s apart.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # run.  TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 export TROUBLE="${TROUBLE:-1}"
-exec target/review/bed other-kind review/4/record.txt
+exec target/review/bed route-removed review/4/record.txt
--- a/review/bed.c
+++ b/review/bed.c
@@ -14,6 +14,8 @@
 #define START_LIMIT_MS 20000
 
 bool trouble = true;
+uint32_t advice_decide_ms;
+uint32_t advice_period_ms;
 
 static FILE *record;
 static int64_t start_ms;
@@ -89,17 +91,18 @@
 
 /* The settings that deploy/entry.yaml gives on cvs-cuminpin.  */
 static void
-settings_write (uint32_t i, uint16_t store, uint16_t machines)
+settings_write (uint32_t i, uint16_t store, uint16_t machines,
+                uint16_t advice)
 {
   g_autofree char *path = g_strdup_printf ("%s/%u.yaml", folder, i);
   g_autofree char *text = g_strdup_printf (
       "name: edge-%u\ndata_centre: zone-%c\nfront: 127.0.0.1:%u\n"
       "ready: 127.0.0.1:%u\nstore: 127.0.0.1:%u\npeer: 127.0.0.1:%u\n"
-      "hosts_api: \"127.0.0.1:%u\"\nadvice: \"\"\ncpu_share: 0.25\n"
+      "hosts_api: \"127.0.0.1:%u\"\nadvice: \"127.0.0.1:%u\"\ncpu_share: 0.25\n"
       "revoke_ms: 5000\nhold_max_ms: 10000\nstop_grace_ms: 400\n"
       "notice_ms: 4500\nhost_lease_ms: 3000\nstatus_s: 120\ngrace_s: 6\n"
       "keep_s: 300\n",
-      i, 'a' + (int)i, fronts[i], readies[i], store, free_port (), machines);
+      i, 'a' + (int)i, fronts[i], readies[i], store, free_port (), machines, advice);
 
   if (!g_file_set_contents (path, text, -1, NULL))
     give_up ("can't write settings");
@@ -133,6 +136,7 @@
 {
   uint16_t stores[DAEMONS];
   uint16_t machines = machines_open ();
+  uint16_t advice = advice_open ();
 
   store_open (stores);
   for (uint32_t i = 0; i < DAEMONS; i++)
@@ -141,7 +145,7 @@
       readies[i] = free_port ();
     }
   for (uint32_t i = 0; i < DAEMONS; i++)
-    settings_write (i, stores[i], machines);
+    settings_write (i, stores[i], machines, advice);
   for (uint32_t i = 0; i < DAEMONS; i++)
     daemon_start (i);
 }
@@ -218,6 +222,11 @@
                    "unsafe", "timeout_ms", 3000, "target_latency_ms", 600,
                    "priority", 0, "service", "svc", "max_attempts",
                    (int)max_attempts, "stretch_factor", 1.6, "public", 0));
+  if (with_route && advice_decide_ms > 0)
+    json_object_set_new (
+        json_array_get (json_object_get (config, "routes"), 0), "advice",
+        json_pack ("{s:i,s:i,s:i}", "decide_ms", (int)advice_decide_ms,
+                   "period_ms", (int)advice_period_ms, "valid_ms", 5000));
   text = json_dumps (config, JSON_COMPACT);
   store_put ("keyed.op", "config", text);
   note ("config %u: %s", version, with_route ? "with the route"
--- a/review/bed.h
+++ b/review/bed.h
@@ -18,7 +18,7 @@
 #include <stdint.h>
 
 #define DAEMONS 3
-#define MINIONS_MAX 16
+#define MINIONS_MAX 32
 #define KEY "key-of-tenant-one"
 #define HOST "queue.example"
 #define PREFIX "/quotes/"
@@ -73,6 +73,9 @@
    minion that is up, or after one has ended `done`.  */
 uint32_t doubled_starts (void);
 uint16_t machines_open (void);
+/* advice_open - the advice service, which takes DECIDE_MS and PERIOD_MS for
+   each minion named, and handles one call at a time.  */
+uint16_t advice_open (void);
 /* starts_of - the starts of work items whose name begins with ID.  */
 GArray *starts_of (const char *id);
 int64_t ends_of (const char *id, const char *how); /* number */
@@ -85,6 +88,8 @@
 } answer_t;
 
 extern bool trouble;
+extern uint32_t advice_decide_ms; /* 0: the route has no advice */
+extern uint32_t advice_period_ms;
 
 /* config_put - publish VERSION of the config, with the route or without.  */
 void config_put (uint32_t version, bool with_route, uint32_t max_attempts);
--- a/review/cases.c
+++ b/review/cases.c
@@ -317,7 +317,41 @@
   return lost;
 }
 
+/* Eight jobs come within a second, or one each three seconds, on a route with
+   advice.  The service needs two seconds for each.  */
+static int
+advice_waits (void)
+{
+  char *ids[8];
+  uint32_t started = 0;
+
+  advice_decide_ms = 500;
+  advice_period_ms = 50;
+  begin (30);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (ids); i++)
+    {
+      g_autofree char *body = one_step ("work=500", "");
+
+      ids[i] = job_id ();
+      if (call (i % DAEMONS, "POST", ids[i], body, 3000).status != 200)
+        give_up ("a job was not accepted");
+      sleep_ms (trouble ? 125 : 3000);
+    }
+  sleep_ms (60000);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (ids); i++)
+    {
+      bool one = wait_for_starts (ids[i], 1, 0);
+
+      started += one;
+      if (!one)
+        call (0, "GET", ids[i], "", 3000);
+    }
+  note ("%u of %zu jobs were started", started, G_N_ELEMENTS (ids));
+  return started < G_N_ELEMENTS (ids);
+}
+
 const case_entry_t cases[] = {
+  { "advice-waits", advice_waits },
 
   { "false-refusal", false_refusal }, { "two-runs", two_runs },
   { "long-image", long_image },       { "route-removed", route_removed },
--- a/review/minions.c
+++ b/review/minions.c
@@ -579,3 +579,53 @@
 {
   return http_listen (handle_machines, 0);
 }
+
+static void
+handle_advice (uint32_t index, http_req_t *req)
+{
+  static pthread_mutex_t turn = PTHREAD_MUTEX_INITIALIZER;
+  static uint32_t waiting;
+  static uint32_t ticket;
+  json_t *body = json_loadb (req->body, req->len, 0, NULL);
+  const json_t *workers = json_object_get (body, "workers");
+  json_t *allowed = json_array ();
+  uint32_t before = __atomic_fetch_add (&waiting, 1, __ATOMIC_SEQ_CST);
+
+  (void)index;
+  note ("advice asked for %s, %zu minions, %u calls wait",
+        json_string_value (json_object_get (body, "step")),
+        json_array_size (workers), before);
+  if (before >= 32)
+    {
+      http_reply (req, 429, "", 0);
+      json_decref (allowed);
+    }
+  else
+    {
+      pthread_mutex_lock (&turn);
+      sleep_ms (advice_decide_ms
+                + (int64_t)advice_period_ms * json_array_size (workers));
+      for (size_t i = 0; i < json_array_size (workers); i++)
+        {
+          g_autofree char *text = g_strdup_printf ("t-%u", ++ticket);
+
+          json_array_append_new (
+              allowed,
+              json_pack ("[s,s]",
+                         json_string_value (json_array_get (workers, i)),
+                         text));
+        }
+      http_reply_json (req, 200,
+                       json_pack ("{s:o,s:i}", "allowed", allowed, "valid_ms",
+                                  5000));
+      pthread_mutex_unlock (&turn);
+    }
+  __atomic_fetch_sub (&waiting, 1, __ATOMIC_SEQ_CST);
+  json_decref (body);
+}
+
+uint16_t
+advice_open (void)
+{
+  return http_listen (handle_advice, 0);
+}
