--- a/review/bed.c
+++ b/review/bed.c
@@ -12,6 +12,7 @@
 
 #define PROGRAM "target/daemon/cuminpind"
 #define START_LIMIT_MS 20000
+#define LAUNCH_LIMIT_MS 5000
 
 bool trouble = true;
 uint32_t advice_decide_ms;
@@ -131,14 +132,14 @@
   pids[i] = pid;
 }
 
-void
-daemons_start (void)
-{
-  uint16_t stores[DAEMONS];
-  uint16_t machines = machines_open ();
-  uint16_t advice = advice_open ();
+static uint16_t stores[DAEMONS];
+static uint16_t machines;
+static uint16_t advice;
 
-  store_open (stores);
+/* Starts all daemons at new ports.  */
+static void
+daemons_launch (void)
+{
   for (uint32_t i = 0; i < DAEMONS; i++)
     {
       fronts[i] = free_port ();
@@ -150,6 +151,15 @@
     daemon_start (i);
 }
 
+void
+daemons_start (void)
+{
+  machines = machines_open ();
+  advice = advice_open ();
+  store_open (stores);
+  daemons_launch ();
+}
+
 static uint32_t
 get (uint16_t port, const char *path, char *body, size_t size)
 {
@@ -185,11 +195,19 @@
 daemons_wait_for_owner (void)
 {
   int64_t end_ms = now_ms () + START_LIMIT_MS;
+  int64_t launch_ms = now_ms ();
   uint32_t ready = 0;
   char body[64];
 
   while (ready < DAEMONS && now_ms () < end_ms)
     {
+      /* Another program may have taken a port meanwhile.  */
+      if (now_ms () - launch_ms > LAUNCH_LIMIT_MS)
+        {
+          daemons_end ();
+          daemons_launch ();
+          launch_ms = now_ms ();
+        }
       sleep_ms (100);
       ready = 0;
       for (uint32_t i = 0; i < DAEMONS; i++)
