--- a/review/bed.c
+++ b/review/bed.c
@@ -92,18 +92,19 @@
 
 /* The settings that deploy/entry.yaml gives on cvs-cuminpin.  */
 static void
-settings_write (uint32_t i, uint16_t store, uint16_t machines,
-                uint16_t advice)
+settings_write (uint32_t i, uint16_t store, uint16_t machines, uint16_t advice)
 {
   g_autofree char *path = g_strdup_printf ("%s/%u.yaml", folder, i);
   g_autofree char *text = g_strdup_printf (
       "name: edge-%u\ndata_centre: zone-%c\nfront: 127.0.0.1:%u\n"
       "ready: 127.0.0.1:%u\nstore: 127.0.0.1:%u\npeer: 127.0.0.1:%u\n"
-      "hosts_api: \"127.0.0.1:%u\"\nadvice: \"127.0.0.1:%u\"\ncpu_share: 0.25\n"
+      "hosts_api: \"127.0.0.1:%u\"\nadvice: \"127.0.0.1:%u\"\ncpu_share: "
+      "0.25\n"
       "revoke_ms: 5000\nhold_max_ms: 10000\nstop_grace_ms: 400\n"
       "notice_ms: 4500\nhost_lease_ms: 3000\nstatus_s: 120\ngrace_s: 6\n"
       "keep_s: 300\n",
-      i, 'a' + (int)i, fronts[i], readies[i], store, free_port (), machines, advice);
+      i, 'a' + (int)i, fronts[i], readies[i], store, free_port (), machines,
+      advice);
 
   if (!g_file_set_contents (path, text, -1, NULL))
     give_up ("can't write settings");
@@ -247,8 +248,8 @@
                    "period_ms", (int)advice_period_ms, "valid_ms", 5000));
   text = json_dumps (config, JSON_COMPACT);
   store_put ("keyed.op", "config", text);
-  note ("config %u: %s", version, with_route ? "with the route"
-                                             : "without the route");
+  note ("config %u: %s", version,
+        with_route ? "with the route" : "without the route");
   free (text);
   json_decref (config);
 }
@@ -259,7 +260,8 @@
 {
   answer_t answer = { 0 };
   g_autofree char *text = g_strdup_printf (
-      "%s " PREFIX "%s HTTP/1.1\r\nHost: " HOST "\r\nAuthorization: Bearer " KEY
+      "%s " PREFIX "%s HTTP/1.1\r\nHost: " HOST
+      "\r\nAuthorization: Bearer " KEY
       "\r\nX-Deadline-Ms: 3000\r\nContent-Type: application/json\r\n"
       "Content-Length: %zu\r\n\r\n%s",
       method, id, strlen (body), body);
--- a/review/bed.h
+++ b/review/bed.h
@@ -7,7 +7,8 @@
      Runs entry daemons as separate processes against stand-ins of the
      platform's store, its machine service and minions, which live in this
      process and speak the published protocol on loopback.  Each daemon has a
-     store port of its own, so that the store can treat machines differently.  */
+     store port of its own, so that the store can treat machines differently.
+ */
 
 #ifndef BED_H
 #define BED_H
--- a/review/cases.c
+++ b/review/cases.c
@@ -16,9 +16,10 @@
 static char *
 one_step (const char *spec, const char *more)
 {
-  return g_strdup_printf ("{\"spec\":\"%s\",\"steps\":[{\"count\":1,"
-                          "\"cpu\":100,\"mem_mb\":100,\"estimate_ms\":500%s}]}",
-                          spec, more);
+  return g_strdup_printf (
+      "{\"spec\":\"%s\",\"steps\":[{\"count\":1,"
+      "\"cpu\":100,\"mem_mb\":100,\"estimate_ms\":500%s}]}",
+      spec, more);
 }
 
 /* Waits until the work items of job ID have started COUNT times.  */
@@ -82,7 +83,6 @@
   return refused == attempts;
 }
 
-
 /* A minion starts a work item, resets the channel and is unhealthy.  */
 static int
 two_runs (void)
@@ -146,7 +146,7 @@
 {
   g_autofree char *id = job_id ();
   g_autofree char *body = one_step ("work=2500 fail=1", "");
-  answer_t answer = { 0 };
+  answer_t answer;
   int64_t end_ms;
 
   begin (9);
@@ -182,7 +182,8 @@
 
   for (guint i = 0; i < found->len; i++)
     elsewhere
-        |= strcmp (minion_kind (g_array_index (found, start_t, i).minion), kind)
+        |= strcmp (minion_kind (g_array_index (found, start_t, i).minion),
+                   kind)
            != 0;
   return elsewhere;
 }
@@ -259,9 +260,8 @@
     store_set_mode (owner, STORE_SILENT);
   down_ms = now_ms ();
   call (owner, "POST", id, body->str, 2000);
-  for (uint32_t i = 0; i < 10 && answer.status != 410
-                       && answer.status / 100 != 2;
-       i++)
+  for (uint32_t i = 0;
+       i < 10 && answer.status != 410 && answer.status / 100 != 2; i++)
     {
       answer = call (other, "DELETE", id, "", 3000);
       if (answer.status != 410 && answer.status / 100 != 2)
@@ -310,7 +310,7 @@
   sleep_ms (1000);
   answer = call (0, "POST", small, body, 3000);
   if (answer.status != 200)
-    answer = call (1, "POST", small, body, 3000);
+    call (1, "POST", small, body, 3000);
   lost = !wait_for_starts (small, 1, 30000);
   call (0, "GET", small, "", 3000);
   call (1, "GET", small, "", 3000);
--- a/review/http.c
+++ b/review/http.c
@@ -76,9 +76,8 @@
 void
 http_reply (http_req_t *req, int status, const void *body, size_t len)
 {
-  g_autofree char *head
-      = g_strdup_printf ("HTTP/1.1 %d X\r\nContent-Length: %zu\r\n\r\n",
-                         status, len);
+  g_autofree char *head = g_strdup_printf (
+      "HTTP/1.1 %d X\r\nContent-Length: %zu\r\n\r\n", status, len);
   g_autoptr (GByteArray) out = g_byte_array_new ();
 
   g_byte_array_append (out, (const guint8 *)head, (guint)strlen (head));
@@ -120,10 +119,9 @@
 {
   for (;;)
     {
-      const char *end
-          = in->len > 0
-                ? g_strstr_len ((const char *)in->data, in->len, "\r\n\r\n")
-                : NULL;
+      const char *end = in->len > 0 ? g_strstr_len ((const char *)in->data,
+                                                    in->len, "\r\n\r\n")
+                                    : NULL;
       char buffer[16384];
       ssize_t count;
 
--- a/review/minions.c
+++ b/review/minions.c
@@ -58,7 +58,7 @@
 static pthread_cond_t ended = PTHREAD_COND_INITIALIZER;
 static minion_t minions[MINIONS_MAX];
 static uint32_t minions_count;
-static GArray *starts; /* start_t */
+static GArray *starts;   /* start_t */
 static GArray *all_ends; /* end_t */
 static char *break_id;
 static int64_t break_ms;
@@ -110,8 +110,8 @@
 static void
 add_end (minion_t *m, const run_t *run, const char *how)
 {
-  end_t end = { .number = ++m->ends_number, .attempt = run->attempt,
-                .how = how };
+  end_t end
+      = { .number = ++m->ends_number, .attempt = run->attempt, .how = how };
   uint32_t *over = g_hash_table_lookup (m->over, run->task);
 
   g_strlcpy (end.task, run->task, sizeof end.task);
@@ -207,9 +207,8 @@
 static void
 reply (const minion_t *m, http_req_t *req, int status, const char *reason)
 {
-  json_t *body
-      = json_pack ("{s:I,s:I}", "clock_ms", (json_int_t)clock_of (m), "born",
-                   (json_int_t)m->born_wall_ms);
+  json_t *body = json_pack ("{s:I,s:I}", "clock_ms", (json_int_t)clock_of (m),
+                            "born", (json_int_t)m->born_wall_ms);
 
   if (reason)
     json_object_set_new (body, "reason", json_string (reason));
@@ -221,8 +220,7 @@
 {
   int64_t until = json_integer_value (json_object_get (body, "deadline_ms"));
 
-  m->lease_ms
-      = MAX (m->lease_ms, MIN (until, clock_of (m) + HOLD_MAX_MS));
+  m->lease_ms = MAX (m->lease_ms, MIN (until, clock_of (m) + HOLD_MAX_MS));
 }
 
 static void
@@ -235,7 +233,8 @@
   const uint32_t *over = g_hash_table_lookup (m->over, task);
   const run_t *present = find_run (m, task);
   run_t run = { .attempt = attempt, .began_ms = now_ms () };
-  start_t start = { .attempt = attempt, .minion = (uint32_t)(m - minions),
+  start_t start = { .attempt = attempt,
+                    .minion = (uint32_t)(m - minions),
                     .at_ms = now_ms () };
   int64_t used = 0;
 
@@ -314,8 +313,7 @@
 
   if (json_object_get (body, "deadline_ms"))
     extend_lease (m, body);
-  while (m->ends->len > 0
-         && g_array_index (m->ends, end_t, 0).number <= seen)
+  while (m->ends->len > 0 && g_array_index (m->ends, end_t, 0).number <= seen)
     g_array_remove_index (m->ends, 0);
   while (m->ends->len == 0 && now_ms () < end_ms && !m->down
          && m->born_wall_ms == born)
@@ -340,9 +338,9 @@
         json_array_append_new (
             running,
             json_pack ("[s,i,s,i,i]", run->task, (int)run->attempt, "",
-                       run->work_ms ? (int)MIN (ran_ms * 100 / run->work_ms,
-                                                100)
-                                    : 100,
+                       run->work_ms
+                           ? (int)MIN (ran_ms * 100 / run->work_ms, 100)
+                           : 100,
                        (int)run->cpu));
     }
   for (guint i = 0; i < MIN (m->ends->len, 500); i++)
@@ -450,7 +448,8 @@
       m->cpu = cpu;
       m->runs = g_array_new (FALSE, TRUE, sizeof (run_t));
       m->ends = g_array_new (FALSE, TRUE, sizeof (end_t));
-      m->over = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+      m->over
+          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
       m->port = http_listen (handle, i);
       boot (m, kind);
     }
@@ -615,9 +614,9 @@
                          json_string_value (json_array_get (workers, i)),
                          text));
         }
-      http_reply_json (req, 200,
-                       json_pack ("{s:o,s:i}", "allowed", allowed, "valid_ms",
-                                  5000));
+      http_reply_json (
+          req, 200,
+          json_pack ("{s:o,s:i}", "allowed", allowed, "valid_ms", 5000));
       pthread_mutex_unlock (&turn);
     }
   __atomic_fetch_sub (&waiting, 1, __ATOMIC_SEQ_CST);
--- a/review/store.c
+++ b/review/store.c
@@ -44,8 +44,8 @@
       at++;
       if (g_str_has_prefix (at, key))
         {
-          g_autofree char *raw
-              = g_strndup (at + strlen (key), strcspn (at + strlen (key), "&"));
+          g_autofree char *raw = g_strndup (at + strlen (key),
+                                            strcspn (at + strlen (key), "&"));
 
           return g_uri_unescape_string (raw, NULL);
         }
@@ -166,9 +166,9 @@
       http_reset (req);
       return;
     }
-  http_reply_json (req, 200,
-                   json_pack ("{s:i,s:i}", "offset", (int)offset, "end",
-                              (int)topic->len));
+  http_reply_json (
+      req, 200,
+      json_pack ("{s:i,s:i}", "offset", (int)offset, "end", (int)topic->len));
 }
 
 static void
@@ -212,8 +212,7 @@
   for (int64_t i = from; i < (int64_t)topic->len; i++)
     {
       gsize len;
-      const void *data
-          = g_bytes_get_data (g_ptr_array_index (topic, i), &len);
+      const void *data = g_bytes_get_data (g_ptr_array_index (topic, i), &len);
       uint32_t frame = GUINT32_TO_BE ((uint32_t)len);
 
       if (i > from && (int64_t)(out->len + len) > max)
@@ -237,8 +236,7 @@
   g_autofree char *name = query (req->path, "topic");
   g_autofree char *after = query (req->path, "after");
   GPtrArray *topic = topic_get (name);
-  GTree *newest = g_tree_new_full (compare_keys, NULL, g_free,
-                                   NULL);
+  GTree *newest = g_tree_new_full (compare_keys, NULL, g_free, NULL);
   json_t *items = json_array ();
   size_t bytes = 0;
   bool truncated = false;
@@ -270,9 +268,9 @@
         }
       value = g_base64_encode (data + 1 + data[0], len - 1 - data[0]);
       bytes += strlen (value);
-      json_array_append_new (items, json_pack ("{s:s,s:s,s:i}", "key", key,
-                                               "value", value, "offset",
-                                               (int)i));
+      json_array_append_new (items,
+                             json_pack ("{s:s,s:s,s:i}", "key", key, "value",
+                                        value, "offset", (int)i));
     }
   g_tree_unref (newest);
   http_reply_json (req, 200,
