calls: send a POST once at most

Cause: libcurl sends a request again by itself when a reused connection ends before the response, and reports the status of the second request only. A 503 to the second start or append was taken for proof that the first one had no effect.

The pre-request callback aborts a POST that was sent before. The call then ends without a status, which starts, appends and orders to hosts already treat as "may have been carried out". GETs may still be repeated.

--- a/entry/calls.c
+++ b/entry/calls.c
@@ -20,14 +20,13 @@
 {
   CURL *easy;
   struct curl_slist *headers;
-  GBytes *body;
+  GBytes *body; /* of a POST; NULL: GET */
   call_result_t result;
   call_done_t done;
   void *ctx;
   int64_t deadline_us;
   GSequenceIter *place; /* in calls->by_deadline */
-  /* Data may have been sent, on this connection or on one that libcurl
-     abandoned before.  */
+  /* Data may have been sent, perhaps on a connection that was lost.  */
   bool request_started;
 };
 
@@ -169,8 +168,11 @@
   return size * count;
 }
 
-/* libcurl defines the signature.
-   NOLINTBEGIN(readability-non-const-parameter) */
+/* Called before each request that libcurl sends for a call.  It sends a
+   request again by itself when a reused connection ends before the reply.  A
+   POST is not repeated: the server may have carried out the first request, and
+   a rejection of the second one would hide that.  libcurl defines the
+   signature. NOLINTBEGIN(readability-non-const-parameter) */
 static int
 on_pre_request (void *cls, char *peer, char *self, int peer_port,
                 int self_port)
@@ -181,6 +183,8 @@
   (void)self;
   (void)peer_port;
   (void)self_port;
+  if (call->request_started && call->body)
+    return CURL_PREREQFUNC_ABORT;
   call->request_started = true;
   return CURL_PREREQFUNC_OK;
 }
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -182,7 +182,8 @@
 void calls_close (calls_t *calls);
 
 /* calls_send - send REQ to ADDRESS and clear it.  DONE is called later, never
-   from calls_send itself.  The call is valid until then.
+   from calls_send itself.  The call is valid until then.  A POST is sent once
+   at most; a GET may be sent again if its connection was lost.
    calls_cancel - end CALL without a result.  It may have had an effect.  */
 call_t *calls_send (calls_t *calls, const char *address, platform_req_t *req,
                     uint32_t timeout_ms, call_done_t done, void *ctx);
--- a/entry/test/calls_test.c
+++ b/entry/test/calls_test.c
@@ -23,6 +23,7 @@
 static calls_t *calls;
 static bool completed;
 static uint32_t status;
+static bool not_sent;
 
 static void
 on_done (void *ctx, const call_result_t *result)
@@ -30,6 +31,7 @@
   (void)ctx;
   completed = true;
   status = result->status;
+  not_sent = result->not_sent;
 }
 
 static void
@@ -50,6 +52,7 @@
   server_fd = -1;
   completed = false;
   status = 0;
+  not_sent = false;
   calls = calls_open (epoll_fd, 1);
 }
 
@@ -83,23 +86,72 @@
   calls_run_due (calls, clock_boot_us (), clock_boot_us ());
 }
 
-/* Sends a request and reads it at the server.  */
 static void
-send_request (void)
+accept_connection (void)
 {
-  platform_req_t req = { .path = g_strdup ("/hold") };
-  char request[REQUEST_BYTES_MAX];
-
-  calls_send (calls, address, &req, TIMEOUT_MS, on_done, NULL);
   while (!wait_readable (listen_fd, 0))
     iterate (1);
   server_fd = accept (listen_fd, NULL, NULL);
   ck_assert_int_ge (server_fd, 0);
+}
+
+static void
+read_request (void)
+{
+  char request[REQUEST_BYTES_MAX];
+
   while (!wait_readable (server_fd, 0))
     iterate (1);
   ck_assert_int_gt (recv (server_fd, request, sizeof request, 0), 0);
 }
 
+/* Sends a request and reads it at the server.  */
+static void
+send_request (void)
+{
+  platform_req_t req = { .path = g_strdup ("/hold") };
+
+  calls_send (calls, address, &req, TIMEOUT_MS, on_done, NULL);
+  accept_connection ();
+  read_request ();
+}
+
+static void
+wait_for_result (void)
+{
+  for (int64_t end_us = clock_boot_us () + WAIT_MAX_US;
+       !completed && clock_boot_us () < end_us;)
+    iterate (1);
+  ck_assert (completed);
+}
+
+static void
+respond (const char *text)
+{
+  ck_assert_int_eq (send (server_fd, text, strlen (text), 0),
+                    (ssize_t)strlen (text));
+}
+
+/* Sends a request on the connection of an earlier one.  The server reads it
+   and resets the connection without a response.  */
+static void
+lose_response (bool post)
+{
+  struct linger reset = { .l_onoff = 1 };
+  platform_req_t req = { .path = g_strdup ("/log-append"), .post = post };
+
+  send_request ();
+  respond (response);
+  wait_for_result ();
+  ck_assert_uint_eq (status, 200);
+  completed = false;
+  calls_send (calls, address, &req, TIMEOUT_MS, on_done, NULL);
+  read_request ();
+  setsockopt (server_fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  close (server_fd);
+  server_fd = -1;
+}
+
 /* Guards against a reply that is taken for lost because this daemon was too
    busy to read it in time.  The leases of sound workers ended for that.  */
 START_TEST (test_reply_that_waited_unread_is_no_timeout)
@@ -108,14 +160,10 @@
 
   send_request ();
   late_us = clock_boot_us () + 2 * TIMEOUT_MS * 1000;
-  ck_assert_int_eq (send (server_fd, response, sizeof response - 1, 0),
-                    sizeof response - 1);
+  respond (response);
   while (clock_boot_us () < late_us)
     wait_readable (listen_fd, 1);
-  for (int64_t end_us = late_us + WAIT_MAX_US;
-       !completed && clock_boot_us () < end_us;)
-    iterate (1);
-  ck_assert (completed);
+  wait_for_result ();
   ck_assert_uint_eq (status, 200);
 }
 END_TEST
@@ -124,10 +172,7 @@
 START_TEST (test_silence_is_a_timeout)
 {
   send_request ();
-  for (int64_t end_us = clock_boot_us () + WAIT_MAX_US;
-       !completed && clock_boot_us () < end_us;)
-    iterate (1);
-  ck_assert (completed);
+  wait_for_result ();
   ck_assert_uint_eq (status, 0);
 }
 END_TEST
@@ -174,8 +219,43 @@
 }
 END_TEST
 
+/* Guards against a POST that libcurl sends a second time after its connection
+   was reset: the rejection of the second request was taken for proof that the
+   first one had no effect (review/1, review/2).  */
+START_TEST (test_post_is_not_repeated_after_a_reset)
+{
+  char byte;
+
+  lose_response (true);
+  wait_for_result ();
+  ck_assert_uint_eq (status, 0);
+  ck_assert (!not_sent);
+  /* libcurl may have opened a connection, but has sent nothing on it.  */
+  if (!wait_readable (listen_fd, TIMEOUT_MS))
+    return;
+  accept_connection ();
+  ck_assert (!wait_readable (server_fd, TIMEOUT_MS)
+             || recv (server_fd, &byte, 1, 0) <= 0);
+}
+END_TEST
+
+/* Guards against a read that fails although it may be repeated: a server may
+   close an idle connection just as it is used again.  */
+START_TEST (test_get_is_repeated_after_a_reset)
+{
+  lose_response (false);
+  accept_connection ();
+  read_request ();
+  respond (response);
+  wait_for_result ();
+  ck_assert_uint_eq (status, 200);
+}
+END_TEST
+
 TEST_PROGRAM_WITH ("entry/calls", set_up, tear_down,
                    test_reply_that_waited_unread_is_no_timeout,
                    test_silence_is_a_timeout,
                    test_reply_that_arrives_slowly_is_no_timeout,
-                   test_cancelled_call_has_no_result)
+                   test_cancelled_call_has_no_result,
+                   test_post_is_not_repeated_after_a_reset,
+                   test_get_is_repeated_after_a_reset)
