send: leave repeated requests to the daemon's retries

If the second one was rejected with X-Not-Run, or its connection was refused, the client was told that the request had not run, although the first one may have.

The pre-request callback aborts the second one, so that the try ends as a lost connection, and an upstream that may have received data is never reported as "nothing sent".

daemon/send, reset_connection_is_not_a_refusal: on the code before the try ended as TRY_REFUSED (2) instead of TRY_CONNECTION_LOST (5); it passes now.

--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -271,6 +271,7 @@
   /* Set by send.  */
   CURL *easy;
   int64_t sent_us;
+  bool try_begun; /* the upstream may have received data of this try */
   reply_t reply;
 
   err_kind_t error;      /* ERR_NONE: forward reply */
--- a/daemon/send.c
+++ b/daemon/send.c
@@ -152,6 +152,28 @@
   req->headers = own;
 }
 
+/* Called before libcurl sends a request.  It sends it again by itself when a
+   reused connection ends before the response.  That is left to the retries of
+   the request: the first upstream may have run it, and a rejection of the
+   second request would be taken for proof that it did not run.  libcurl
+   defines the signature. NOLINTBEGIN(readability-non-const-parameter) */
+static int
+on_pre_request (void *cls, char *peer, char *self, int peer_port,
+                int self_port)
+{
+  req_t *req = cls;
+
+  (void)peer;
+  (void)self;
+  (void)peer_port;
+  (void)self_port;
+  if (req->try_begun)
+    return CURL_PREREQFUNC_ABORT;
+  req->try_begun = true;
+  return CURL_PREREQFUNC_OK;
+}
+/* NOLINTEND(readability-non-const-parameter) */
+
 void
 send_start (loop_t *loop, req_t *req, int64_t now_us)
 {
@@ -163,6 +185,7 @@
   req->easy = easy;
   req->stage = REQ_SENT;
   req->sent_us = now_us;
+  req->try_begun = false;
   reply_clear (&req->reply);
   set_headers (req, left_ms);
   req->tried[req->tries++] = req->upstream;
@@ -176,9 +199,11 @@
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)left_ms);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
                     (long)MIN (left_ms, CONNECT_TIMEOUT_MS));
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_pre_request);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, req);
   set_method (easy, req);
-  /* libcurl resends a request by itself when a reused connection turns out to
-     be dead, which could run a non-idempotent request twice.  */
+  /* A reused connection may turn out to be closed; a request that is not
+     idempotent could then not be sent again.  */
   curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, req->idempotent ? 0L : 1L);
   counter_add (COUNT_SENT, 1);
   curl_multi_add_handle (loop->multi, easy);
@@ -193,14 +218,11 @@
 
 /* Whether the transfer ended before a byte of the request was sent.  */
 static bool
-nothing_sent (CURL *easy, CURLcode code)
+nothing_sent (const req_t *req, CURLcode code)
 {
-  long sent = 0;
-
-  if (code == CURLE_COULDNT_CONNECT)
-    return true;
-  curl_easy_getinfo (easy, CURLINFO_REQUEST_SIZE, &sent);
-  return code == CURLE_OPERATION_TIMEDOUT && sent == 0;
+  return !req->try_begun
+         && (code == CURLE_COULDNT_CONNECT
+             || code == CURLE_OPERATION_TIMEDOUT);
 }
 
 static try_result_t
@@ -239,7 +261,7 @@
   req->reply.status = (uint32_t)status;
   if (code == CURLE_OK)
     return check_reply (req);
-  if (nothing_sent (req->easy, code))
+  if (nothing_sent (req, code))
     result = TRY_CONNECT_FAILED;
   else if (code == CURLE_OPERATION_TIMEDOUT)
     result = TRY_TIMED_OUT;
--- a/daemon/test/send_test.c
+++ b/daemon/test/send_test.c
@@ -4,12 +4,16 @@
 #include "../../test/run_suite.h"
 #include "loop.h"
 #include <arpa/inet.h>
+#include <poll.h>
 #include <string.h>
 #include <unistd.h>
 
 #define OK "HTTP/1.1 200 OK\r\n"
 #define ID "X-Request-Id: r1\r\n"
 #define TWO "Content-Length: 2\r\n\r\nok"
+#define REQUEST_BYTES_MAX 4096
+/* How long a stub waits for a repeated request.  */
+#define REPEAT_WAIT_MS 300
 #define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
 
 typedef struct send_case
@@ -57,22 +61,28 @@
 {
   int listen_fd;
   const char *response;
-  char request[4096];
+  char request[REQUEST_BYTES_MAX];
 } upstream_stub_t;
 
+static void
+read_request (int fd, char request[REQUEST_BYTES_MAX])
+{
+  size_t len = 0;
+  ssize_t got;
+
+  memset (request, 0, REQUEST_BYTES_MAX);
+  while (!strstr (request, "\r\n\r\n")
+         && (got = read (fd, request + len, REQUEST_BYTES_MAX - 1 - len)) > 0)
+    len += (size_t)got;
+}
+
 static void *
 serve_once (void *arg)
 {
   upstream_stub_t *stub = arg;
   int fd = accept (stub->listen_fd, NULL, NULL);
-  size_t len = 0;
-  ssize_t got;
 
-  while (
-      !strstr (stub->request, "\r\n\r\n")
-      && (got = read (fd, stub->request + len, sizeof stub->request - 1 - len))
-             > 0)
-    len += (size_t)got;
+  read_request (fd, stub->request);
   if (write (fd, stub->response, strlen (stub->response)) < 0)
     perror ("write");
   close (fd);
@@ -157,7 +167,6 @@
 
       req->skip_id_match = cases[i].skip_id_match;
       stub.response = cases[i].response;
-      memset (stub.request, 0, sizeof stub.request);
       pthread_create (&thread, NULL, serve_once, &stub);
       result = send_and_wait (&loop, req);
       pthread_join (thread, NULL);
@@ -194,11 +203,82 @@
 }
 END_TEST
 
+typedef struct reset_stub
+{
+  int listen_fd;
+  bool repeated;
+  char request[REQUEST_BYTES_MAX];
+} reset_stub_t;
+
+static void
+write_text (int fd, const char *text)
+{
+  if (write (fd, text, strlen (text)) < 0)
+    perror ("write");
+}
+
+/* Answers one request, and resets the connection after the next one.  Rejects
+   a request that comes on a further connection.  */
+static void *
+serve_and_reset (void *arg)
+{
+  reset_stub_t *stub = arg;
+  struct linger reset = { .l_onoff = 1 };
+  struct pollfd waits = { .fd = stub->listen_fd, .events = POLLIN };
+  int fd = accept (stub->listen_fd, NULL, NULL);
+
+  read_request (fd, stub->request);
+  write_text (fd, OK ID TWO);
+  read_request (fd, stub->request);
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  close (fd);
+  if (poll (&waits, 1, REPEAT_WAIT_MS) <= 0)
+    return NULL;
+  fd = accept (stub->listen_fd, NULL, NULL);
+  waits.fd = fd;
+  if (poll (&waits, 1, REPEAT_WAIT_MS) > 0)
+    {
+      read_request (fd, stub->request);
+      stub->repeated = stub->request[0] != '\0';
+      write_text (fd, "HTTP/1.1 503 x\r\nX-Not-Run: 1\r\n" ID TWO);
+    }
+  close (fd);
+  return NULL;
+}
+
+/* Guards against a request that libcurl repeats after its connection was
+   reset, and that is reported as "not run" as the repeat was rejected.  */
+START_TEST (reset_connection_is_not_a_refusal)
+{
+  reset_stub_t stub = { 0 };
+  uint16_t port;
+  loop_t loop;
+  pthread_t thread;
+  req_t *first;
+  req_t *second;
+
+  stub.listen_fd = listen_on (&port);
+  open_loop (&loop);
+  first = new_request (port);
+  second = new_request (port);
+  pthread_create (&thread, NULL, serve_and_reset, &stub);
+  ck_assert_int_eq (send_and_wait (&loop, first), TRY_ANSWERED);
+  ck_assert_int_eq (send_and_wait (&loop, second), TRY_CONNECTION_LOST);
+  pthread_join (thread, NULL);
+  ck_assert (!stub.repeated);
+  parse_free (first);
+  parse_free (second);
+  transfer_close (&loop);
+  close (stub.listen_fd);
+}
+END_TEST
+
 int
 main (void)
 {
   const TTest *const tests[] = { responses_are_checked_by_id_length_and_status,
-                                 refused_connection_is_not_run, NULL };
+                                 refused_connection_is_not_run,
+                                 reset_connection_is_not_a_refusal, NULL };
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
   return run_suite ("send", tests);
