hub: a partly stored batch is unknown, not refused

Cause: the owner answered "not stored" for a batch of another daemon's records when one of them was not stored and none unknown, even if others were in the log (a batch over 1 MiB takes several appends). That daemon then answered 503 for jobs that run.

The outcomes of a batch's records are joined by outcome_add: if they differ, the batch is unknown, and the daemon answers 504 or appends again.

entry/outcome, test_partly_stored_batch_is_unknown: with the rule as it was the result was 2 (not stored) instead of 3 (unknown); it passes now.

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -1,7 +1,7 @@
 /* entry - the daemon of an entry host on the platform
 
    NAME
-     settings, readmodel, calls, core, front, entry
+     settings, readmodel, outcome, calls, core, front, entry
 
    DESCRIPTION
      A request passes these stages:
@@ -146,6 +146,11 @@
   APPEND_UNKNOWN     /* the record may be in the log */
 } append_outcome_t;
 
+/* outcome_add - the outcome of a batch after that of one more RECORD; a batch
+   without records is APPEND_PENDING.  If its records differ, it is
+   APPEND_UNKNOWN: some of them are in the log.  */
+append_outcome_t outcome_add (append_outcome_t batch, append_outcome_t record);
+
 typedef struct append_req
 {
   pipe_node_t node;
--- a/entry/hub.c
+++ b/entry/hub.c
@@ -20,9 +20,8 @@
   uint64_t peer;
   uint64_t serial;
   uint32_t pending; /* records without an outcome */
-  bool failed;      /* some record is not stored ... */
-  bool unknown;     /* ... or may be stored */
-  bool given_up;    /* the peer appends them itself */
+  append_outcome_t outcome;
+  bool given_up; /* the peer appends them itself */
 } forward_t;
 
 /* One record of a batch.  */
@@ -253,8 +252,8 @@
   const hub_peer_t *peer = find_peer (forward->core, forward->peer);
   linkmsg_t msg = { .kind = LINKMSG_STORED, .serial = forward->serial };
 
-  msg.u.stored.stored = !forward->failed;
-  msg.u.stored.unknown = forward->unknown;
+  msg.u.stored.stored = forward->outcome == APPEND_STORED;
+  msg.u.stored.unknown = forward->outcome == APPEND_UNKNOWN;
   if (peer && !forward->given_up)
     send_msg (peer->link, &msg);
   g_hash_table_remove (forward->core->forwards, forward);
@@ -282,10 +281,9 @@
 {
   forward_record_t *record = (forward_record_t *)append;
   forward_t *forward = record->forward;
-  append_outcome_t outcome = (append_outcome_t)atomic_load (&append->outcome);
 
-  forward->failed |= outcome != APPEND_STORED;
-  forward->unknown |= outcome == APPEND_UNKNOWN;
+  forward->outcome = outcome_add (
+      forward->outcome, (append_outcome_t)atomic_load (&append->outcome));
   g_free (record);
   if (--forward->pending == 0)
     finish_forward (forward);
@@ -303,7 +301,11 @@
                           .pending = msg->u.append->len };
   g_hash_table_add (core->forwards, forward);
   if (msg->u.append->len == 0)
-    finish_forward (forward);
+    {
+      forward->outcome = APPEND_STORED;
+      finish_forward (forward);
+      return;
+    }
   for (uint32_t i = 0; i < msg->u.append->len; i++)
     {
       forward_record_t *record = g_new0 (forward_record_t, 1);
