advice: the timeout of a request covers those ahead of it

Callers saw accepted jobs that never started (review/3): with 2 s for a request, one of eight jobs that came within a second was started.

Cause: the service processes one request at a time, and goes on with one that its caller has given up. Each request had only its own time and 1.5 s, so the second one in flight timed out, and every later one behind it.

The scheduler sets the timeout from the time that the service needs for all requests so far. It doubles when a request times out, for a service that is slower than stated, and one request is then in flight at a time.

--- a/base/event.c
+++ b/base/event.c
@@ -77,6 +77,7 @@
   { EV_WORKER_UNREACHABLE, LEVEL_WARN, "worker-unreachable" },
   { EV_WORKER_RESTARTED, LEVEL_INFO, "worker-restarted" },
   { EV_HOST_ANSWERED, LEVEL_INFO, "host-answered" },
+  { EV_ADVICE_TIMED_OUT, LEVEL_WARN, "advice-timed-out" },
 };
 
 static const char *const level_names[] = { "debug", "info", "warn", "error" };
--- a/entry/advicecalls.c
+++ b/entry/advicecalls.c
@@ -1,9 +1,5 @@
 #include "core.h"
 
-/* Added to the configured decision time, because the service processes one
-   request of a daemon at a time.  */
-#define REPLY_SLACK_MS 1500
-
 typedef struct advice_call
 {
   core_t *core;
@@ -31,19 +27,6 @@
   g_free (call);
 }
 
-static uint32_t
-timeout_ms (const core_t *core, const advice_request_t *request)
-{
-  const job_entry_t *entry = jobtab_find (core->tab, request->id);
-  const rules_queue_t *queue
-      = entry ? rules_queue (core->rules, entry->desc->queue) : NULL;
-
-  if (!queue)
-    return REPLY_SLACK_MS;
-  return REPLY_SLACK_MS + queue->advice.decide_ms
-         + queue->advice.period_ms * request->workers->len;
-}
-
 void
 advice_calls_send (core_t *core, GArray *requests)
 {
@@ -56,7 +39,7 @@
       call->request = g_array_index (requests, advice_request_t, i);
       req = platform_advice_req (&call->request);
       calls_send (core->calls, core->settings->advice, &req,
-                  timeout_ms (core, &call->request), on_advice, call);
+                  call->request.timeout_ms, on_advice, call);
     }
   g_array_set_size (requests, 0);
 }
--- a/jobs/advice.c
+++ b/jobs/advice.c
@@ -8,6 +8,10 @@
 /* Requests in flight: one that the service works on and one queued behind
    it.  */
 #define REQUESTS_PENDING_MAX 2
+/* Added to the time that the service needs.  */
+#define REPLY_SLACK_MS 1500
+/* Limit on the doublings of the timeout.  */
+#define BACKOFF_MAX 6
 /* Delay after a request without an answer.  */
 #define REQUEST_RETRY_US 200000
 /* A ticket is not used for this time before it expires, as the start takes
@@ -116,6 +120,34 @@
              && !advice_ticket (stage, worker, now_us));
 }
 
+/* Sets the times of REQUEST, which is sent now.  */
+static void
+set_timeout (sched_t *sched, const rules_advice_t *policy,
+             advice_request_t *request, int64_t now_us)
+{
+  int64_t service_ms
+      = policy->decide_ms + (int64_t)policy->period_ms * request->workers->len;
+  int64_t wait_ms
+      = MAX (sched->advice_free_us - now_us, 0) / 1000 + service_ms;
+
+  request->service_ms = (uint32_t)MIN (service_ms, G_MAXINT32);
+  request->sent_us = now_us;
+  request->backoff = sched->advice_backoff;
+  request->timeout_ms = (uint32_t)MIN (
+      wait_ms * (INT64_C (1) << request->backoff) + REPLY_SLACK_MS,
+      G_MAXINT32);
+  sched->advice_free_us = now_us + wait_ms * 1000;
+  sched->advice_pending++;
+  sched->advice_pending_ms += request->service_ms;
+}
+
+/* A service that is slower than stated gets one request at a time.  */
+static uint32_t
+requests_pending_max (const sched_t *sched)
+{
+  return sched->advice_backoff > 0 ? 1 : REQUESTS_PENDING_MAX;
+}
+
 void
 advice_request_workers (sched_t *sched, stage_t *stage, sched_now_t now)
 {
@@ -127,7 +159,7 @@
                                .token = sched->epoch };
 
   if (advice->pending || advice->retry_us > now.us
-      || sched->advice_pending >= REQUESTS_PENDING_MAX)
+      || sched->advice_pending >= requests_pending_max (sched))
     return;
   candidates = g_ptr_array_new ();
   for (uint32_t i = 0; i < pool->workers->len; i++)
@@ -147,7 +179,7 @@
         request.workers,
         (gpointer)((worker_t *)g_ptr_array_index (candidates, i))->interned);
   advice->pending = true;
-  sched->advice_pending++;
+  set_timeout (sched, &stage->job->queue->advice, &request, now.us);
   g_array_append_val (sched->advice_requests, request);
 }
 
@@ -177,8 +209,12 @@
 {
   stage_t *stage = find_stage (sched, request);
 
-  if (sched->advice_pending > 0)
-    sched->advice_pending--;
+  /* Requests of an earlier scheduler of this epoch are not counted.  */
+  if (request->sent_us >= sched->started_us)
+    {
+      sched->advice_pending--;
+      sched->advice_pending_ms -= request->service_ms;
+    }
   sched->place_needed = true;
   sched_wake_at (sched, now.us);
   if (!stage || !stage->advice)
@@ -187,6 +223,18 @@
   return stage;
 }
 
+/* Adapts the timeout to an answer.  The service has processed all requests
+   that were sent before REQUEST.  */
+static void
+note_answer (sched_t *sched, const advice_request_t *request, int64_t now_us)
+{
+  int64_t took_ms = (now_us - request->sent_us) / 1000;
+
+  sched->advice_free_us = now_us + sched->advice_pending_ms * 1000;
+  if (sched->advice_backoff > 0 && took_ms * 2 < request->timeout_ms)
+    sched->advice_backoff--;
+}
+
 void
 advice_answer (sched_t *sched, const advice_request_t *request,
                const allowed_worker_t *allowed, uint32_t count,
@@ -195,6 +243,7 @@
   stage_t *stage = finish_request (sched, request, now);
   uint32_t valid_ms;
 
+  note_answer (sched, request, now.us);
   if (!stage || !advice_is_needed (stage))
     return;
   valid_ms = stage->job->queue->advice.valid_ms;
@@ -220,7 +269,20 @@
                sched_now_t now)
 {
   stage_t *stage = finish_request (sched, request, now);
+  bool timed_out
+      = now.us - request->sent_us >= (int64_t)request->timeout_ms * 1000;
 
+  if (timed_out)
+    {
+      if (request->backoff == sched->advice_backoff)
+        sched->advice_backoff = MIN (sched->advice_backoff + 1, BACKOFF_MAX);
+      event_log (EV_ADVICE_TIMED_OUT,
+                 "id=%s occurrence=%u step=%u service_ms=%u timeout_ms=%u "
+                 "pending=%u backoff=%u",
+                 request->id, request->occurrence, request->step,
+                 request->service_ms, request->timeout_ms,
+                 sched->advice_pending, sched->advice_backoff);
+    }
   if (stage)
     stage->advice->retry_us = now.us + REQUEST_RETRY_US;
 }
--- a/jobs/advice.h
+++ b/jobs/advice.h
@@ -12,7 +12,9 @@
      expire after a time and when the worker restarts.
 
      The service processes one request of a daemon at a time, so only a few
-     are in flight, for the stages that start next.  */
+     are in flight, for the stages that start next.  It goes on with a request
+     that timed out here, and later ones wait behind it, so the timeout of a
+     request covers those ahead of it, and doubles when a request times out. */
 
 #ifndef CUMINPIN_ADVICE_H
 #define CUMINPIN_ADVICE_H
@@ -26,7 +28,11 @@
   uint32_t occurrence;
   uint32_t step;
   uint64_t token;
-  GPtrArray *workers; /* interned ids */
+  GPtrArray *workers;  /* interned ids */
+  uint32_t service_ms; /* that the service needs for it */
+  uint32_t timeout_ms; /* from its time of sending */
+  int64_t sent_us;
+  uint32_t backoff; /* doublings of its timeout */
 } advice_request_t;
 
 /* A worker that the policy allows, with its ticket.  */
@@ -41,7 +47,8 @@
 GArray *advice_requests (sched_t *sched);
 
 /* advice_answer - process the answer to REQUEST, which allows COUNT workers.
-   advice_failed - REQUEST got no answer; it is sent again later.  */
+   advice_failed - REQUEST got no answer or timed out; another one is sent
+   later.  */
 void advice_answer (sched_t *sched, const advice_request_t *request,
                     const allowed_worker_t *allowed, uint32_t count,
                     sched_now_t now);
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -273,12 +273,15 @@
   GHashTable *workers_by_host; /* interned name -> array of worker_t */
   GPtrArray *waves;            /* wave_t */
   GArray *advice_requests;     /* advice_request_t to send */
-  uint32_t advice_pending;
-  GArray *host_orders;     /* to be sent */
-  GArray *fleet_updates;   /* to be recorded */
-  int64_t hosts_read_us;   /* last list of hosts; 0: none yet */
-  bool first_hosts_list;   /* the list is the first one */
-  pool_t *last_burst_pool; /* whose burst began last */
+  uint32_t advice_pending;     /* requests in flight */
+  int64_t advice_pending_ms;   /* that the service needs for them */
+  int64_t advice_free_us;      /* when it has processed all requests so far */
+  uint32_t advice_backoff;     /* doublings of the timeout */
+  GArray *host_orders;         /* to be sent */
+  GArray *fleet_updates;       /* to be recorded */
+  int64_t hosts_read_us;       /* last list of hosts; 0: none yet */
+  bool first_hosts_list;       /* the list is the first one */
+  pool_t *last_burst_pool;     /* whose burst began last */
   uint32_t moves_started;
   bool hosts_in_transit; /* some hosts are down, moving or in maintenance */
   bool hosts_stale;      /* an order was accepted since the last list */
--- a/jobs/test/advice_test.c
+++ b/jobs/test/advice_test.c
@@ -132,8 +132,140 @@
 }
 END_TEST
 
+#define SERVICE_WORKERS 30
+#define SERVICE_STEP_MS 25
+
+/* A request at a service that processes one at a time, in turn.  */
+typedef struct service_call
+{
+  advice_request_t request;
+  int64_t done_us;
+} service_call_t;
+
+static void
+set_policy (uint32_t decide_ms, uint32_t period_ms)
+{
+  g_array_index (rig.rules->queues, rules_queue_t, 0).advice
+      = (rules_advice_t){ decide_ms, period_ms, .valid_ms = 2000 };
+}
+
+/* Passes the requests to the service, which needs SLOWDOWN times as long as
+   the policy states, and is busy until *FREE_US.  */
+static void
+take_requests (GArray *calls, uint32_t slowdown, int64_t *free_us)
+{
+  GArray *requests = advice_requests (rig.sched);
+
+  for (uint32_t i = 0; i < requests->len; i++)
+    {
+      service_call_t call
+          = { .request = g_array_index (requests, advice_request_t, i) };
+
+      *free_us = MAX (*free_us, rig.now.us)
+                 + (int64_t)call.request.service_ms * slowdown * 1000;
+      call.done_us = *free_us;
+      g_array_append_val (calls, call);
+    }
+  g_array_set_size (requests, 0);
+}
+
+/* Answers the calls that are done, and ends those whose time is over.  */
+static void
+end_calls (GArray *calls)
+{
+  for (uint32_t i = calls->len; i-- > 0;)
+    {
+      service_call_t call = g_array_index (calls, service_call_t, i);
+      int64_t waited_us = rig.now.us - call.request.sent_us;
+
+      if (call.done_us <= rig.now.us)
+        answer_request (&call.request,
+                        g_ptr_array_index (call.request.workers, 0));
+      else if (waited_us >= (int64_t)call.request.timeout_ms * 1000)
+        {
+          advice_failed (rig.sched, &call.request, rig.now);
+          g_ptr_array_free (call.request.workers, TRUE);
+        }
+      else
+        continue;
+      g_array_remove_index_fast (calls, i);
+    }
+}
+
+static void
+report_workers (void)
+{
+  for (uint32_t i = 0; i < SERVICE_WORKERS; i++)
+    {
+      char id[16];
+
+      g_snprintf (id, sizeof id, "w%u", i);
+      rig_report (id, NULL, 0, NULL, 0);
+    }
+}
+
+/* The number of jobs of COUNT, submitted each 125 ms, of which a task has
+   started after DURATION_MS.  */
+static uint32_t
+play_service (uint32_t count, uint32_t slowdown, int64_t duration_ms)
+{
+  g_autoptr (GArray) calls
+      = g_array_new (FALSE, TRUE, sizeof (service_call_t));
+  job_step_t step = rig_step (1);
+  int64_t free_us = 0;
+  uint32_t submitted = 0;
+  uint32_t started = 0;
+
+  for (uint32_t i = 0; i < SERVICE_WORKERS; i++)
+    {
+      char id[16];
+
+      g_snprintf (id, sizeof id, "w%u", i);
+      rig_worker (id, 8, false);
+    }
+  for (int64_t ms = 0; ms < duration_ms; ms += SERVICE_STEP_MS)
+    {
+      g_autoptr (GArray) orders = NULL;
+
+      if (submitted < count && ms >= (int64_t)submitted * 125)
+        rig_submit (submitted++, &step, 1);
+      rig_advance_clock (SERVICE_STEP_MS);
+      if (ms % 500 == 0)
+        report_workers ();
+      end_calls (calls);
+      orders = rig_plan (false);
+      started += rig_count_orders (orders, ORDER_START);
+      take_requests (calls, slowdown, &free_us);
+    }
+  for (uint32_t i = 0; i < calls->len; i++)
+    g_ptr_array_free (g_array_index (calls, service_call_t, i).request.workers,
+                      TRUE);
+  return started;
+}
+
+/* Guards against jobs that never start because each request times out behind
+   one that timed out before it and that the service still works on
+   (review/3).  */
+START_TEST (test_burst_at_a_slow_policy_is_answered)
+{
+  set_policy (500, 50); /* 2 s for 30 workers */
+  ck_assert_uint_eq (play_service (8, 1, 8 * 2000 + 1000), 8);
+}
+END_TEST
+
+/* Guards against the same at a service that needs longer than stated: the
+   timeouts adapt to it.  */
+START_TEST (test_service_slower_than_stated_is_waited_for)
+{
+  set_policy (500, 50);
+  ck_assert_uint_eq (play_service (8, 4, 180000), 8);
+}
+END_TEST
+
 TEST_PROGRAM_WITH ("jobs/advice", set_up, rig_tear_down,
                    test_step_starts_only_where_it_is_allowed,
                    test_request_is_repeated_and_goes_on_to_other_workers,
                    test_expired_ticket_is_requested_again,
-                   test_burst_sends_few_requests_at_a_time)
+                   test_burst_sends_few_requests_at_a_time,
+                   test_burst_at_a_slow_policy_is_answered,
+                   test_service_slower_than_stated_is_waited_for)
