jobs: a job keeps the settings of a removed queue

The settings that apply to accepted jobs are a type, queue_settings_t, that the record of a job holds and the scheduler replaces by newer ones. The limits of a workspace are kept in the same way. Records without the field are still read.

--- a/entry/front.c
+++ b/entry/front.c
@@ -220,7 +220,7 @@
     return refuse (req, RESPONSE_BAD_REQUEST, id, error->message);
   desc->workspace = workspace;
   desc->queue = queue->name;
-  desc->service = queue->service;
+  desc->settings = queue->settings;
   desc->accepted_ms = clock_wall_ms ();
   rec.u.submit = desc;
   record = job_rec_pack (&rec);
--- a/jobs/advice.c
+++ b/jobs/advice.c
@@ -55,9 +55,7 @@
 bool
 advice_is_needed (const stage_t *stage)
 {
-  const rules_queue_t *queue = stage->job->queue;
-
-  return queue && queue->advice.valid_ms > 0;
+  return stage->job->settings.advice.valid_ms > 0;
 }
 
 const char *
@@ -179,7 +177,7 @@
         request.workers,
         (gpointer)((worker_t *)g_ptr_array_index (candidates, i))->interned);
   advice->pending = true;
-  set_timeout (sched, &stage->job->queue->advice, &request, now.us);
+  set_timeout (sched, &stage->job->settings.advice, &request, now.us);
   g_array_append_val (sched->advice_requests, request);
 }
 
@@ -246,7 +244,7 @@
   note_answer (sched, request, now.us);
   if (!stage || !advice_is_needed (stage))
     return;
-  valid_ms = stage->job->queue->advice.valid_ms;
+  valid_ms = stage->job->settings.advice.valid_ms;
   for (uint32_t i = 0; i < request->workers->len; i++)
     g_hash_table_add (stage->advice->answered,
                       g_ptr_array_index (request->workers, i));
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -14,8 +14,7 @@
 #ifndef CUMINPIN_JOB_H
 #define CUMINPIN_JOB_H
 
-#include "base.h"
-#include "capacity_index.h"
+#include "rules.h"
 
 #define JOB_ID_LEN 16
 #define JOB_ID_BYTES (JOB_ID_LEN + 1)
@@ -50,9 +49,9 @@
 typedef struct job_desc
 {
   char id[JOB_ID_BYTES];
-  const char *workspace; /* interned; "": a public queue */
-  const char *queue;     /* interned */
-  const char *service;   /* interned; the queue's service at acceptance */
+  const char *workspace;     /* interned; "": a public queue */
+  const char *queue;         /* interned */
+  queue_settings_t settings; /* of the queue at acceptance */
   char *payload;
   job_step_t *steps;
   uint32_t steps_count;
--- a/jobs/jobtab.c
+++ b/jobs/jobtab.c
@@ -52,7 +52,7 @@
   memcpy (small->id, desc->id, sizeof small->id);
   small->workspace = desc->workspace;
   small->queue = desc->queue;
-  small->service = desc->service;
+  small->settings = desc->settings;
   small->accepted_ms = desc->accepted_ms;
   small->payload = g_strdup ("");
   /* The key of the hash table is the id inside the description.  */
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -65,8 +65,8 @@
 int64_t
 job_objective_us (const sched_job_t *job)
 {
-  return job->chain_ms * job->queue->stretch_milli
-         + (int64_t)job->queue->latency_ms * 1000;
+  return job->chain_ms * job->settings.stretch_milli
+         + (int64_t)job->settings.latency_ms * 1000;
 }
 
 static rank_t
@@ -78,8 +78,6 @@
 
   if (stage->spec->long_running)
     return RANK_LONG_RUNNING;
-  if (!job->queue)
-    return RANK_LATE;
   allowed_us = job_objective_us (job);
   if (ends_us > job->accepted_us + allowed_us * LATE_FACTOR_MAX)
     return RANK_EXPIRED;
@@ -143,9 +141,8 @@
 slack_ms (const stage_t *stage, int64_t now_us)
 {
   const sched_job_t *job = stage->job;
-  int64_t allowed_us = job->queue ? job_objective_us (job) : 0;
 
-  return (double)(job->accepted_us + allowed_us - now_us) / 1000
+  return (double)(job->accepted_us + job_objective_us (job) - now_us) / 1000
          - (double)job->chain_from_ms[stage->step];
 }
 
@@ -305,15 +302,12 @@
 bool
 quota_allows (const sched_job_t *job, const amounts_t *need)
 {
-  const rules_workspace_t *rule = job->workspace->rule;
+  const amounts_t *cap = &job->workspace->rule.cap;
   const amounts_t *used = &job->workspace->allocated;
 
-  return !rule
-         || (cap_allows_one (rule->cap.cpu_milli, used->cpu_milli,
-                             need->cpu_milli)
-             && cap_allows_one (rule->cap.mem_mib, used->mem_mib,
-                                need->mem_mib)
-             && cap_allows_one (rule->cap.accels, used->accels, need->accels));
+  return cap_allows_one (cap->cpu_milli, used->cpu_milli, need->cpu_milli)
+         && cap_allows_one (cap->mem_mib, used->mem_mib, need->mem_mib)
+         && cap_allows_one (cap->accels, used->accels, need->accels);
 }
 
 /* Adds RUN to the progress record.  Its start is sent only once the record is
@@ -441,7 +435,6 @@
   for (uint32_t i = pool->stages->len; i-- > 0;)
     {
       stage_t *stage = g_ptr_array_index (pool->stages, i);
-      const rules_queue_t *queue = stage->job->queue;
       candidate_t candidate = { .stage = stage };
 
       if (stage->unstarted == 0)
@@ -451,7 +444,7 @@
           continue;
         }
       candidate.rank = rank_of (stage, now_us);
-      candidate.priority = queue ? queue->priority : UINT32_MAX;
+      candidate.priority = stage->job->settings.priority;
       candidate.cost
           = slack_ms (stage, now_us)
             + WORK_WEIGHT * remaining_work (stage->job, stage) / pool_cpu;
--- a/jobs/record.c
+++ b/jobs/record.c
@@ -5,7 +5,8 @@
 #define RECORD_BYTES_MAX (256 * 1024)
 
 #define STEP_FIELDS 13
-#define DESC_FIELDS 9
+#define DESC_FIELDS 10
+#define SETTINGS_FIELDS 7
 #define FLAGS_MAX 63
 
 typedef enum step_flag
@@ -78,6 +79,20 @@
   msgpack_pack_uint32 (pk, step_flags (step));
 }
 
+/* Packs SETTINGS without the service, which has a field of its own.  */
+static void
+pack_settings (msgpack_packer *pk, const queue_settings_t *settings)
+{
+  msgpack_pack_array (pk, SETTINGS_FIELDS);
+  msgpack_pack_uint32 (pk, settings->priority);
+  msgpack_pack_uint32 (pk, settings->max_attempts);
+  msgpack_pack_uint32 (pk, settings->stretch_milli);
+  msgpack_pack_uint32 (pk, settings->latency_ms);
+  msgpack_pack_uint32 (pk, settings->advice.decide_ms);
+  msgpack_pack_uint32 (pk, settings->advice.period_ms);
+  msgpack_pack_uint32 (pk, settings->advice.valid_ms);
+}
+
 void
 desc_pack (msgpack_packer *pk, const job_desc_t *desc)
 {
@@ -85,7 +100,7 @@
   pack_name (pk, desc->id);
   pack_name (pk, desc->workspace);
   pack_name (pk, desc->queue);
-  pack_name (pk, desc->service);
+  pack_name (pk, desc->settings.service);
   pack_bin (pk, desc->payload, strlen (desc->payload));
   msgpack_pack_array (pk, desc->steps_count);
   for (uint32_t i = 0; i < desc->steps_count; i++)
@@ -95,6 +110,7 @@
   msgpack_pack_int64 (pk, desc->start_ms);
   msgpack_pack_int64 (pk, desc->interval_ms);
   msgpack_pack_int64 (pk, desc->accepted_ms);
+  pack_settings (pk, &desc->settings);
 }
 
 static void
@@ -299,6 +315,22 @@
     f->bad = read_step (&items[i], &desc->steps[i]);
 }
 
+static void
+read_settings (fields_t *f, queue_settings_t *settings)
+{
+  fields_t row = fields_open (fields_next (f, "settings"), "settings");
+  uint32_t *const numbers[SETTINGS_FIELDS]
+      = { &settings->priority,         &settings->max_attempts,
+          &settings->stretch_milli,    &settings->latency_ms,
+          &settings->advice.decide_ms, &settings->advice.period_ms,
+          &settings->advice.valid_ms };
+
+  for (uint32_t i = 0; i < SETTINGS_FIELDS; i++)
+    *numbers[i] = (uint32_t)fields_u64 (&row, "settings", UINT32_MAX);
+  if (!f->bad)
+    f->bad = row.bad;
+}
+
 job_desc_t *
 desc_read (fields_t *outer)
 {
@@ -315,7 +347,7 @@
   id_read (&f, desc->id);
   desc->workspace = interned_text (&f, "workspace");
   desc->queue = interned_text (&f, "queue");
-  desc->service = interned_text (&f, "service");
+  desc->settings.service = interned_text (&f, "service");
   payload = fields_bin (&f, "payload", &len);
   desc->payload = g_strndup (payload ? (const char *)payload : "", len);
   read_steps (&f, desc);
@@ -330,6 +362,8 @@
   else if (!f.bad)
     f.bad = "times";
   desc->accepted_ms = fields_i64 (&f, "accepted");
+  if (f.left > 0) /* absent in records of earlier versions */
+    read_settings (&f, &desc->settings);
   if (f.bad)
     outer->bad = f.bad;
   return desc;
--- a/jobs/rules.h
+++ b/jobs/rules.h
@@ -22,19 +22,26 @@
   uint32_t valid_ms;  /* lifetime of a ticket */
 } rules_advice_t;
 
+/* Settings of a queue that apply to the jobs that it has accepted.  They hold
+   for these jobs until the queue has others, also when it is removed.  */
+typedef struct queue_settings
+{
+  const char *service; /* whose workers run its tasks */
+  uint32_t priority;   /* 0 is the highest */
+  uint32_t max_attempts;
+  uint32_t stretch_milli; /* objective: critical path times this ... */
+  uint32_t latency_ms;    /* ... plus this */
+  rules_advice_t advice;
+} queue_settings_t;
+
 typedef struct rules_queue
 {
   const char *name;
   const char *host;        /* of the requests for this queue */
   const char *path_prefix; /* the longest matching prefix wins */
-  const char *service;     /* whose workers run its tasks */
-  uint32_t priority;       /* 0 is the highest */
-  uint32_t max_attempts;
-  uint32_t stretch_milli; /* objective: critical path times this ... */
-  uint32_t latency_ms;    /* ... plus this */
   uint32_t timeout_ms;
   bool is_public; /* needs no key */
-  rules_advice_t advice;
+  queue_settings_t settings;
 } rules_queue_t;
 
 typedef struct rules_service
--- a/jobs/sched.c
+++ b/jobs/sched.c
@@ -26,6 +26,16 @@
   return pool;
 }
 
+/* Keeps the limits of a WORKSPACE that the rules lack.  */
+static void
+update_workspace (workspace_t *workspace, const rules_t *rules)
+{
+  const rules_workspace_t *rule = rules_workspace (rules, workspace->name);
+
+  if (rule)
+    workspace->rule = *rule;
+}
+
 workspace_t *
 sched_workspace (sched_t *sched, const char *name)
 {
@@ -35,7 +45,7 @@
     return workspace;
   workspace = g_new0 (workspace_t, 1);
   workspace->name = name;
-  workspace->rule = rules_workspace (sched->rules, name);
+  update_workspace (workspace, sched->rules);
   g_hash_table_insert (sched->workspaces, (gpointer)name, workspace);
   return workspace;
 }
@@ -175,14 +185,10 @@
     }
   g_hash_table_iter_init (&iter, sched->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    job_resolve_queue (sched, value);
+    job_update_settings (sched, value);
   g_hash_table_iter_init (&iter, sched->workspaces);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      workspace_t *workspace = value;
-
-      workspace->rule = rules_workspace (rules, workspace->name);
-    }
+    update_workspace (value, rules);
   for (uint32_t i = 0; i < all->len; i++)
     {
       stage_t *stage = g_ptr_array_index (all, i);
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -120,8 +120,8 @@
 struct sched_job
 {
   job_desc_t *desc;
-  const rules_queue_t *queue; /* NULL: removed from the rules */
-  pool_t *pool;               /* of its queue, kept if the queue is removed */
+  queue_settings_t settings; /* as last read; at first those of its record */
+  pool_t *pool;              /* of its service */
   workspace_t *workspace;
   occurrence_t *occurrences;
   uint32_t next_occurrence; /* first one that is not due yet */
@@ -244,7 +244,7 @@
 struct workspace
 {
   const char *name;
-  const rules_workspace_t *rule; /* NULL: none */
+  rules_workspace_t rule; /* as last read; all zero: none was read */
   amounts_t allocated;
   double allowance;     /* jobs that it may submit, as of ... */
   int64_t allowance_ms; /* ... this time, since 1970 */
@@ -315,8 +315,10 @@
 /* stage_enqueue - add STAGE to its pool's stages if a task of it may
    start.  */
 void stage_enqueue (sched_t *sched, stage_t *stage);
-/* job_resolve_queue - set JOB's queue and pool from the rules.  */
-void job_resolve_queue (sched_t *sched, sched_job_t *job);
+/* job_update_settings - set JOB's settings and pool from the rules.  They stay
+   as they are if the rules lack its queue: it was removed, or its owner has
+   not read it yet.  */
+void job_update_settings (sched_t *sched, sched_job_t *job);
 task_t *sched_task (const sched_t *sched, const task_ref_t *ref);
 task_ref_t task_ref (const task_t *task);
 void job_mark_running (sched_t *sched, sched_job_t *job);
@@ -516,8 +518,7 @@
 
 /* place.c: order of starts and choice of workers */
 void place_pools (sched_t *sched, sched_now_t now);
-/* job_objective_us - time within which JOB earns its full value.  Its queue
-   must exist.  */
+/* job_objective_us - time within which JOB earns its full value.  */
 int64_t job_objective_us (const sched_job_t *job);
 /* stage_is_expired - whether STAGE's job is too late to earn anything.  */
 bool stage_is_expired (const stage_t *stage, int64_t now_us);
--- a/jobs/stages.c
+++ b/jobs/stages.c
@@ -38,13 +38,13 @@
 }
 
 void
-job_resolve_queue (sched_t *sched, sched_job_t *job)
+job_update_settings (sched_t *sched, sched_job_t *job)
 {
-  const job_desc_t *desc = job->desc;
+  const rules_queue_t *queue = rules_queue (sched->rules, job->desc->queue);
 
-  job->queue = rules_queue (sched->rules, desc->queue);
-  job->pool
-      = sched_pool (sched, job->queue ? job->queue->service : desc->service);
+  if (queue)
+    job->settings = queue->settings;
+  job->pool = sched_pool (sched, job->settings.service);
 }
 
 task_ref_t
@@ -107,8 +107,7 @@
 log_job_final (const sched_job_t *job, job_state_t state, sched_now_t now)
 {
   int64_t took_us = now.us - job->accepted_us;
-  int64_t objective_ms
-      = job->queue ? job_objective_us (job) / 1000 : job->chain_ms;
+  int64_t objective_ms = job_objective_us (job) / 1000;
 
   event_log (
       EV_JOB_FINAL,
@@ -242,13 +241,6 @@
     }
 }
 
-static uint32_t
-job_max_attempts (const sched_job_t *job)
-{
-  return job->queue && job->queue->max_attempts > 0 ? job->queue->max_attempts
-                                                    : 1;
-}
-
 void
 task_record_end (sched_t *sched, task_t *task, uint32_t attempt, bool done,
                  sched_now_t now)
@@ -275,7 +267,7 @@
   if (stage->spec->gang)
     failures_add (&stage->gang_failures, attempt);
   if ((stage->spec->gang ? stage->gang_failures.count : task->failures.count)
-      < job_max_attempts (job))
+      < MAX (job->settings.max_attempts, 1))
     return;
   add_change (sched, job, JOB_STATE_FAILED);
   log_job_final (job, JOB_STATE_FAILED, now);
@@ -394,7 +386,7 @@
 static bool
 charge_share (workspace_t *workspace, const job_desc_t *desc)
 {
-  double weight = workspace->rule ? workspace->rule->weight : 0;
+  double weight = workspace->rule.weight;
   int64_t passed_ms = desc->accepted_ms - workspace->allowance_ms;
 
   if (weight <= 0 || desc->repeats > 0)
@@ -427,7 +419,8 @@
   job = g_new0 (sched_job_t, 1);
   job->desc = job_desc_ref (entry->desc);
   job->workspace = sched_workspace (sched, job->desc->workspace);
-  job_resolve_queue (sched, job);
+  job->settings = job->desc->settings;
+  job_update_settings (sched, job);
   job->occurrences = g_new0 (occurrence_t, count);
   job->unfinished = count;
   job->begun = entry->state != JOB_STATE_QUEUED;
--- a/jobs/test/advice_test.c
+++ b/jobs/test/advice_test.c
@@ -6,7 +6,7 @@
 set_up (void)
 {
   rig_set_up ();
-  g_array_index (rig.rules->queues, rules_queue_t, 0).advice
+  g_array_index (rig.rules->queues, rules_queue_t, 0).settings.advice
       = (rules_advice_t){ .decide_ms = 50, .period_ms = 2, .valid_ms = 2000 };
 }
 
@@ -145,7 +145,7 @@
 static void
 set_policy (uint32_t decide_ms, uint32_t period_ms)
 {
-  g_array_index (rig.rules->queues, rules_queue_t, 0).advice
+  g_array_index (rig.rules->queues, rules_queue_t, 0).settings.advice
       = (rules_advice_t){ decide_ms, period_ms, .valid_ms = 2000 };
 }
 
--- a/jobs/test/record_test.c
+++ b/jobs/test/record_test.c
@@ -12,7 +12,12 @@
   memcpy (desc->id, "00000000000000ab", JOB_ID_BYTES);
   desc->workspace = g_intern_string ("acme");
   desc->queue = g_intern_string ("quotes");
-  desc->service = g_intern_string ("fitting");
+  desc->settings = (queue_settings_t){ .service = g_intern_string ("fitting"),
+                                       .priority = 1,
+                                       .max_attempts = 2,
+                                       .stretch_milli = 1600,
+                                       .latency_ms = 600,
+                                       .advice = { 50, 2, 2000 } };
   desc->payload = g_strdup ("text\nwith lines");
   desc->steps = g_new0 (job_step_t, 2);
   desc->steps_count = 2;
@@ -75,7 +80,14 @@
   ck_assert_str_eq (a->id, b->id);
   ck_assert_ptr_eq (a->workspace, b->workspace);
   ck_assert_ptr_eq (a->queue, b->queue);
-  ck_assert_ptr_eq (a->service, b->service);
+  ck_assert_ptr_eq (a->settings.service, b->settings.service);
+  ck_assert_uint_eq (b->settings.priority, 1);
+  ck_assert_uint_eq (b->settings.max_attempts, 2);
+  ck_assert_uint_eq (b->settings.stretch_milli, 1600);
+  ck_assert_uint_eq (b->settings.latency_ms, 600);
+  ck_assert_uint_eq (b->settings.advice.decide_ms, 50);
+  ck_assert_uint_eq (b->settings.advice.period_ms, 2);
+  ck_assert_uint_eq (b->settings.advice.valid_ms, 2000);
   ck_assert_str_eq (a->payload, b->payload);
   ck_assert_uint_eq (b->steps_count, 2);
   ck_assert_uint_eq (b->steps[0].count, 4);
--- a/jobs/test/rig.c
+++ b/jobs/test/rig.c
@@ -2,6 +2,10 @@
 
 rig_t rig;
 
+/* Settings of the rig's queue, without the service.  */
+static const queue_settings_t queue_settings
+    = { .max_attempts = 3, .stretch_milli = 1600, .latency_ms = 600 };
+
 const char *
 rig_id (uint32_t number)
 {
@@ -22,10 +26,7 @@
   rules_queue_t queue = { .name = g_intern_string (RIG_QUEUE),
                           .host = "h",
                           .path_prefix = "/q/",
-                          .service = g_intern_string (RIG_SERVICE),
-                          .max_attempts = 3,
-                          .stretch_milli = 1600,
-                          .latency_ms = 600 };
+                          .settings = queue_settings };
   rules_workspace_t space
       = { .name = g_intern_string (RIG_WORKSPACE), .weight = 10 };
 
@@ -36,6 +37,7 @@
   if (!rig.rules)
     {
       rig.rules = rules_new (1);
+      queue.settings.service = g_intern_string (RIG_SERVICE);
       g_array_append_val (rig.rules->queues, queue);
       g_array_append_val (rig.rules->workspaces, space);
     }
@@ -81,7 +83,9 @@
   desc->workspace
       = g_intern_string (rig.workspace ? rig.workspace : RIG_WORKSPACE);
   desc->queue = g_intern_string (rig.service ? rig.service : RIG_QUEUE);
-  desc->service = g_intern_string (rig.service ? rig.service : RIG_SERVICE);
+  desc->settings = queue_settings;
+  desc->settings.service
+      = g_intern_string (rig.service ? rig.service : RIG_SERVICE);
   desc->payload = g_strdup ("payload");
   desc->steps = g_memdup2 (steps, steps_count * sizeof *steps);
   desc->steps_count = steps_count;
--- a/jobs/test/rules_test.c
+++ b/jobs/test/rules_test.c
@@ -9,7 +9,7 @@
   rules_queue_t queue = { .name = g_intern_string (name),
                           .host = host,
                           .path_prefix = prefix,
-                          .service = g_intern_string ("s") };
+                          .settings = { .service = g_intern_string ("s") } };
 
   g_array_append_val (rules->queues, queue);
 }
--- a/jobs/test/sched_test.c
+++ b/jobs/test/sched_test.c
@@ -35,7 +35,7 @@
   rules_queue_t queue = g_array_index (rig.rules->queues, rules_queue_t, 0);
   g_autoptr (GArray) orders = NULL;
 
-  queue.service = g_intern_string ("elsewhere");
+  queue.settings.service = g_intern_string ("elsewhere");
   g_array_append_val (rules->queues, queue);
   rig_submit (1, &step, 1);
   sched_set_rules (rig.sched, rules);
--- a/jobs/test/stages_test.c
+++ b/jobs/test/stages_test.c
@@ -76,6 +76,105 @@
 }
 END_TEST
 
+/* Removes the queue from the rules, or restores it.  The caller frees the
+   returned rules after the last change.  */
+static rules_t *
+publish_rules (bool with_queue)
+{
+  rules_t *old = rig.rules;
+
+  rig.rules = rules_new (old->version + 1);
+  if (with_queue)
+    g_array_append_vals (rig.rules->queues, old->queues->data,
+                         old->queues->len);
+  g_array_append_vals (rig.rules->workspaces, old->workspaces->data,
+                       old->workspaces->len);
+  if (rig.sched)
+    sched_set_rules (rig.sched, rig.rules);
+  return old;
+}
+
+/* Fails the task of job 1 COUNT times.  */
+static void
+fail_task (uint32_t count)
+{
+  static uint64_t number;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      order_t start = rig_start_one ();
+      run_end_t end = rig_end (&start, ++number, RUN_FAILED);
+
+      rig_confirm_start (&start);
+      rig_report ("w1", NULL, 0, &end, 1);
+      rig_advance_clock (4000);
+      rig_report ("w1", NULL, 0, NULL, 0);
+    }
+  rig_commit ();
+}
+
+/* Guards against a job that fails after its first failed run because its queue
+   was removed from the rules (review/4): the number of attempts that the queue
+   allowed still holds, and no other.  */
+START_TEST (test_removed_queue_keeps_its_attempts)
+{
+  job_step_t step = rig_step (1);
+  rules_t *full;
+
+  rig_submit (1, &step, 1);
+  full = publish_rules (false);
+  fail_task (2);
+  ck_assert_int_eq (rig_job_state (1), JOB_STATE_RUNNING);
+  fail_task (1);
+  ck_assert_int_eq (rig_job_state (1), JOB_STATE_FAILED);
+  rules_free (full);
+}
+END_TEST
+
+/* Guards against the same after a change of the owner, which reads the job
+   from its record.  */
+START_TEST (test_removed_queue_keeps_its_attempts_with_another_owner)
+{
+  job_step_t step = rig_step (1);
+  rules_t *full;
+
+  rig_submit (1, &step, 1);
+  sched_free (rig.sched);
+  rig.sched = NULL;
+  full = publish_rules (false);
+  rig_open_sched (2);
+  rig_worker ("w1", 32, false);
+  fail_task (2);
+  ck_assert_int_eq (rig_job_state (1), JOB_STATE_RUNNING);
+  fail_task (1);
+  ck_assert_int_eq (rig_job_state (1), JOB_STATE_FAILED);
+  rules_free (full);
+}
+END_TEST
+
+/* Guards against tasks that exceed the cap of their workspace because the
+   workspace was removed from the rules.  */
+START_TEST (test_removed_workspace_keeps_its_cap)
+{
+  job_step_t step = rig_step (4);
+  rules_t *full;
+  g_autoptr (GArray) starts = NULL;
+
+  sched_free (rig.sched);
+  g_array_index (rig.rules->workspaces, rules_workspace_t, 0).cap.cpu_milli
+      = 2000;
+  rig_open_sched (2);
+  rig_worker ("w1", 32, false);
+  rig_submit (1, &step, 1);
+  full = publish_rules (true);
+  g_array_set_size (rig.rules->workspaces, 0);
+  sched_set_rules (rig.sched, rig.rules);
+  starts = rig_plan (false);
+  ck_assert_uint_eq (rig_count_orders (starts, ORDER_START), 2);
+  rules_free (full);
+}
+END_TEST
+
 /* Guards against a long-running task that is not started again after it ends,
    whether done or failed.  */
 START_TEST (test_long_running_tasks_start_again)
@@ -181,6 +280,9 @@
 
 TEST_PROGRAM_WITH ("jobs/stages", set_up, rig_tear_down,
                    test_steps_run_in_order, test_failed_attempts_are_bounded,
+                   test_removed_queue_keeps_its_attempts,
+                   test_removed_queue_keeps_its_attempts_with_another_owner,
+                   test_removed_workspace_keeps_its_cap,
                    test_long_running_tasks_start_again,
                    test_cancelled_job_stops,
                    test_occurrences_wait_for_their_times,
