workers: a restart under the same id ends only the runs of the former boot

Cause, found by reading: the state of a worker that restarts under its id was reset when its registration or a report named another boot, and all its runs were closed. Starts that the new boot had carried out before that was read ran on while their tasks were started elsewhere. For the same reason a hold could make the new boot forget ends that it had not listed, a start could get the longest lease by a deadline on the former clock, and a refusal at a former address ended the runs of the present boot.

A registration of another boot or a clock that is behind is a doubt: no starts, no leases, a hold at once that forgets no ends. The first report of the boot closes the runs that were active before it was requested and that it doesn't list.

--- a/base/base.h
+++ b/base/base.h
@@ -167,7 +167,8 @@
   EV_WORKER_UNREACHABLE = 1713,
   EV_WORKER_RESTARTED = 1714,
   EV_HOST_ANSWERED = 1715,
-  EV_ADVICE_TIMED_OUT = 1716
+  EV_ADVICE_TIMED_OUT = 1716,
+  EV_WORKER_DOUBTED = 1717
 } event_id_t;
 
 /* Number, level and name of an event.  */
--- a/base/event.c
+++ b/base/event.c
@@ -78,6 +78,7 @@
   { EV_WORKER_RESTARTED, LEVEL_INFO, "worker-restarted" },
   { EV_HOST_ANSWERED, LEVEL_INFO, "host-answered" },
   { EV_ADVICE_TIMED_OUT, LEVEL_WARN, "advice-timed-out" },
+  { EV_WORKER_DOUBTED, LEVEL_INFO, "worker-doubted" },
 };
 
 static const char *const level_names[] = { "debug", "info", "warn", "error" };
--- a/entry/orders.c
+++ b/entry/orders.c
@@ -106,8 +106,7 @@
     return;
   still_owner
       = order->kind == ORDER_HOLD
-            ? sched_hold_reply (core->sched, order->worker, reply, report,
-                                core_now ())
+            ? sched_hold_reply (core->sched, order, reply, report, core_now ())
             : sched_order_reply (core->sched, order, reply, core_now ());
   if (!still_owner)
     core_lose_ownership (core, order->worker);
--- a/jobs/holds.c
+++ b/jobs/holds.c
@@ -96,10 +96,23 @@
   return (uint32_t)CLAMP ((due_us - now_us + 999) / 1000, 0, HOLD_WAIT_MS);
 }
 
+/* The last end that WORKER may forget.  None while it may have restarted
+   unnoticed: the numbers of its ends would begin anew, and it would forget
+   ends that it hasn't listed.  */
+static uint64_t
+last_end_to_forget (const worker_t *worker)
+{
+  bool may_have_restarted
+      = worker->doubted_us != 0 || worker->holds_failed > 0;
+
+  return may_have_restarted ? 0 : worker->ends_durable;
+}
+
 static void
 add_hold_order (sched_t *sched, worker_t *worker, sched_now_t now)
 {
-  order_t order = { .kind = ORDER_HOLD, .ends_durable = worker->ends_durable };
+  order_t order
+      = { .kind = ORDER_HOLD, .ends_durable = last_end_to_forget (worker) };
 
   if (worker_is_answering (worker))
     order.deadline_ms = worker_deadline_ms (sched, worker, now.us);
@@ -109,7 +122,7 @@
       && worker->ends_durable == worker->ends_seen)
     order.wait_ms = hold_wait_ms (sched, worker, now.us);
   worker->hold_pending = true;
-  worker->ends_sent = worker->ends_durable;
+  worker->ends_sent = order.ends_durable;
   worker->first_hold = is_first_hold (worker);
   sched->first_holds += worker->first_hold;
   if (worker->asked_us == 0)
--- a/jobs/replies.c
+++ b/jobs/replies.c
@@ -227,20 +227,62 @@
   close_unlisted (sched, worker, report, sent_us, now);
 }
 
+/* Closes the runs of WORKER that ended with its former boot: those that were
+   active before REPORT, the first one of the present boot, was requested at
+   SENT_US, and that it doesn't list.  Others may run on the present boot, and
+   one that is being stopped is in neither list for the duration of the stop.
+   Starts that were not sent yet are placed anew, as the worker may be of
+   another kind.  */
+static void
+close_former_runs (sched_t *sched, worker_t *worker,
+                   const worker_report_t *report, int64_t sent_us,
+                   sched_now_t now)
+{
+  for (uint32_t i = worker->runs->len; i-- > 0;)
+    {
+      run_t *run = g_ptr_array_index (worker->runs, i);
+
+      if (run->phase == RUN_PLANNED
+          || (run->phase == RUN_ACTIVE && run->active_us < sent_us
+              && !is_listed (run, report)))
+        run_close (sched, run, "other-boot", now);
+    }
+  /* Those that are left were started with a deadline on the former clock.  */
+  if (worker->runs->len > 0)
+    worker->lease_end_ms
+        = MAX (worker->lease_end_ms,
+               worker->clock_ms + (int64_t)sched->limits.hold_max_ms);
+}
+
+/* Whether REPLY to ORDER comes from another worker at an address that WORKER
+   had before it restarted.  */
+static bool
+is_from_former_address (const worker_t *worker, const order_t *order,
+                        const worker_reply_t *reply)
+{
+  return reply->kind == REPLY_OTHER_BOOT && order->address != worker->address;
+}
+
 bool
-sched_hold_reply (sched_t *sched, const char *id, const worker_reply_t *reply,
-                  const worker_report_t *report, sched_now_t now)
+sched_hold_reply (sched_t *sched, const order_t *order,
+                  const worker_reply_t *reply, const worker_report_t *report,
+                  sched_now_t now)
 {
-  worker_t *worker = g_hash_table_lookup (sched->workers, id);
+  worker_t *worker = g_hash_table_lookup (sched->workers, order->worker);
+  boot_match_t match;
 
   if (!worker)
     return reply->kind != REPLY_FENCED;
   worker_wake_at (sched, worker, now.us);
   holds_clear_pending (sched, worker);
+  if (is_from_former_address (worker, order, reply))
+    return true;
   if (reply->kind != REPLY_OK || !report)
     return holds_process_failure (sched, worker, reply->kind, now);
-  if (!worker_set_boot (sched, worker, report->boot_ms, "report", now))
+  match = worker_match_boot (worker, report->boot_ms);
+  if (match == BOOT_FORMER)
     return true;
+  worker_confirm_boot (worker, match, report->boot_ms, reply->sent_us, now);
   update_clock (worker, reply, now);
   holds_process_answer (sched, worker, now.us);
   /* The leases of an earlier owner are unknown, but not longer than
@@ -251,6 +293,8 @@
   worker->has_reported = true;
   worker->report_sent_us = MAX (worker->report_sent_us, reply->sent_us);
   process_report (sched, worker, report, reply->sent_us, now);
+  if (match == BOOT_NEXT)
+    close_former_runs (sched, worker, report, reply->sent_us, now);
   stall_check (sched, worker, now);
   pace_update (worker, now);
   holds_schedule_next (sched, worker, now.us);
@@ -390,11 +434,16 @@
   worker_wake_at (sched, worker, now.us);
   if (reply->kind == REPLY_OTHER_BOOT)
     {
+      if (is_from_former_address (worker, order, reply))
+        return true;
       worker_reset (sched, worker, "order-refused", now);
       worker->unreachable = true;
       return true;
     }
-  update_clock (worker, reply, now);
+  if (worker_clock_is_behind (worker, reply))
+    worker_doubt_boot (sched, worker, "clock", now);
+  if (worker->doubted_us == 0)
+    update_clock (worker, reply, now);
   task = sched_task (sched, &order->task);
   run = task ? run_find (worker, task, order->attempt) : NULL;
   if (run)
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -31,6 +31,16 @@
    It covers two consecutive holds and the timeouts of their answers.  */
 #define WORKER_SILENCE_MAX_US 1200000
 
+/* Which of a worker's boots a message is from.  */
+typedef enum boot_match
+{
+  BOOT_PRESENT,
+  BOOT_FIRST,  /* none was known */
+  BOOT_FORMER, /* registrations are read later than reports arrive, and reports
+                  on different connections overtake each other */
+  BOOT_NEXT
+} boot_match_t;
+
 typedef struct sched_job sched_job_t;
 typedef struct stage stage_t;
 typedef struct task task_t;
@@ -156,6 +166,7 @@
   amounts_t allocated;
   int64_t boot_ms;        /* 0: unknown */
   int64_t former_boot_ms; /* before that; 0: none known */
+  int64_t doubted_us;     /* it seems to have restarted since; 0: no doubt */
   worker_state_t state;
   bool listed;
   bool has_reported; /* has answered a hold in this epoch */
@@ -374,12 +385,24 @@
 /* worker_reset - the runs of WORKER are over, as SOURCE shows.  */
 void worker_reset (sched_t *sched, worker_t *worker, const char *source,
                    sched_now_t now);
-/* worker_set_boot - SOURCE says that WORKER was booted at BOOT_MS; 0: it does
-   not say.  False if that is its former boot: registrations are read later
-   than reports arrive, and reports on different connections overtake each
-   other. Boots aren't compared by time, as clocks are stepped.  */
-bool worker_set_boot (sched_t *sched, worker_t *worker, int64_t boot_ms,
-                      const char *source, sched_now_t now);
+/* worker_match_boot - which boot of WORKER began at BOOT_MS; 0: its present
+   one.  Boots aren't compared by time, as clocks are stepped.  */
+boot_match_t worker_match_boot (const worker_t *worker, int64_t boot_ms);
+/* worker_confirm_boot - a report that was requested at SENT_US shows the boot
+   BOOT_MS, which is MATCH.  The runs of a former boot stay: the caller closes
+   them when it has processed the report.  */
+void worker_confirm_boot (worker_t *worker, boot_match_t match,
+                          int64_t boot_ms, int64_t sent_us, sched_now_t now);
+/* worker_doubt_boot - WORKER seems to have restarted under its id, as SOURCE
+   shows.  It gets no starts and no leases until a report shows its boot: its
+   clock and the numbers of its ends begin anew.  Starts that were sent
+   meanwhile may have been carried out by either boot, so no run is closed.  */
+void worker_doubt_boot (sched_t *sched, worker_t *worker, const char *source,
+                        sched_now_t now);
+/* worker_clock_is_behind - whether the clock in REPLY is that of a later boot:
+   it shows less than WORKER's clock had to show when REPLY was requested.  */
+bool worker_clock_is_behind (const worker_t *worker,
+                             const worker_reply_t *reply);
 int64_t worker_lease_end_us (const sched_t *sched, const worker_t *worker);
 int64_t worker_clock_at (const worker_t *worker, int64_t now_us);
 bool worker_accepts_tasks (const worker_t *worker, int64_t now_us);
--- a/jobs/scheduler.h
+++ b/jobs/scheduler.h
@@ -51,6 +51,7 @@
 typedef struct sched_limits
 {
   uint32_t lease_ms;      /* lease for the runs on a worker */
+  uint32_t hold_max_ms;   /* longest lease that workers accept */
   uint32_t stop_grace_ms; /* upper bound for stopping a run */
   uint32_t notice_ms; /* a long-running task that hasn't run for this long is
                          unavailable */
@@ -202,7 +203,7 @@
 
 /* Replies to orders.  REPORT is NULL unless the reply is REPLY_OK. False when
    the worker knows a later owner; the caller then gives up ownership.  */
-bool sched_hold_reply (sched_t *sched, const char *worker,
+bool sched_hold_reply (sched_t *sched, const order_t *order,
                        const worker_reply_t *reply,
                        const worker_report_t *report, sched_now_t now);
 bool sched_order_reply (sched_t *sched, const order_t *order,
--- a/jobs/test/rig.c
+++ b/jobs/test/rig.c
@@ -20,6 +20,7 @@
 rig_open_sched (uint64_t epoch)
 {
   sched_limits_t limits = { .lease_ms = SCHED_LEASE_MS,
+                            .hold_max_ms = 6000,
                             .stop_grace_ms = 200,
                             .notice_ms = 4500,
                             .host_lease_ms = 3000 };
@@ -120,7 +121,11 @@
 rig_hold_reply (const char *id, const worker_reply_t *reply,
                 const worker_report_t *report)
 {
-  sched_hold_reply (rig.sched, id, reply, report, rig.now);
+  order_t hold = { .kind = ORDER_HOLD,
+                   .worker = g_intern_string (id),
+                   .address = g_intern_string ("10.0.0.1:80") };
+
+  sched_hold_reply (rig.sched, &hold, reply, report, rig.now);
 }
 
 void
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -1,5 +1,9 @@
 #include "schedint.h"
 
+/* A clock that is further behind its earlier time than this is that of another
+   boot.  */
+#define CLOCK_BEHIND_MIN_MS 1000
+
 void
 worker_free (gpointer data)
 {
@@ -51,8 +55,9 @@
 worker_accepts_tasks (const worker_t *worker, int64_t now_us)
 {
   return worker->listed && worker->has_reported && worker->has_clock
-         && worker->state == WORKER_READY && !worker->cordoned
-         && worker_is_answering (worker) && worker->suspect_until_us <= now_us
+         && worker->doubted_us == 0 && worker->state == WORKER_READY
+         && !worker->cordoned && worker_is_answering (worker)
+         && worker->suspect_until_us <= now_us
          && !worker_is_silent (worker, now_us);
 }
 
@@ -71,7 +76,7 @@
                           (int64_t)sched->limits.lease_ms * 1000);
   int64_t deadline_ms;
 
-  if (!worker->has_clock || lease_us <= 0)
+  if (!worker->has_clock || worker->doubted_us != 0 || lease_us <= 0)
     return 0;
   deadline_ms = worker_clock_at (worker, now_us) + lease_us / 1000;
   worker->lease_end_ms = MAX (worker->lease_end_ms, deadline_ms);
@@ -101,16 +106,14 @@
     }
 }
 
-/* Resets WORKER after a restart: none of its earlier runs exist any more.  */
-void
-worker_reset (sched_t *sched, worker_t *worker, const char *source,
-              sched_now_t now)
+static void
+reset_state (worker_t *worker, const char *source, sched_now_t now)
 {
   event_log (EV_WORKER_RESTARTED,
              "worker=%s source=%s boot=%" PRId64 " runs=%u silent_ms=%" PRId64,
              worker->id, source, worker->boot_ms, worker->runs->len,
              worker_silent_ms (worker, now.us));
-  close_all_runs (sched, worker, "other-boot", now);
+  worker->doubted_us = 0;
   worker->ends_seen = worker->ends_durable = worker->ends_batch = 0;
   worker->ends_sent = worker->ends_forgotten = 0;
   worker->has_clock = false;
@@ -123,19 +126,79 @@
   worker->hold_due_us = now.us;
 }
 
-bool
-worker_set_boot (sched_t *sched, worker_t *worker, int64_t boot_ms,
-                 const char *source, sched_now_t now)
+void
+worker_reset (sched_t *sched, worker_t *worker, const char *source,
+              sched_now_t now)
+{
+  close_all_runs (sched, worker, "other-boot", now);
+  reset_state (worker, source, now);
+}
+
+boot_match_t
+worker_match_boot (const worker_t *worker, int64_t boot_ms)
 {
   if (boot_ms == 0 || boot_ms == worker->boot_ms)
-    return true;
+    return BOOT_PRESENT;
   if (boot_ms == worker->former_boot_ms)
-    return false;
-  if (worker->boot_ms != 0)
-    worker_reset (sched, worker, source, now);
+    return BOOT_FORMER;
+  return worker->boot_ms == 0 ? BOOT_FIRST : BOOT_NEXT;
+}
+
+static void
+set_boot (worker_t *worker, int64_t boot_ms)
+{
   worker->former_boot_ms = worker->boot_ms;
   worker->boot_ms = boot_ms;
-  return true;
+}
+
+void
+worker_confirm_boot (worker_t *worker, boot_match_t match, int64_t boot_ms,
+                     int64_t sent_us, sched_now_t now)
+{
+  switch (match)
+    {
+    case BOOT_FORMER:
+      return;
+    case BOOT_PRESENT:
+      /* A report that was requested before may be of the former boot.  */
+      if (sent_us >= worker->doubted_us)
+        worker->doubted_us = 0;
+      return;
+    case BOOT_FIRST:
+      worker->doubted_us = 0;
+      set_boot (worker, boot_ms);
+      return;
+    case BOOT_NEXT:
+      reset_state (worker, "report", now);
+      set_boot (worker, boot_ms);
+      return;
+    }
+}
+
+bool
+worker_clock_is_behind (const worker_t *worker, const worker_reply_t *reply)
+{
+  int64_t passed_ms = (reply->sent_us - worker->clock_read_us) / 1000;
+  int64_t tolerance_ms
+      = CLOCK_BEHIND_MIN_MS + ABS (passed_ms) * CLOCK_DRIFT_MAX_PERCENT / 100;
+
+  return worker->has_clock && reply->has_clock
+         && reply->clock_ms < worker->clock_ms + passed_ms - tolerance_ms;
+}
+
+void
+worker_doubt_boot (sched_t *sched, worker_t *worker, const char *source,
+                   sched_now_t now)
+{
+  if (worker->doubted_us != 0)
+    return;
+  event_log (EV_WORKER_DOUBTED, "worker=%s source=%s boot=%" PRId64 " runs=%u",
+             worker->id, source, worker->boot_ms, worker->runs->len);
+  worker->doubted_us = now.us;
+  /* A hold to the former boot may stay unanswered until its timeout.  */
+  holds_clear_pending (sched, worker);
+  worker->hold_due_us = now.us;
+  worker_wake_at (sched, worker, now.us);
 }
 
 static void
@@ -211,8 +274,21 @@
 
   if (!worker)
     worker = worker_add (sched, info->id, pool, now);
-  if (!worker_set_boot (sched, worker, info->boot_ms, "registration", now))
-    return;
+  switch (worker_match_boot (worker, info->boot_ms))
+    {
+    case BOOT_FORMER:
+      return;
+    case BOOT_FIRST:
+      set_boot (worker, info->boot_ms);
+      break;
+    case BOOT_NEXT:
+      /* Runs may have been started on this boot already; only its report tells
+         them from those that ended with the former one.  */
+      worker_doubt_boot (sched, worker, "registration", now);
+      break;
+    case BOOT_PRESENT:
+      break;
+    }
   if (pool != worker->pool)
     {
       g_ptr_array_remove_fast (worker->pool->workers, worker);
@@ -425,7 +501,8 @@
 static bool
 start_is_due (sched_t *sched, run_t *run)
 {
-  if (run->phase == RUN_ORDERED && run->worker->state != WORKER_DRAINING)
+  if (run->phase == RUN_ORDERED && run->worker->state != WORKER_DRAINING
+      && run->worker->doubted_us == 0)
     return true;
   if (run->phase == RUN_ORDERED || run->phase == RUN_STOPPING)
     {
