--- a/jobs/test/workers_test.c
+++ b/jobs/test/workers_test.c
@@ -324,9 +324,10 @@
 END_TEST
 
 static void
-register_boot_at (const char *address, int64_t boot_ms, worker_state_t state)
+register_info (const char *address, const char *kind, int64_t boot_ms,
+               worker_state_t state)
 {
-  static const char *const labels[] = { NULL };
+  const char *const labels[] = { kind, NULL };
   worker_info_t info = { .id = "w1",
                          .service = RIG_SERVICE,
                          .address = address,
@@ -342,7 +343,7 @@
 static void
 register_boot (int64_t boot_ms, worker_state_t state)
 {
-  register_boot_at ("10.0.0.1:80", boot_ms, state);
+  register_info ("10.0.0.1:80", "a", boot_ms, state);
 }
 
 /* The clock of a worker that was booted at BOOT_MS.  */
@@ -621,13 +622,37 @@
   order_t stale = start;
 
   rig_confirm_start (&start);
-  register_boot_at ("10.0.0.2:80", 2000, WORKER_READY);
+  register_info ("10.0.0.2:80", "a", 2000, WORKER_READY);
   report_boot (2000, &row);
   rig_reply (&stale, REPLY_OTHER_BOOT);
   ck_assert_uint_eq (count_starts (), 0);
 }
 END_TEST
 
+/* Guards against tasks that wait for a worker that has the label they require
+   since it restarted, or start on one that had it before (review/5).  */
+START_TEST (test_each_boot_has_its_own_labels)
+{
+  job_step_t for_b = rig_step (1);
+  job_step_t for_a = rig_step (1);
+  order_t start;
+
+  for_a.label = g_strdup ("a");
+  for_b.label = g_strdup ("b");
+  rig_open_sched (1);
+  register_boot (1000, WORKER_READY);
+  report_boot (1000, NULL);
+  rig_submit (1, &for_b, 1);
+  ck_assert_uint_eq (count_starts (), 0);
+  register_info ("10.0.0.1:80", "b", 2000, WORKER_READY);
+  rig_advance_clock (20);
+  report_boot (2000, NULL);
+  rig_submit (2, &for_a, 1);
+  start = rig_start_one ();
+  ck_assert_str_eq (start.task.id, rig_id (1));
+}
+END_TEST
+
 TEST_PROGRAM_WITH ("jobs/workers", rig_reset, rig_tear_down,
                    test_recorded_start_waits_for_its_worker,
                    test_recorded_start_that_is_not_listed_is_repeated,
@@ -651,4 +676,5 @@
                    test_report_of_the_next_boot_returns_tasks,
                    test_clock_that_is_behind_shows_a_restart,
                    test_hold_after_a_lost_one_forgets_no_ends,
-                   test_refusal_at_a_former_address_closes_no_run)
+                   test_refusal_at_a_former_address_closes_no_run,
+                   test_each_boot_has_its_own_labels)
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -266,6 +266,18 @@
     }
 }
 
+/* Each boot may have other labels.  */
+static void
+set_labels (sched_t *sched, worker_t *worker, const char *const *labels)
+{
+  if (worker->labels
+      && g_strv_equal ((const char *const *)worker->labels, labels))
+    return;
+  g_strfreev (worker->labels);
+  worker->labels = g_strdupv ((char **)labels);
+  sched->place_needed = true;
+}
+
 void
 sched_set_worker (sched_t *sched, const worker_info_t *info, sched_now_t now)
 {
@@ -296,8 +308,7 @@
       worker->pool = pool;
     }
   worker->address = g_intern_string (info->address);
-  if (!worker->labels)
-    worker->labels = g_strdupv ((char **)info->labels);
+  set_labels (sched, worker, info->labels);
   worker->data_centre = g_intern_string (info->data_centre);
   worker->rack = info->rack ? g_intern_string (info->rack) : NULL;
   hosts_set_worker (sched, worker,
