--- a/daemon/send.c
+++ b/daemon/send.c
@@ -156,7 +156,8 @@
    reused connection ends before the response.  That is left to the retries of
    the request: the first upstream may have run it, and a rejection of the
    second request would be taken for proof that it did not run.  libcurl
-   defines the signature. NOLINTBEGIN(readability-non-const-parameter) */
+   defines the signature.  */
+/* NOLINTBEGIN(readability-non-const-parameter) */
 static int
 on_pre_request (void *cls, char *peer, char *self, int peer_port,
                 int self_port)
--- a/entry/calls.c
+++ b/entry/calls.c
@@ -171,8 +171,9 @@
 /* Called before each request that libcurl sends for a call.  It sends a
    request again by itself when a reused connection ends before the reply.  A
    POST is not repeated: the server may have carried out the first request, and
-   a rejection of the second one would hide that.  libcurl defines the
-   signature. NOLINTBEGIN(readability-non-const-parameter) */
+   a rejection of the second one would hide that.  libcurl
+   defines the signature.  */
+/* NOLINTBEGIN(readability-non-const-parameter) */
 static int
 on_pre_request (void *cls, char *peer, char *self, int peer_port,
                 int self_port)
