--- a/jobs/test/record_test.c
+++ b/jobs/test/record_test.c
@@ -109,6 +109,37 @@
 }
 END_TEST
 
+/* Packed submit records: an array of two with the kind and the description,
+   whose last field is the settings.  */
+#define DESC_HEADER_AT 2
+#define DESC_HEADER 0x9a         /* ten fields */
+#define DESC_HEADER_EARLIER 0x99 /* nine */
+#define EMPTY_SETTINGS_BYTES 8
+
+/* Guards against a job in a record or snapshot of an earlier version that is
+   lost because the settings of its queue are missing.  */
+START_TEST (test_record_without_settings_is_read)
+{
+  job_rec_t rec = { .kind = JREC_SUBMIT, .u.submit = desc };
+  const char *service = desc->settings.service;
+  job_rec_t copy;
+  GBytes *bytes;
+  g_autofree uint8_t *data = NULL;
+  gsize len;
+
+  desc->settings = (queue_settings_t){ .service = service };
+  bytes = job_rec_pack (&rec);
+  data = g_bytes_unref_to_data (bytes, &len);
+  ck_assert_uint_eq (data[DESC_HEADER_AT], DESC_HEADER);
+  data[DESC_HEADER_AT] = DESC_HEADER_EARLIER;
+  ck_assert (job_rec_unpack (data, len - EMPTY_SETTINGS_BYTES, &copy, NULL));
+  ck_assert_ptr_eq (copy.u.submit->settings.service, service);
+  ck_assert_int_eq (copy.u.submit->accepted_ms, desc->accepted_ms);
+  ck_assert_uint_eq (copy.u.submit->settings.max_attempts, 0);
+  job_rec_clear (&copy);
+}
+END_TEST
+
 /* Guards against fields of progress that are lost when it is encoded.  */
 START_TEST (test_progress_round_trip)
 {
@@ -199,5 +230,6 @@
 END_TEST
 
 TEST_PROGRAM_WITH ("jobs/record", set_up, tear_down, test_submit_round_trip,
+                   test_record_without_settings_is_read,
                    test_progress_round_trip, test_owner_records_round_trip,
                    test_damaged_records_are_rejected)
