--- a/jobs/scheduler.h
+++ b/jobs/scheduler.h
@@ -68,7 +68,7 @@
 /* A worker as it registers itself.  */
 typedef struct worker_info
 {
-  const char *id; /* changes with each boot */
+  const char *id; /* a restarted worker may keep it */
   const char *service;
   const char *address; /* HOST:PORT */
   const char *data_centre;
@@ -161,7 +161,7 @@
   uint64_t token;          /* fencing token */
   int64_t deadline_ms; /* HOLD, START: end of the lease on the worker's clock;
                           0: none */
-  uint64_t ends_durable; /* HOLD: last durable end */
+  uint64_t ends_durable; /* HOLD: last end to forget; 0: none */
   uint32_t wait_ms; /* HOLD: longest time that the worker waits for an end */
   task_ref_t task;  /* START, STOP, PACE */
   uint32_t attempt;
