log: event 1608 names runs that no task counts as its own

The log could not tell a run that was closed while it went on from one that the owner knew of and counted nowhere: a listed run that isn't known was logged only if it is long-running.

Not measured.

--- a/base/event.c
+++ b/base/event.c
@@ -61,6 +61,7 @@
   { EV_TASK_ENDED, LEVEL_INFO, "task-ended" },
   { EV_TASK_RETURNED, LEVEL_WARN, "task-returned" },
   { EV_TASK_INTERRUPTED, LEVEL_INFO, "task-interrupted" },
+  { EV_RUN_UNEXPECTED, LEVEL_INFO, "run-unexpected" },
   { EV_OWNER_GAINED, LEVEL_INFO, "owner-gained" },
   { EV_OWNER_LOST, LEVEL_WARN, "owner-lost" },
   { EV_OWNER_RELEASED, LEVEL_INFO, "owner-released" },
--- a/jobs/replies.c
+++ b/jobs/replies.c
@@ -119,6 +119,31 @@
     job_free_if_idle (sched, task->stage->job);
 }
 
+static const char *
+unexpected_reason (const task_t *task)
+{
+  if (!task)
+    return "no-job";
+  if (task->stage->job->ended)
+    return "job-ended";
+  return task->done ? "task-done" : "other-run";
+}
+
+static void
+log_unexpected_run (const task_t *task, const worker_t *worker,
+                    const run_status_t *status)
+{
+  const run_t *present = task ? task->run : NULL;
+
+  event_log (EV_RUN_UNEXPECTED,
+             "id=%s occurrence=%u step=%u index=%u attempt=%u worker=%s "
+             "why=%s present=%u present_worker=%s",
+             status->task.id, status->task.occurrence, status->task.step,
+             status->task.index, status->attempt, worker->id,
+             unexpected_reason (task), present ? present->attempt : 0,
+             present ? present->worker->id : "");
+}
+
 static void
 stop_unknown_run (sched_t *sched, const worker_t *worker,
                   const run_status_t *status)
@@ -152,6 +177,7 @@
     {
       if (!task || task->done || task->run || task->stage->job->ended)
         {
+          log_unexpected_run (task, worker, status);
           if (task)
             task_log_interrupted (task, status->attempt, worker, "stop",
                                   "unknown-run", now.us);
