orphans: tests of runs that no task counts, which fail

Evidence: jobs/orphans, eight tests of the decision, all of which fail on this code. With a copy of task 0 on w1, whose later copy is on record, a new owner orders the stop of the copy and the start of task 1 on w1 in one plan (limit 1). With eight runs of a job that it doesn't have on a worker of eight cores it orders eight stops and eight starts.

--- /dev/null
+++ b/jobs/test/orphans_test.c
@@ -0,0 +1,221 @@
+#include "rig.h"
+
+#define CORES 8
+
+/* A row of a report: ATTEMPT of task INDEX of job NUMBER.  */
+static run_status_t
+row_of (uint32_t number, uint32_t index, uint32_t attempt)
+{
+  return (run_status_t){ .task = rig_task_ref (number, index),
+                         .attempt = attempt,
+                         .checkpoint = "",
+                         .percent = 100 };
+}
+
+/* Opens a new owner of job 1 with STEP.  An earlier owner has started task 0
+   on w1, and then a second time on w2.  Neither worker has reported.  */
+static void
+take_over_copies (const job_step_t *step)
+{
+  rig_submit (1, step, 1);
+  rig_record_start (1, 0, 1, g_intern_string ("w1"));
+  rig_record_start (1, 0, 2, g_intern_string ("w2"));
+  rig_open_sched (2);
+  rig_worker ("w1", CORES, true);
+  rig_worker ("w2", CORES, true);
+}
+
+/* Both workers list their copies.  */
+static void
+report_copies (void)
+{
+  run_status_t first = row_of (1, 0, 1);
+  run_status_t second = row_of (1, 0, 2);
+
+  rig_report ("w1", &first, 1, NULL, 0);
+  rig_report ("w2", &second, 1, NULL, 0);
+}
+
+static uint32_t
+count_orders (order_kind_t kind)
+{
+  g_autoptr (GArray) orders = rig_plan (false);
+
+  return rig_count_orders (orders, kind);
+}
+
+static job_step_t
+speculative_step (uint32_t count)
+{
+  job_step_t step = rig_step (count);
+
+  step.speculative = true;
+  return step;
+}
+
+/* Guards against a task that starts beside another one of its step, beyond the
+   limit per worker (ROUTE): the new owner didn't count a copy that the worker
+   listed.  */
+START_TEST (test_copy_counts_for_the_limit_per_worker)
+{
+  job_step_t step = speculative_step (2);
+
+  step.spread_max = 1;
+  take_over_copies (&step);
+  report_copies ();
+  ck_assert_uint_eq (count_orders (ORDER_START), 0);
+}
+END_TEST
+
+/* Guards against a copy whose work is thrown away when the owner changes.  */
+START_TEST (test_copy_goes_on_after_a_change_of_the_owner)
+{
+  job_step_t step = speculative_step (1);
+
+  take_over_copies (&step);
+  report_copies ();
+  ck_assert_uint_eq (count_orders (ORDER_STOP), 0);
+}
+END_TEST
+
+/* Guards against a workspace that has more running than its cap: the new owner
+   didn't count a copy that the worker listed.  */
+START_TEST (test_copy_counts_for_the_cap)
+{
+  job_step_t step = speculative_step (1);
+  job_step_t other = rig_step (1);
+
+  take_over_copies (&step);
+  g_array_index (rig.rules->workspaces, rules_workspace_t, 0).cap.cpu_milli
+      = 2000;
+  sched_set_rules (rig.sched, rig.rules);
+  report_copies ();
+  rig_submit (2, &other, 1);
+  ck_assert_uint_eq (count_orders (ORDER_START), 0);
+}
+END_TEST
+
+/* Guards against a start beside a run that is being stopped and is in neither
+   list of its worker: what is being stopped still counts.  */
+START_TEST (test_orphan_counts_until_it_has_ended)
+{
+  job_step_t step = speculative_step (2);
+  run_status_t row = row_of (1, 0, 1);
+  run_end_t end = { .sequence = 1, .attempt = 1, .kind = RUN_STOPPED };
+  g_autoptr (GArray) orders = NULL;
+
+  step.spread_max = 1;
+  rig_submit (1, &step, 1);
+  rig_record_start (1, 0, 1, g_intern_string ("w1"));
+  rig_record_start (1, 0, 2, g_intern_string ("w2"));
+  rig_record_end (1, 0, 2);
+  rig_open_sched (2);
+  rig_worker ("w1", CORES, true);
+  rig_report ("w1", &row, 1, NULL, 0);
+  orders = rig_plan (false);
+  ck_assert_uint_eq (rig_count_orders (orders, ORDER_STOP), 1);
+  ck_assert_uint_eq (rig_count_orders (orders, ORDER_START), 0);
+  rig_advance_clock (50);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  ck_assert_uint_eq (count_orders (ORDER_START), 0);
+  rig_advance_clock (50);
+  end.task = row.task;
+  rig_report ("w1", NULL, 0, &end, 1);
+  ck_assert_uint_eq (count_orders (ORDER_START), 1);
+}
+END_TEST
+
+/* Guards against a stop that leaves too few of a step at work (AVAIL): a run
+   that is not the present one of its task was stopped without that check.  */
+START_TEST (test_stop_of_an_orphan_is_judged)
+{
+  job_step_t step = rig_step (2);
+  run_status_t first = row_of (1, 0, 1);
+  run_status_t second = row_of (1, 0, 2);
+
+  step.long_running = true;
+  step.max_unavailable = 1;
+  take_over_copies (&step);
+  rig_report ("w1", &first, 1, NULL, 0); /* task 1 doesn't run */
+  ck_assert_uint_eq (count_orders (ORDER_STOP), 0);
+  rig_advance_clock (50);
+  rig_report ("w1", &first, 1, NULL, 0);
+  rig_report ("w2", &second, 1, NULL, 0);
+  ck_assert_uint_eq (count_orders (ORDER_STOP), 1);
+}
+END_TEST
+
+/* Eight tasks of job 1 wait for w1, which runs eight of a job that the owner
+   doesn't have.  */
+static void
+report_unknown_job (void)
+{
+  job_step_t step = rig_step (CORES);
+  run_status_t rows[CORES];
+
+  rig_submit (1, &step, 1);
+  rig_open_sched (2);
+  rig_worker ("w1", CORES, true);
+  for (uint32_t i = 0; i < CORES; i++)
+    rows[i] = row_of (9, i, 1);
+  rig_report ("w1", rows, CORES, NULL, 0);
+}
+
+/* Guards against starts beyond the capacity of a worker (LIMIT): runs of a job
+   that has ended were stopped and not counted.  */
+START_TEST (test_runs_of_an_unknown_job_keep_their_room)
+{
+  g_autoptr (GArray) orders = NULL;
+
+  report_unknown_job ();
+  orders = rig_plan (false);
+  ck_assert_uint_eq (rig_count_orders (orders, ORDER_STOP), CORES);
+  ck_assert_uint_eq (rig_count_orders (orders, ORDER_START), 0);
+}
+END_TEST
+
+/* Guards against a worker that stays out of use after it has ended runs of a
+   job that the owner doesn't have.  */
+START_TEST (test_worker_is_used_once_unknown_runs_have_ended)
+{
+  run_end_t ends[CORES];
+
+  report_unknown_job ();
+  ck_assert_uint_eq (count_orders (ORDER_START), 0);
+  rig_advance_clock (50);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  ck_assert_uint_eq (count_orders (ORDER_START), 0);
+  for (uint32_t i = 0; i < CORES; i++)
+    ends[i] = (run_end_t){ .sequence = i + 1,
+                           .task = rig_task_ref (9, i),
+                           .attempt = 1,
+                           .kind = RUN_STOPPED };
+  rig_advance_clock (50);
+  rig_report ("w1", NULL, 0, ends, CORES);
+  ck_assert_uint_eq (count_orders (ORDER_START), CORES);
+}
+END_TEST
+
+/* Guards against a worker that stays out of use as it never lists the ends of
+   runs of a job that the owner doesn't have.  */
+START_TEST (test_unknown_runs_that_are_not_listed_are_over)
+{
+  report_unknown_job ();
+  ck_assert_uint_eq (count_orders (ORDER_START), 0);
+  rig_advance_clock (50);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  rig_advance_clock (400);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  ck_assert_uint_eq (count_orders (ORDER_START), CORES);
+}
+END_TEST
+
+TEST_PROGRAM_WITH ("jobs/orphans", rig_reset, rig_tear_down,
+                   test_copy_counts_for_the_limit_per_worker,
+                   test_copy_goes_on_after_a_change_of_the_owner,
+                   test_copy_counts_for_the_cap,
+                   test_orphan_counts_until_it_has_ended,
+                   test_stop_of_an_orphan_is_judged,
+                   test_runs_of_an_unknown_job_keep_their_room,
+                   test_worker_is_used_once_unknown_runs_have_ended,
+                   test_unknown_runs_that_are_not_listed_are_over)
--- a/jobs/test/rig.c
+++ b/jobs/test/rig.c
@@ -216,24 +216,45 @@
   return copy;
 }
 
-void
-rig_record_start (uint32_t number, uint32_t index, uint32_t attempt,
-                  const char *worker)
+/* Folds a progress record of an earlier owner with PLACED or END.  */
+static void
+record_progress (const task_placed_t *placed, const task_end_t *end)
 {
   job_rec_t rec = { .kind = JREC_PROGRESS };
-  task_placed_t placed
-      = { .task = { .index = index }, .attempt = attempt, .worker = worker };
 
-  memcpy (placed.task.id, rig_id (number), JOB_ID_BYTES);
   rec.u.progress.epoch = rig.tab->owner.epoch;
-  rec.u.progress.placed = g_array_new (FALSE, FALSE, sizeof placed);
-  rec.u.progress.ends = g_array_new (FALSE, FALSE, sizeof (task_end_t));
+  rec.u.progress.placed = g_array_new (FALSE, FALSE, sizeof *placed);
+  rec.u.progress.ends = g_array_new (FALSE, FALSE, sizeof *end);
   rec.u.progress.changes = g_array_new (FALSE, FALSE, sizeof (job_change_t));
-  g_array_append_val (rec.u.progress.placed, placed);
+  if (placed)
+    g_array_append_vals (rec.u.progress.placed, placed, 1);
+  if (end)
+    g_array_append_vals (rec.u.progress.ends, end, 1);
   jobtab_fold (rig.tab, &rec, rig.now.wall_ms);
   job_rec_clear (&rec);
 }
 
+void
+rig_record_start (uint32_t number, uint32_t index, uint32_t attempt,
+                  const char *worker)
+{
+  task_placed_t placed = { .task = rig_task_ref (number, index),
+                           .attempt = attempt,
+                           .worker = worker };
+
+  record_progress (&placed, NULL);
+}
+
+void
+rig_record_end (uint32_t number, uint32_t index, uint32_t attempt)
+{
+  task_end_t end = { .task = rig_task_ref (number, index),
+                     .attempt = attempt,
+                     .done = true };
+
+  record_progress (NULL, &end);
+}
+
 uint32_t
 rig_count_orders (const GArray *orders, order_kind_t kind)
 {
--- a/jobs/test/rig.h
+++ b/jobs/test/rig.h
@@ -72,6 +72,9 @@
 void rig_record_start (uint32_t number, uint32_t index, uint32_t attempt,
                        const char *worker);
 
+/* rig_record_end - the same, that ATTEMPT of that task is done.  */
+void rig_record_end (uint32_t number, uint32_t index, uint32_t attempt);
+
 /* rig_plan - the orders before and after the progress is durable, in an array
    that the caller owns.  Holds are left out unless HOLDS.  */
 GArray *rig_plan (bool holds);
