orphans: runs that a worker lists count until they have ended

Cause: a run that a worker lists and that is not the present one of its task was ordered to stop and forgotten in the same step. Placement goes by what the owner has recorded, so in the same plan it started another task in its place, beside the run that still went on.

Change: such a run of a known task becomes a run of it (run_new_extra): it counts for worker and workspace until it is certainly over, a copy that may run twice goes on, and other stops are judged like all. A run of an unknown job has no known needs; its worker gets no tasks until the run is listed as ended, has been in neither list for longer than a stop takes, or its lease has ended. A planned start is judged again before it is sent.

--- a/jobs/boots.c
+++ b/jobs/boots.c
@@ -5,12 +5,14 @@
 #define CLOCK_BEHIND_MIN_MS 1000
 
 static void
-reset_state (worker_t *worker, const char *source, sched_now_t now)
+reset_state (sched_t *sched, worker_t *worker, const char *source,
+             sched_now_t now)
 {
   event_log (EV_WORKER_RESTARTED,
              "worker=%s source=%s boot=%" PRId64 " runs=%u silent_ms=%" PRId64,
              worker->id, source, worker->boot_ms, worker->runs->len,
              worker_silent_ms (worker, now.us));
+  orphans_clear (sched, worker);
   worker->boot_known_us = now.us;
   worker->doubted_us = 0;
   worker->ends_seen = worker->ends_durable = worker->ends_batch = 0;
@@ -32,7 +34,7 @@
               sched_now_t now)
 {
   worker_close_runs (sched, worker, "other-boot", now);
-  reset_state (worker, source, now);
+  reset_state (sched, worker, source, now);
 }
 
 boot_match_t
@@ -60,8 +62,8 @@
 }
 
 void
-worker_confirm_boot (worker_t *worker, boot_match_t match, int64_t boot_ms,
-                     int64_t sent_us, sched_now_t now)
+worker_confirm_boot (sched_t *sched, worker_t *worker, boot_match_t match,
+                     int64_t boot_ms, int64_t sent_us, sched_now_t now)
 {
   switch (match)
     {
@@ -77,7 +79,7 @@
       worker_set_boot (worker, boot_ms);
       return;
     case BOOT_NEXT:
-      reset_state (worker, "report", now);
+      reset_state (sched, worker, "report", now);
       worker_set_boot (worker, boot_ms);
       return;
     }
--- a/jobs/holds.c
+++ b/jobs/holds.c
@@ -45,7 +45,8 @@
 static bool
 is_idle (const worker_t *worker)
 {
-  return worker->runs->len == 0 && worker->ends_seen == worker->ends_forgotten;
+  return worker->runs->len == 0 && worker->orphans->len == 0
+         && worker->ends_seen == worker->ends_forgotten;
 }
 
 /* Whether WORKER is idle and was not asked yet by this owner.  One that was
@@ -75,7 +76,7 @@
 static int64_t
 report_due_us (const sched_t *sched, const worker_t *worker)
 {
-  int64_t due_us = INT64_MAX;
+  int64_t due_us = orphans_due_us (sched, worker);
 
   for (uint32_t i = 0; i < worker->runs->len; i++)
     {
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -289,6 +289,8 @@
 
   return worker->pool == stage->job->pool
          && has_label (worker, stage->spec->label)
+         && (stage->spec->spread_max == 0
+             || count_stage_runs (worker, stage) <= stage->spec->spread_max)
          && amounts_cover (&worker->capacity, &worker->allocated);
 }
 
@@ -338,6 +340,13 @@
   g_array_append_val (sched->placed, placed);
 }
 
+/* Whether an earlier run of TASK has yet to end before TASK starts again.  */
+static bool
+awaits_earlier_run (const task_t *task)
+{
+  return task->run_count > 0 && !task->stage->spec->speculative;
+}
+
 /* Plans all tasks of a gang, or none.  */
 static void
 place_gang (sched_t *sched, pool_t *pool, stage_t *stage, sched_now_t now)
@@ -356,7 +365,7 @@
 
       if (task->done)
         continue;
-      worker = task->not_before_us <= now.us
+      worker = task->not_before_us <= now.us && !awaits_earlier_run (task)
                        && quota_allows (stage->job, &stage->spec->need)
                    ? find_worker (pool, stage, task, now)
                    : NULL;
@@ -402,7 +411,7 @@
       task_t *task = &stage->tasks[i];
       worker_t *worker;
 
-      if (task->done || task->run)
+      if (task->done || task->run || awaits_earlier_run (task))
         continue;
       if (!may_plan_start (sched, candidate->rank))
         return;
--- a/jobs/replies.c
+++ b/jobs/replies.c
@@ -119,41 +119,6 @@
     job_free_if_idle (sched, task->stage->job);
 }
 
-static const char *
-unexpected_reason (const task_t *task)
-{
-  if (!task)
-    return "no-job";
-  if (task->stage->job->ended)
-    return "job-ended";
-  return task->done ? "task-done" : "other-run";
-}
-
-static void
-log_unexpected_run (const task_t *task, const worker_t *worker,
-                    const run_status_t *status)
-{
-  const run_t *present = task ? task->run : NULL;
-
-  event_log (EV_RUN_UNEXPECTED,
-             "id=%s occurrence=%u step=%u index=%u attempt=%u worker=%s "
-             "why=%s present=%u present_worker=%s",
-             status->task.id, status->task.occurrence, status->task.step,
-             status->task.index, status->attempt, worker->id,
-             unexpected_reason (task), present ? present->attempt : 0,
-             present ? present->worker->id : "");
-}
-
-static void
-stop_unknown_run (sched_t *sched, const worker_t *worker,
-                  const run_status_t *status)
-{
-  sched_add_order (sched, worker,
-                   (order_t){ .kind = ORDER_STOP,
-                              .task = status->task,
-                              .attempt = status->attempt });
-}
-
 static void
 mark_active (sched_t *sched, run_t *run, sched_now_t now)
 {
@@ -174,18 +139,9 @@
   run_t *run = task ? run_find (worker, task, status->attempt) : NULL;
 
   if (!run)
-    {
-      if (!task || task->done || task->run || task->stage->job->ended)
-        {
-          log_unexpected_run (task, worker, status);
-          if (task)
-            task_log_interrupted (task, status->attempt, worker, "stop",
-                                  "unknown-run", now.us);
-          stop_unknown_run (sched, worker, status);
-          return;
-        }
-      run = run_new (sched, task, worker, status->attempt, now);
-    }
+    run = orphans_adopt (sched, worker, status, now);
+  if (!run)
+    return;
   if (run->percent != status->percent || run->progress_us == 0)
     run->progress_us = now.us;
   run->percent = status->percent;
@@ -239,6 +195,7 @@
   for (uint32_t i = 0; i < report->runs_count; i++)
     process_run (sched, worker, &report->runs[i], now);
   close_unlisted (sched, worker, report, sent_us, now);
+  orphans_process_report (sched, worker, report, sent_us, now);
 }
 
 /* Whether REPLY to ORDER comes from another worker at an address that WORKER
@@ -269,7 +226,8 @@
   match = worker_match_boot (worker, report->boot_ms);
   if (match == BOOT_FORMER)
     return true;
-  worker_confirm_boot (worker, match, report->boot_ms, reply->sent_us, now);
+  worker_confirm_boot (sched, worker, match, report->boot_ms, reply->sent_us,
+                       now);
   update_clock (worker, reply, now);
   holds_process_answer (sched, worker, now.us);
   /* The leases of an earlier owner are unknown, but not longer than
--- a/jobs/runs.c
+++ b/jobs/runs.c
@@ -59,8 +59,9 @@
              stage->spec->max_unavailable, worker_silent_ms (worker, now_us));
 }
 
-run_t *
-run_new (sched_t *sched, task_t *task, worker_t *worker, uint32_t attempt,
+/* Adds a run and counts it for the limits of its worker and workspace.  */
+static run_t *
+add_run (sched_t *sched, task_t *task, worker_t *worker, uint32_t attempt,
          sched_now_t now)
 {
   const job_step_t *spec = task->stage->spec;
@@ -73,30 +74,51 @@
   run->charged = spec->need;
   if (spec->filler)
     run->reserved.cpu_milli = 0;
-  run->phase = RUN_PLANNED;
-  run->start_pending = true;
-  sched->starts_pending++;
   run->pace_percent = 100;
   run->planned_us = now.us;
-  task->run = run;
   task->attempt = MAX (task->attempt, attempt);
   task->stage->attempt = MAX (task->stage->attempt, attempt);
-  task->stage->unstarted--;
   task->run_count++;
   task->stage->job->run_count++;
-  if (task->stage->job->started_us == 0)
-    {
-      task->stage->job->started_us = now.us;
-      histogram_add (HIST_START, now.us - task->stage->job->accepted_us);
-    }
   amounts_add (&worker->allocated, &run->reserved);
   amounts_add (&task->stage->job->workspace->allocated, &run->charged);
   g_ptr_array_add (worker->runs, run);
   worker_wake_at (sched, worker, now.us);
+  return run;
+}
+
+run_t *
+run_new (sched_t *sched, task_t *task, worker_t *worker, uint32_t attempt,
+         sched_now_t now)
+{
+  sched_job_t *job = task->stage->job;
+  run_t *run = add_run (sched, task, worker, attempt, now);
+
+  run->phase = RUN_PLANNED;
+  run->start_pending = true;
+  sched->starts_pending++;
+  task->run = run;
+  task->stage->unstarted--;
+  if (job->started_us == 0)
+    {
+      job->started_us = now.us;
+      histogram_add (HIST_START, now.us - job->accepted_us);
+    }
   worker_await_batch (sched, worker);
   return run;
 }
 
+run_t *
+run_new_extra (sched_t *sched, task_t *task, worker_t *worker,
+               uint32_t attempt, sched_now_t now)
+{
+  run_t *run = add_run (sched, task, worker, attempt, now);
+
+  run->phase = RUN_ACTIVE;
+  run->active_us = now.us;
+  return run;
+}
+
 void
 run_clear_start_pending (sched_t *sched, run_t *run)
 {
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -1,6 +1,6 @@
 /* schedint - data shared by the modules of the scheduler: sched, stages,
-   workers, boots, wakeups, holds, runs, replies, place, advice, pace, stall,
-   hosts, waves, demand and moves.  Private to jobs/.  */
+   workers, boots, wakeups, holds, runs, orphans, replies, place, advice, pace,
+   stall, hosts, waves, demand and moves.  Private to jobs/.  */
 
 #ifndef CUMINPIN_SCHEDINT_H
 #define CUMINPIN_SCHEDINT_H
@@ -61,7 +61,8 @@
 } run_phase_t;
 
 /* One attempt at a task, until it is certainly over.  task->run is the current
-   one; others are earlier attempts or speculative copies.  */
+   one; others are earlier attempts or speculative copies.  All of them count
+   for the limits of workers and workspaces.  */
 struct run
 {
   task_t *task;
@@ -87,6 +88,14 @@
   int64_t unlisted_us;   /* missing from its worker's lists since; 0: listed */
 };
 
+/* A run that a worker lists and whose job the scheduler doesn't have.  */
+typedef struct orphan
+{
+  task_ref_t task;
+  uint32_t attempt;
+  int64_t unlisted_us; /* missing from its worker's lists since; 0: listed */
+} orphan_t;
+
 struct task
 {
   stage_t *stage;
@@ -194,6 +203,7 @@
   uint64_t ends_sent;    /* last one to forget, in the last hold */
   uint64_t ends_forgotten; /* the same, in the last hold that was answered */
   GPtrArray *runs;
+  GArray *orphans; /* of orphan_t */
   uint32_t consecutive_failures;
   int64_t suspect_until_us;
   uint32_t filler_pace_percent; /* pace of the filler tasks */
@@ -350,6 +360,9 @@
 /* runs.c: attempts at tasks */
 run_t *run_new (sched_t *sched, task_t *task, worker_t *worker,
                 uint32_t attempt, sched_now_t now);
+/* run_new_extra - a run of TASK beside its current one, which WORKER lists. */
+run_t *run_new_extra (sched_t *sched, task_t *task, worker_t *worker,
+                      uint32_t attempt, sched_now_t now);
 /* run_clear_start_pending - RUN's start was answered or won't be.  */
 void run_clear_start_pending (sched_t *sched, run_t *run);
 /* run_close - RUN is certainly over for the reason WHY. Its task is queued
@@ -428,7 +441,7 @@
 /* worker_confirm_boot - a report that was requested at SENT_US shows the boot
    BOOT_MS, which is MATCH.  The runs of a former boot stay: the caller closes
    them when it has processed the report.  */
-void worker_confirm_boot (worker_t *worker, boot_match_t match,
+void worker_confirm_boot (sched_t *sched, worker_t *worker, boot_match_t match,
                           int64_t boot_ms, int64_t sent_us, sched_now_t now);
 /* worker_doubt_boot - WORKER seems to have restarted under its id, as SOURCE
    shows.  It gets no starts and no leases until a report shows its boot: its
@@ -501,6 +514,28 @@
 void holds_schedule_next (const sched_t *sched, worker_t *worker,
                           int64_t now_us);
 
+/* orphans.c: runs that a worker lists and that are not expected there.  Those
+   of a known task become runs of it.  What those of an unknown job need isn't
+   known, so their worker gets no tasks until they have ended.  */
+/* orphans_adopt - the run for STATUS, which WORKER lists and the scheduler
+   doesn't have; it is stopped unless its task may go on there.  NULL: its job
+   isn't known.  */
+run_t *orphans_adopt (sched_t *sched, worker_t *worker,
+                      const run_status_t *status, sched_now_t now);
+/* orphans_process_report - remove the orphans of WORKER that have ended
+   according to REPORT, which was requested at SENT_US.  */
+void orphans_process_report (sched_t *sched, worker_t *worker,
+                             const worker_report_t *report, int64_t sent_us,
+                             sched_now_t now);
+/* orphans_check_leases - remove the orphans of WORKER if its leases have
+   expired.  */
+void orphans_check_leases (sched_t *sched, worker_t *worker, sched_now_t now);
+/* orphans_clear - the orphans of WORKER are over.  */
+void orphans_clear (sched_t *sched, worker_t *worker);
+/* orphans_due_us - when a report of WORKER may show that an orphan has ended;
+   INT64_MAX: it has none that is being stopped.  */
+int64_t orphans_due_us (const sched_t *sched, const worker_t *worker);
+
 /* replies.c: answers to orders */
 /* reply_kind_name - KIND as it stands in log lines.  */
 const char *reply_kind_name (reply_kind_t kind);
@@ -581,7 +616,7 @@
 /* quota_allows - whether JOB's workspace may allocate NEED in addition.  */
 bool quota_allows (const sched_job_t *job, const amounts_t *need);
 /* place_is_allowed - whether the service, labels and capacity of RUN's worker
-   allow RUN.  */
+   and the limit of tasks per worker allow RUN.  */
 bool place_is_allowed (const run_t *run);
 /* place_has_alternative - whether TASK could start on a worker other than
    WORKER now.  */
--- a/jobs/test/orphans_test.c
+++ b/jobs/test/orphans_test.c
@@ -145,6 +145,48 @@
 }
 END_TEST
 
+/* Guards against two runs of a task at once (TWICE): its present run failed
+   while one that is not the present one was still being stopped.  */
+START_TEST (test_task_waits_for_the_end_of_an_orphan)
+{
+  job_step_t step = rig_step (1);
+  run_status_t first = row_of (1, 0, 1);
+  run_end_t failed = { .sequence = 1, .attempt = 2, .kind = RUN_FAILED };
+  run_end_t stopped = { .sequence = 1, .attempt = 1, .kind = RUN_STOPPED };
+
+  take_over_copies (&step);
+  failed.task = stopped.task = first.task;
+  rig_report ("w1", &first, 1, NULL, 0);
+  rig_report ("w2", NULL, 0, &failed, 1);
+  ck_assert_uint_eq (count_orders (ORDER_START), 0);
+  rig_advance_clock (50);
+  rig_report ("w1", NULL, 0, &stopped, 1);
+  ck_assert_uint_eq (count_orders (ORDER_START), 1);
+}
+END_TEST
+
+/* Guards against a planned start that is sent although its worker has listed
+   an unexpected run since, which takes the room (LIMIT).  */
+START_TEST (test_planned_start_is_judged_again)
+{
+  job_step_t step = speculative_step (1);
+  job_step_t wide = rig_step (1);
+  run_status_t first = row_of (1, 0, 1);
+  GArray *orders;
+
+  wide.need.cpu_milli = 1000 * CORES;
+  take_over_copies (&step);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  rig_submit (2, &wide, 1);
+  orders = sched_plan (rig.sched, rig.now);
+  ck_assert_uint_eq (rig_count_orders (orders, ORDER_START), 0);
+  g_array_set_size (orders, 0);
+  rig_advance_clock (50);
+  rig_report ("w1", &first, 1, NULL, 0);
+  ck_assert_uint_eq (count_orders (ORDER_START), 0);
+}
+END_TEST
+
 /* Eight tasks of job 1 wait for w1, which runs eight of a job that the owner
    doesn't have.  */
 static void
@@ -216,6 +258,8 @@
                    test_copy_counts_for_the_cap,
                    test_orphan_counts_until_it_has_ended,
                    test_stop_of_an_orphan_is_judged,
+                   test_task_waits_for_the_end_of_an_orphan,
+                   test_planned_start_is_judged_again,
                    test_runs_of_an_unknown_job_keep_their_room,
                    test_worker_is_used_once_unknown_runs_have_ended,
                    test_unknown_runs_that_are_not_listed_are_over)
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -8,6 +8,7 @@
   g_free (worker->id);
   g_strfreev (worker->labels);
   g_ptr_array_free (worker->runs, TRUE);
+  g_array_free (worker->orphans, TRUE);
   g_free (worker);
 }
 
@@ -66,7 +67,8 @@
   return worker->listed && worker->has_reported && worker->has_clock
          && worker_registration_is_current (worker) && worker->doubted_us == 0
          && worker->state == WORKER_READY && !worker->cordoned
-         && worker_is_answering (worker) && worker->suspect_until_us <= now_us
+         && worker->orphans->len == 0 && worker_is_answering (worker)
+         && worker->suspect_until_us <= now_us
          && !worker_is_silent (worker, now_us);
 }
 
@@ -114,6 +116,7 @@
   worker->id = g_strdup (id);
   worker->interned = g_intern_string (id);
   worker->runs = g_ptr_array_new ();
+  worker->orphans = g_array_new (FALSE, FALSE, sizeof (orphan_t));
   worker->pool = pool;
   worker->filler_pace_percent = 100;
   worker->hold_due_us = now.us;
@@ -298,6 +301,7 @@
         worker_wake_at (sched, worker, now.us + STOP_MARGIN_US);
     }
   end_expired_runs (sched, worker, now);
+  orphans_check_leases (sched, worker, now);
 }
 
 void
@@ -308,7 +312,7 @@
       worker_t *worker = g_ptr_array_index (due, i);
 
       check_timeouts (sched, worker, now);
-      if (worker->listed || worker->runs->len > 0)
+      if (worker->listed || worker->runs->len > 0 || worker->orphans->len > 0)
         continue;
       g_ptr_array_remove_index_fast (due, i);
       worker_remove (sched, worker, now);
@@ -339,6 +343,8 @@
     return "not-registered";
   if (run->worker->state == WORKER_DRAINING)
     return "worker-draining";
+  if (run->worker->orphans->len > 0)
+    return "unexpected-run";
   if (has_no_ticket (run, now.us))
     return "ticket-ended";
   deadline_ms = worker_deadline_ms (sched, run->worker, now.us);
@@ -372,7 +378,9 @@
     return;
   sched->start_delay_us += (now.us - run->planned_us - sched->start_delay_us)
                            / START_DELAY_DIVISOR;
-  why = add_start_order (sched, run, now);
+  /* Its worker may have listed an unexpected run since it was planned.  */
+  why = place_is_allowed (run) ? add_start_order (sched, run, now)
+                               : "not-allowed";
   if (why)
     run_close (sched, run, why, now);
   else
@@ -407,11 +415,13 @@
 }
 
 /* Whether RUN's stop leaves enough of its step.  A run that never served takes
-   none from it.  */
+   none from it, and neither does one whose task serves elsewhere.  */
 static bool
 may_stop_now (const run_t *run, int64_t now_us)
 {
-  return run->active_us == 0 || run_may_be_interrupted (run, now_us);
+  return run->active_us == 0
+         || (run->task->run != run && task_is_serving (run->task, now_us))
+         || run_may_be_interrupted (run, now_us);
 }
 
 static void
