calls: a start whose connection is late is not sent

Cause: a call is sent as soon as it has a connection, however long that took. If the SYN of a start was lost because the worker was down, TCP repeats it after 1 s. The timeout of a start is 250 ms, so a loop that is on time closes the socket before the SYN is repeated. A loop that is late handles the connection before the deadline: after a suspension, while iterations take that long, or while more replies are ready than one iteration reads (READ_LAG_MAX_US, 2 s).

Ruled out: connections that existed before the restart. The next boot's TCP resets them.

Change: calls_limit_delay gives a call the longest time that it may wait for its connection; on_pre_request refuses to send it later, and it ends as not sent. A start whose SYN is lost ended as not sent after 250 ms before, too, so links that lose packets let as many starts through as they did.

Tests: test_late_connection_of_a_busy_daemon_is_not_used on (without the call of calls_limit_delay), 2 runs of 2:

calls_test.c:227: Assertion 'recv (server_fd, &byte, 1, 0) == 0' failed: recv (server_fd, &byte, 1, 0) == 1, 0 == 0

With calls_limit_delay and without the condition in on_pre_request, it and test_late_connection_is_not_used fail with the same message. With the condition: 100%: Checks: 9, Failures: 0, Errors: 0. Each test asserts that its connection came 1 s late or later. test_call_without_a_limit_uses_a_late_connection passes with and without the condition.

CK_FORK=no build/entry/entry_calls_test

--- a/entry/agent.c
+++ b/entry/agent.c
@@ -122,9 +122,7 @@
                           .kind = order->kind,
                           .token = order->token };
   req = platform_order_req (order);
-  counter_add (COUNT_WORKER_CALLS, 1);
-  calls_send (core->worker_calls, order->address, &req,
-              orders_timeout_ms (order), on_order_reply, call);
+  orders_call_worker (core, order, &req, on_order_reply, call);
 }
 
 /* The batch that the owner was to append did not get through.  */
--- a/entry/calls.c
+++ b/entry/calls.c
@@ -25,6 +25,7 @@
   call_done_t done;
   void *ctx;
   int64_t deadline_us;
+  int64_t send_by_us;   /* the request is not sent after this time */
   GSequenceIter *place; /* in calls->by_deadline */
   /* Data may have been sent, perhaps on a connection that was lost.  */
   bool request_started;
@@ -168,8 +169,10 @@
   return size * count;
 }
 
-/* Called before each request that libcurl sends for a call.  It sends a
-   request again by itself when a reused connection ends before the reply.  A
+/* Called before each request that libcurl sends for a call, once it has a
+   connection.  A call may have waited for that longer than its limit, and
+   beyond its deadline, as events are handled before deadlines.  libcurl sends
+   a request again by itself when a reused connection ends before the reply.  A
    POST is not repeated: the server may have carried out the first request, and
    a rejection of the second one would hide that.  libcurl
    defines the signature.  */
@@ -184,7 +187,8 @@
   (void)self;
   (void)peer_port;
   (void)self_port;
-  if (call->request_started && call->body)
+  if ((call->request_started && call->body)
+      || clock_boot_us () > call->send_by_us)
     return CURL_PREREQFUNC_ABORT;
   call->request_started = true;
   return CURL_PREREQFUNC_OK;
@@ -237,6 +241,7 @@
   call->result.sent_us = clock_boot_us ();
   call->result.body = g_byte_array_new ();
   call->deadline_us = call->result.sent_us + (int64_t)timeout_ms * 1000;
+  call->send_by_us = INT64_MAX;
   call->place = g_sequence_insert_sorted (calls->by_deadline, call,
                                           compare_deadlines, NULL);
   curl_easy_setopt (call->easy, CURLOPT_URL, url);
@@ -260,6 +265,12 @@
   return call;
 }
 
+void
+calls_limit_delay (call_t *call, uint32_t delay_ms)
+{
+  call->send_by_us = call->result.sent_us + (int64_t)delay_ms * 1000;
+}
+
 /* Takes CALL out of the calls under way and keeps its handle.  */
 static void
 remove_call (calls_t *calls, call_t *call)
--- a/entry/core.h
+++ b/entry/core.h
@@ -230,11 +230,15 @@
 void orders_open (core_t *core);
 void orders_close (core_t *core);
 void orders_send (core_t *core, GArray *orders);
-/* orders_timeout_ms - how long a worker has to reply to ORDER.
+/* orders_call_worker - send ORDER, whose request is REQ, to its worker, and
+   clear REQ.  A start that is delayed is not sent.
+   orders_timeout_ms - how long a worker has to reply to ORDER.
    orders_forget_strings - drop what is valid only until the next call of the
    scheduler.
    orders_process_reply - pass the REPLY to ORDER to the scheduler; REPORT may
    be NULL.  */
+void orders_call_worker (core_t *core, const order_t *order,
+                         platform_req_t *req, call_done_t done, void *ctx);
 uint32_t orders_timeout_ms (const order_t *order);
 void orders_forget_strings (order_t *order);
 void orders_process_reply (core_t *core, const order_t *order,
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -173,7 +173,7 @@
 typedef struct call_result
 {
   uint32_t status;
-  bool not_sent; /* no connection was established; nothing was sent */
+  bool not_sent; /* no connection was established in time; nothing was sent */
   GByteArray *body;
   int64_t sent_us;
 } call_result_t;
@@ -189,9 +189,13 @@
 /* calls_send - send REQ to ADDRESS and clear it.  DONE is called later, never
    from calls_send itself.  The call is valid until then.  A POST is sent once
    at most; a GET may be sent again if its connection was lost.
+   calls_limit_delay - end CALL as not sent if it has no connection DELAY_MS
+   after calls_send.  Without a limit it may be sent any time before its
+   timeout, and after it if this thread is late.
    calls_cancel - end CALL without a result.  It may have had an effect.  */
 call_t *calls_send (calls_t *calls, const char *address, platform_req_t *req,
                     uint32_t timeout_ms, call_done_t done, void *ctx);
+void calls_limit_delay (call_t *call, uint32_t delay_ms);
 void calls_cancel (calls_t *calls, call_t *call);
 
 /* calls_handle_event - handle the epoll events READY of FD, if it is one of
--- a/entry/test/calls_test.c
+++ b/entry/test/calls_test.c
@@ -1,6 +1,7 @@
 #include "../../test/run_suite.h"
 #include "../entry.h"
 #include <arpa/inet.h>
+#include <linux/sock_diag.h>
 #include <poll.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -12,6 +13,13 @@
 #define LONG_TIMEOUT_MS 10000
 #define WAIT_MAX_US 5000000
 #define REQUEST_BYTES_MAX 4096
+#define BACKLOG 1
+/* Linux queues one connection more than the backlog.  */
+#define QUEUED_CONNECTIONS (BACKLOG + 1)
+/* Limit of calls that must not be sent late.  */
+#define DELAY_MAX_MS 500
+/* TCP sends a lost SYN again after this time.  */
+#define SYN_REPEAT_US 1000000
 /* Pause between the bytes of a slow reply.  */
 #define SLOW_BYTE_US 30000
 
@@ -26,6 +34,7 @@
 static bool completed;
 static uint32_t status;
 static bool not_sent;
+static int filler_fds[QUEUED_CONNECTIONS];
 
 static void
 on_done (void *ctx, const call_result_t *result)
@@ -47,7 +56,7 @@
   listen_fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   ck_assert_int_eq (bind (listen_fd, (struct sockaddr *)&self, sizeof self),
                     0);
-  ck_assert_int_eq (listen (listen_fd, 1), 0);
+  ck_assert_int_eq (listen (listen_fd, BACKLOG), 0);
   ck_assert_int_eq (getsockname (listen_fd, (struct sockaddr *)&self, &len),
                     0);
   g_snprintf (address, sizeof address, "127.0.0.1:%u", ntohs (self.sin_port));
@@ -162,6 +171,63 @@
   server_fd = -1;
 }
 
+/* The SYNs that the full queue of the listening socket has dropped.  */
+static uint32_t
+count_dropped (void)
+{
+  uint32_t info[SK_MEMINFO_VARS] = { 0 };
+  socklen_t len = sizeof info;
+
+  ck_assert_int_eq (getsockopt (listen_fd, SOL_SOCKET, SO_MEMINFO, info, &len),
+                    0);
+  return info[SK_MEMINFO_DROPS];
+}
+
+/* Sends a POST whose SYN is lost, while the queue of connections is full.  TCP
+   repeats the SYN, which is then accepted.  */
+static call_t *
+send_with_lost_syn (uint32_t timeout_ms)
+{
+  platform_req_t req = { .path = g_strdup ("/run-start"), .post = true };
+  struct sockaddr_in self;
+  socklen_t len = sizeof self;
+  int64_t end_us;
+  call_t *call;
+
+  ck_assert_int_eq (getsockname (listen_fd, (struct sockaddr *)&self, &len),
+                    0);
+  for (uint32_t i = 0; i < QUEUED_CONNECTIONS; i++)
+    {
+      filler_fds[i] = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      ck_assert_int_eq (
+          connect (filler_fds[i], (struct sockaddr *)&self, sizeof self), 0);
+    }
+  call = calls_send (calls, address, &req, timeout_ms, on_done, NULL);
+  end_us = clock_boot_us () + WAIT_MAX_US;
+  while (count_dropped () == 0 && clock_boot_us () < end_us)
+    iterate (1);
+  ck_assert_uint_gt (count_dropped (), 0);
+  for (uint32_t i = 0; i < QUEUED_CONNECTIONS; i++)
+    {
+      ck_assert (wait_readable (listen_fd, LONG_TIMEOUT_MS));
+      close (accept (listen_fd, NULL, NULL));
+      close (filler_fds[i]);
+    }
+  return call;
+}
+
+/* Accepts the next connection, on which nothing may be sent until it is
+   closed.  */
+static void
+accept_without_request (void)
+{
+  char byte;
+
+  accept_connection ();
+  iterate_until_readable (server_fd);
+  ck_assert_int_eq (recv (server_fd, &byte, 1, 0), 0);
+}
+
 /* Guards against a reply that is taken for lost because this daemon was too
    busy to read it in time.  The leases of sound workers ended for that.  */
 START_TEST (test_reply_that_waited_unread_is_no_timeout)
@@ -262,10 +328,57 @@
 }
 END_TEST
 
+/* Guards against a start that reaches the next boot of its worker, which may
+   be of another kind: the SYN was lost while the worker was down, and TCP
+   repeated it (issue 38, ROUTE).  */
+START_TEST (test_late_connection_is_not_used)
+{
+  int64_t began_us = clock_boot_us ();
+
+  calls_limit_delay (send_with_lost_syn (LONG_TIMEOUT_MS), DELAY_MAX_MS);
+  accept_without_request ();
+  ck_assert_int_ge (clock_boot_us () - began_us, SYN_REPEAT_US);
+  ck_assert (completed);
+  ck_assert (not_sent);
+  ck_assert_uint_eq (status, 0);
+}
+END_TEST
+
+/* Guards against the same start when its timeout has passed before the SYN is
+   repeated, but this daemon is too busy, or was suspended, to end the call. */
+START_TEST (test_late_connection_of_a_busy_daemon_is_not_used)
+{
+  int64_t began_us = clock_boot_us ();
+
+  calls_limit_delay (send_with_lost_syn (TIMEOUT_MS), DELAY_MAX_MS);
+  ck_assert (wait_readable (listen_fd, LONG_TIMEOUT_MS));
+  ck_assert_int_ge (clock_boot_us () - began_us, SYN_REPEAT_US);
+  accept_without_request ();
+  ck_assert (completed);
+  ck_assert (not_sent);
+}
+END_TEST
+
+/* Guards against holds that fail because a SYN was lost on a link that loses
+   packets: they may be sent late.  */
+START_TEST (test_call_without_a_limit_uses_a_late_connection)
+{
+  send_with_lost_syn (LONG_TIMEOUT_MS);
+  accept_connection ();
+  read_request ();
+  respond (response);
+  wait_for_result ();
+  ck_assert_uint_eq (status, 200);
+}
+END_TEST
+
 TEST_PROGRAM_WITH ("entry/calls", set_up, tear_down,
                    test_reply_that_waited_unread_is_no_timeout,
                    test_silence_is_a_timeout,
                    test_reply_that_arrives_slowly_is_no_timeout,
                    test_cancelled_call_has_no_result,
                    test_post_is_not_repeated_after_a_reset,
-                   test_get_is_repeated_after_a_reset)
+                   test_get_is_repeated_after_a_reset,
+                   test_late_connection_is_not_used,
+                   test_late_connection_of_a_busy_daemon_is_not_used,
+                   test_call_without_a_limit_uses_a_late_connection)
