calls: test of a start that waited for a connection to its worker

A daemon opens three connections to a worker; further calls wait in libcurl until one is free. What bounds that is the timeout of the waiting call, 250 ms for a start, if the loop is on time, and now the limit of calls_limit_delay, which counts from calls_send.

--- a/entry/test/calls_test.c
+++ b/entry/test/calls_test.c
@@ -216,14 +216,12 @@
   return call;
 }
 
-/* Accepts the next connection, on which nothing may be sent until it is
-   closed.  */
+/* Waits until the connection is closed without a request.  */
 static void
-accept_without_request (void)
+wait_for_close (void)
 {
   char byte;
 
-  accept_connection ();
   iterate_until_readable (server_fd);
   ck_assert_int_eq (recv (server_fd, &byte, 1, 0), 0);
 }
@@ -336,7 +334,8 @@
   int64_t began_us = clock_boot_us ();
 
   calls_limit_delay (send_with_lost_syn (LONG_TIMEOUT_MS), DELAY_MAX_MS);
-  accept_without_request ();
+  accept_connection ();
+  wait_for_close ();
   ck_assert_int_ge (clock_boot_us () - began_us, SYN_REPEAT_US);
   ck_assert (completed);
   ck_assert (not_sent);
@@ -353,9 +352,33 @@
   calls_limit_delay (send_with_lost_syn (TIMEOUT_MS), DELAY_MAX_MS);
   ck_assert (wait_readable (listen_fd, LONG_TIMEOUT_MS));
   ck_assert_int_ge (clock_boot_us () - began_us, SYN_REPEAT_US);
-  accept_without_request ();
+  accept_connection ();
+  wait_for_close ();
+  ck_assert (completed);
+  ck_assert (not_sent);
+}
+END_TEST
+
+/* Guards against a start that reaches the next boot of its worker because it
+   has waited until one of the connections to the worker was free.  */
+START_TEST (test_call_that_waited_for_a_connection_is_not_sent)
+{
+  platform_req_t req = { .path = g_strdup ("/run-start"), .post = true };
+  call_t *call;
+  int64_t late_us;
+
+  send_request (LONG_TIMEOUT_MS);
+  call = calls_send (calls, address, &req, LONG_TIMEOUT_MS, on_done, NULL);
+  calls_limit_delay (call, DELAY_MAX_MS);
+  late_us = clock_boot_us () + DELAY_MAX_MS * 1000;
+  while (clock_boot_us () <= late_us)
+    iterate (1);
+  ck_assert (!completed);
+  respond (response);
+  wait_for_close ();
   ck_assert (completed);
   ck_assert (not_sent);
+  ck_assert_uint_eq (status, 0);
 }
 END_TEST
 
@@ -381,4 +404,5 @@
                    test_get_is_repeated_after_a_reset,
                    test_late_connection_is_not_used,
                    test_late_connection_of_a_busy_daemon_is_not_used,
+                   test_call_that_waited_for_a_connection_is_not_sent,
                    test_call_without_a_limit_uses_a_late_connection)
