orders: queued orders wait until the log was read after a suspension

Cause: a daemon that was suspended plans no orders until it has read the log again (resync_needed), but the orders that were queued above the limit in flight were sent as soon as a reply was read or had timed out. They were judged only by what the owner knew before the suspension, so a start could reach a worker that had restarted as another kind seconds after it was decided, and stops and paces of a replaced owner were sent as well. Nothing bounded the time.

Change: send_queued of orders and hub sends nothing while resync_needed is set; core_caught_up sends what is still due when the log was read.

Tests: entry/orders, new. Without the two conditions (orders_resume kept):

0%: Checks: 2, Failures: 2, Errors: 0 orders_test.c:144: test_queued_order_waits_until_the_log_was_read: Assertion 'core.orders->length == 1' failed: core.orders->length == 0 orders_test.c:168: test_order_queued_for_a_relay_waits_until_the_log_was_read: Assertion 'peer->orders->length == 1' failed: peer->orders->length == 0

The call in core_caught_up has no test of its own.

CK_FORK=no build/entry/entry_orders_test

--- a/entry/core.c
+++ b/entry/core.c
@@ -223,10 +223,13 @@
   if (history_is_complete (&core->history))
     atomic_store (&core->model->log_known_us, sent_us);
   owner_caught_up (&core->owner, core->tab, now_us);
-  if (sent_us >= core->pause_detected_us)
-    core->resync_needed = false;
   if (core->sched)
     sched_confirm_ownership (core->sched, sent_us);
+  if (core->resync_needed && sent_us >= core->pause_detected_us)
+    {
+      core->resync_needed = false;
+      orders_resume (core);
+    }
 }
 
 static void
--- a/entry/core.h
+++ b/entry/core.h
@@ -244,6 +244,9 @@
 void orders_process_reply (core_t *core, const order_t *order,
                            const worker_reply_t *reply,
                            const worker_report_t *report);
+/* orders_resume - send the orders that waited until the log was read after
+   this process was suspended, and that are still due.  */
+void orders_resume (core_t *core);
 /* orders_clear - drop the orders that are not sent yet, because this daemon is
    no longer the owner.  */
 void orders_clear (core_t *core);
@@ -257,6 +260,9 @@
 /* hub_send_order - have RELAY carry ORDER out.  */
 void hub_send_order (core_t *core, relay_t *relay, const order_t *order,
                      int64_t now_us);
+/* hub_resume_orders - the same as orders_resume, for orders that wait for
+   relays.  */
+void hub_resume_orders (core_t *core);
 /* hub_expire - end the orders whose relay did not answer in time, as far as
    replies were read.
    hub_due_us - when the next one ends.  */
--- a/entry/hub.c
+++ b/entry/hub.c
@@ -78,7 +78,8 @@
 static void
 send_queued (core_t *core, hub_peer_t *peer, int64_t now_us)
 {
-  while (peer->orders_in_flight < RELAY_ORDERS_MAX && peer->orders->length > 0)
+  while (!core->resync_needed && peer->orders_in_flight < RELAY_ORDERS_MAX
+         && peer->orders->length > 0)
     {
       order_call_t *call = g_queue_pop_head (peer->orders);
 
@@ -93,6 +94,18 @@
     }
 }
 
+void
+hub_resume_orders (core_t *core)
+{
+  int64_t now_us = clock_boot_us ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, core->hub_peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    send_queued (core, value, now_us);
+}
+
 /* Passes the result of CALL to the scheduler and frees it.  */
 static void
 finish_call (core_t *core, order_call_t *call, worker_reply_t reply,
--- a/entry/orders.c
+++ b/entry/orders.c
@@ -102,7 +102,8 @@
 static void
 send_queued (core_t *core)
 {
-  while (core->sched && core->orders_in_flight < ORDERS_IN_FLIGHT_MAX
+  while (core->sched && !core->resync_needed
+         && core->orders_in_flight < ORDERS_IN_FLIGHT_MAX
          && core->orders->length > 0)
     {
       direct_call_t *call = g_queue_pop_head (core->orders);
@@ -163,6 +164,13 @@
   order->ticket = NULL;
 }
 
+void
+orders_resume (core_t *core)
+{
+  send_queued (core);
+  hub_resume_orders (core);
+}
+
 static void
 send_direct (core_t *core, const order_t *order)
 {
--- /dev/null
+++ b/entry/test/orders_test.c
@@ -0,0 +1,178 @@
+#include "../../test/run_suite.h"
+#include "../core.h"
+#include <arpa/inet.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define WAIT_MAX_US 5000000
+#define REQUEST_BYTES_MAX 4096
+#define EPOCH 3
+
+static const char response[]
+    = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+
+static core_t core;
+static entry_settings_t settings;
+static int listen_fd;
+static int server_fd;
+static char address[32];
+
+static void
+set_up (void)
+{
+  struct sockaddr_in self = { .sin_family = AF_INET };
+  socklen_t len = sizeof self;
+  const sched_limits_t limits = { .lease_ms = 3000, .hold_max_ms = 6000 };
+
+  self.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  listen_fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  ck_assert_int_eq (bind (listen_fd, (struct sockaddr *)&self, sizeof self),
+                    0);
+  ck_assert_int_eq (listen (listen_fd, 1), 0);
+  ck_assert_int_eq (getsockname (listen_fd, (struct sockaddr *)&self, &len),
+                    0);
+  g_snprintf (address, sizeof address, "127.0.0.1:%u", ntohs (self.sin_port));
+  server_fd = -1;
+  settings = (entry_settings_t){ .name = "e1", .cpu_share = 1 };
+  memset (&core, 0, sizeof core);
+  core.settings = &settings;
+  core.epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
+  core.worker_calls = calls_open (core.epoll_fd, 1);
+  core.tab = jobtab_new ();
+  core.tab->owner.epoch = EPOCH;
+  core.sched = sched_new (core.tab, EPOCH, &limits, NULL, core_now ());
+  orders_open (&core);
+  ck_assert (hub_open (&core));
+}
+
+static void
+tear_down (void)
+{
+  orders_close (&core);
+  hub_close (&core);
+  calls_close (core.worker_calls);
+  sched_free (core.sched);
+  jobtab_free (core.tab);
+  close (core.epoll_fd);
+  close (server_fd);
+  close (listen_fd);
+}
+
+/* A stop, which is due as its run is not known.  */
+static order_t
+stop_order (void)
+{
+  return (order_t){ .kind = ORDER_STOP,
+                    .worker = g_intern_static_string ("w1"),
+                    .address = address,
+                    .token = EPOCH,
+                    .task = { .id = "5c0e7a21d94b36f8" },
+                    .attempt = 1 };
+}
+
+static void
+send_stop (void)
+{
+  g_autoptr (GArray) orders = g_array_new (FALSE, FALSE, sizeof (order_t));
+  order_t stop = stop_order ();
+
+  g_array_append_val (orders, stop);
+  orders_send (&core, orders);
+}
+
+static bool
+is_readable (int fd)
+{
+  struct pollfd poll_fd = { .fd = fd, .events = POLLIN };
+
+  return poll (&poll_fd, 1, 0) > 0;
+}
+
+static void
+iterate (void)
+{
+  struct epoll_event event;
+
+  if (epoll_wait (core.epoll_fd, &event, 1, 1) > 0)
+    calls_handle_event (core.worker_calls, event.data.fd, event.events);
+  calls_run_due (core.worker_calls, clock_boot_us (), clock_boot_us ());
+}
+
+/* Iterates until FD can be read.  */
+static void
+iterate_until_readable (int fd)
+{
+  for (int64_t end_us = clock_boot_us () + WAIT_MAX_US;
+       !is_readable (fd) && clock_boot_us () < end_us;)
+    iterate ();
+  ck_assert (is_readable (fd));
+}
+
+static void
+read_request (void)
+{
+  char request[REQUEST_BYTES_MAX];
+
+  iterate_until_readable (server_fd);
+  ck_assert_int_gt (recv (server_fd, request, sizeof request, 0), 0);
+}
+
+/* Guards against orders that were queued before this daemon was suspended and
+   are sent when it wakes, before it has read the log: the worker may have
+   restarted, and another daemon may be the owner (issue 38).  */
+START_TEST (test_queued_order_waits_until_the_log_was_read)
+{
+  uint32_t in_flight;
+
+  send_stop ();
+  iterate_until_readable (listen_fd);
+  server_fd = accept (listen_fd, NULL, NULL);
+  read_request ();
+  while (core.orders->length == 0)
+    send_stop ();
+  in_flight = core.orders_in_flight;
+  core.resync_needed = true;
+  ck_assert_int_eq (send (server_fd, response, strlen (response), 0),
+                    (ssize_t)strlen (response));
+  for (int64_t end_us = clock_boot_us () + WAIT_MAX_US;
+       core.orders_in_flight == in_flight && core.orders->length > 0
+       && clock_boot_us () < end_us;)
+    iterate ();
+  ck_assert_uint_eq (core.orders->length, 1);
+  ck_assert_uint_lt (core.orders_in_flight, in_flight);
+  core.resync_needed = false;
+  orders_resume (&core);
+  ck_assert_uint_eq (core.orders->length, 0);
+}
+END_TEST
+
+/* Guards against the same for orders that wait for a relay.  */
+START_TEST (test_order_queued_for_a_relay_waits_until_the_log_was_read)
+{
+  link_handler_t handler = { .ctx = &core };
+  hub_peer_t *peer = g_new0 (hub_peer_t, 1);
+  relay_t relay = { .name = "e2", .link = peer };
+  order_t stop = stop_order ();
+
+  peer->id = 1;
+  peer->link = links_connect (core.links, address, &handler, clock_boot_us ());
+  peer->orders = g_queue_new ();
+  peer->payloads
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_hash_table_insert (core.hub_peers, &peer->id, peer);
+  core.resync_needed = true;
+  hub_send_order (&core, &relay, &stop, clock_boot_us ());
+  ck_assert_uint_eq (peer->orders->length, 1);
+  core.resync_needed = false;
+  orders_resume (&core);
+  ck_assert_uint_eq (peer->orders->length, 0);
+  ck_assert_uint_eq (peer->orders_in_flight, 1);
+}
+END_TEST
+
+TEST_PROGRAM_WITH ("entry/orders", set_up, tear_down,
+                   test_queued_order_waits_until_the_log_was_read,
+                   test_order_queued_for_a_relay_waits_until_the_log_was_read)
