jobtab, stages: an earlier copy of a task counts after a change of the owner

A step that may run as copies can have an earlier one that still runs or is being stopped. While it is stopped, it is in neither list of its worker, and a worker that has not reported has listed nothing; a new owner counted it nowhere, neither for the limit per worker nor for capacity nor for the cap of the workspace. The same held for a run of a task that is recorded as done by another run: it was neither expected nor stopped unless its worker listed it.

Change: task_progress_t keeps the start before the last one (attempt and worker) for speculative steps, until its end is folded. A new owner expects it as a run beside the task's present one (worker_expect_extra_run), and so every recorded run of a done task that is not the one that ended. They count until their worker has listed them in neither list for longer than a stop takes, or the lease has ended, as the last start does. Runs of done tasks are stopped once their worker lists them: ends of stopped runs are not recorded, so most of these have ended long ago, and a stop of each would delay the new owner's other orders. Of three copies at once the oldest is not kept: it is known only if its worker lists it.

--- a/jobs/jobtab.c
+++ b/jobs/jobtab.c
@@ -5,6 +5,7 @@
 #define SNAPSHOT_FORMAT 2
 #define SNAPSHOT_BYTES_MAX (64 * 1024 * 1024)
 #define TASK_FIELDS 7
+#define TASK_FIELDS_WITH_EARLIER 9
 
 static void
 entry_free (gpointer data)
@@ -166,23 +167,33 @@
   return (fold_result_t){ FOLD_CLAIMED, NULL };
 }
 
+/* The progress of TASK, with *STEP set to its step; NULL: there is none.  */
 static task_progress_t *
-find_task (jobtab_t *table, const task_ref_t *task)
+find_task (jobtab_t *table, const task_ref_t *task, const job_step_t **step)
 {
   job_entry_t *entry = jobtab_find (table, task->id);
   uint32_t number = entry && entry->tasks ? job_task_number (entry->desc, task)
                                           : UINT32_MAX;
 
-  return number == UINT32_MAX ? NULL : &entry->tasks[number];
+  if (number == UINT32_MAX)
+    return NULL;
+  *step = &entry->desc->steps[task->step];
+  return &entry->tasks[number];
 }
 
 static void
 fold_placed (jobtab_t *table, const task_placed_t *placed)
 {
-  task_progress_t *progress = find_task (table, &placed->task);
+  const job_step_t *step;
+  task_progress_t *progress = find_task (table, &placed->task, &step);
 
   if (!progress || placed->attempt <= progress->placed)
     return;
+  if (step->speculative && progress->worker)
+    {
+      progress->earlier = progress->placed;
+      progress->earlier_worker = progress->worker;
+    }
   progress->placed = placed->attempt;
   progress->worker = placed->worker;
 }
@@ -190,7 +201,8 @@
 static void
 fold_end (jobtab_t *table, const task_end_t *end)
 {
-  task_progress_t *progress = find_task (table, &end->task);
+  const job_step_t *step;
+  task_progress_t *progress = find_task (table, &end->task, &step);
 
   if (!progress)
     return;
@@ -200,6 +212,8 @@
     failures_add (&progress->failures, end->attempt);
   if (end->attempt == progress->placed)
     progress->worker = NULL; /* that attempt has ended */
+  if (end->attempt == progress->earlier)
+    progress->earlier_worker = NULL;
 }
 
 static fold_result_t
@@ -287,7 +301,8 @@
 {
   uint32_t kept = MIN (progress->failures.count, FAILURES_KEPT);
 
-  msgpack_pack_array (pk, TASK_FIELDS);
+  msgpack_pack_array (pk, progress->earlier_worker ? TASK_FIELDS_WITH_EARLIER
+                                                   : TASK_FIELDS);
   msgpack_pack_uint32 (pk, number);
   msgpack_pack_uint32 (pk, progress->done);
   msgpack_pack_uint32 (pk, progress->failures.count);
@@ -297,6 +312,10 @@
     msgpack_pack_uint32 (pk, progress->failures.attempts[i]);
   msgpack_pack_uint32 (pk, progress->placed);
   pack_name (pk, progress->worker);
+  if (!progress->earlier_worker)
+    return;
+  msgpack_pack_uint32 (pk, progress->earlier);
+  pack_name (pk, progress->earlier_worker);
 }
 
 /* Tasks without progress are left out.  */
@@ -344,13 +363,20 @@
   return pack_steal (&buf);
 }
 
+static const char *
+read_worker (fields_t *f)
+{
+  g_autofree char *worker = text_read (f, "worker");
+
+  return worker ? g_intern_string (worker) : NULL;
+}
+
 static const char *
 read_task (const msgpack_object *object, job_entry_t *entry)
 {
   fields_t f = fields_open (object, "mark");
   uint64_t number = fields_u64 (&f, "number", UINT32_MAX);
   const msgpack_object *attempts;
-  g_autofree char *worker = NULL;
   task_progress_t progress = { 0 };
   uint32_t kept;
 
@@ -359,8 +385,12 @@
   progress.failures.highest = (uint32_t)fields_u64 (&f, "highest", UINT32_MAX);
   kept = array_read (&f, "attempts", &attempts);
   progress.placed = (uint32_t)fields_u64 (&f, "placed", UINT32_MAX);
-  worker = text_read (&f, "worker");
-  progress.worker = worker ? g_intern_string (worker) : NULL;
+  progress.worker = read_worker (&f);
+  if (f.left > 0) /* absent if there is none, and in earlier versions */
+    {
+      progress.earlier = (uint32_t)fields_u64 (&f, "earlier", UINT32_MAX);
+      progress.earlier_worker = read_worker (&f);
+    }
   if (f.bad || number >= entry->tasks_count
       || kept != MIN (progress.failures.count, FAILURES_KEPT))
     return "mark";
--- a/jobs/jobtab.h
+++ b/jobs/jobtab.h
@@ -21,7 +21,9 @@
 {
   failures_t failures;
   uint32_t placed;    /* last attempt that was ordered to start; 0: none */
-  const char *worker; /* of that attempt; interned; NULL: it has ended */
+  uint32_t earlier;   /* the one before, if the task may run twice */
+  const char *worker; /* of the last attempt; interned; NULL: it has ended */
+  const char *earlier_worker; /* the same of the one before */
   bool done;
 } task_progress_t;
 
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -77,6 +77,8 @@
   int64_t stop_sent_us;       /* last sent; 0: not yet */
   int64_t stop_confirmed_us;  /* 0: not yet */
   bool never_sent;            /* STOPPING: its start was never sent */
+  bool stop_when_listed;      /* known from the log alone: most such runs have
+                                 ended, and a stop of each would delay others */
   bool start_pending;         /* counted in sched->starts_pending */
   uint32_t unanswered_starts; /* number of unanswered starts */
   int64_t resend_us;          /* ORDERED: next resend; 0: awaiting a reply */
@@ -360,7 +362,7 @@
 /* runs.c: attempts at tasks */
 run_t *run_new (sched_t *sched, task_t *task, worker_t *worker,
                 uint32_t attempt, sched_now_t now);
-/* run_new_extra - a run of TASK beside its current one, which WORKER lists. */
+/* run_new_extra - a run of TASK that is not its current one.  */
 run_t *run_new_extra (sched_t *sched, task_t *task, worker_t *worker,
                       uint32_t attempt, sched_now_t now);
 /* run_clear_start_pending - RUN's start was answered or won't be.  */
@@ -420,6 +422,10 @@
    expired.  */
 void worker_expect_run (sched_t *sched, task_t *task, uint32_t attempt,
                         const char *id, sched_now_t now);
+/* worker_expect_extra_run - the same for a run that is not the current one of
+   TASK.  If TASK is done, it is stopped once its worker lists it.  */
+void worker_expect_extra_run (sched_t *sched, task_t *task, uint32_t attempt,
+                              const char *id, sched_now_t now);
 /* sched_add_order - add ORDER, which is for WORKER, to the plan.  */
 void sched_add_order (sched_t *sched, const worker_t *worker, order_t order);
 /* sched_inherits_leases - whether a lease of an earlier owner may still be
--- a/jobs/test/orphans_test.c
+++ b/jobs/test/orphans_test.c
@@ -44,6 +44,43 @@
   return rig_count_orders (orders, kind);
 }
 
+/* The number of stops of ATTEMPT among ORDERS.  */
+static uint32_t
+count_stops (const GArray *orders, uint32_t attempt)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < orders->len; i++)
+    {
+      const order_t *order = &g_array_index (orders, order_t, i);
+
+      count += order->kind == ORDER_STOP && order->attempt == attempt;
+    }
+  return count;
+}
+
+/* Replaces the table by its snapshot, as a daemon that starts does.  */
+static void
+load_snapshot (void)
+{
+  GBytes *bytes = jobtab_pack (rig.tab);
+  gsize len;
+  const void *data = g_bytes_get_data (bytes, &len);
+
+  jobtab_free (rig.tab);
+  rig.tab = jobtab_unpack (data, len, NULL);
+  ck_assert_ptr_nonnull (rig.tab);
+  g_bytes_unref (bytes);
+}
+
+static void
+set_cap (int64_t cpu_milli)
+{
+  g_array_index (rig.rules->workspaces, rules_workspace_t, 0).cap.cpu_milli
+      = cpu_milli;
+  sched_set_rules (rig.sched, rig.rules);
+}
+
 static job_step_t
 speculative_step (uint32_t count)
 {
@@ -86,9 +123,7 @@
   job_step_t other = rig_step (1);
 
   take_over_copies (&step);
-  g_array_index (rig.rules->workspaces, rules_workspace_t, 0).cap.cpu_milli
-      = 2000;
-  sched_set_rules (rig.sched, rig.rules);
+  set_cap (2000);
   report_copies ();
   rig_submit (2, &other, 1);
   ck_assert_uint_eq (count_orders (ORDER_START), 0);
@@ -252,6 +287,150 @@
 }
 END_TEST
 
+/* Guards against a task that starts beside another one of its step, beyond the
+   limit per worker (ROUTE): a copy that was being stopped when the owner
+   changed is in neither list of its worker, and only the log shows it.  */
+START_TEST (test_recorded_copy_counts_for_the_limit_per_worker)
+{
+  job_step_t step = speculative_step (2);
+  run_status_t second = row_of (1, 0, 2);
+
+  step.spread_max = 1;
+  take_over_copies (&step);
+  rig_report ("w2", &second, 1, NULL, 0);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  ck_assert_uint_eq (count_orders (ORDER_START), 0);
+  /* Then it is not listed for longer than a stop takes.  */
+  rig_advance_clock (50);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  rig_advance_clock (400);
+  rig_report ("w2", &second, 1, NULL, 0);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  ck_assert_uint_eq (count_orders (ORDER_START), 1);
+}
+END_TEST
+
+/* Guards against a workspace that has more running than its cap (QUOTA): a
+   copy on a worker that has not reported was not counted; or counted for
+   ever.  */
+START_TEST (test_recorded_copy_counts_for_the_cap_until_its_lease_ends)
+{
+  job_step_t step = speculative_step (1);
+  job_step_t other = rig_step (1);
+  run_status_t second = row_of (1, 0, 2);
+
+  step.estimate_ms = 60000; /* w2 isn't slow */
+  second.percent = 0;
+  take_over_copies (&step);
+  set_cap (2000);
+  rig_submit (2, &other, 1);
+  for (int64_t at_ms = 0; at_ms <= SCHED_LEASE_HORIZON_MS; at_ms += 500)
+    {
+      second.percent++;
+      rig_report ("w2", &second, 1, NULL, 0);
+      ck_assert_uint_eq (count_orders (ORDER_START), 0);
+      rig_advance_clock (500);
+    }
+  second.percent++;
+  rig_report ("w2", &second, 1, NULL, 0);
+  ck_assert_uint_eq (count_orders (ORDER_START), 1);
+}
+END_TEST
+
+/* Guards against starts beyond the capacity of a worker (LIMIT): a copy that
+   was being stopped when the owner changed was not counted.  */
+START_TEST (test_recorded_copy_keeps_its_room)
+{
+  job_step_t step = speculative_step (1);
+  job_step_t wide = rig_step (1);
+  run_status_t second = row_of (1, 0, 2);
+
+  wide.need.cpu_milli = 1000 * CORES;
+  take_over_copies (&step);
+  rig_submit (2, &wide, 1);
+  rig_report ("w2", &second, 1, NULL, 0);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  ck_assert_uint_eq (count_orders (ORDER_START), 0);
+}
+END_TEST
+
+/* Guards against a snapshot that lacks the earlier copy of a task.  */
+START_TEST (test_recorded_copy_is_in_the_snapshot)
+{
+  job_step_t step = speculative_step (2);
+
+  step.spread_max = 1;
+  rig_submit (1, &step, 1);
+  rig_record_start (1, 0, 1, g_intern_string ("w1"));
+  rig_record_start (1, 0, 2, g_intern_string ("w2"));
+  load_snapshot ();
+  rig_open_sched (2);
+  rig_worker ("w1", CORES, false);
+  ck_assert_uint_eq (count_orders (ORDER_START), 0);
+}
+END_TEST
+
+/* Opens a new owner of job 1, two tasks of which one may run on a worker.  An
+   earlier owner has started task 0 on w1, and then on w2, and recorded that
+   attempt DONE of it is done.  Worker ID lists nothing.  */
+static void
+take_over_done_task (uint32_t done, const char *id)
+{
+  job_step_t step = speculative_step (2);
+
+  step.spread_max = 1;
+  rig_submit (1, &step, 1);
+  rig_record_start (1, 0, 1, g_intern_string ("w1"));
+  rig_record_start (1, 0, 2, g_intern_string ("w2"));
+  rig_record_end (1, 0, done);
+  rig_open_sched (2);
+  rig_worker (id, CORES, false);
+}
+
+/* Guards against a start beside a copy of a task that was done before the
+   owner changed (ROUTE), and against a copy that isn't stopped.  */
+START_TEST (test_earlier_copy_of_a_done_task_counts)
+{
+  run_status_t row = row_of (1, 0, 1);
+  run_end_t end = { .sequence = 1, .attempt = 1, .kind = RUN_STOPPED };
+  g_autoptr (GArray) orders = NULL;
+
+  take_over_done_task (2, "w1");
+  ck_assert_uint_eq (count_orders (ORDER_START), 0);
+  rig_advance_clock (50);
+  rig_report ("w1", &row, 1, NULL, 0);
+  orders = rig_plan (false);
+  ck_assert_uint_eq (count_stops (orders, 1), 1);
+  ck_assert_uint_eq (rig_count_orders (orders, ORDER_START), 0);
+  rig_advance_clock (50);
+  end.task = row.task;
+  rig_report ("w1", NULL, 0, &end, 1);
+  ck_assert_uint_eq (count_orders (ORDER_START), 1);
+}
+END_TEST
+
+/* Guards against the same when the earlier copy was the one that ended.  */
+START_TEST (test_last_copy_of_a_done_task_counts)
+{
+  take_over_done_task (1, "w2");
+  ck_assert_uint_eq (count_orders (ORDER_START), 0);
+}
+END_TEST
+
+/* Guards against a new owner that stops what ended long ago: the stops of all
+   copies on record would delay its other orders.  */
+START_TEST (test_copy_that_is_not_listed_is_not_stopped)
+{
+  take_over_done_task (2, "w1");
+  ck_assert_uint_eq (count_orders (ORDER_STOP), 0);
+  rig_advance_clock (50);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  rig_advance_clock (400);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  ck_assert_uint_eq (count_orders (ORDER_STOP), 0);
+}
+END_TEST
+
 TEST_PROGRAM_WITH ("jobs/orphans", rig_reset, rig_tear_down,
                    test_copy_counts_for_the_limit_per_worker,
                    test_copy_goes_on_after_a_change_of_the_owner,
@@ -262,4 +441,11 @@
                    test_planned_start_is_judged_again,
                    test_runs_of_an_unknown_job_keep_their_room,
                    test_worker_is_used_once_unknown_runs_have_ended,
-                   test_unknown_runs_that_are_not_listed_are_over)
+                   test_unknown_runs_that_are_not_listed_are_over,
+                   test_recorded_copy_counts_for_the_limit_per_worker,
+                   test_recorded_copy_counts_for_the_cap_until_its_lease_ends,
+                   test_recorded_copy_keeps_its_room,
+                   test_recorded_copy_is_in_the_snapshot,
+                   test_earlier_copy_of_a_done_task_counts,
+                   test_last_copy_of_a_done_task_counts,
+                   test_copy_that_is_not_listed_is_not_stopped)
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -129,21 +129,40 @@
   return worker;
 }
 
+/* The worker ID of an earlier owner, which may not be registered any more.  */
+static worker_t *
+recorded_worker (sched_t *sched, const task_t *task, const char *id,
+                 sched_now_t now)
+{
+  worker_t *worker = g_hash_table_lookup (sched->workers, id);
+
+  return worker ? worker : worker_add (sched, id, task->stage->job->pool, now);
+}
+
 void
 worker_expect_run (sched_t *sched, task_t *task, uint32_t attempt,
                    const char *id, sched_now_t now)
 {
-  worker_t *worker = g_hash_table_lookup (sched->workers, id);
-  run_t *run;
+  worker_t *worker = recorded_worker (sched, task, id, now);
+  run_t *run = run_new (sched, task, worker, attempt, now);
 
-  if (!worker)
-    worker = worker_add (sched, id, task->stage->job->pool, now);
-  run = run_new (sched, task, worker, attempt, now);
   run_clear_start_pending (sched, run);
   run->phase = RUN_ACTIVE;
   run->active_us = now.us;
 }
 
+void
+worker_expect_extra_run (sched_t *sched, task_t *task, uint32_t attempt,
+                         const char *id, sched_now_t now)
+{
+  worker_t *worker = recorded_worker (sched, task, id, now);
+  run_t *run = run_new_extra (sched, task, worker, attempt, now);
+
+  run->stop_when_listed = true;
+  if (task->done)
+    run_stop (sched, run);
+}
+
 /* Stops the long-running tasks of a draining worker, so that they restart
    elsewhere before it shuts down.  */
 static void
@@ -427,7 +446,7 @@
 static void
 add_stop_order (sched_t *sched, run_t *run, sched_now_t now)
 {
-  if (run->stop_confirmed_us != 0)
+  if (run->stop_confirmed_us != 0 || run->stop_when_listed)
     return;
   if (!may_stop_now (run, now.us))
     {
