--- a/jobs/replies.c
+++ b/jobs/replies.c
@@ -147,7 +147,7 @@
     run->progress_us = now.us;
   run->percent = status->percent;
   run->load = status->load;
-  set_checkpoint (task, status->checkpoint);
+  set_checkpoint (run->task, status->checkpoint);
   mark_active (sched, run, now);
 }
 
