sched: a batch of progress that is too large for one record is split

Evidence: jobs/sched, test_starts_of_a_large_job_are_recorded_in_parts, before: "g_bytes_get_size (bytes) == 323625, (256 * 1024) == 262144".

Change: a record has 800 rows at most. A larger batch takes several records, of which only the last has the batch's number; starts wait for that one.

--- a/entry/core.c
+++ b/entry/core.c
@@ -289,15 +289,16 @@
 static void
 append_progress (core_t *core, int64_t now_us)
 {
-  job_rec_t *rec = sched_progress (core->sched);
+  job_rec_t *rec;
 
-  if (!rec)
-    return;
-  appends_add (core, job_rec_pack (rec), NULL);
-  job_rec_clear (rec);
-  g_free (rec);
-  core->owner.renewed_us = now_us;
-  core->progress_due_us = now_us + PROGRESS_INTERVAL_US;
+  while ((rec = sched_progress (core->sched)))
+    {
+      appends_add (core, job_rec_pack (rec), NULL);
+      job_rec_clear (rec);
+      g_free (rec);
+      core->owner.renewed_us = now_us;
+      core->progress_due_us = now_us + PROGRESS_INTERVAL_US;
+    }
 }
 
 /* Whether a record of progress that is appended now may be deleted before a
--- a/jobs/sched.c
+++ b/jobs/sched.c
@@ -1,6 +1,11 @@
 #include "advice.h"
 #include "schedint.h"
 
+/* Rows in a progress record.  With worker ids of 255 bytes, the longest key in
+   the store, it stays below the 256 KiB that the store takes; a larger one
+   would be refused for good and hold up all records behind it.  */
+#define PROGRESS_ROWS_MAX 800
+
 static void
 pool_free (gpointer data)
 {
@@ -199,13 +204,6 @@
   sched->place_needed = true;
 }
 
-bool
-sched_has_progress (const sched_t *sched)
-{
-  return sched->placed->len > 0 || sched->ends->len > 0
-         || sched->changes->len > 0 || sched->has_unwritten_ends;
-}
-
 /* Ends that need no record become durable with the batch before.  */
 static void
 skip_batch (sched_t *sched)
@@ -220,14 +218,40 @@
   sched_set_durable (sched, sched->durable_batch);
 }
 
+/* Moves the first rows of FROM, COUNT at most, to a new array.  */
+static GArray *
+take_rows (GArray *from, uint32_t count)
+{
+  GArray *rows
+      = g_array_new (FALSE, TRUE, (guint)g_array_get_element_size (from));
+
+  count = MIN (count, from->len);
+  g_array_append_vals (rows, from->data, count);
+  g_array_remove_range (from, 0, count);
+  return rows;
+}
+
+static bool
+has_rows (const sched_t *sched)
+{
+  return sched->placed->len > 0 || sched->ends->len > 0
+         || sched->changes->len > 0;
+}
+
+bool
+sched_has_progress (const sched_t *sched)
+{
+  return has_rows (sched) || sched->has_unwritten_ends;
+}
+
 job_rec_t *
 sched_progress (sched_t *sched)
 {
   job_rec_t *rec;
+  uint32_t left = PROGRESS_ROWS_MAX;
 
   sched->has_unwritten_ends = false;
-  if (sched->placed->len == 0 && sched->ends->len == 0
-      && sched->changes->len == 0)
+  if (!has_rows (sched))
     {
       skip_batch (sched);
       return NULL;
@@ -235,13 +259,12 @@
   rec = g_new0 (job_rec_t, 1);
   rec->kind = JREC_PROGRESS;
   rec->u.progress.epoch = sched->epoch;
-  rec->u.progress.batch = sched->batch++;
-  rec->u.progress.placed = sched->placed;
-  rec->u.progress.ends = sched->ends;
-  rec->u.progress.changes = sched->changes;
-  sched->placed = g_array_new (FALSE, TRUE, sizeof (task_placed_t));
-  sched->ends = g_array_new (FALSE, TRUE, sizeof (task_end_t));
-  sched->changes = g_array_new (FALSE, TRUE, sizeof (job_change_t));
+  rec->u.progress.placed = take_rows (sched->placed, left);
+  left -= rec->u.progress.placed->len;
+  rec->u.progress.ends = take_rows (sched->ends, left);
+  left -= rec->u.progress.ends->len;
+  rec->u.progress.changes = take_rows (sched->changes, left);
+  rec->u.progress.batch = has_rows (sched) ? sched->batch - 1 : sched->batch++;
   return rec;
 }
 
--- a/jobs/scheduler.h
+++ b/jobs/scheduler.h
@@ -224,7 +224,9 @@
 int64_t sched_next_us (const sched_t *sched);
 
 /* sched_progress - the progress record to append, or NULL when there is none;
-   the caller owns it.  */
+   the caller owns it.  A batch that is too large for one record takes several
+   calls; all but the last of its records have the number of the batch before,
+   as the batch is durable only with the last one.  */
 job_rec_t *sched_progress (sched_t *sched);
 
 bool sched_has_progress (const sched_t *sched);
