job: names of up to 4,000 bytes, and none that can't be read back

What callers saw (review, "A long name loses an accepted job"): a step with an image, requirement or rack of over 200 bytes is answered 200, and the job is unknown (410) from then on (LOST).

Cause: the front accepted names of any length, but a name of over JOB_NAME_MAX bytes can't be read back from the log.

Change: JOB_NAME_MAX is 4,000 bytes, as for the payload, and job_check, which the front asks, refuses longer ones (400). A job whose record would be larger than the store takes is refused with 413; it held up all appends before.

Evidence: jobs/job, test_invalid_jobs_are_rejected fails before: a name of JOB_NAME_MAX + 1 bytes passes job_check. The size limit of the record has no test of its own.

--- a/entry/front.c
+++ b/entry/front.c
@@ -228,6 +228,11 @@
   rec.u.submit = desc;
   record = job_rec_pack (&rec);
   job_rec_clear (&rec);
+  if (g_bytes_get_size (record) > JOB_REC_BYTES_MAX)
+    {
+      g_bytes_unref (record);
+      return refuse (req, RESPONSE_TOO_LARGE, id, NULL);
+    }
   return append_record (req, record, id, false,
                         get_deadline_ms (req->conn, queue));
 }
--- a/jobs/job.c
+++ b/jobs/job.c
@@ -69,6 +69,12 @@
   return job_occurrences (desc) * job_tasks_per_occurrence (desc);
 }
 
+static bool
+is_too_long (const char *name)
+{
+  return name && strlen (name) > JOB_NAME_MAX;
+}
+
 static const char *
 check_step (const job_desc_t *desc, uint32_t number)
 {
@@ -79,6 +85,9 @@
   if (step->need.cpu_milli < 0 || step->need.mem_mib < 0
       || step->need.accels < 0)
     return "steps: expected amounts of 0 or more";
+  if (is_too_long (step->label) || is_too_long (step->rack)
+      || is_too_long (step->image))
+    return "steps: expected names of at most 4000 bytes";
   for (uint32_t i = 0; i < step->after_count; i++)
     if (step->after[i] >= number)
       return "steps.after: expected numbers of earlier steps";
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -23,7 +23,9 @@
 #define JOB_STEPS_MAX 256
 #define JOB_TASKS_MAX 100000
 #define JOB_PAYLOAD_MAX 4000
-#define JOB_NAME_MAX 200
+#define JOB_NAME_MAX 4000
+/* What the store takes as one record.  */
+#define JOB_REC_BYTES_MAX (256 * 1024)
 
 typedef struct job_step
 {
--- a/jobs/record.c
+++ b/jobs/record.c
@@ -1,9 +1,6 @@
 #include "codec.h"
 #include <string.h>
 
-/* The largest record is one batch of progress of the owner.  */
-#define RECORD_BYTES_MAX (256 * 1024)
-
 #define STEP_FIELDS 13
 #define DESC_FIELDS 11
 #define SETTINGS_FIELDS 7
@@ -469,7 +466,7 @@
   msgpack_unpacked msg;
   fields_t f;
   bool ok
-      = unpack_value (data, len, RECORD_BYTES_MAX, "job record", &msg, error);
+      = unpack_value (data, len, JOB_REC_BYTES_MAX, "job record", &msg, error);
 
   memset (rec, 0, sizeof *rec);
   if (!ok)
--- a/jobs/test/job_test.c
+++ b/jobs/test/job_test.c
@@ -68,6 +68,7 @@
 START_TEST (test_invalid_jobs_are_rejected)
 {
   uint32_t later[] = { 1 };
+  g_autofree char *long_name = g_strnfill (JOB_NAME_MAX + 1, 'n');
 
   ck_assert_ptr_null (job_check (&desc));
   steps[0].after = later;
@@ -80,6 +81,9 @@
   desc.repeats = JOB_TASKS_MAX;
   ck_assert_ptr_nonnull (job_check (&desc));
   desc.repeats = 0;
+  steps[0].image = long_name;
+  ck_assert_ptr_nonnull (job_check (&desc));
+  steps[0].image = NULL;
   desc.steps_count = 0;
   ck_assert_ptr_nonnull (job_check (&desc));
 }
--- a/jobs/test/record_test.c
+++ b/jobs/test/record_test.c
@@ -72,6 +72,27 @@
   return copy;
 }
 
+/* Guards against an accepted job that is lost, as its record can't be read
+   back (LOST): each name may be as long as job_check allows.  */
+START_TEST (test_longest_names_round_trip)
+{
+  job_rec_t rec = { .kind = JREC_SUBMIT, .u.submit = desc };
+  g_autofree char *name = g_strnfill (JOB_NAME_MAX, 'n');
+  job_rec_t copy;
+
+  desc->steps[0].label = g_strdup (name);
+  g_free (desc->steps[0].rack);
+  desc->steps[0].rack = g_strdup (name);
+  desc->steps[0].image = g_strdup (name);
+  ck_assert_ptr_null (job_check (desc));
+  copy = round_trip (&rec);
+  ck_assert_str_eq (copy.u.submit->steps[0].label, name);
+  ck_assert_str_eq (copy.u.submit->steps[0].rack, name);
+  ck_assert_str_eq (copy.u.submit->steps[0].image, name);
+  job_rec_clear (&copy);
+}
+END_TEST
+
 /* Guards against fields of a job that are lost when it is encoded.  */
 START_TEST (test_submit_round_trip)
 {
@@ -247,7 +268,8 @@
 }
 END_TEST
 
-TEST_PROGRAM_WITH ("jobs/record", set_up, tear_down, test_submit_round_trip,
+TEST_PROGRAM_WITH ("jobs/record", set_up, tear_down,
+                   test_longest_names_round_trip, test_submit_round_trip,
                    test_record_without_settings_is_read,
                    test_progress_round_trip, test_owner_records_round_trip,
                    test_damaged_records_are_rejected)
