rig: all parts of a batch of progress are folded

sched_progress returns a large batch in several records, which entry/core appends in one go. jobs/place, test_slow_log_does_not_bound_the_starts plans 2,000 starts in a batch and failed, as the rig folded the first record only.

--- a/jobs/test/rig.c
+++ b/jobs/test/rig.c
@@ -301,14 +301,15 @@
 void
 rig_commit (void)
 {
-  job_rec_t *rec = sched_progress (rig.sched);
-
-  if (!rec)
-    return;
-  jobtab_fold (rig.tab, rec, rig.now.wall_ms);
-  sched_set_durable (rig.sched, rec->u.progress.batch);
-  job_rec_clear (rec);
-  g_free (rec);
+  job_rec_t *rec;
+
+  while ((rec = sched_progress (rig.sched)))
+    {
+      jobtab_fold (rig.tab, rec, rig.now.wall_ms);
+      sched_set_durable (rig.sched, rec->u.progress.batch);
+      job_rec_clear (rec);
+      g_free (rec);
+    }
 }
 
 job_state_t
