jobtab, stages: runs of ended jobs count after a change of the owner

A new owner then counted none of its runs for the cap of the workspace, nor for a worker that had not reported, nor those in the grace period of their stop, which are in neither list; a worker that listed one got no tasks at all until it had ended, as its needs were not known.

Change: a final job (also a complete one, whose copies may go on) of which a recorded start has not ended keeps its progress, and its steps without order, labels, racks and images; never the payload. jobtab_purge, which every daemon calls twice a second, drops them after JOBTAB_RUNS_KEPT_MS: runs are stopped at once, and where no stop arrives their leases end within SCHED_LEASE_HORIZON_MS of the last record that the owner has read; 11 s is twice that, as wall clocks are stepped by up to 5 s. A new owner adds such a job as ended with its recorded runs, which count until their worker has listed them in neither list for longer than a stop takes, or the lease has ended, and are stopped once they are listed (a stop of each run on record at once would delay its other orders). A start that is read after the end of its job is not ordered any more and counts as none. GET shows the state, queue and workspace as before.

Cost for a kept job: 104 bytes a step and 64 a task (sizeof, arm64). After the loss of all daemons, jobs whose end is read from the log again count as ended at that time.

--- a/jobs/jobtab.c
+++ b/jobs/jobtab.c
@@ -43,9 +43,44 @@
   return g_hash_table_lookup (table->jobs, id);
 }
 
-/* Drops the steps, the payload and the progress of a final job.  */
+bool
+task_may_run (const task_progress_t *progress)
+{
+  return progress->worker || progress->earlier_worker;
+}
+
+static bool
+entry_may_have_runs (const job_entry_t *entry)
+{
+  for (uint32_t i = 0; i < entry->tasks_count; i++)
+    if (task_may_run (&entry->tasks[i]))
+      return true;
+  return false;
+}
+
+/* Copies to SMALL what the runs of DESC need and how many there may be.  */
+static void
+copy_needs (job_desc_t *small, const job_desc_t *desc)
+{
+  small->limits = desc->limits;
+  small->repeats = desc->repeats;
+  small->steps_count = desc->steps_count;
+  small->steps
+      = g_memdup2 (desc->steps, desc->steps_count * sizeof *desc->steps);
+  for (uint32_t i = 0; i < small->steps_count; i++)
+    {
+      job_step_t *step = &small->steps[i];
+
+      step->after = NULL;
+      step->after_count = 0;
+      step->label = step->rack = step->image = NULL;
+    }
+}
+
+/* Drops what ENTRY, which is final, has no use for: the payload, and, unless
+   KEEP_RUNS, the steps and the progress.  */
 static void
-entry_strip (job_entry_t *entry)
+entry_strip (jobtab_t *table, job_entry_t *entry, bool keep_runs)
 {
   job_desc_t *small = g_new0 (job_desc_t, 1);
   job_desc_t *desc = entry->desc;
@@ -56,12 +91,18 @@
   small->settings = desc->settings;
   small->accepted_ms = desc->accepted_ms;
   small->payload = g_strdup ("");
+  if (keep_runs)
+    copy_needs (small, desc);
+  else
+    {
+      g_clear_pointer (&entry->tasks, g_free);
+      entry->tasks_count = 0;
+    }
   /* The key of the hash table is the id inside the description.  */
+  g_hash_table_steal (table->jobs, desc->id);
   entry->desc = small;
   job_desc_unref (desc);
-  g_free (entry->tasks);
-  entry->tasks = NULL;
-  entry->tasks_count = 0;
+  g_hash_table_insert (table->jobs, small->id, entry);
 }
 
 static void
@@ -72,11 +113,8 @@
     return;
   entry->state = state;
   entry->since_ms = now_ms;
-  if (!job_state_is_final (state))
-    return;
-  g_hash_table_steal (table->jobs, entry->desc->id);
-  entry_strip (entry);
-  g_hash_table_insert (table->jobs, entry->desc->id, entry);
+  if (job_state_is_final (state))
+    entry_strip (table, entry, entry_may_have_runs (entry));
 }
 
 static fold_result_t
@@ -167,29 +205,30 @@
   return (fold_result_t){ FOLD_CLAIMED, NULL };
 }
 
-/* The progress of TASK, with *STEP set to its step; NULL: there is none.  */
+/* The progress of TASK, with *ENTRY set to its job; NULL: there is none.  */
 static task_progress_t *
-find_task (jobtab_t *table, const task_ref_t *task, const job_step_t **step)
+find_task (jobtab_t *table, const task_ref_t *task, const job_entry_t **entry)
 {
-  job_entry_t *entry = jobtab_find (table, task->id);
-  uint32_t number = entry && entry->tasks ? job_task_number (entry->desc, task)
-                                          : UINT32_MAX;
+  uint32_t number;
 
-  if (number == UINT32_MAX)
+  *entry = jobtab_find (table, task->id);
+  if (!*entry || !(*entry)->tasks)
     return NULL;
-  *step = &entry->desc->steps[task->step];
-  return &entry->tasks[number];
+  number = job_task_number ((*entry)->desc, task);
+  return number == UINT32_MAX ? NULL : &(*entry)->tasks[number];
 }
 
 static void
 fold_placed (jobtab_t *table, const task_placed_t *placed)
 {
-  const job_step_t *step;
-  task_progress_t *progress = find_task (table, &placed->task, &step);
+  const job_entry_t *entry;
+  task_progress_t *progress = find_task (table, &placed->task, &entry);
 
-  if (!progress || placed->attempt <= progress->placed)
+  /* A start that is read after the end of its job is not ordered any more.  */
+  if (!progress || job_state_is_final (entry->state)
+      || placed->attempt <= progress->placed)
     return;
-  if (step->speculative && progress->worker)
+  if (entry->desc->steps[placed->task.step].speculative && progress->worker)
     {
       progress->earlier = progress->placed;
       progress->earlier_worker = progress->worker;
@@ -201,8 +240,8 @@
 static void
 fold_end (jobtab_t *table, const task_end_t *end)
 {
-  const job_step_t *step;
-  task_progress_t *progress = find_task (table, &end->task, &step);
+  const job_entry_t *entry;
+  task_progress_t *progress = find_task (table, &end->task, &entry);
 
   if (!progress)
     return;
@@ -272,27 +311,39 @@
 jobtab_purge (jobtab_t *table, int64_t now_ms, int64_t keep_ms,
               void (*drop) (const job_entry_t *entry, void *ctx), void *ctx)
 {
+  g_autoptr (GPtrArray) without_runs = g_ptr_array_new ();
   GHashTableIter iter;
   gpointer value;
 
   g_hash_table_iter_init (&iter, table->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const job_entry_t *entry = value;
+      job_entry_t *entry = value;
+      int64_t age_ms = now_ms - entry->since_ms;
 
-      if (!job_state_is_final (entry->state)
-          || now_ms - entry->since_ms < keep_ms)
+      if (!job_state_is_final (entry->state))
         continue;
-      drop (entry, ctx);
-      g_hash_table_iter_remove (&iter);
+      if (age_ms >= keep_ms)
+        {
+          drop (entry, ctx);
+          g_hash_table_iter_remove (&iter);
+        }
+      else if (entry->tasks && age_ms >= JOBTAB_RUNS_KEPT_MS)
+        g_ptr_array_add (without_runs, entry);
     }
+  for (uint32_t i = 0; i < without_runs->len; i++)
+    entry_strip (table, g_ptr_array_index (without_runs, i), false);
 }
 
+/* Whether PROGRESS of a task of ENTRY is in the snapshot.  Of a final job only
+   the runs matter.  */
 static bool
-task_has_no_progress (const task_progress_t *progress)
+task_is_packed (const job_entry_t *entry, const task_progress_t *progress)
 {
-  return !progress->done && progress->failures.count == 0
-         && progress->placed == 0;
+  if (job_state_is_final (entry->state))
+    return task_may_run (progress);
+  return progress->done || progress->failures.count > 0
+         || progress->placed > 0;
 }
 
 static void
@@ -318,17 +369,16 @@
   pack_name (pk, progress->earlier_worker);
 }
 
-/* Tasks without progress are left out.  */
 static void
 pack_tasks (msgpack_packer *pk, const job_entry_t *entry)
 {
   uint32_t count = 0;
 
   for (uint32_t i = 0; i < entry->tasks_count; i++)
-    count += !task_has_no_progress (&entry->tasks[i]);
+    count += task_is_packed (entry, &entry->tasks[i]);
   msgpack_pack_array (pk, count);
   for (uint32_t i = 0; i < entry->tasks_count; i++)
-    if (!task_has_no_progress (&entry->tasks[i]))
+    if (task_is_packed (entry, &entry->tasks[i]))
       pack_task (pk, i, &entry->tasks[i]);
 }
 
@@ -425,7 +475,9 @@
   entry->state = (job_state_t)fields_u64 (&f, "state", JOB_STATE_CANCELLED);
   entry->since_ms = fields_i64 (&f, "since");
   entry->desc = desc_read (&f);
-  if (!f.bad && !job_state_is_final (entry->state))
+  /* Final jobs have steps only if they have runs.  */
+  if (!f.bad
+      && (!job_state_is_final (entry->state) || entry->desc->steps_count > 0))
     {
       if (job_check (entry->desc))
         f.bad = "steps";
--- a/jobs/jobtab.h
+++ b/jobs/jobtab.h
@@ -27,12 +27,21 @@
   bool done;
 } task_progress_t;
 
+/* The recorded runs of a job are kept for this time after its end.  They are
+   stopped at once; where no stop arrives, they end with their leases, which an
+   owner that has not read of the end yet grants for SCHED_LEASE_HORIZON_MS
+   (scheduler.h).  Twice that, as wall clocks are stepped by up to 5 s.  */
+#define JOBTAB_RUNS_KEPT_MS 11000
+
+/* A job that is final has no payload.  If a recorded run of it may go on, it
+   keeps for JOBTAB_RUNS_KEPT_MS what a new owner needs to count that run: the
+   progress, and the steps without their order, labels, racks and images.  */
 typedef struct job_entry
 {
-  job_desc_t *desc; /* without steps once the state is final */
+  job_desc_t *desc;
   job_state_t state;
   int64_t since_ms;       /* start of the current state, Unix time */
-  task_progress_t *tasks; /* by task number; NULL once the state is final */
+  task_progress_t *tasks; /* by task number; NULL: final, without runs */
   uint32_t tasks_count;
 } job_entry_t;
 
@@ -90,10 +99,15 @@
    The caller advances table->next.  */
 fold_result_t jobtab_fold (jobtab_t *table, job_rec_t *rec, int64_t now_ms);
 
+/* task_may_run - whether a recorded run of the task with PROGRESS may go on.
+ */
+bool task_may_run (const task_progress_t *progress);
+
 job_entry_t *jobtab_find (const jobtab_t *table, const char *id);
 
 /* jobtab_purge - remove the jobs that have been final for KEEP_MS, and call
-   DROP before each removal.  */
+   DROP before each removal.  Forgets the runs of jobs that have been final for
+   JOBTAB_RUNS_KEPT_MS.  */
 void jobtab_purge (jobtab_t *table, int64_t now_ms, int64_t keep_ms,
                    void (*drop) (const job_entry_t *entry, void *ctx),
                    void *ctx);
--- a/jobs/sched.c
+++ b/jobs/sched.c
@@ -6,6 +6,8 @@
    would be refused for good and hold up all records behind it.  */
 #define PROGRESS_ROWS_MAX 800
 
+G_STATIC_ASSERT (JOBTAB_RUNS_KEPT_MS >= 2 * SCHED_LEASE_HORIZON_MS);
+
 static void
 pool_free (gpointer data)
 {
@@ -77,7 +79,7 @@
 
   g_hash_table_iter_init (&iter, table->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &entry))
-    if (!job_state_is_final (((job_entry_t *)entry)->state))
+    if (((job_entry_t *)entry)->tasks)
       g_ptr_array_add (entries, entry);
   g_ptr_array_sort (entries, compare_accepted);
   for (uint32_t i = 0; i < entries->len; i++)
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -423,7 +423,8 @@
 void worker_expect_run (sched_t *sched, task_t *task, uint32_t attempt,
                         const char *id, sched_now_t now);
 /* worker_expect_extra_run - the same for a run that is not the current one of
-   TASK.  If TASK is done, it is stopped once its worker lists it.  */
+   TASK.  If TASK is done or its job has ended, it is stopped once its worker
+   lists it.  */
 void worker_expect_extra_run (sched_t *sched, task_t *task, uint32_t attempt,
                               const char *id, sched_now_t now);
 /* sched_add_order - add ORDER, which is for WORKER, to the plan.  */
--- a/jobs/scheduler.h
+++ b/jobs/scheduler.h
@@ -172,7 +172,8 @@
 } order_t;
 
 /* sched_new - the scheduler of an owner with EPOCH, with all jobs of TABLE
-   that are not final.  */
+   that are not final, and those that are and may have runs, which are
+   stopped.  */
 sched_t *sched_new (const jobtab_t *table, uint64_t epoch,
                     const sched_limits_t *limits, const rules_t *rules,
                     sched_now_t now);
--- a/jobs/stages.c
+++ b/jobs/stages.c
@@ -275,12 +275,12 @@
 }
 
 /* Expects the recorded runs of TASK that may go on.  A done task may have one
-   that is not the one that ended.  */
+   that is not the one that ended, and so may one of an ended job.  */
 static void
 expect_runs (sched_t *sched, task_t *task, const task_progress_t *mark,
              sched_now_t now)
 {
-  if (mark->worker && task->done)
+  if (mark->worker && (task->done || task->stage->job->ended))
     worker_expect_extra_run (sched, task, mark->placed, mark->worker, now);
   else if (mark->worker)
     worker_expect_run (sched, task, mark->placed, mark->worker, now);
@@ -420,17 +420,13 @@
   return false;
 }
 
-void
-sched_add_job (sched_t *sched, const job_entry_t *entry, sched_now_t now)
+/* Adds the job of ENTRY without its tasks.  */
+static sched_job_t *
+add_job (sched_t *sched, const job_entry_t *entry, sched_now_t now)
 {
-  sched_job_t *job;
-  uint32_t count;
+  uint32_t count = job_occurrences (entry->desc);
+  sched_job_t *job = g_new0 (sched_job_t, 1);
 
-  if (job_state_is_final (entry->state)
-      || g_hash_table_contains (sched->jobs, entry->desc->id))
-    return;
-  count = job_occurrences (entry->desc);
-  job = g_new0 (sched_job_t, 1);
   job->desc = job_desc_ref (entry->desc);
   job->workspace = sched_workspace (sched, job->desc->workspace);
   if (!rules_workspace (sched->rules, job->desc->workspace)
@@ -444,10 +440,52 @@
   job->accepted_us
       = now.us
         - CLAMP (now.wall_ms - entry->desc->accepted_ms, 0, 60000) * 1000;
-  job->over_share = charge_share (job->workspace, job->desc);
   job->entry = entry;
   compute_chains (job);
   g_hash_table_insert (sched->jobs, job->desc->id, job);
+  return job;
+}
+
+static bool
+occurrence_may_have_runs (const job_entry_t *entry, uint32_t k)
+{
+  uint32_t count = job_tasks_per_occurrence (entry->desc);
+
+  for (uint32_t i = k * count; i < (k + 1) * count; i++)
+    if (task_may_run (&entry->tasks[i]))
+      return true;
+  return false;
+}
+
+/* Adds the job of ENTRY, which is final, with the runs that may go on.  */
+static void
+add_ended_job (sched_t *sched, const job_entry_t *entry, sched_now_t now)
+{
+  sched_job_t *job = add_job (sched, entry, now);
+
+  job->ended = true;
+  for (uint32_t k = 0; k < job_occurrences (job->desc); k++)
+    if (occurrence_may_have_runs (entry, k))
+      init_occurrence (sched, job, k, now);
+  job->entry = NULL;
+  job_free_if_idle (sched, job);
+}
+
+void
+sched_add_job (sched_t *sched, const job_entry_t *entry, sched_now_t now)
+{
+  uint32_t count = job_occurrences (entry->desc);
+  sched_job_t *job;
+
+  if (!entry->tasks || g_hash_table_contains (sched->jobs, entry->desc->id))
+    return;
+  if (job_state_is_final (entry->state))
+    {
+      add_ended_job (sched, entry, now);
+      return;
+    }
+  job = add_job (sched, entry, now);
+  job->over_share = charge_share (job->workspace, job->desc);
   job_open_due_occurrences (sched, job, now);
   job->entry = NULL;
   if (now.us - job->accepted_us < ARRIVAL_AGE_MAX_US)
--- a/jobs/test/jobtab_test.c
+++ b/jobs/test/jobtab_test.c
@@ -280,6 +280,132 @@
 }
 END_TEST
 
+/* Job 1 with a step of two tasks, of which task 0 was started on w1, and a
+   step after it, gets STATE.  */
+static const job_entry_t *
+end_job_with_run (job_state_t state)
+{
+  job_step_t steps[2] = { rig_step (2), rig_step (1) };
+
+  rig.now.wall_ms = NOW_MS;
+  steps[0].label = g_strdup ("a");
+  steps[1].after = g_new0 (uint32_t, 1);
+  steps[1].after_count = 1;
+  fold_owner (JREC_CLAIM, 1, "a");
+  rig_submit (1, steps, 2);
+  rig_record_start (1, 0, 1, "w1");
+  fold_change (1, 1, state);
+  return jobtab_find (rig.tab, rig_id (1));
+}
+
+static void
+check_kept_run (const job_entry_t *entry, job_state_t state)
+{
+  ck_assert_int_eq (entry->state, state);
+  ck_assert_ptr_nonnull (entry->tasks);
+  ck_assert_uint_eq (entry->tasks_count, 3);
+  ck_assert_uint_eq (entry->tasks[0].placed, 1);
+  ck_assert_str_eq (entry->tasks[0].worker, "w1");
+  ck_assert_ptr_null (entry->tasks[1].worker);
+  ck_assert_uint_eq (entry->desc->steps_count, 2);
+  ck_assert_int_eq (entry->desc->steps[0].need.cpu_milli, 1000);
+  ck_assert_str_eq (entry->desc->payload, "");
+  ck_assert_str_eq (entry->desc->queue, RIG_QUEUE);
+  ck_assert_str_eq (entry->desc->workspace, RIG_WORKSPACE);
+}
+
+static void
+check_no_runs (const job_entry_t *entry)
+{
+  ck_assert_ptr_null (entry->tasks);
+  ck_assert_uint_eq (entry->tasks_count, 0);
+  ck_assert_uint_eq (entry->desc->steps_count, 0);
+  ck_assert_str_eq (entry->desc->queue, RIG_QUEUE);
+}
+
+/* Guards against a new owner that doesn't know of a run of a job that has
+   ended (QUOTA, LIMIT), and against payloads that are kept with it.  */
+START_TEST (test_cancelled_job_keeps_its_runs)
+{
+  check_kept_run (end_job_with_run (JOB_STATE_CANCELLED), JOB_STATE_CANCELLED);
+}
+END_TEST
+
+/* Guards against the same for a job that has failed.  */
+START_TEST (test_failed_job_keeps_its_runs)
+{
+  check_kept_run (end_job_with_run (JOB_STATE_FAILED), JOB_STATE_FAILED);
+}
+END_TEST
+
+/* Guards against a snapshot that lacks the runs of jobs that have ended.  */
+START_TEST (test_runs_of_an_ended_job_are_in_the_snapshot)
+{
+  GBytes *bytes;
+  jobtab_t *copy;
+  gsize len;
+  const void *data;
+
+  end_job_with_run (JOB_STATE_CANCELLED);
+  bytes = jobtab_pack (rig.tab);
+  data = g_bytes_get_data (bytes, &len);
+  copy = jobtab_unpack (data, len, NULL);
+  ck_assert_ptr_nonnull (copy);
+  check_kept_run (jobtab_find (copy, rig_id (1)), JOB_STATE_CANCELLED);
+  jobtab_free (copy);
+  g_bytes_unref (bytes);
+}
+END_TEST
+
+/* Guards against a table that grows by the steps and the progress of all jobs
+   that have ended.  */
+START_TEST (test_runs_of_an_ended_job_are_forgotten)
+{
+  const job_entry_t *entry = end_job_with_run (JOB_STATE_CANCELLED);
+  uint32_t dropped = 0;
+
+  jobtab_purge (rig.tab, NOW_MS + JOBTAB_RUNS_KEPT_MS - 1, 120000, count_drop,
+                &dropped);
+  check_kept_run (entry, JOB_STATE_CANCELLED);
+  jobtab_purge (rig.tab, NOW_MS + JOBTAB_RUNS_KEPT_MS, 120000, count_drop,
+                &dropped);
+  ck_assert_ptr_eq (jobtab_find (rig.tab, rig_id (1)), entry);
+  check_no_runs (entry);
+  ck_assert_int_eq (entry->state, JOB_STATE_CANCELLED);
+  ck_assert_uint_eq (dropped, 0);
+}
+END_TEST
+
+/* Guards against steps and progress that are kept of jobs without runs, which
+   most of those that end are, or for a start that was not ordered.  */
+START_TEST (test_ended_job_without_runs_keeps_nothing)
+{
+  job_step_t step = rig_step (1);
+
+  fold_owner (JREC_CLAIM, 1, "a");
+  rig_submit (1, &step, 1);
+  rig_submit (2, &step, 1);
+  rig_record_start (1, 0, 1, "w1");
+  rig_record_end (1, 0, 1);
+  fold_change (1, 1, JOB_STATE_COMPLETE);
+  check_no_runs (jobtab_find (rig.tab, rig_id (1)));
+  fold_cancel (2);
+  rig_record_start (2, 0, 1, "w1");
+  check_no_runs (jobtab_find (rig.tab, rig_id (2)));
+}
+END_TEST
+
+/* Guards against a start that is read after the end of its job, and was not
+   ordered, but counts as a run.  */
+START_TEST (test_start_after_the_end_of_its_job_is_no_run)
+{
+  const job_entry_t *entry = end_job_with_run (JOB_STATE_CANCELLED);
+
+  rig_record_start (1, 1, 1, "w2");
+  check_kept_run (entry, JOB_STATE_CANCELLED);
+}
+END_TEST
+
 TEST_PROGRAM_WITH ("jobs/jobtab", set_up, rig_tear_down,
                    test_same_id_is_one_job, test_first_claim_wins,
                    test_progress_of_a_replaced_owner_is_ignored,
@@ -288,4 +414,10 @@
                    test_snapshot_of_an_earlier_version_is_read,
                    test_earlier_copy_is_kept_until_its_end,
                    test_task_that_runs_once_has_no_earlier_copy,
-                   test_final_jobs_are_kept_for_the_retention_time)
+                   test_final_jobs_are_kept_for_the_retention_time,
+                   test_cancelled_job_keeps_its_runs,
+                   test_failed_job_keeps_its_runs,
+                   test_runs_of_an_ended_job_are_in_the_snapshot,
+                   test_runs_of_an_ended_job_are_forgotten,
+                   test_ended_job_without_runs_keeps_nothing,
+                   test_start_after_the_end_of_its_job_is_no_run)
--- a/jobs/test/orphans_test.c
+++ b/jobs/test/orphans_test.c
@@ -431,21 +431,178 @@
 }
 END_TEST
 
-TEST_PROGRAM_WITH ("jobs/orphans", rig_reset, rig_tear_down,
-                   test_copy_counts_for_the_limit_per_worker,
-                   test_copy_goes_on_after_a_change_of_the_owner,
-                   test_copy_counts_for_the_cap,
-                   test_orphan_counts_until_it_has_ended,
-                   test_stop_of_an_orphan_is_judged,
-                   test_task_waits_for_the_end_of_an_orphan,
-                   test_planned_start_is_judged_again,
-                   test_runs_of_an_unknown_job_keep_their_room,
-                   test_worker_is_used_once_unknown_runs_have_ended,
-                   test_unknown_runs_that_are_not_listed_are_over,
-                   test_recorded_copy_counts_for_the_limit_per_worker,
-                   test_recorded_copy_counts_for_the_cap_until_its_lease_ends,
-                   test_recorded_copy_keeps_its_room,
-                   test_recorded_copy_is_in_the_snapshot,
-                   test_earlier_copy_of_a_done_task_counts,
-                   test_last_copy_of_a_done_task_counts,
-                   test_copy_that_is_not_listed_is_not_stopped)
+/* Folds the end of job NUMBER with STATE.  */
+static void
+end_job (uint32_t number, job_state_t state)
+{
+  job_rec_t rec = { .kind = JREC_PROGRESS };
+  job_change_t change = { .state = state };
+
+  memcpy (change.id, rig_id (number), JOB_ID_BYTES);
+  rec.u.progress.epoch = rig.tab->owner.epoch;
+  rec.u.progress.placed = g_array_new (FALSE, FALSE, sizeof (task_placed_t));
+  rec.u.progress.ends = g_array_new (FALSE, FALSE, sizeof (task_end_t));
+  rec.u.progress.changes = g_array_new (FALSE, FALSE, sizeof change);
+  g_array_append_val (rec.u.progress.changes, change);
+  jobtab_fold (rig.tab, &rec, rig.now.wall_ms);
+  job_rec_clear (&rec);
+}
+
+/* Opens a new owner.  An earlier one has started a task of job 1, which takes
+   all of w1, and job 1 has got STATE.  w1 hasn't reported.  */
+static void
+take_over_ended_job (job_state_t state)
+{
+  job_step_t step = rig_step (1);
+
+  step.need.cpu_milli = 1000 * CORES;
+  rig_submit (1, &step, 1);
+  rig_record_start (1, 0, 1, g_intern_string ("w1"));
+  end_job (1, state);
+  load_snapshot ();
+  rig_open_sched (2);
+  rig_worker ("w1", CORES, true);
+}
+
+static void
+submit_small_job (void)
+{
+  job_step_t step = rig_step (1);
+
+  rig_submit (2, &step, 1);
+}
+
+/* Guards against a workspace that has more running than its cap (QUOTA): runs
+   of a cancelled job on a worker that has not reported were not counted; or
+   counted for ever.  */
+START_TEST (test_run_of_a_cancelled_job_counts_for_the_cap)
+{
+  run_end_t end = { .sequence = 1, .attempt = 1, .kind = RUN_STOPPED };
+
+  take_over_ended_job (JOB_STATE_CANCELLED);
+  set_cap (1000 * CORES);
+  rig_worker ("w2", CORES, false);
+  submit_small_job ();
+  ck_assert_uint_eq (count_orders (ORDER_START), 0);
+  rig_advance_clock (50);
+  end.task = rig_task_ref (1, 0);
+  rig_report ("w1", NULL, 0, &end, 1);
+  ck_assert_uint_eq (count_orders (ORDER_START), 1);
+  ck_assert_int_eq (rig_job_state (1), JOB_STATE_CANCELLED);
+}
+END_TEST
+
+/* Guards against the same for a job that has failed, until the lease of its
+   run ends.  */
+START_TEST (test_run_of_a_failed_job_counts_until_its_lease_ends)
+{
+  take_over_ended_job (JOB_STATE_FAILED);
+  set_cap (1000 * CORES);
+  rig_worker ("w2", CORES, false);
+  submit_small_job ();
+  ck_assert_uint_eq (count_orders (ORDER_START), 0);
+  rig_advance_clock (SCHED_LEASE_HORIZON_MS);
+  rig_report ("w2", NULL, 0, NULL, 0);
+  ck_assert_uint_eq (count_orders (ORDER_START), 0);
+  rig_advance_clock (SCHED_LEASE_HORIZON_MS / 10);
+  rig_report ("w2", NULL, 0, NULL, 0);
+  ck_assert_uint_eq (count_orders (ORDER_START), 1);
+  ck_assert_int_eq (rig_job_state (1), JOB_STATE_FAILED);
+}
+END_TEST
+
+/* Guards against starts beyond the capacity of a worker (LIMIT): a run of a
+   cancelled job that was being stopped when the owner changed is in neither
+   list.  */
+START_TEST (test_run_of_a_cancelled_job_keeps_its_room)
+{
+  take_over_ended_job (JOB_STATE_CANCELLED);
+  submit_small_job ();
+  rig_report ("w1", NULL, 0, NULL, 0);
+  ck_assert_uint_eq (count_orders (ORDER_START), 0);
+  rig_advance_clock (50);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  rig_advance_clock (400);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  ck_assert_uint_eq (count_orders (ORDER_START), 1);
+}
+END_TEST
+
+/* Guards against a run of a cancelled job that goes on, and against a worker
+   that gets no tasks beside it although what the run needs is known.  */
+START_TEST (test_run_of_a_cancelled_job_is_stopped_once_listed)
+{
+  run_status_t row = row_of (1, 0, 1);
+  g_autoptr (GArray) orders = NULL;
+
+  take_over_ended_job (JOB_STATE_CANCELLED);
+  rig_worker ("w1", CORES + 1, true);
+  submit_small_job ();
+  ck_assert_uint_eq (count_orders (ORDER_STOP), 0);
+  rig_report ("w1", &row, 1, NULL, 0);
+  orders = rig_plan (false);
+  ck_assert_uint_eq (count_stops (orders, 1), 1);
+  ck_assert_uint_eq (rig_count_orders (orders, ORDER_START), 1);
+}
+END_TEST
+
+/* Guards against a run of a later occurrence that isn't counted, as its job
+   has ended.  */
+START_TEST (test_run_of_a_later_occurrence_counts)
+{
+  job_step_t step = rig_step (1);
+  job_entry_t *entry = rig_submit (1, &step, 1);
+
+  entry->desc->repeats = 3;
+  g_free (entry->tasks);
+  entry->tasks_count = 3;
+  entry->tasks = g_new0 (task_progress_t, 3);
+  entry->tasks[2].placed = 1;
+  entry->tasks[2].worker = g_intern_string ("w1");
+  end_job (1, JOB_STATE_CANCELLED);
+  rig_open_sched (2);
+  set_cap (1000);
+  rig_worker ("w1", CORES, true);
+  rig_worker ("w2", CORES, false);
+  submit_small_job ();
+  ck_assert_uint_eq (count_orders (ORDER_START), 0);
+}
+END_TEST
+
+/* Guards against a second run of a job that has ended, or a change of its
+   state, when its worker has no run of it.  */
+START_TEST (test_ended_job_stays_ended)
+{
+  take_over_ended_job (JOB_STATE_CANCELLED);
+  rig_advance_clock (50);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  rig_advance_clock (400);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  ck_assert_uint_eq (count_orders (ORDER_START), 0);
+  sched_cancel_job (rig.sched, rig_id (1));
+  ck_assert (!sched_has_progress (rig.sched));
+  ck_assert_int_eq (rig_job_state (1), JOB_STATE_CANCELLED);
+}
+END_TEST
+
+TEST_PROGRAM_WITH (
+    "jobs/orphans", rig_reset, rig_tear_down,
+    test_copy_counts_for_the_limit_per_worker,
+    test_copy_goes_on_after_a_change_of_the_owner,
+    test_copy_counts_for_the_cap, test_orphan_counts_until_it_has_ended,
+    test_stop_of_an_orphan_is_judged, test_task_waits_for_the_end_of_an_orphan,
+    test_planned_start_is_judged_again,
+    test_runs_of_an_unknown_job_keep_their_room,
+    test_worker_is_used_once_unknown_runs_have_ended,
+    test_unknown_runs_that_are_not_listed_are_over,
+    test_recorded_copy_counts_for_the_limit_per_worker,
+    test_recorded_copy_counts_for_the_cap_until_its_lease_ends,
+    test_recorded_copy_keeps_its_room, test_recorded_copy_is_in_the_snapshot,
+    test_earlier_copy_of_a_done_task_counts,
+    test_last_copy_of_a_done_task_counts,
+    test_copy_that_is_not_listed_is_not_stopped,
+    test_run_of_a_cancelled_job_counts_for_the_cap,
+    test_run_of_a_failed_job_counts_until_its_lease_ends,
+    test_run_of_a_cancelled_job_keeps_its_room,
+    test_run_of_a_cancelled_job_is_stopped_once_listed,
+    test_run_of_a_later_occurrence_counts, test_ended_job_stays_ended)
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -159,7 +159,7 @@
   run_t *run = run_new_extra (sched, task, worker, attempt, now);
 
   run->stop_when_listed = true;
-  if (task->done)
+  if (task->done || task->stage->job->ended)
     run_stop (sched, run);
 }
 
