orders: the tests of queued orders go through core_caught_up

The call that sends what waited had no test. The tests now let the log be read, first by a request sent before the suspension was noticed, which ends nothing.

CK_FORK=no build/entry/entry_orders_test

--- a/entry/test/orders_test.c
+++ b/entry/test/orders_test.c
@@ -16,6 +16,7 @@
 
 static core_t core;
 static entry_settings_t settings;
+static readmodel_t model;
 static int listen_fd;
 static int server_fd;
 static char address[32];
@@ -39,6 +40,8 @@
   settings = (entry_settings_t){ .name = "e1", .cpu_share = 1 };
   memset (&core, 0, sizeof core);
   core.settings = &settings;
+  core.model = &model;
+  owner_init (&core.owner, settings.name, settings.cpu_share, 0);
   core.epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
   core.worker_calls = calls_open (core.epoll_fd, 1);
   core.tab = jobtab_new ();
@@ -120,6 +123,18 @@
   ck_assert_int_gt (recv (server_fd, request, sizeof request, 0), 0);
 }
 
+/* Has the log read: first by a request that was sent before the suspension
+   was noticed, which proves nothing, then by one that was sent afterwards.  */
+static void
+read_log (void)
+{
+  core.pause_detected_us = clock_boot_us ();
+  core_caught_up (&core, core.pause_detected_us - 1, clock_boot_us ());
+  ck_assert (core.resync_needed);
+  core_caught_up (&core, core.pause_detected_us, clock_boot_us ());
+  ck_assert (!core.resync_needed);
+}
+
 /* Guards against orders that were queued before this daemon was suspended and
    are sent when it wakes, before it has read the log: the worker may have
    restarted, and another daemon may be the owner (issue 38).  */
@@ -143,8 +158,7 @@
     iterate ();
   ck_assert_uint_eq (core.orders->length, 1);
   ck_assert_uint_lt (core.orders_in_flight, in_flight);
-  core.resync_needed = false;
-  orders_resume (&core);
+  read_log ();
   ck_assert_uint_eq (core.orders->length, 0);
 }
 END_TEST
@@ -166,8 +180,7 @@
   core.resync_needed = true;
   hub_send_order (&core, &relay, &stop, clock_boot_us ());
   ck_assert_uint_eq (peer->orders->length, 1);
-  core.resync_needed = false;
-  orders_resume (&core);
+  read_log ();
   ck_assert_uint_eq (peer->orders->length, 0);
   ck_assert_uint_eq (peer->orders_in_flight, 1);
 }
