orders: test that a delayed start is not sent, and a delayed stop is

Neither the limit of starts nor its absence for other orders had a test with the daemon's own timeouts. A daemon with more replies ready than it reads in an iteration ends no call in time (READ_LAG_MAX_US, 2 s): a start that waited 600 ms for a connection was sent. Without the call of calls_limit_delay in orders_call_worker:

75%: Checks: 4, Failures: 1, Errors: 0 orders_test.c:245: test_delayed_start_is_not_sent: Assertion 'delay_order (ORDER_START, &result) == 0' failed: 232 == 0

With it: 100%: Checks: 4, Failures: 0, Errors: 0. If only the loop is late, such a call ends before libcurl gives it the connection: the first form of this test, without the lag, saw no request without the limit either.

CK_FORK=no build/entry/entry_orders_test

--- a/entry/test/orders_test.c
+++ b/entry/test/orders_test.c
@@ -10,6 +10,8 @@
 #define WAIT_MAX_US 5000000
 #define REQUEST_BYTES_MAX 4096
 #define EPOCH 3
+/* Longer than a start may wait for a connection.  */
+#define LATE_US 600000
 
 static const char response[]
     = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
@@ -20,6 +22,8 @@
 static int listen_fd;
 static int server_fd;
 static char address[32];
+/* Age of the replies that are read.  */
+static int64_t read_lag_us;
 
 static void
 set_up (void)
@@ -37,6 +41,7 @@
                     0);
   g_snprintf (address, sizeof address, "127.0.0.1:%u", ntohs (self.sin_port));
   server_fd = -1;
+  read_lag_us = 0;
   settings = (entry_settings_t){ .name = "e1", .cpu_share = 1 };
   memset (&core, 0, sizeof core);
   core.settings = &settings;
@@ -101,7 +106,8 @@
 
   if (epoll_wait (core.epoll_fd, &event, 1, 1) > 0)
     calls_handle_event (core.worker_calls, event.data.fd, event.events);
-  calls_run_due (core.worker_calls, clock_boot_us (), clock_boot_us ());
+  calls_run_due (core.worker_calls, clock_boot_us () - read_lag_us,
+                 clock_boot_us ());
 }
 
 /* Iterates until FD can be read.  */
@@ -186,6 +192,72 @@
 }
 END_TEST
 
+static void
+on_done (void *ctx, const call_result_t *result)
+{
+  if (ctx)
+    *(call_result_t *)ctx = *result;
+}
+
+static void
+call_worker (order_kind_t kind, call_result_t *result)
+{
+  order_t order = stop_order ();
+  platform_req_t req;
+
+  order.kind = kind;
+  order.wait_ms = 2 * LATE_US / 1000;
+  order.payload = "text";
+  req = platform_order_req (&order);
+  orders_call_worker (&core, &order, &req, on_done, result);
+}
+
+/* Has an order of KIND wait for the only connection to its worker, while this
+   daemon is too busy to read all replies, so that no call times out.  Returns
+   what was read on the connection when it became free: 0 if it was closed.  */
+static ssize_t
+delay_order (order_kind_t kind, call_result_t *result)
+{
+  char request[REQUEST_BYTES_MAX];
+  int64_t late_us;
+
+  read_lag_us = 2 * LATE_US;
+  call_worker (ORDER_HOLD, NULL);
+  iterate_until_readable (listen_fd);
+  server_fd = accept (listen_fd, NULL, NULL);
+  read_request ();
+  call_worker (kind, result);
+  late_us = clock_boot_us () + LATE_US;
+  while (clock_boot_us () < late_us)
+    iterate ();
+  ck_assert_int_eq (send (server_fd, response, strlen (response), 0),
+                    (ssize_t)strlen (response));
+  iterate_until_readable (server_fd);
+  return recv (server_fd, request, sizeof request, 0);
+}
+
+/* Guards against starts that reach the next boot of a worker, which may be of
+   another kind, as the daemon or relay that sends them was late (issue 38). */
+START_TEST (test_delayed_start_is_not_sent)
+{
+  call_result_t result = { .status = 1 };
+
+  ck_assert_int_eq (delay_order (ORDER_START, &result), 0);
+  ck_assert (result.not_sent);
+  ck_assert_uint_eq (result.status, 0);
+}
+END_TEST
+
+/* Guards against stops that a busy daemon does not send.  */
+START_TEST (test_delayed_stop_is_sent)
+{
+  call_result_t result = { .status = 1 };
+
+  ck_assert_int_gt (delay_order (ORDER_STOP, &result), 0);
+}
+END_TEST
+
 TEST_PROGRAM_WITH ("entry/orders", set_up, tear_down,
                    test_queued_order_waits_until_the_log_was_read,
-                   test_order_queued_for_a_relay_waits_until_the_log_was_read)
+                   test_order_queued_for_a_relay_waits_until_the_log_was_read,
+                   test_delayed_start_is_not_sent, test_delayed_stop_is_sent)
