stages: an occurrence that has begun is due

Change: the occurrences up to the last one with recorded progress are opened when the job is added, whatever the clock says. The owner before had found them due.

Evidence: on the code before, jobs/stages fails in 1 of 10: test_occurrence_that_has_begun_is_due: 'rig_count_orders (orders, ORDER_START) == 0' failed: rig_count_orders (orders, ORDER_START) == 1 Result: 10 of 10.

--- a/jobs/stages.c
+++ b/jobs/stages.c
@@ -357,13 +357,29 @@
   return desc->start_ms + (int64_t)k * desc->interval_ms;
 }
 
+/* The number of ENTRY's occurrences up to the last one with progress.  */
+static uint32_t
+begun_occurrences (const job_entry_t *entry)
+{
+  uint32_t count = entry->tasks_count;
+
+  while (count > 0 && entry->tasks[count - 1].placed == 0
+         && !entry->tasks[count - 1].done)
+    count--;
+  return (count + job_tasks_per_occurrence (entry->desc) - 1)
+         / job_tasks_per_occurrence (entry->desc);
+}
+
 void
 job_open_due_occurrences (sched_t *sched, sched_job_t *job, sched_now_t now)
 {
   uint32_t count = job_occurrences (job->desc);
+  /* The clock of an earlier owner may have been ahead.  Progress is known only
+     while the job is added.  */
+  uint32_t begun = job->entry ? begun_occurrences (job->entry) : 0;
 
   while (job->next_occurrence < count
-         && (job->desc->repeats == 0
+         && (job->desc->repeats == 0 || job->next_occurrence < begun
              || due_ms (job->desc, job->next_occurrence) <= now.wall_ms))
     init_occurrence (sched, job, job->next_occurrence++, now);
   if (job->next_occurrence < count)
--- a/jobs/test/stages_test.c
+++ b/jobs/test/stages_test.c
@@ -278,12 +278,40 @@
 }
 END_TEST
 
-TEST_PROGRAM_WITH ("jobs/stages", set_up, rig_tear_down,
-                   test_steps_run_in_order, test_failed_attempts_are_bounded,
-                   test_removed_queue_keeps_its_attempts,
-                   test_removed_queue_keeps_its_attempts_with_another_owner,
-                   test_removed_workspace_keeps_its_cap,
-                   test_long_running_tasks_start_again,
-                   test_cancelled_job_stops,
-                   test_occurrences_wait_for_their_times,
-                   test_gang_ends_together)
+/* Guards against a second start of a task that is done (TWICE): the clock of
+   the new owner was behind that of the one before, so that an occurrence that
+   had begun was not due, and its recorded progress was dropped.  */
+START_TEST (test_occurrence_that_has_begun_is_due)
+{
+  job_step_t step = rig_step (1);
+  job_entry_t *entry;
+  g_autoptr (GArray) orders = NULL;
+
+  sched_free (rig.sched);
+  rig.sched = NULL;
+  entry = rig_submit (1, &step, 1);
+  entry->desc->repeats = 2;
+  entry->desc->start_ms = rig.now.wall_ms - 1000;
+  entry->desc->interval_ms = 5000;
+  g_free (entry->tasks);
+  entry->tasks_count = 2;
+  entry->tasks = g_new0 (task_progress_t, 2);
+  entry->tasks[0].done = entry->tasks[1].done = true;
+  entry->tasks[0].placed = entry->tasks[1].placed = 1;
+  rig_open_sched (2);
+  rig_worker ("w1", 32, false);
+  rig_advance_clock (4000);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  orders = rig_plan (false);
+  ck_assert_uint_eq (rig_count_orders (orders, ORDER_START), 0);
+  ck_assert_int_eq (rig_job_state (1), JOB_STATE_COMPLETE);
+}
+END_TEST
+
+TEST_PROGRAM_WITH (
+    "jobs/stages", set_up, rig_tear_down, test_steps_run_in_order,
+    test_failed_attempts_are_bounded, test_removed_queue_keeps_its_attempts,
+    test_removed_queue_keeps_its_attempts_with_another_owner,
+    test_removed_workspace_keeps_its_cap, test_long_running_tasks_start_again,
+    test_cancelled_job_stops, test_occurrences_wait_for_their_times,
+    test_gang_ends_together, test_occurrence_that_has_begun_is_due)
