workers: a start is judged again when it is sent

The order may then wait in the daemon, as no more than 48 are in flight, and a start without an answer is sent again. Both were judged again only if the worker had restarted.

Change: a queued start is dropped if its worker has no room, is at the limit of tasks of the step, or has runs whose needs aren't known; an unanswered start is then stopped instead of sent again, once its worker answers.

Evidence: on the code before, jobs/orphans fails in 3 of 26: test_queued_start_is_judged_again, test_queued_start_waits_for_unknown_runs: '!sched_order_is_due (rig.sched, &start, rig.now)' failed test_repeated_start_is_judged_again: 'count_orders (ORDER_START) == 0' failed: count_orders (ORDER_START) == 1 Result: 26 of 26.

--- a/jobs/test/orphans_test.c
+++ b/jobs/test/orphans_test.c
@@ -585,6 +585,73 @@
 }
 END_TEST
 
+/* Opens a new owner of job 1, the task of which runs as a copy on w2, and of
+   job 2 with STEP, the start of which on w1 is returned.  */
+static order_t
+queue_start (const job_step_t *step)
+{
+  job_step_t copies = speculative_step (1);
+
+  take_over_copies (&copies);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  rig_advance_clock (50);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  rig_advance_clock (400);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  rig_submit (2, step, 1);
+  return rig_start_one ();
+}
+
+/* Guards against a queued start that is sent although its worker has listed an
+   unexpected run since, which takes the room (LIMIT).  */
+START_TEST (test_queued_start_is_judged_again)
+{
+  job_step_t wide = rig_step (1);
+  run_status_t first = row_of (1, 0, 1);
+  order_t start;
+
+  wide.need.cpu_milli = 1000 * CORES;
+  start = queue_start (&wide);
+  ck_assert (sched_order_is_due (rig.sched, &start, rig.now));
+  rig_advance_clock (50);
+  rig_report ("w1", &first, 1, NULL, 0);
+  ck_assert (!sched_order_is_due (rig.sched, &start, rig.now));
+  ck_assert_uint_eq (count_orders (ORDER_START), 0);
+}
+END_TEST
+
+/* Guards against the same beside a run whose needs aren't known.  */
+START_TEST (test_queued_start_waits_for_unknown_runs)
+{
+  job_step_t step = rig_step (1);
+  run_status_t row = row_of (9, 0, 1);
+  order_t start = queue_start (&step);
+
+  rig_advance_clock (50);
+  rig_report ("w1", &row, 1, NULL, 0);
+  ck_assert (!sched_order_is_due (rig.sched, &start, rig.now));
+  ck_assert_uint_eq (count_orders (ORDER_START), 0);
+}
+END_TEST
+
+/* Guards against a start that is sent again although its worker has listed an
+   unexpected run since, which takes the room (LIMIT).  */
+START_TEST (test_repeated_start_is_judged_again)
+{
+  job_step_t wide = rig_step (1);
+  run_status_t first = row_of (1, 0, 1);
+  order_t start;
+
+  wide.need.cpu_milli = 1000 * CORES;
+  start = queue_start (&wide);
+  rig_reply (&start, REPLY_NO_ANSWER);
+  rig_advance_clock (50);
+  rig_report ("w1", &first, 1, NULL, 0);
+  rig_advance_clock (100);
+  ck_assert_uint_eq (count_orders (ORDER_START), 0);
+}
+END_TEST
+
 TEST_PROGRAM_WITH (
     "jobs/orphans", rig_reset, rig_tear_down,
     test_copy_counts_for_the_limit_per_worker,
@@ -605,4 +672,7 @@
     test_run_of_a_failed_job_counts_until_its_lease_ends,
     test_run_of_a_cancelled_job_keeps_its_room,
     test_run_of_a_cancelled_job_is_stopped_once_listed,
-    test_run_of_a_later_occurrence_counts, test_ended_job_stays_ended)
+    test_run_of_a_later_occurrence_counts, test_ended_job_stays_ended,
+    test_queued_start_is_judged_again,
+    test_queued_start_waits_for_unknown_runs,
+    test_repeated_start_is_judged_again)
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -406,13 +406,12 @@
     counter_add (COUNT_TASKS_STARTED, 1);
 }
 
-/* Whether RUN was planned for a former boot of its worker, and the present one
-   may not run it: it can be of another kind.  */
+/* Whether RUN may not start on its worker any more, which may have restarted
+   as another kind, or have listed an unexpected run since RUN was planned.  */
 static bool
-is_for_former_boot (const run_t *run)
+is_misplaced (const run_t *run)
 {
-  return run->planned_us < run->worker->boot_known_us
-         && worker_registration_is_current (run->worker)
+  return worker_registration_is_current (run->worker)
          && !place_is_allowed (run);
 }
 
@@ -424,7 +423,8 @@
     return;
   if (run->resend_us > now.us)
     worker_wake_at (sched, run->worker, run->resend_us);
-  else if (run->worker->state == WORKER_DRAINING || is_for_former_boot (run)
+  else if (run->worker->state == WORKER_DRAINING
+           || (is_misplaced (run) && worker_is_answering (run->worker))
            || has_no_ticket (run, now.us))
     {
       run_stop (sched, run); /* the start may have been carried out */
@@ -470,7 +470,7 @@
   if (run->phase == RUN_ORDERED && run->worker->state != WORKER_DRAINING
       && run->worker->doubted_us == 0
       && worker_registration_is_current (run->worker)
-      && !is_for_former_boot (run))
+      && run->worker->orphans->len == 0 && !is_misplaced (run))
     return true;
   if (run->phase == RUN_ORDERED || run->phase == RUN_STOPPING)
     {
