workers: a start is judged again by the cap

The start was judged again by the limits of its worker, but not by the cap.

Change: a planned or queued start is given up while its workspace has allocated more than its cap. Placement uses the same sum, so it isn't planned again before that changes. A start that may have been carried out is not stopped for it.

Evidence: on the code before, jobs/orphans fails in 2 of 28: test_planned_start_is_judged_by_the_cap: 'count_orders (ORDER_START) == 0' failed: count_orders (ORDER_START) == 1 test_queued_start_is_judged_by_the_cap: '!sched_order_is_due (rig.sched, &start, rig.now)' failed Result: 28 of 28.

--- a/jobs/place.c
+++ b/jobs/place.c
@@ -323,6 +323,12 @@
          && cap_allows_one (cap->accels, used->accels, need->accels);
 }
 
+bool
+quota_is_kept (const sched_job_t *job)
+{
+  return quota_allows (job, &(amounts_t){ 0 });
+}
+
 /* Adds RUN to the progress record.  Its start is sent only once the record is
    durable (worker_plan_orders), because a later owner has to know where the
    task may run.  */
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -622,6 +622,9 @@
 bool stage_is_expired (const stage_t *stage, int64_t now_us);
 /* quota_allows - whether JOB's workspace may allocate NEED in addition.  */
 bool quota_allows (const sched_job_t *job, const amounts_t *need);
+/* quota_is_kept - whether what JOB's workspace has allocated is within its
+   cap.  */
+bool quota_is_kept (const sched_job_t *job);
 /* place_is_allowed - whether the service, labels and capacity of RUN's worker
    and the limit of tasks per worker allow RUN.  */
 bool place_is_allowed (const run_t *run);
--- a/jobs/test/orphans_test.c
+++ b/jobs/test/orphans_test.c
@@ -652,6 +652,50 @@
 }
 END_TEST
 
+/* Guards against a planned start that is sent although a worker has listed an
+   unexpected run since, which takes the workspace to its cap (QUOTA).  */
+START_TEST (test_planned_start_is_judged_by_the_cap)
+{
+  job_step_t step = rig_step (1);
+  job_step_t copies = speculative_step (1);
+  run_status_t first = row_of (1, 0, 1);
+  GArray *orders;
+
+  copies.need.cpu_milli = 4000;
+  take_over_copies (&copies);
+  set_cap (8000);
+  rig_advance_clock (50);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  rig_advance_clock (400);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  step.need.cpu_milli = 4000;
+  rig_submit (2, &step, 1);
+  orders = sched_plan (rig.sched, rig.now);
+  ck_assert_uint_eq (rig_count_orders (orders, ORDER_START), 0);
+  ck_assert (sched_has_progress (rig.sched));
+  g_array_set_size (orders, 0);
+  rig_advance_clock (50);
+  rig_report ("w1", &first, 1, NULL, 0);
+  ck_assert_uint_eq (count_orders (ORDER_START), 0);
+}
+END_TEST
+
+/* Guards against the same for a start that waits for its turn to be sent.  */
+START_TEST (test_queued_start_is_judged_by_the_cap)
+{
+  job_step_t step = rig_step (1);
+  run_status_t first = row_of (1, 0, 1);
+  order_t start = queue_start (&step);
+
+  set_cap (2000);
+  ck_assert (sched_order_is_due (rig.sched, &start, rig.now));
+  rig_advance_clock (50);
+  rig_report ("w1", &first, 1, NULL, 0);
+  ck_assert (!sched_order_is_due (rig.sched, &start, rig.now));
+  ck_assert_uint_eq (count_orders (ORDER_START), 0);
+}
+END_TEST
+
 TEST_PROGRAM_WITH (
     "jobs/orphans", rig_reset, rig_tear_down,
     test_copy_counts_for_the_limit_per_worker,
@@ -675,4 +719,6 @@
     test_run_of_a_later_occurrence_counts, test_ended_job_stays_ended,
     test_queued_start_is_judged_again,
     test_queued_start_waits_for_unknown_runs,
-    test_repeated_start_is_judged_again)
+    test_repeated_start_is_judged_again,
+    test_planned_start_is_judged_by_the_cap,
+    test_queued_start_is_judged_by_the_cap)
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -397,9 +397,13 @@
     return;
   sched->start_delay_us += (now.us - run->planned_us - sched->start_delay_us)
                            / START_DELAY_DIVISOR;
-  /* Its worker may have listed an unexpected run since it was planned.  */
-  why = place_is_allowed (run) ? add_start_order (sched, run, now)
-                               : "not-allowed";
+  /* Workers may have listed unexpected runs since it was planned.  */
+  if (!place_is_allowed (run))
+    why = "not-allowed";
+  else if (!quota_is_kept (run->task->stage->job))
+    why = "over-cap";
+  else
+    why = add_start_order (sched, run, now);
   if (why)
     run_close (sched, run, why, now);
   else
@@ -470,7 +474,8 @@
   if (run->phase == RUN_ORDERED && run->worker->state != WORKER_DRAINING
       && run->worker->doubted_us == 0
       && worker_registration_is_current (run->worker)
-      && run->worker->orphans->len == 0 && !is_misplaced (run))
+      && run->worker->orphans->len == 0 && !is_misplaced (run)
+      && (run->unanswered_starts > 0 || quota_is_kept (run->task->stage->job)))
     return true;
   if (run->phase == RUN_ORDERED || run->phase == RUN_STOPPING)
     {
