stall: a run that isn't listed is not slow

Cause: since copies on record count after a change of the owner, a worker has runs that it never lists. They have no progress, so 350 ms after the take-over they were stalled; with no other run to compare, the worker was slow and got no tasks for 1.5 s.

Change: a run that is missing from the lists of its worker is not measured.

--- a/jobs/stall.c
+++ b/jobs/stall.c
@@ -56,13 +56,16 @@
   uint32_t still; /* slow ones that are stalled */
 } run_speeds_t;
 
+/* A run that its worker doesn't list may be known from the log alone, or be
+   stopping there, and has no speed.  */
 static bool
 is_measurable (const run_t *run, int64_t now_us)
 {
   const job_step_t *spec = run->task->stage->spec;
 
-  return run->phase == RUN_ACTIVE && !spec->long_running && !spec->gang
-         && !spec->filler && now_us - run->active_us >= MEASURE_MIN_US;
+  return run->phase == RUN_ACTIVE && run->unlisted_us == 0
+         && !spec->long_running && !spec->gang && !spec->filler
+         && now_us - run->active_us >= MEASURE_MIN_US;
 }
 
 static run_speeds_t
--- a/jobs/test/orphans_test.c
+++ b/jobs/test/orphans_test.c
@@ -696,6 +696,22 @@
 }
 END_TEST
 
+/* Guards against a worker that gets no tasks as a copy that has ended, which
+   only the log shows, is taken for a slow run.  */
+START_TEST (test_recorded_copy_is_not_slow)
+{
+  job_step_t copies = speculative_step (1);
+  job_step_t step = rig_step (1);
+
+  take_over_copies (&copies);
+  rig_advance_clock (400);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  rig_submit (2, &step, 1);
+  rig_advance_clock (10);
+  ck_assert_uint_eq (count_orders (ORDER_START), 1);
+}
+END_TEST
+
 TEST_PROGRAM_WITH (
     "jobs/orphans", rig_reset, rig_tear_down,
     test_copy_counts_for_the_limit_per_worker,
@@ -721,4 +737,4 @@
     test_queued_start_waits_for_unknown_runs,
     test_repeated_start_is_judged_again,
     test_planned_start_is_judged_by_the_cap,
-    test_queued_start_is_judged_by_the_cap)
+    test_queued_start_is_judged_by_the_cap, test_recorded_copy_is_not_slow)
