runs: a gang without one of its tasks is stopped

The others of the attempt started or went on, and waited for it until they ended alone.

Change: run_abandon closes such a run and stops the others of the attempt; no later start can have its number.

Evidence: on the code before, jobs/orphans fails in 1 of 30 and jobs/stages in 1 of 11: test_gang_waits_for_an_unknown_run: 'count_orders (ORDER_START) == 0' failed: count_orders (ORDER_START) == 1 test_gang_without_a_task_is_stopped: 'rig_count_orders (orders, ORDER_STOP) == 1' failed: rig_count_orders (orders, ORDER_STOP) == 0 Result: 30 of 30, 11 of 11.

--- a/jobs/replies.c
+++ b/jobs/replies.c
@@ -254,7 +254,7 @@
 {
   run->task->not_before_us = now.us + pause_us;
   sched_wake_at (sched, run->task->not_before_us);
-  run_close (sched, run, reply_kind_name (kind), now);
+  run_abandon (sched, run, reply_kind_name (kind), now);
 }
 
 /* Handles an unanswered start of RUN, which may still be carried out.  A long-
--- a/jobs/runs.c
+++ b/jobs/runs.c
@@ -162,6 +162,29 @@
   job_free_if_idle (sched, job);
 }
 
+/* Stops the runs of STAGE, a gang, that have the number ATTEMPT.  */
+static void
+stop_gang (sched_t *sched, const stage_t *stage, uint32_t attempt)
+{
+  for (uint32_t i = 0; i < stage->spec->count; i++)
+    {
+      run_t *run = stage->tasks[i].run;
+
+      if (run && run->attempt == attempt)
+        run_stop (sched, run);
+    }
+}
+
+void
+run_abandon (sched_t *sched, run_t *run, const char *why, sched_now_t now)
+{
+  const stage_t *stage = run->task->stage;
+
+  if (stage->spec->gang)
+    stop_gang (sched, stage, run->attempt);
+  run_close (sched, run, why, now);
+}
+
 void
 worker_close_runs (sched_t *sched, worker_t *worker, const char *why,
                    sched_now_t now)
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -370,6 +370,10 @@
 /* run_close - RUN is certainly over for the reason WHY. Its task is queued
    again unless it is done.  */
 void run_close (sched_t *sched, run_t *run, const char *why, sched_now_t now);
+/* run_abandon - close RUN, whose start is not carried out, and stop the rest
+   of its gang, which would wait for it in vain.  */
+void run_abandon (sched_t *sched, run_t *run, const char *why,
+                  sched_now_t now);
 void run_stop (sched_t *sched, run_t *run);
 /* run_may_be_interrupted - whether an order that ends RUN leaves its step with
    at most max_unavailable of its tasks unavailable, as far as is known.  Asked
--- a/jobs/test/orphans_test.c
+++ b/jobs/test/orphans_test.c
@@ -712,6 +712,27 @@
 }
 END_TEST
 
+/* Guards against a gang of which a part is started.  */
+START_TEST (test_gang_waits_for_an_unknown_run)
+{
+  job_step_t step = rig_step (2);
+  run_status_t row = row_of (9, 0, 1);
+  GArray *orders;
+
+  step.gang = true;
+  step.spread_max = 1;
+  rig_submit (1, &step, 1);
+  rig_open_sched (2);
+  rig_worker ("w1", CORES, false);
+  rig_worker ("w2", CORES, false);
+  orders = sched_plan (rig.sched, rig.now);
+  ck_assert (sched_has_progress (rig.sched));
+  g_array_set_size (orders, 0);
+  rig_report ("w2", &row, 1, NULL, 0);
+  ck_assert_uint_eq (count_orders (ORDER_START), 0);
+}
+END_TEST
+
 TEST_PROGRAM_WITH (
     "jobs/orphans", rig_reset, rig_tear_down,
     test_copy_counts_for_the_limit_per_worker,
@@ -737,4 +758,5 @@
     test_queued_start_waits_for_unknown_runs,
     test_repeated_start_is_judged_again,
     test_planned_start_is_judged_by_the_cap,
-    test_queued_start_is_judged_by_the_cap, test_recorded_copy_is_not_slow)
+    test_queued_start_is_judged_by_the_cap, test_recorded_copy_is_not_slow,
+    test_gang_waits_for_an_unknown_run)
--- a/jobs/test/stages_test.c
+++ b/jobs/test/stages_test.c
@@ -278,6 +278,26 @@
 }
 END_TEST
 
+/* Guards against a gang that waits for a task whose start was rejected, until
+   its runs end alone (GANG).  */
+START_TEST (test_gang_without_a_task_is_stopped)
+{
+  job_step_t step = rig_step (2);
+  g_autoptr (GArray) starts = NULL;
+  g_autoptr (GArray) orders = NULL;
+
+  step.gang = true;
+  rig_submit (1, &step, 1);
+  starts = rig_plan (false);
+  ck_assert_uint_eq (rig_count_orders (starts, ORDER_START), 2);
+  rig_confirm_start (&g_array_index (starts, order_t, 0));
+  rig_reply (&g_array_index (starts, order_t, 1), REPLY_NO_ROOM);
+  orders = rig_plan (false);
+  ck_assert_uint_eq (rig_count_orders (orders, ORDER_STOP), 1);
+  ck_assert_uint_eq (rig_count_orders (orders, ORDER_START), 0);
+}
+END_TEST
+
 /* Guards against a second start of a task that is done (TWICE): the clock of
    the new owner was behind that of the one before, so that an occurrence that
    had begun was not due, and its recorded progress was dropped.  */
@@ -314,4 +334,5 @@
     test_removed_queue_keeps_its_attempts_with_another_owner,
     test_removed_workspace_keeps_its_cap, test_long_running_tasks_start_again,
     test_cancelled_job_stops, test_occurrences_wait_for_their_times,
-    test_gang_ends_together, test_occurrence_that_has_begun_is_due)
+    test_gang_ends_together, test_gang_without_a_task_is_stopped,
+    test_occurrence_that_has_begun_is_due)
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -405,7 +405,7 @@
   else
     why = add_start_order (sched, run, now);
   if (why)
-    run_close (sched, run, why, now);
+    run_abandon (sched, run, why, now);
   else
     counter_add (COUNT_TASKS_STARTED, 1);
 }
