place: a gang that fits in part leaves no trace in the plan

Cause (rule LOST, processor time): place_gang takes room for one task after the other and gives it back if not all fit. Giving back was run_close, which is a reason for another plan, so the owner planned without a pause while such a gang waited, and logged 1606 for each task in each plan. That no room was left beside the gang was also kept after it had given the room back, so all tasks of the pool that need as much waited, too; for good if the gang is larger than its pool.

Change: run_unplan gives back without a log line and without a reason for a plan; what was known of the pool's room, and of the next plan, is restored.

--- a/jobs/place.c
+++ b/jobs/place.c
@@ -358,6 +358,9 @@
 place_gang (sched_t *sched, pool_t *pool, stage_t *stage, sched_now_t now)
 {
   g_autoptr (GPtrArray) runs = g_ptr_array_new ();
+  bool had_unplaceable = pool->has_unplaceable;
+  amounts_t unplaceable = pool->unplaceable;
+  int64_t next_us = sched->next_us;
   uint32_t attempt = 0;
 
   if (stage->unstarted < stage->unfinished)
@@ -385,9 +388,15 @@
         plan_start (sched, g_ptr_array_index (runs, i));
       return;
     }
+  if (runs->len == 0)
+    return;
   while (runs->len > 0)
-    run_close (sched, g_ptr_array_steal_index (runs, runs->len - 1),
-               "gang-does-not-fit", now);
+    run_unplan (sched, g_ptr_array_steal_index (runs, runs->len - 1));
+  /* What was found beside these runs doesn't hold without them, and they need
+     no attention.  */
+  sched->next_us = next_us;
+  pool->has_unplaceable = had_unplaceable;
+  pool->unplaceable = unplaceable;
 }
 
 static bool
--- a/jobs/runs.c
+++ b/jobs/runs.c
@@ -126,6 +126,30 @@
   run->start_pending = false;
 }
 
+/* Counts RUN no more.  */
+static void
+remove_run (sched_t *sched, run_t *run)
+{
+  task_t *task = run->task;
+  sched_job_t *job = task->stage->job;
+
+  run_clear_start_pending (sched, run);
+  amounts_subtract (&run->worker->allocated, &run->reserved);
+  amounts_subtract (&job->workspace->allocated, &run->charged);
+  g_ptr_array_remove_fast (run->worker->runs, run);
+  task->run_count--;
+  job->run_count--;
+}
+
+void
+run_unplan (sched_t *sched, run_t *run)
+{
+  remove_run (sched, run);
+  run->task->run = NULL;
+  run->task->stage->unstarted++;
+  g_free (run);
+}
+
 void
 run_close (sched_t *sched, run_t *run, const char *why, sched_now_t now)
 {
@@ -143,13 +167,8 @@
                task->index, run->attempt, run->worker->id, why,
                run->active_us ? (now.us - run->active_us) / 1000 : 0);
 
-  run_clear_start_pending (sched, run);
-  amounts_subtract (&run->worker->allocated, &run->reserved);
-  amounts_subtract (&job->workspace->allocated, &run->charged);
-  g_ptr_array_remove_fast (run->worker->runs, run);
+  remove_run (sched, run);
   worker_wake_at (sched, run->worker, now.us);
-  task->run_count--;
-  job->run_count--;
   sched->place_needed = true;
   if (task->run == run)
     {
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -367,6 +367,9 @@
                       uint32_t attempt, sched_now_t now);
 /* run_clear_start_pending - RUN's start was answered or won't be.  */
 void run_clear_start_pending (sched_t *sched, run_t *run);
+/* run_unplan - undo run_new in the same plan.  Unlike run_close it is no
+   reason for another plan.  */
+void run_unplan (sched_t *sched, run_t *run);
 /* run_close - RUN is certainly over for the reason WHY. Its task is queued
    again unless it is done.  */
 void run_close (sched_t *sched, run_t *run, const char *why, sched_now_t now);
--- a/jobs/test/place_test.c
+++ b/jobs/test/place_test.c
@@ -401,6 +401,44 @@
 }
 END_TEST
 
+/* Submits job 1, a gang that needs half as much again as w1 has.  */
+static void
+submit_large_gang (void)
+{
+  job_step_t step = rig_step (12);
+
+  step.gang = true;
+  rig_worker ("w1", 8, false);
+  rig_submit (1, &step, 1);
+}
+
+/* Guards against an owner that plans without a pause while a gang fits in
+   part: each plan gave back what it had taken for the gang, which counted as a
+   reason for the next one.  */
+START_TEST (test_gang_that_does_not_fit_waits)
+{
+  submit_large_gang ();
+  sched_plan (rig.sched, rig.now); /* as the worker and the job are new */
+  sched_plan (rig.sched, rig.now);
+  ck_assert_int_gt (sched_next_us (rig.sched), rig.now.us);
+}
+END_TEST
+
+/* Guards against tasks that wait beside free capacity (LOST), as a gang that
+   does not fit had taken it for a moment.  */
+START_TEST (test_gang_that_does_not_fit_leaves_its_room)
+{
+  job_step_t step = rig_step (1);
+  g_autoptr (GArray) orders = NULL;
+
+  submit_large_gang ();
+  step.estimate_ms = 20000; /* after the gang in the order of starts */
+  rig_submit (2, &step, 1);
+  orders = rig_plan (false);
+  ck_assert_uint_eq (rig_count_orders (orders, ORDER_START), 1);
+}
+END_TEST
+
 TEST_PROGRAM_WITH (
     "jobs/place", rig_set_up, rig_tear_down, test_capacity_is_not_exceeded,
     test_small_task_starts_when_a_large_one_does_not_fit,
@@ -412,4 +450,6 @@
     test_backlog_after_outage_does_not_delay_new_jobs,
     test_hot_workspace_yields_beyond_its_share,
     test_long_running_tasks_of_two_jobs_share_hosts,
-    test_lost_workers_hit_few_jobs, test_slow_log_does_not_bound_the_starts)
+    test_lost_workers_hit_few_jobs, test_slow_log_does_not_bound_the_starts,
+    test_gang_that_does_not_fit_waits,
+    test_gang_that_does_not_fit_leaves_its_room)
