replies: a gang without an answer of one task is stopped

Change: gang_stop stops the others there, too.

Evidence: on the code before, jobs/stages fails in 2 of 13: test_gang_without_an_answer_is_stopped: 'rig_count_orders (orders, ORDER_STOP) == 2' failed: rig_count_orders (orders, ORDER_STOP) == 1 test_gang_that_was_started_in_part_is_stopped: 'rig_count_orders (orders, ORDER_STOP) == 1' failed: rig_count_orders (orders, ORDER_STOP) == 0 Result: 13 of 13; `ctest -R '^jobs/'` 24 of 24, also in build-sanitize; `ctest -R '^entry/'` 9 of 9.

--- a/jobs/replies.c
+++ b/jobs/replies.c
@@ -172,7 +172,7 @@
       else if (run->unlisted_us == 0)
         run->unlisted_us = now.us;
       else if (sent_us - run->unlisted_us >= stop_duration_max_us (sched))
-        run_close (sched, run, "not-listed", now);
+        run_abandon (sched, run, "not-listed", now);
     }
 }
 
@@ -274,6 +274,7 @@
     }
   task_avoid_worker (task, run->worker, now);
   run_stop (sched, run);
+  gang_stop (sched, run);
   if (task->stage->spec->speculative)
     run_detach (sched, run);
 }
@@ -289,6 +290,7 @@
       task_log_interrupted (run->task, run->attempt, run->worker, "stop",
                             reply_kind_name (kind), now.us);
       run_stop (sched, run);
+      gang_stop (sched, run);
     }
   else
     close_failed_start (sched, run, kind, pause_us, now);
--- a/jobs/runs.c
+++ b/jobs/runs.c
@@ -181,26 +181,26 @@
   job_free_if_idle (sched, job);
 }
 
-/* Stops the runs of STAGE, a gang, that have the number ATTEMPT.  */
-static void
-stop_gang (sched_t *sched, const stage_t *stage, uint32_t attempt)
+void
+gang_stop (sched_t *sched, const run_t *run)
 {
+  const stage_t *stage = run->task->stage;
+
+  if (!stage->spec->gang || run->task->done)
+    return;
   for (uint32_t i = 0; i < stage->spec->count; i++)
     {
-      run_t *run = stage->tasks[i].run;
+      run_t *other = stage->tasks[i].run;
 
-      if (run && run->attempt == attempt)
-        run_stop (sched, run);
+      if (other && other->attempt == run->attempt)
+        run_stop (sched, other);
     }
 }
 
 void
 run_abandon (sched_t *sched, run_t *run, const char *why, sched_now_t now)
 {
-  const stage_t *stage = run->task->stage;
-
-  if (stage->spec->gang)
-    stop_gang (sched, stage, run->attempt);
+  gang_stop (sched, run);
   run_close (sched, run, why, now);
 }
 
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -373,8 +373,11 @@
 /* run_close - RUN is certainly over for the reason WHY. Its task is queued
    again unless it is done.  */
 void run_close (sched_t *sched, run_t *run, const char *why, sched_now_t now);
-/* run_abandon - close RUN, whose start is not carried out, and stop the rest
-   of its gang, which would wait for it in vain.  */
+/* gang_stop - stop all runs of RUN's gang, as RUN won't take part: the others
+   would wait for it in vain.  Does nothing if RUN isn't of a gang.  */
+void gang_stop (sched_t *sched, const run_t *run);
+/* run_abandon - close RUN, which has not started, and stop the rest of its
+   gang.  */
 void run_abandon (sched_t *sched, run_t *run, const char *why,
                   sched_now_t now);
 void run_stop (sched_t *sched, run_t *run);
--- a/jobs/test/stages_test.c
+++ b/jobs/test/stages_test.c
@@ -298,6 +298,52 @@
 }
 END_TEST
 
+/* Guards against the same for a task whose start is not answered.  */
+START_TEST (test_gang_without_an_answer_is_stopped)
+{
+  job_step_t step = rig_step (2);
+  g_autoptr (GArray) starts = NULL;
+  g_autoptr (GArray) orders = NULL;
+
+  step.gang = true;
+  rig_submit (1, &step, 1);
+  starts = rig_plan (false);
+  ck_assert_uint_eq (rig_count_orders (starts, ORDER_START), 2);
+  rig_confirm_start (&g_array_index (starts, order_t, 0));
+  for (uint32_t i = 0; i < 2; i++)
+    rig_reply (&g_array_index (starts, order_t, 1), REPLY_NO_ANSWER);
+  orders = rig_plan (false);
+  ck_assert_uint_eq (rig_count_orders (orders, ORDER_STOP), 2);
+}
+END_TEST
+
+/* Guards against the same when the owner changed before all tasks of a gang
+   were started.  */
+START_TEST (test_gang_that_was_started_in_part_is_stopped)
+{
+  job_step_t step = rig_step (2);
+  run_status_t row = { .task = rig_task_ref (1, 0), .attempt = 1 };
+  g_autoptr (GArray) orders = NULL;
+
+  sched_free (rig.sched);
+  rig.sched = NULL;
+  step.gang = true;
+  rig_submit (1, &step, 1);
+  for (uint32_t i = 0; i < 2; i++)
+    rig_record_start (1, i, 1, g_intern_string ("w1"));
+  rig_open_sched (2);
+  rig_worker ("w1", 32, true);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      rig_advance_clock (400);
+      rig_report ("w1", &row, 1, NULL, 0);
+    }
+  orders = rig_plan (false);
+  ck_assert_uint_eq (rig_count_orders (orders, ORDER_STOP), 1);
+  ck_assert_uint_eq (rig_count_orders (orders, ORDER_START), 0);
+}
+END_TEST
+
 /* Guards against a second start of a task that is done (TWICE): the clock of
    the new owner was behind that of the one before, so that an occurrence that
    had begun was not due, and its recorded progress was dropped.  */
@@ -335,4 +381,6 @@
     test_removed_workspace_keeps_its_cap, test_long_running_tasks_start_again,
     test_cancelled_job_stops, test_occurrences_wait_for_their_times,
     test_gang_ends_together, test_gang_without_a_task_is_stopped,
+    test_gang_without_an_answer_is_stopped,
+    test_gang_that_was_started_in_part_is_stopped,
     test_occurrence_that_has_begun_is_due)
