replies: a listed run has a lease

A run listed later on a worker to which this owner has granted no lease counted as over in the next plan, and tasks started beside it until the next report. Such a run would be one whose lease exceeds the bound, or one of the first epoch; no way to it is known.

Change: a worker that lists a run while its lease counts as over may have the longest one.

Evidence: on the code before, jobs/orphans fails in 1 of 31: test_unknown_run_without_a_known_lease_counts: 'count_orders (ORDER_START) == 0' failed: count_orders (ORDER_START) == 1 Result: 31 of 31; `ctest -R '^jobs/'` 24 of 24.

--- a/jobs/replies.c
+++ b/jobs/replies.c
@@ -236,6 +236,10 @@
   if (!worker->has_reported && sched_inherits_leases (sched, now.us))
     worker->lease_end_ms = MAX (worker->lease_end_ms,
                                 worker->clock_ms + SCHED_LEASE_HORIZON_MS);
+  /* Whatever runs has a lease, also one that this owner didn't grant.  */
+  if (report->runs_count > 0 && worker->lease_end_ms < worker->clock_ms)
+    worker->lease_end_ms
+        = worker->clock_ms + (int64_t)sched->limits.hold_max_ms;
   worker->has_reported = true;
   worker->report_sent_us = MAX (worker->report_sent_us, reply->sent_us);
   process_report (sched, worker, report, reply->sent_us, now);
--- a/jobs/test/orphans_test.c
+++ b/jobs/test/orphans_test.c
@@ -733,6 +733,23 @@
 }
 END_TEST
 
+/* Guards against a start beside a listed run whose needs aren't known (LIMIT):
+   as this owner has granted its worker no lease, the run was taken for over.
+ */
+START_TEST (test_unknown_run_without_a_known_lease_counts)
+{
+  job_step_t step = rig_step (1);
+  run_status_t row = row_of (9, 0, 1);
+
+  rig_open_sched (2);
+  rig_advance_clock (2 * SCHED_LEASE_HORIZON_MS);
+  rig_worker ("w1", CORES, true);
+  rig_report ("w1", &row, 1, NULL, 0);
+  rig_submit (1, &step, 1);
+  ck_assert_uint_eq (count_orders (ORDER_START), 0);
+}
+END_TEST
+
 TEST_PROGRAM_WITH (
     "jobs/orphans", rig_reset, rig_tear_down,
     test_copy_counts_for_the_limit_per_worker,
@@ -759,4 +776,5 @@
     test_repeated_start_is_judged_again,
     test_planned_start_is_judged_by_the_cap,
     test_queued_start_is_judged_by_the_cap, test_recorded_copy_is_not_slow,
-    test_gang_waits_for_an_unknown_run)
+    test_gang_waits_for_an_unknown_run,
+    test_unknown_run_without_a_known_lease_counts)
