--- a/jobs/replies.c
+++ b/jobs/replies.c
@@ -172,7 +172,7 @@
       else if (run->unlisted_us == 0)
         run->unlisted_us = now.us;
       else if (sent_us - run->unlisted_us >= stop_duration_max_us (sched))
-        run_close (sched, run, "not-listed", now);
+        run_abandon (sched, run, "not-listed", now);
     }
 }
 
@@ -236,6 +236,10 @@
   if (!worker->has_reported && sched_inherits_leases (sched, now.us))
     worker->lease_end_ms = MAX (worker->lease_end_ms,
                                 worker->clock_ms + SCHED_LEASE_HORIZON_MS);
+  /* Whatever runs has a lease, also one that this owner didn't grant.  */
+  if (report->runs_count > 0 && worker->lease_end_ms < worker->clock_ms)
+    worker->lease_end_ms
+        = worker->clock_ms + (int64_t)sched->limits.hold_max_ms;
   worker->has_reported = true;
   worker->report_sent_us = MAX (worker->report_sent_us, reply->sent_us);
   process_report (sched, worker, report, reply->sent_us, now);
@@ -254,7 +258,7 @@
 {
   run->task->not_before_us = now.us + pause_us;
   sched_wake_at (sched, run->task->not_before_us);
-  run_close (sched, run, reply_kind_name (kind), now);
+  run_abandon (sched, run, reply_kind_name (kind), now);
 }
 
 /* Handles an unanswered start of RUN, which may still be carried out.  A long-
@@ -274,6 +278,7 @@
     }
   task_avoid_worker (task, run->worker, now);
   run_stop (sched, run);
+  gang_stop (sched, run);
   if (task->stage->spec->speculative)
     run_detach (sched, run);
 }
@@ -289,6 +294,7 @@
       task_log_interrupted (run->task, run->attempt, run->worker, "stop",
                             reply_kind_name (kind), now.us);
       run_stop (sched, run);
+      gang_stop (sched, run);
     }
   else
     close_failed_start (sched, run, kind, pause_us, now);
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -367,9 +367,19 @@
                       uint32_t attempt, sched_now_t now);
 /* run_clear_start_pending - RUN's start was answered or won't be.  */
 void run_clear_start_pending (sched_t *sched, run_t *run);
+/* run_unplan - undo run_new in the same plan.  Unlike run_close it is no
+   reason for another plan.  */
+void run_unplan (sched_t *sched, run_t *run);
 /* run_close - RUN is certainly over for the reason WHY. Its task is queued
    again unless it is done.  */
 void run_close (sched_t *sched, run_t *run, const char *why, sched_now_t now);
+/* gang_stop - stop all runs of RUN's gang, as RUN won't take part: the others
+   would wait for it in vain.  Does nothing if RUN isn't of a gang.  */
+void gang_stop (sched_t *sched, const run_t *run);
+/* run_abandon - close RUN, which has not started, and stop the rest of its
+   gang.  */
+void run_abandon (sched_t *sched, run_t *run, const char *why,
+                  sched_now_t now);
 void run_stop (sched_t *sched, run_t *run);
 /* run_may_be_interrupted - whether an order that ends RUN leaves its step with
    at most max_unavailable of its tasks unavailable, as far as is known.  Asked
@@ -622,6 +632,9 @@
 bool stage_is_expired (const stage_t *stage, int64_t now_us);
 /* quota_allows - whether JOB's workspace may allocate NEED in addition.  */
 bool quota_allows (const sched_job_t *job, const amounts_t *need);
+/* quota_is_kept - whether what JOB's workspace has allocated is within its
+   cap.  */
+bool quota_is_kept (const sched_job_t *job);
 /* place_is_allowed - whether the service, labels and capacity of RUN's worker
    and the limit of tasks per worker allow RUN.  */
 bool place_is_allowed (const run_t *run);
