soak: copies, limits of tasks per worker, owners that are killed

Change: seeds that are multiples of 5 have such steps. Their limits stand in the spec of a task, and the workers report a start that brings more tasks of a step onto a worker than its limit; runs that are being stopped count. A worker becomes slow until a copy has started; then the owner is killed, the runs of another worker fail, a third one restarts under its id, and some orders are carried out late. A stop takes 90 ms at the workers instead of 50 on all seeds, within the 100 ms of the daemons' settings. The schedule of faults of the other seeds is unchanged.

Ruled out on the way (trials): tasks of 0.1 to 0.8 s, whose steps end before a copy is noticed; restarts under new ids, after which a new owner waits for the leases; too few cores, as workers refuse starts for want of room.

--- a/test/soak/soak_main.c
+++ b/test/soak/soak_main.c
@@ -6,9 +6,11 @@
    Starts daemons as processes, submits jobs to random ones and cancels some of
    the jobs.  Meanwhile daemons are killed, stopped and paused, workers crash,
    stop replying and carry out orders late, and the store is down, is slow,
-   loses replies or loses its history.  Then it ends the faults and checks that
-   each accepted job reached a final state, that cancelled jobs stopped, and
-   that the workers saw no violation.  Exit status 0 when all checks passed.
+   loses replies or loses its history.  With some seeds workers are slow and
+   the owner is killed while copies of tasks run.  Then it ends the faults and
+   checks that each accepted job reached a final state, that cancelled jobs
+   stopped, and that the workers saw no violation.  Exit status 0 when all
+   checks passed.
  */
 
 #include "standins.h"
@@ -27,6 +29,22 @@
 #define LONG_TASK_ONE_IN 96
 #define LONG_TASK_MIN_MS 3500
 #define LONG_TASK_MAX_MS 6000
+/* The runs whose seeds are multiples of this have jobs with copies.  */
+#define COPIES_SEEDS 5
+/* In these one job of three has them, and jobs come at a rate that the workers
+   can process.  There are about as many workers as tasks of a step that may
+   run at once, so that a copy finds a place.  */
+#define WIDE_JOB_ONE_IN 3
+#define COPIES_SUBMIT_US 250000
+#define COPIES_WORKERS 6
+/* A worker is slow for at most COPIES_START_US, until a copy has started. Then
+   the owner is killed; the next worker becomes slow after
+   COPIES_TAKE_OVER_US.  */
+#define COPIES_START_US 1500000
+#define COPIES_TAKE_OVER_US 1000000
+/* During the take-over, so that a stop takes effect late.  */
+#define COPIES_ORDERS_LATE_PERCENT 30
+#define COPIES_ORDERS_LATE_MS 300
 #define HOST "soak.example"
 #define PREFIX "/q/"
 #define WORKERS 4
@@ -36,6 +54,7 @@
    longest lease, and the tasks themselves.  */
 #define RECOVERY_MAX_S 40
 #define CALL_TIMEOUT_MS 2500L
+#define SUBMIT_US 20000
 
 typedef struct job
 {
@@ -70,6 +89,12 @@
   /* Workers that restart keep their ids; one crashes with each fault, and some
      tasks outlast the owner's leases.  */
   bool kept_ids;
+  /* Some steps allow copies and limit their tasks per worker; workers are slow
+     and the owner is killed, in turn.  */
+  bool copies;
+  uint32_t owner_kills;
+  uint32_t slow_worker;
+  uint32_t copies_before; /* that worker became slow */
 } soak_t;
 
 static void
@@ -142,14 +167,13 @@
   return size * count;
 }
 
-/* Sends METHOD for job ID to a daemon; the response status, or 0 if there was
-   no response.  */
+/* Sends METHOD for PATH to a port; the response status, or 0 if there was no
+   response.  */
 static long
-send_request (const process_t *process, const char *method, const char *id,
+send_to_port (uint16_t port, const char *method, const char *path,
               const char *body, GString *answer)
 {
-  g_autofree char *url = g_strdup_printf ("http://127.0.0.1:%u" PREFIX "%s",
-                                          process->front, id);
+  g_autofree char *url = g_strdup_printf ("http://127.0.0.1:%u%s", port, path);
   struct curl_slist *headers = curl_slist_append (NULL, "Host: " HOST);
   CURL *easy = curl_easy_init ();
   long status = 0;
@@ -171,6 +195,16 @@
   return status;
 }
 
+/* Sends METHOD for job ID to a daemon.  */
+static long
+send_request (const process_t *process, const char *method, const char *id,
+              const char *body, GString *answer)
+{
+  g_autofree char *path = g_strconcat (PREFIX, id, NULL);
+
+  return send_to_port (process->front, method, path, body, answer);
+}
+
 static process_t *
 random_process (soak_t *soak)
 {
@@ -187,14 +221,39 @@
   return g_rand_int_range (soak->rand, 100, 500);
 }
 
-static void
-submit (soak_t *soak, uint32_t number)
+static char *
+plain_job (const soak_t *soak)
 {
-  g_autofree char *body = g_strdup_printf (
+  return g_strdup_printf (
       "{\"spec\":\"%d\",\"steps\":[{\"count\":%d,\"cpu\":1000,\"mem_mb\":64,"
       "\"estimate_ms\":300},{\"count\":1,\"cpu\":1000,\"mem_mb\":64,"
       "\"estimate_ms\":300,\"after\":[0]}]}",
       random_task_ms (soak), g_rand_int_range (soak->rand, 1, 4));
+}
+
+/* A job of one step with more tasks than may run at once, most of which may
+   have copies.  */
+static char *
+wide_job (const soak_t *soak)
+{
+  int32_t ms = g_rand_int_range (soak->rand, 1000, 1600);
+  int32_t tasks_max = g_rand_int_range (soak->rand, 1, 3);
+  int32_t count
+      = tasks_max * g_rand_int_range (soak->rand, 4, COPIES_WORKERS + 1);
+  bool speculative = g_rand_int_range (soak->rand, 0, 4) > 0;
+
+  return g_strdup_printf (
+      "{\"spec\":\"%d %d %d\",\"steps\":[{\"count\":%d,\"cpu\":1000,"
+      "\"mem_mb\":64,\"estimate_ms\":1000,\"anti_affinity\":%d%s}]}",
+      ms, tasks_max, speculative, count, tasks_max,
+      speculative ? ",\"speculative\":true" : "");
+}
+
+static void
+submit (soak_t *soak, uint32_t number)
+{
+  bool is_wide = soak->copies && number % WIDE_JOB_ONE_IN == 0;
+  g_autofree char *body = is_wide ? wide_job (soak) : plain_job (soak);
   job_t job = { .only_refused = true };
 
   g_snprintf (job.id, sizeof job.id, "%016x", number);
@@ -341,6 +400,77 @@
          || strstr (state, "cancelled");
 }
 
+/* The daemon that takes itself for the owner, or NULL.  A daemon shows its
+   state as of the previous request for it.  */
+static process_t *
+find_owner (soak_t *soak)
+{
+  process_t *owner = NULL;
+
+  for (uint32_t i = 0; i < soak->count; i++)
+    {
+      process_t *process = &soak->processes[i];
+      g_autoptr (GString) answer = g_string_new (NULL);
+      g_auto (GStrv) lines = NULL;
+
+      if (process->paused
+          || send_to_port (process->ready, "GET", "/dump", NULL, answer)
+                 != 200)
+        continue;
+      /* self NAME, rules, log-next, owner NAME epoch N */
+      lines = g_strsplit (answer->str, "\n", 5);
+      if (g_strv_length (lines) == 5 && g_str_has_prefix (lines[0], "self ")
+          && g_str_has_prefix (lines[3], "owner ")
+          && g_str_has_prefix (lines[3] + strlen ("owner "),
+                               lines[0] + strlen ("self ")))
+        owner = process;
+    }
+  return owner;
+}
+
+/* Kills the owner.  Of two workers other than the slow one the runs of one
+   fail and the other restarts under its id, and some orders are late, so that
+   the next owner starts tasks of the same steps while it stops copies.  */
+static void
+disturb_take_over (soak_t *soak)
+{
+  process_t *owner = find_owner (soak);
+  uint32_t n
+      = soak->slow_worker
+        + (uint32_t)g_rand_int_range (soak->rand, 1, COPIES_WORKERS - 1);
+
+  if (owner)
+    {
+      soak->owner_kills++;
+      restart (soak, owner, SIGKILL);
+    }
+  workers_delay_orders (soak->workers, COPIES_ORDERS_LATE_PERCENT,
+                        COPIES_ORDERS_LATE_MS);
+  workers_fail_runs (soak->workers, n);
+  workers_crash (soak->workers, (n + 1) % COPIES_WORKERS);
+}
+
+/* Lets a worker become slow, so that the owner starts copies of its tasks, and
+   then disturbs a take-over while they run.  Every other one comes with one
+   more fault.  All end with the next slow worker.  */
+static void
+disturb_copies (soak_t *soak, uint32_t step)
+{
+  if (step % 2 == 1)
+    {
+      disturb_take_over (soak);
+      if (step % 4 == 3)
+        inject_fault (soak);
+      return;
+    }
+  end_faults (soak);
+  find_owner (soak); /* so that it is current at the next call */
+  soak->slow_worker
+      = (uint32_t)g_rand_int_range (soak->rand, 0, COPIES_WORKERS);
+  soak->copies_before = workers_copies (soak->workers);
+  workers_set_slow (soak->workers, soak->slow_worker, COPIES_START_US / 1000);
+}
+
 /* Reads the state of JOB from PROCESS; whether it is a final one.  */
 static bool
 has_final_state (const process_t *process, const job_t *job, GString *state)
@@ -402,8 +532,12 @@
   if (accepted == 0)
     report_violation (soak, "no job was accepted", "");
   soak->violations += workers_violations (soak->workers);
-  printf ("jobs %u accepted %u violations %u\n", soak->jobs->len, accepted,
+  printf ("jobs %u accepted %u violations %u", soak->jobs->len, accepted,
           soak->violations);
+  if (soak->copies)
+    printf (" copies %u owner-kills %u", workers_copies (soak->workers),
+            soak->owner_kills);
+  printf ("\n");
 }
 
 static void
@@ -419,24 +553,48 @@
              "\"tenants\":[]}");
 }
 
+/* Disturbs the daemons, workers or store; the time until the next call.  */
+static int64_t
+disturb (soak_t *soak, uint32_t step)
+{
+  if (soak->copies)
+    {
+      disturb_copies (soak, step);
+      return step % 2 == 0 ? COPIES_START_US : COPIES_TAKE_OVER_US;
+    }
+  inject_fault (soak);
+  return g_rand_int_range (soak->rand, 200000, 1500000);
+}
+
+/* Whether a copy has started since a worker became slow in the step before
+   STEP.  */
+static bool
+copy_has_started (soak_t *soak, uint32_t step)
+{
+  return soak->copies && step % 2 == 1
+         && workers_copies (soak->workers) > soak->copies_before;
+}
+
 static void
 run_load (soak_t *soak, uint32_t seconds)
 {
   int64_t end_us = g_get_monotonic_time () + seconds * G_USEC_PER_SEC;
   int64_t fault_us = g_get_monotonic_time () + G_USEC_PER_SEC;
   uint32_t number = 1;
+  uint32_t step = 0;
 
   while (g_get_monotonic_time () < end_us)
     {
+      int64_t pause_us;
+
       submit (soak, number++);
       if (g_rand_int_range (soak->rand, 0, 10) == 0)
         cancel_random_job (soak);
-      g_usleep (20000);
-      if (g_get_monotonic_time () < fault_us)
+      g_usleep (soak->copies ? COPIES_SUBMIT_US : SUBMIT_US);
+      if (g_get_monotonic_time () < fault_us && !copy_has_started (soak, step))
         continue;
-      inject_fault (soak);
-      fault_us = g_get_monotonic_time ()
-                 + g_rand_int_range (soak->rand, 200000, 1500000);
+      pause_us = disturb (soak, step++);
+      fault_us = g_get_monotonic_time () + pause_us;
     }
   end_faults (soak);
 }
@@ -462,9 +620,12 @@
   soak.jobs = g_array_new (FALSE, TRUE, sizeof (job_t));
   soak.store = store_start ();
   publish_routes (&soak);
-  soak.workers = workers_start (soak.store, "s", WORKERS, CORES_PER_WORKER);
+  soak.copies = strtoul (argv[2], NULL, 10) % COPIES_SEEDS == 0;
+  soak.workers
+      = workers_start (soak.store, "s", soak.copies ? COPIES_WORKERS : WORKERS,
+                       CORES_PER_WORKER);
   soak.kept_ids = strtoul (argv[2], NULL, 10) % KEPT_IDS_SEEDS == 0;
-  if (soak.kept_ids)
+  if (soak.kept_ids || soak.copies)
     workers_keep_ids (soak.workers);
   printf ("soak: seed %s logs %s\n", argv[2], soak.dir);
   for (uint32_t i = 0; i < soak.count; i++)
--- a/test/soak/standins.h
+++ b/test/soak/standins.h
@@ -7,7 +7,9 @@
      The store and the workers speak the platform's published protocol over
      HTTP on loopback, with a thread per connection, and inject faults on
      request.  The workers check the platform's rules: no task runs twice at
-     once, and none starts again after its completion was acknowledged.  */
+     once and none starts again after its completion was acknowledged, where
+     its step allows no copies; and no start brings more tasks of a step onto a
+     worker than the step allows.  */
 
 #ifndef CUMINPIN_STANDINS_H
 #define CUMINPIN_STANDINS_H
@@ -40,7 +42,9 @@
 typedef struct workers workers_t;
 
 /* workers_start - start COUNT workers of SERVICE with CORES each, which
-   register with STORE.  A task runs for the milliseconds in its payload.  */
+   register with STORE.  The spec of a task is "DURATION_MS [TASKS_MAX
+   [SPECULATIVE]]": how long it runs, how many tasks of its step may run on one
+   worker (0: any number), and whether copies of it may run in parallel.  */
 workers_t *workers_start (store_t *store, const char *service, uint32_t count,
                           uint32_t cores);
 void workers_stop (workers_t *workers);
@@ -52,19 +56,28 @@
    boot with a clock and numbers of its own.  A hold in progress is not ended
    by a crash, and every other crash is followed by a cut.
    workers_crash - worker INDEX loses its tasks and restarts under a new id.
+   workers_fail_runs - the first attempts that worker INDEX runs fail.  Later
+   ones go on, so that no task runs out of attempts.
    workers_set_silent - worker INDEX closes connections without a reply for MS.
+   workers_set_slow - tasks that worker INDEX has or starts within MS take
+   several times as long.
    workers_delay_orders - PERCENT of the orders get no reply and are carried
    out MS later.  */
 void workers_keep_ids (workers_t *workers);
 void workers_crash (workers_t *workers, uint32_t index);
+void workers_fail_runs (workers_t *workers, uint32_t index);
 void workers_set_silent (workers_t *workers, uint32_t index, uint32_t ms);
+void workers_set_slow (workers_t *workers, uint32_t index, uint32_t ms);
 void workers_delay_orders (workers_t *workers, uint32_t percent, uint32_t ms);
 
 /* workers_running - number of running tasks.
    workers_violations - number of rule violations so far; each is printed when
-   it is detected.  */
+   it is detected.
+   workers_copies - number of starts of a task of which another run went on, as
+   its step allows.  */
 uint32_t workers_running (workers_t *workers);
 uint32_t workers_violations (workers_t *workers);
+uint32_t workers_copies (workers_t *workers);
 
 /* http_server_start - start an HTTP server on a port that the kernel chooses;
    it calls HANDLER for each request.  */
--- a/test/soak/workers.c
+++ b/test/soak/workers.c
@@ -7,11 +7,14 @@
 
 #define REPORT_US 500000
 #define TICK_US 5000
-#define STOP_GRACE_MS 50
+/* Close to the stop_grace_ms of the daemons, the longest that is allowed.  */
+#define STOP_GRACE_MS 90
 /* With kept ids: how long a hold in progress goes on after a crash, beyond its
    wait, and when the cut that may follow a crash begins.  */
 #define CRASH_UNNOTICED_MS 1500
 #define CUT_AFTER_CRASH_MS 300
+/* What is left of a task takes this many times as long on a slow worker.  */
+#define SLOW_FACTOR 4
 
 typedef struct task_run
 {
@@ -22,6 +25,14 @@
   bool stopping;
 } task_run_t;
 
+/* What the spec of a task says: "DURATION_MS [TASKS_MAX [SPECULATIVE]]".  */
+typedef struct task_spec
+{
+  int64_t duration_ms;
+  uint32_t tasks_max; /* tasks of its step on one worker; 0: no limit */
+  bool speculative;   /* copies may run in parallel */
+} task_spec_t;
+
 typedef struct completion
 {
   uint64_t number;
@@ -55,6 +66,7 @@
   GHashTable *highest_attempts;
   int64_t silent_from_ms;
   int64_t silent_until_ms;
+  int64_t slow_until_ms;
   uint32_t orders;
 } worker_t;
 
@@ -71,7 +83,8 @@
   uint32_t delayed_percent;
   uint32_t order_delay_ms;
   uint32_t violations;
-  bool ids_kept; /* by workers that restart */
+  uint32_t copies; /* starts of a task that runs already, as its step allows */
+  bool ids_kept;   /* by workers that restart */
   bool stopping;
 };
 
@@ -210,6 +223,65 @@
   return NULL;
 }
 
+static task_spec_t
+parse_spec (const char *text)
+{
+  char *rest;
+  task_spec_t spec = { 0 };
+
+  spec.duration_ms = (int64_t)g_ascii_strtoull (text, &rest, 10);
+  spec.tasks_max = (uint32_t)g_ascii_strtoull (rest, &rest, 10);
+  spec.speculative = g_ascii_strtoull (rest, &rest, 10) != 0;
+  return spec;
+}
+
+/* Whether both names, ID.K.STEP.INDEX, are of tasks of one step.  */
+static bool
+same_step (const char *a, const char *b)
+{
+  size_t len = (size_t)(strrchr (a, '.') - a) + 1;
+
+  return strncmp (a, b, len) == 0;
+}
+
+/* Number of tasks of NAME's step that run on WORKER once NAME has started.
+   Runs that are being stopped count.  */
+static uint32_t
+count_step_tasks (const worker_t *worker, const char *name)
+{
+  g_autoptr (GHashTable) names = g_hash_table_new (g_str_hash, g_str_equal);
+
+  g_hash_table_add (names, (gpointer)name);
+  for (uint32_t i = 0; i < worker->runs->len; i++)
+    {
+      task_run_t *run = g_ptr_array_index (worker->runs, i);
+
+      if (same_step (name, run->name))
+        g_hash_table_add (names, run->name);
+    }
+  return g_hash_table_size (names);
+}
+
+/* Reports the rules that a start of NAME on WORKER breaks.  */
+static void
+check_start (worker_t *worker, const char *name, const task_spec_t *spec)
+{
+  workers_t *workers = worker->workers;
+  bool runs_already = runs_elsewhere (worker, name);
+
+  if (spec->speculative)
+    workers->copies += runs_already;
+  else if (runs_already)
+    report_violation (workers, "two concurrent runs of task", name);
+  if (!spec->speculative
+      && g_hash_table_contains (workers->acknowledged, name))
+    report_violation (workers,
+                      "task started again after it was acknowledged:", name);
+  if (spec->tasks_max > 0 && count_step_tasks (worker, name) > spec->tasks_max)
+    report_violation (
+        workers, "more tasks of a step on a worker than its limit:", name);
+}
+
 static const char *
 start_run (worker_t *worker, json_t *body)
 {
@@ -218,7 +290,8 @@
       = (uint32_t)json_integer_value (json_object_get (body, "attempt"));
   int64_t deadline_ms
       = json_integer_value (json_object_get (body, "deadline_ms"));
-  const char *payload = json_string_value (json_object_get (body, "spec"));
+  task_spec_t spec
+      = parse_spec (json_string_value (json_object_get (body, "spec")));
   task_run_t *run;
 
   if (find_run (worker, name, attempt))
@@ -230,16 +303,14 @@
     return "late";
   if (worker->runs->len >= worker->workers->cores)
     return "room";
-  if (runs_elsewhere (worker, name))
-    report_violation (worker->workers, "two concurrent runs of task", name);
-  if (g_hash_table_contains (worker->workers->acknowledged, name))
-    report_violation (worker->workers,
-                      "task started again after it was acknowledged:", name);
+  check_start (worker, name, &spec);
   run = g_new0 (task_run_t, 1);
   run->name = g_strdup (name);
   run->attempt = attempt;
   run->start_ms = clock_ms ();
-  run->end_ms = run->start_ms + (int64_t)g_ascii_strtoull (payload, NULL, 10);
+  if (worker->slow_until_ms > run->start_ms)
+    spec.duration_ms *= SLOW_FACTOR;
+  run->end_ms = run->start_ms + spec.duration_ms;
   extend_lease (worker, deadline_ms);
   g_ptr_array_add (worker->runs, run);
   return NULL;
@@ -574,6 +645,23 @@
   g_mutex_unlock (&workers->lock);
 }
 
+void
+workers_fail_runs (workers_t *workers, uint32_t index)
+{
+  worker_t *worker;
+
+  g_mutex_lock (&workers->lock);
+  worker = g_ptr_array_index (workers->list, index % workers->list->len);
+  for (uint32_t i = worker->runs->len; i-- > 0;)
+    {
+      const task_run_t *run = g_ptr_array_index (worker->runs, i);
+
+      if (run->attempt == 1 && !run->stopping)
+        end_run (worker, i, "failed");
+    }
+  g_mutex_unlock (&workers->lock);
+}
+
 void
 workers_set_silent (workers_t *workers, uint32_t index, uint32_t ms)
 {
@@ -586,6 +674,24 @@
   g_mutex_unlock (&workers->lock);
 }
 
+void
+workers_set_slow (workers_t *workers, uint32_t index, uint32_t ms)
+{
+  worker_t *worker;
+
+  g_mutex_lock (&workers->lock);
+  worker = g_ptr_array_index (workers->list, index % workers->list->len);
+  worker->slow_until_ms = clock_ms () + ms;
+  for (uint32_t i = 0; i < worker->runs->len; i++)
+    {
+      task_run_t *run = g_ptr_array_index (worker->runs, i);
+
+      if (!run->stopping)
+        run->end_ms += (run->end_ms - clock_ms ()) * (SLOW_FACTOR - 1);
+    }
+  g_mutex_unlock (&workers->lock);
+}
+
 void
 workers_delay_orders (workers_t *workers, uint32_t percent, uint32_t ms)
 {
@@ -617,3 +723,14 @@
   g_mutex_unlock (&workers->lock);
   return violations;
 }
+
+uint32_t
+workers_copies (workers_t *workers)
+{
+  uint32_t copies;
+
+  g_mutex_lock (&workers->lock);
+  copies = workers->copies;
+  g_mutex_unlock (&workers->lock);
+  return copies;
+}
