jobs/model: suspended owners, draining workers, and what is uncounted

Change: rates of faults are drawn for each seed; owners are suspended, and workers drain. A failure names the runs that the present owner counts nowhere, or on their workers only. Owners and the log have their own file. The default is 32 seeds.

--- a/jobs/test/model.h
+++ b/jobs/test/model.h
@@ -63,6 +63,7 @@
   bool listed;
   int64_t boot_ms;
   const char *label;
+  worker_state_t state;
   uint32_t version; /* rises with each change */
   int64_t changed_us;
 } model_entry_t;
@@ -89,6 +90,7 @@
   model_entry_t entry;
   int64_t registers_us; /* next change of its entry */
   int64_t removed_us;   /* when its entry is removed; 0: it is not */
+  int64_t leaves_us;    /* it drains, and shuts down then; 0: it doesn't */
   int64_t up_again_us;
   int64_t cut_until_us;  /* no order arrives, and no reply leaves, before */
   uint32_t version_read; /* by the present owner */
@@ -112,11 +114,31 @@
   uint64_t epoch;
   int64_t stops_us; /* a former one goes on until then */
   int64_t progress_due_us;
+  int64_t paused_until_us; /* its process is suspended */
+  bool needs_resync;       /* it orders nothing before it has read the log */
 } model_owner_t;
 
+/* How often things go wrong in a run, in thousandths: of the orders, and of
+   the boots; the others each 0.1 s.  */
+typedef struct model_faults
+{
+  uint32_t lost;
+  uint32_t late;
+  uint32_t slow_boots;
+  uint32_t restarts;
+  uint32_t drains;
+  uint32_t cuts;
+  uint32_t outages;
+  uint32_t claims;
+  uint32_t pauses;
+  uint32_t jobs;
+  uint32_t cancels;
+} model_faults_t;
+
 typedef struct model
 {
   GRand *rand;
+  model_faults_t faults;
   bool trace;
   bool quiet; /* no faults any more */
   model_worker_t workers[MODEL_WORKERS];
@@ -159,16 +181,30 @@
    delayed, lost or overtaken */
 void model_net_open (void);
 void model_net_close (void);
-/* model_net_send - send ORDERS of OWNER, and empty them.  */
-void model_net_send (const model_owner_t *owner, GArray *orders);
+/* model_net_send - send ORDERS, and empty them.  */
+void model_net_send (GArray *orders);
 /* model_net_run - carry out what arrives now.  */
 void model_net_run (void);
 
-/* model_test.c: owners and the log */
+/* model_owner.c: the owners and the log */
+void model_owners_open (void);
+void model_owners_close (void);
 model_owner_t *model_find_owner (uint64_t epoch);
 bool model_is_present (const model_owner_t *owner);
 /* model_drop_owner - OWNER stops, as a worker knows a later one.  */
 void model_drop_owner (model_owner_t *owner);
+bool model_owner_is_paused (void); /* the present one */
+bool model_store_is_down (void);
+/* model_trouble_owner - let go wrong what may, of the store and the owner.
+   model_owners_calm - end it.  */
+void model_trouble_owner (void);
+void model_owners_calm (void);
+/* model_claims_run - replace the owner if a claim is due.
+   model_log_run - fold the records that are due.
+   model_owners_run - let the owners plan, and record their progress.  */
+void model_claims_run (void);
+void model_log_run (void);
+void model_owners_run (void);
 
 /* model_check.c: jobs, and the rules on starts */
 rules_t *model_rules (void);
--- a/jobs/test/model_net.c
+++ b/jobs/test/model_net.c
@@ -58,7 +58,7 @@
 }
 
 void
-model_net_send (const model_owner_t *owner, GArray *orders)
+model_net_send (GArray *orders)
 {
   for (uint32_t i = 0; i < orders->len; i++)
     {
@@ -68,7 +68,6 @@
       call->order.payload = NULL;
       call->order.checkpoint = NULL;
       call->worker = find_worker (call->order.worker);
-      call->by_present = model_is_present (owner);
       call->sent_us = rig.now.us;
       call->arrives_us = call->reply_us = INT64_MAX;
       /* It waits, as too many are in flight.  */
@@ -95,16 +94,18 @@
   model_owner_t *owner = model_find_owner (call->order.token);
 
   call->is_sent = true;
+  call->sent_us = rig.now.us;
   if (!owner || !sched_order_is_due (owner->sched, &call->order, rig.now))
     {
       call->answered = true;
       return;
     }
+  call->by_present = model_is_present (owner);
   call->shown_boot_ms = call->by_present ? call->worker->shown_boot_ms : 0;
-  call->loses_reply = model_chance (30);
-  if (model_chance (30))
+  call->loses_reply = model_chance (model.faults.lost);
+  if (model_chance (model.faults.lost))
     return; /* lost */
-  call->late = model_chance (30);
+  call->late = model_chance (model.faults.late);
   call->arrives_us
       = rig.now.us
         + (call->late ? model_between (300, 5000) : model_between (0, 30))
@@ -222,12 +223,21 @@
   deliver (call);
 }
 
+/* A suspended owner reads its replies afterwards.  */
+static bool
+is_paused (const call_t *call)
+{
+  const model_owner_t *owner = model_find_owner (call->order.token);
+
+  return owner && owner->paused_until_us > rig.now.us;
+}
+
 static void
 run_call (call_t *call)
 {
   if (!call->is_sent)
     {
-      if (call->sent_us <= rig.now.us)
+      if (call->sent_us <= rig.now.us && !is_paused (call))
         send_call (call);
       return;
     }
@@ -235,7 +245,7 @@
     carry_out (call);
   if (call->waits_until_us != 0)
     wait_for_end (call);
-  if (call->answered)
+  if (call->answered || is_paused (call))
     return;
   if (call->reply_us <= rig.now.us)
     deliver (call);
--- a/jobs/test/model_test.c
+++ b/jobs/test/model_test.c
@@ -6,43 +6,18 @@
    CUMINPIN_MODEL_TRACE=1 prints what happens.  */
 
 #include "model.h"
+#include "schedint.h"
 
-#define RUNS_DEFAULT 8
+#define RUNS_DEFAULT 32
 #define TICK_US 5000
 #define FAULTS_INTERVAL_US 100000
 /* Faults for the first part; then each job has to end.  */
 #define TROUBLE_US 15000000
-#define QUIET_MAX_US 45000000
-#define PROGRESS_INTERVAL_US 10000
+#define QUIET_MAX_US 120000000
 #define ENTRY_SILENCE_US 1500000
 
 model_t model;
 
-/* A record on its way through the log.  */
-typedef struct log_item
-{
-  job_rec_t *rec;
-  uint64_t epoch;
-  int64_t folds_us;
-  int64_t read_us; /* by its owner, after it was folded */
-  bool folded;
-} log_item_t;
-
-/* What goes wrong in a run, each 0.1 s, in thousandths.  */
-typedef struct faults
-{
-  uint32_t restarts;
-  uint32_t cuts;
-  uint32_t outages;
-  uint32_t claims;
-  uint32_t jobs;
-} faults_t;
-
-static GArray *log_items; /* of log_item_t */
-static faults_t faults;
-static int64_t outage_until_us; /* of the store */
-static int64_t claim_us;        /* the next claim is folded; 0: none is due */
-
 bool
 model_chance (uint32_t permille)
 {
@@ -95,134 +70,6 @@
   model_trace ("VIOLATION %s", text);
 }
 
-model_owner_t *
-model_find_owner (uint64_t epoch)
-{
-  for (uint32_t i = 0; i < model.owners->len; i++)
-    {
-      model_owner_t *owner = &g_array_index (model.owners, model_owner_t, i);
-
-      if (owner->epoch == epoch && owner->sched)
-        return owner;
-    }
-  return NULL;
-}
-
-bool
-model_is_present (const model_owner_t *owner)
-{
-  return owner->epoch == rig.tab->owner.epoch;
-}
-
-void
-model_drop_owner (model_owner_t *owner)
-{
-  if (model_is_present (owner))
-    {
-      model_fail ("the owner of epoch %" PRIu64 " is refused", owner->epoch);
-      return;
-    }
-  model_trace ("the former owner of epoch %" PRIu64 " stops", owner->epoch);
-  g_clear_pointer (&owner->sched, sched_free);
-}
-
-static void
-claim (void)
-{
-  model_owner_t added = { .epoch = model.owners->len + 1 };
-
-  if (model.owners->len > 0)
-    {
-      model_owner_t *former = &g_array_index (model.owners, model_owner_t,
-                                              model.owners->len - 1);
-
-      former->stops_us
-          = rig.now.us + (model_chance (500) ? model_between (0, 3000000) : 0);
-    }
-  claim_us = 0;
-  rig_open_sched (added.epoch);
-  added.sched = rig.sched;
-  g_array_append_val (model.owners, added);
-  for (uint32_t i = 0; i < MODEL_WORKERS; i++)
-    {
-      model.workers[i].version_read = 0;
-      model.workers[i].shown_boot_ms = 0;
-      model.workers[i].read_due_us
-          = rig.now.us + model_between (10000, 200000);
-    }
-  model_trace ("an owner of epoch %" PRIu64, added.epoch);
-}
-
-/* Folds the records that are due.  A claim may have come before them.  */
-static void
-run_log (void)
-{
-  for (uint32_t i = 0; i < log_items->len;)
-    {
-      log_item_t *item = &g_array_index (log_items, log_item_t, i);
-      model_owner_t *owner = model_find_owner (item->epoch);
-
-      if (!item->folded && item->folds_us <= rig.now.us
-          && outage_until_us <= rig.now.us)
-        {
-          item->folded = true;
-          if (jobtab_fold (rig.tab, item->rec, rig.now.wall_ms).kind
-              != FOLD_PROGRESS)
-            item->read_us = INT64_MAX;
-          else
-            item->read_us = rig.now.us + model_between (0, 30000);
-        }
-      if (!item->folded
-          || (item->read_us > rig.now.us && item->read_us != INT64_MAX))
-        {
-          i++;
-          continue;
-        }
-      if (owner && item->read_us != INT64_MAX)
-        sched_set_durable (owner->sched, item->rec->u.progress.batch);
-      job_rec_clear (item->rec);
-      g_free (item->rec);
-      g_array_remove_index (log_items, i);
-    }
-}
-
-static void
-append_progress (model_owner_t *owner)
-{
-  job_rec_t *rec = sched_progress (owner->sched);
-  log_item_t item = { .rec = rec, .epoch = owner->epoch };
-
-  if (!rec)
-    return;
-  item.folds_us = rig.now.us + model_between (3000, 40000);
-  for (uint32_t i = 0; i < log_items->len; i++)
-    item.folds_us = MAX (item.folds_us,
-                         g_array_index (log_items, log_item_t, i).folds_us);
-  g_array_append_val (log_items, item);
-  owner->progress_due_us = rig.now.us + PROGRESS_INTERVAL_US;
-}
-
-static void
-run_owner (model_owner_t *owner)
-{
-  bool is_present = model_is_present (owner);
-
-  if (!is_present && owner->stops_us <= rig.now.us)
-    {
-      model_drop_owner (owner);
-      return;
-    }
-  /* From the time on at which the next claim is on its way, it doesn't read
-     the log any more.  */
-  if (is_present && claim_us == 0 && outage_until_us <= rig.now.us)
-    sched_confirm_ownership (owner->sched,
-                             rig.now.us - model_between (0, 20000));
-  if (sched_next_us (owner->sched) <= rig.now.us)
-    model_net_send (owner, sched_plan (owner->sched, rig.now));
-  if (owner->progress_due_us <= rig.now.us)
-    append_progress (owner);
-}
-
 /* The present owner reads the registrations that have changed.  */
 static void
 read_entry (model_worker_t *worker)
@@ -236,10 +83,10 @@
                          .labels = labels,
                          .capacity = worker->capacity,
                          .boot_ms = entry->boot_ms,
-                         .state = WORKER_READY };
+                         .state = entry->state };
 
   if (worker->version_read == entry->version
-      || worker->read_due_us > rig.now.us)
+      || worker->read_due_us > rig.now.us || model_owner_is_paused ())
     return;
   worker->version_read = entry->version;
   if (!entry->listed)
@@ -257,6 +104,8 @@
   worker->entry.listed = listed;
   worker->entry.boot_ms = worker->boot_ms;
   worker->entry.label = worker->label;
+  worker->entry.state
+      = worker->leaves_us != 0 ? WORKER_DRAINING : WORKER_READY;
   worker->entry.version++;
   if (worker->read_due_us <= rig.now.us)
     worker->read_due_us = rig.now.us + model_between (10000, 300000);
@@ -266,11 +115,21 @@
 restart (model_worker_t *worker)
 {
   model_worker_kill (worker);
+  worker->leaves_us = 0;
   worker->up_again_us = rig.now.us + model_between (900000, 4000000);
   worker->registers_us = 0;
   worker->removed_us = rig.now.us + ENTRY_SILENCE_US;
 }
 
+/* WORKER drains, and shuts down later.  */
+static void
+drain (model_worker_t *worker)
+{
+  worker->leaves_us = rig.now.us + model_between (1000000, 4000000);
+  change_entry (worker, true);
+  model_trace ("%s drains", worker->id);
+}
+
 static const char *
 next_label (const model_worker_t *worker)
 {
@@ -283,6 +142,8 @@
 static void
 run_life (model_worker_t *worker)
 {
+  if (worker->leaves_us != 0 && worker->leaves_us <= rig.now.us)
+    restart (worker);
   if (!worker->up && worker->up_again_us <= rig.now.us)
     {
       model_worker_boot (worker, next_label (worker));
@@ -314,32 +175,33 @@
   model_trace ("job %04x is cancelled", job->number);
 }
 
+static void
+trouble_worker (model_worker_t *worker)
+{
+  if (worker->up && model_chance (model.faults.restarts))
+    restart (worker);
+  else if (worker->up && worker->leaves_us == 0 && worker->registers_us == 0
+           && model_chance (model.faults.drains))
+    drain (worker);
+  if (worker->cut_until_us > rig.now.us || !model_chance (model.faults.cuts))
+    return;
+  worker->cut_until_us = rig.now.us + model_between (300000, 7000000);
+  model_trace ("%s is cut off for %" PRId64 " us", worker->id,
+               worker->cut_until_us - rig.now.us);
+}
+
 static void
 start_faults (void)
 {
   for (uint32_t i = 0; i < MODEL_WORKERS; i++)
-    {
-      model_worker_t *worker = &model.workers[i];
-
-      if (worker->up && model_chance (faults.restarts))
-        restart (worker);
-      if (worker->cut_until_us <= rig.now.us && model_chance (faults.cuts))
-        {
-          worker->cut_until_us = rig.now.us + model_between (300000, 7000000);
-          model_trace ("%s is cut off until %.3f", worker->id,
-                       (double)(worker->cut_until_us - 1000000000) / 1e6);
-        }
-    }
-  if (outage_until_us <= rig.now.us && model_chance (faults.outages))
-    outage_until_us = rig.now.us + model_between (200000, 2500000);
-  if (claim_us == 0 && model_chance (faults.claims))
-    claim_us = rig.now.us + model_between (0, 1500000);
-  if (outage_until_us > rig.now.us)
+    trouble_worker (&model.workers[i]);
+  model_trouble_owner ();
+  if (model_store_is_down () || model_owner_is_paused ())
     return;
   for (int64_t n = model_between (0, 2); n > 0; n--)
-    if (model_chance (faults.jobs))
+    if (model_chance (model.faults.jobs))
       model_submit ();
-  if (model.jobs_count > 0 && model_chance (60))
+  if (model.jobs_count > 0 && model_chance (model.faults.cancels))
     cancel (&model.jobs[model_between (0, model.jobs_count - 1)]);
 }
 
@@ -348,7 +210,7 @@
 end_faults (void)
 {
   model.quiet = true;
-  outage_until_us = 0;
+  model_owners_calm ();
   for (uint32_t i = 0; i < MODEL_WORKERS; i++)
     {
       model.workers[i].cut_until_us = 0;
@@ -360,6 +222,47 @@
         cancel (&model.jobs[i]);
 }
 
+/* Where the present owner counts RUN of WORKER.  */
+static const char *
+counted_where (const model_worker_t *worker, const model_run_t *run)
+{
+  const worker_t *known = g_hash_table_lookup (rig.sched->workers, worker->id);
+  const task_t *task = sched_task (rig.sched, &run->task);
+
+  if (!known)
+    return "nowhere";
+  if (task && run_find (known, task, run->attempt))
+    return NULL;
+  for (uint32_t i = 0; i < known->orphans->len; i++)
+    if (task_ref_equal (&g_array_index (known->orphans, orphan_t, i).task,
+                        &run->task))
+      return "on its worker only";
+  return "nowhere";
+}
+
+/* Appends to OUT the runs that the present owner doesn't count as those of
+   their tasks.  */
+static void
+list_uncounted (GString *out)
+{
+  for (uint32_t w = 0; w < MODEL_WORKERS; w++)
+    for (uint32_t i = 0; i < model.workers[w].runs->len; i++)
+      {
+        const model_run_t *run
+            = &g_array_index (model.workers[w].runs, model_run_t, i);
+        g_autofree char *name = model_task_name (&run->task);
+        const char *where = counted_where (&model.workers[w], run);
+
+        if (where)
+          g_string_append_printf (
+              out, "; %s has %s/%u, counted %s (job state %d%s%s)",
+              model.workers[w].id, name, run->attempt, where,
+              rig_job_state (run->job->number),
+              model_step (run->job, &run->task)->speculative ? ", copy" : "",
+              run->stopping ? ", being stopped" : "");
+      }
+}
+
 static bool
 all_is_over (void)
 {
@@ -379,8 +282,7 @@
   rig.now.wall_ms += TICK_US / 1000;
   if (rig.now.us % FAULTS_INTERVAL_US == 0 && !model.quiet)
     start_faults ();
-  if (claim_us != 0 && claim_us <= rig.now.us && outage_until_us <= rig.now.us)
-    claim ();
+  model_claims_run ();
   model_gangs_run ();
   for (uint32_t i = 0; i < MODEL_WORKERS; i++)
     {
@@ -388,11 +290,9 @@
       run_life (&model.workers[i]);
       read_entry (&model.workers[i]);
     }
-  run_log ();
+  model_log_run ();
   model_net_run ();
-  for (uint32_t i = 0; i < model.owners->len; i++)
-    if (g_array_index (model.owners, model_owner_t, i).sched)
-      run_owner (&g_array_index (model.owners, model_owner_t, i));
+  model_owners_run ();
 }
 
 static void
@@ -402,14 +302,18 @@
   memset (&model, 0, sizeof model);
   model.rand = g_rand_new_with_seed (seed);
   model.trace = g_getenv ("CUMINPIN_MODEL_TRACE") != NULL;
-  model.owners = g_array_new (FALSE, TRUE, sizeof (model_owner_t));
-  log_items = g_array_new (FALSE, TRUE, sizeof (log_item_t));
-  outage_until_us = claim_us = 0;
-  faults = (faults_t){ .restarts = (uint32_t)model_between (0, 8),
-                       .cuts = (uint32_t)model_between (0, 12),
-                       .outages = (uint32_t)model_between (0, 15),
-                       .claims = (uint32_t)model_between (10, 60),
-                       .jobs = (uint32_t)model_between (100, 500) };
+  model.faults
+      = (model_faults_t){ .lost = (uint32_t)model_between (0, 100),
+                          .late = (uint32_t)model_between (0, 80),
+                          .slow_boots = (uint32_t)model_between (0, 400),
+                          .restarts = (uint32_t)model_between (0, 8),
+                          .drains = (uint32_t)model_between (0, 6),
+                          .cuts = (uint32_t)model_between (0, 12),
+                          .outages = (uint32_t)model_between (0, 15),
+                          .claims = (uint32_t)model_between (10, 80),
+                          .pauses = (uint32_t)model_between (0, 10),
+                          .jobs = (uint32_t)model_between (100, 500),
+                          .cancels = (uint32_t)model_between (0, 100) };
   model_net_open ();
   rig.rules = model_rules ();
   rig.now = (sched_now_t){ .us = 1000000000, .wall_ms = 1700000000000 };
@@ -418,27 +322,16 @@
       model_worker_init (&model.workers[i], i);
       change_entry (&model.workers[i], true);
     }
-  claim ();
+  model_owners_open ();
 }
 
 static void
 tear_down (void)
 {
-  for (uint32_t i = 0; i < model.owners->len; i++)
-    sched_free (g_array_index (model.owners, model_owner_t, i).sched);
-  rig.sched = NULL;
-  for (uint32_t i = 0; i < log_items->len; i++)
-    {
-      job_rec_t *rec = g_array_index (log_items, log_item_t, i).rec;
-
-      job_rec_clear (rec);
-      g_free (rec);
-    }
+  model_owners_close ();
   for (uint32_t i = 0; i < MODEL_WORKERS; i++)
     model_worker_clear (&model.workers[i]);
   model_net_close ();
-  g_array_free (model.owners, TRUE);
-  g_array_free (log_items, TRUE);
   g_rand_free (model.rand);
   g_free (model.failure);
   rig_tear_down ();
@@ -449,6 +342,7 @@
 play (uint32_t seed)
 {
   int64_t began_us;
+  g_autoptr (GString) uncounted = g_string_new (NULL);
   bool kept;
 
   set_up (seed);
@@ -462,9 +356,11 @@
   if (!model.failure)
     model_check_final ();
   kept = !model.failure;
-  printf ("seed %u: %u jobs, %u starts, %u owners: %s\n", seed,
+  if (!kept)
+    list_uncounted (uncounted);
+  printf ("seed %u: %u jobs, %u starts, %u owners: %s%s\n", seed,
           model.jobs_count, model.starts, model.owners->len,
-          kept ? "ok" : model.failure);
+          kept ? "ok" : model.failure, uncounted->str);
   tear_down ();
   return kept;
 }
--- a/jobs/test/model_worker.c
+++ b/jobs/test/model_worker.c
@@ -55,7 +55,7 @@
   worker->token = 0;
   worker->lease_end_ms = 0;
   worker->sequence = 0;
-  worker->slow_factor = model_chance (150) ? 6 : 1;
+  worker->slow_factor = model_chance (model.faults.slow_boots) ? 6 : 1;
   model_trace ("%s boots as %s", worker->id, label);
 }
 
