jobs/model: restarts that no hold notices

Cause: workers were down for 0.9 s at least, so that every restart was noticed before a start was sent to the next boot.

Change: half of the restarts take 50 to 400 ms, and they are more frequent. A boot ends nothing before 1.1 s, which FORGET_REPORT_AGE_MAX_US relies on.

--- a/jobs/test/model_test.c
+++ b/jobs/test/model_test.c
@@ -14,6 +14,8 @@
 /* Faults for the first part; then each job has to end.  */
 #define TROUBLE_US 15000000
 #define QUIET_MAX_US 120000000
+/* A restart that no hold notices, as they come every 0.4 s.  */
+#define RESTART_FAST_MAX_US 400000
 #define ENTRY_SILENCE_US 1500000
 
 model_t model;
@@ -116,7 +118,10 @@
 {
   model_worker_kill (worker);
   worker->leaves_us = 0;
-  worker->up_again_us = rig.now.us + model_between (900000, 4000000);
+  worker->up_again_us
+      = rig.now.us
+        + (model_chance (500) ? model_between (50000, RESTART_FAST_MAX_US)
+                              : model_between (900000, 4000000));
   worker->registers_us = 0;
   worker->removed_us = rig.now.us + ENTRY_SILENCE_US;
 }
@@ -306,7 +311,7 @@
       = (model_faults_t){ .lost = (uint32_t)model_between (0, 100),
                           .late = (uint32_t)model_between (0, 80),
                           .slow_boots = (uint32_t)model_between (0, 400),
-                          .restarts = (uint32_t)model_between (0, 8),
+                          .restarts = (uint32_t)model_between (0, 15),
                           .drains = (uint32_t)model_between (0, 6),
                           .cuts = (uint32_t)model_between (0, 12),
                           .outages = (uint32_t)model_between (0, 15),
--- a/jobs/test/model_worker.c
+++ b/jobs/test/model_worker.c
@@ -3,6 +3,10 @@
 #define US_PER_MS 1000
 /* A gang ends `alone` when it isn't complete after this time.  */
 #define GANG_TIMEOUT_US 1500000
+/* A boot has run nothing to its end before this time (as jobs/holds.c has it,
+   FORGET_REPORT_AGE_MAX_US): an owner that has not noticed the restart may
+   name ends of the former boot until then.  */
+#define FIRST_END_US 1100000
 /* A run that lasts is at full speed after this time.  */
 #define STARTUP_US 400000
 
@@ -204,6 +208,8 @@
   run.ends_as = model_chance (80) ? RUN_FAILED : RUN_DONE;
   if (!step->gang && (!step->long_running || model_chance (100)))
     run.ends_us = rig.now.us + run.takes_us;
+  if (run.ends_us != INT64_MAX)
+    run.ends_us = MAX (run.ends_us, worker->boot_us + FIRST_END_US);
   if (step->long_running)
     run.ends_as = RUN_FAILED;
   model_trace ("%s: %s/%u begins, token %" PRIu64 " sent_us=%" PRId64,
