--- a/jobs/test/model_worker.c
+++ b/jobs/test/model_worker.c
@@ -335,8 +335,8 @@
   return report;
 }
 
-/* Sets when all runs of RUN's gang end, or 0 without an argument change; the
-   number of its members that run and aren't being stopped.  */
+/* The number of members of RUN's gang that work.  Unless ENDS_US is 0, they
+   end then, as ENDS_AS.  */
 static uint32_t
 visit_gang (const model_run_t *run, int64_t ends_us, run_end_kind_t ends_as)
 {
