--- /dev/null
+++ b/jobs/inherit.c
@@ -0,0 +1,53 @@
+#include "schedint.h"
+
+/* The worker ID of an earlier owner, which may not be registered any more.  */
+static worker_t *
+recorded_worker (sched_t *sched, const task_t *task, const char *id,
+                 sched_now_t now)
+{
+  worker_t *worker = g_hash_table_lookup (sched->workers, id);
+
+  return worker ? worker : worker_add (sched, id, task->stage->job->pool, now);
+}
+
+/* Expects ATTEMPT of TASK, its present run, on worker ID.  */
+static void
+expect_run (sched_t *sched, task_t *task, uint32_t attempt, const char *id,
+            sched_now_t now)
+{
+  worker_t *worker = recorded_worker (sched, task, id, now);
+  run_t *run = run_new (sched, task, worker, attempt, now);
+
+  run_clear_start_pending (sched, run);
+  run->phase = RUN_ACTIVE;
+  run->active_us = now.us;
+}
+
+/* The same for a run that is not the present one of TASK.  If TASK needs no
+   run, it is stopped once its worker lists it.  */
+static void
+expect_extra_run (sched_t *sched, task_t *task, uint32_t attempt,
+                  const char *id, sched_now_t now)
+{
+  worker_t *worker = recorded_worker (sched, task, id, now);
+  run_t *run = run_new_extra (sched, task, worker, attempt, now);
+
+  run->stop_when_listed = true;
+  if (task->done || task->stage->job->ended)
+    run_stop (sched, run);
+}
+
+void
+inherit_runs (sched_t *sched, task_t *task, const task_progress_t *progress,
+              sched_now_t now)
+{
+  bool needs_no_run = task->done || task->stage->job->ended;
+
+  if (progress->worker && needs_no_run)
+    expect_extra_run (sched, task, progress->placed, progress->worker, now);
+  else if (progress->worker)
+    expect_run (sched, task, progress->placed, progress->worker, now);
+  if (progress->earlier_worker)
+    expect_extra_run (sched, task, progress->earlier, progress->earlier_worker,
+                      now);
+}
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -1,6 +1,6 @@
 /* schedint - data shared by the modules of the scheduler: sched, stages,
-   workers, boots, wakeups, holds, runs, orphans, replies, place, advice, pace,
-   stall, hosts, waves, demand and moves.  Private to jobs/.  */
+   workers, boots, wakeups, holds, runs, inherit, orphans, replies, place,
+   advice, pace, stall, hosts, waves, demand and moves.  Private to jobs/.  */
 
 #ifndef CUMINPIN_SCHEDINT_H
 #define CUMINPIN_SCHEDINT_H
@@ -427,16 +427,8 @@
    when none may be granted.  */
 int64_t worker_deadline_ms (const sched_t *sched, worker_t *worker,
                             int64_t now_us);
-/* worker_expect_run - an earlier owner may have started ATTEMPT of TASK on
-   worker ID.  The run counts until the worker lists its runs or its lease has
-   expired.  */
-void worker_expect_run (sched_t *sched, task_t *task, uint32_t attempt,
-                        const char *id, sched_now_t now);
-/* worker_expect_extra_run - the same for a run that is not the current one of
-   TASK.  If TASK is done or its job has ended, it is stopped once its worker
-   lists it.  */
-void worker_expect_extra_run (sched_t *sched, task_t *task, uint32_t attempt,
-                              const char *id, sched_now_t now);
+worker_t *worker_add (sched_t *sched, const char *id, pool_t *pool,
+                      sched_now_t now);
 /* sched_add_order - add ORDER, which is for WORKER, to the plan.  */
 void sched_add_order (sched_t *sched, const worker_t *worker, order_t order);
 /* sched_inherits_leases - whether a lease of an earlier owner may still be
@@ -531,6 +523,13 @@
 void holds_schedule_next (const sched_t *sched, worker_t *worker,
                           int64_t now_us);
 
+/* inherit.c: runs that an earlier owner recorded */
+/* inherit_runs - expect the runs of TASK that may go on according to PROGRESS.
+   A done task, or one of an ended job, may have one that has not ended.  They
+   count until their worker lists its runs or its lease has expired.  */
+void inherit_runs (sched_t *sched, task_t *task,
+                   const task_progress_t *progress, sched_now_t now);
+
 /* orphans.c: runs that a worker lists and that are not expected there.  Those
    of a known task become runs of it.  What those of an unknown job need isn't
    known, so their worker gets no tasks until they have ended.  */
--- a/jobs/stages.c
+++ b/jobs/stages.c
@@ -274,21 +274,6 @@
   job_end (sched, job);
 }
 
-/* Expects the recorded runs of TASK that may go on.  A done task may have one
-   that is not the one that ended, and so may one of an ended job.  */
-static void
-expect_runs (sched_t *sched, task_t *task, const task_progress_t *mark,
-             sched_now_t now)
-{
-  if (mark->worker && (task->done || task->stage->job->ended))
-    worker_expect_extra_run (sched, task, mark->placed, mark->worker, now);
-  else if (mark->worker)
-    worker_expect_run (sched, task, mark->placed, mark->worker, now);
-  if (mark->earlier_worker)
-    worker_expect_extra_run (sched, task, mark->earlier, mark->earlier_worker,
-                             now);
-}
-
 static void
 init_stage (sched_t *sched, sched_job_t *job, uint32_t k, uint32_t step,
             uint32_t first_mark, sched_now_t now)
@@ -324,7 +309,7 @@
           stage->unfinished--;
           stage->unstarted--;
         }
-      expect_runs (sched, task, mark, now);
+      inherit_runs (sched, task, mark, now);
     }
 }
 
--- /dev/null
+++ b/jobs/test/inherit_test.c
@@ -0,0 +1,359 @@
+#include "rig.h"
+
+/* The number of stops of ATTEMPT among ORDERS.  */
+static uint32_t
+count_stops (const GArray *orders, uint32_t attempt)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < orders->len; i++)
+    {
+      const order_t *order = &g_array_index (orders, order_t, i);
+
+      count += order->kind == ORDER_STOP && order->attempt == attempt;
+    }
+  return count;
+}
+
+/* Replaces the table by its snapshot, as a daemon that starts does.  */
+static void
+load_snapshot (void)
+{
+  GBytes *bytes = jobtab_pack (rig.tab);
+  gsize len;
+  const void *data = g_bytes_get_data (bytes, &len);
+
+  jobtab_free (rig.tab);
+  rig.tab = jobtab_unpack (data, len, NULL);
+  ck_assert_ptr_nonnull (rig.tab);
+  g_bytes_unref (bytes);
+}
+
+/* Guards against a task that starts beside another one of its step, beyond the
+   limit per worker (ROUTE): a copy that was being stopped when the owner
+   changed is in neither list of its worker, and only the log shows it.  */
+START_TEST (test_recorded_copy_counts_for_the_limit_per_worker)
+{
+  job_step_t step = rig_speculative_step (2);
+  run_status_t second = rig_row (1, 0, 2);
+
+  step.spread_max = 1;
+  rig_take_over_copies (&step);
+  rig_report ("w2", &second, 1, NULL, 0);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  ck_assert_uint_eq (rig_count_planned (ORDER_START), 0);
+  /* Then it is not listed for longer than a stop takes.  */
+  rig_advance_clock (50);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  rig_advance_clock (400);
+  rig_report ("w2", &second, 1, NULL, 0);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  ck_assert_uint_eq (rig_count_planned (ORDER_START), 1);
+}
+END_TEST
+
+/* Guards against a workspace that has more running than its cap (QUOTA): a
+   copy on a worker that has not reported was not counted; or counted for
+   ever.  */
+START_TEST (test_recorded_copy_counts_for_the_cap_until_its_lease_ends)
+{
+  job_step_t step = rig_speculative_step (1);
+  job_step_t other = rig_step (1);
+  run_status_t second = rig_row (1, 0, 2);
+
+  step.estimate_ms = 60000; /* w2 isn't slow */
+  second.percent = 0;
+  rig_take_over_copies (&step);
+  rig_set_cap (2000);
+  rig_submit (2, &other, 1);
+  for (int64_t at_ms = 0; at_ms <= SCHED_LEASE_HORIZON_MS; at_ms += 500)
+    {
+      second.percent++;
+      rig_report ("w2", &second, 1, NULL, 0);
+      ck_assert_uint_eq (rig_count_planned (ORDER_START), 0);
+      rig_advance_clock (500);
+    }
+  second.percent++;
+  rig_report ("w2", &second, 1, NULL, 0);
+  ck_assert_uint_eq (rig_count_planned (ORDER_START), 1);
+}
+END_TEST
+
+/* Guards against starts beyond the capacity of a worker (LIMIT): a copy that
+   was being stopped when the owner changed was not counted.  */
+START_TEST (test_recorded_copy_keeps_its_room)
+{
+  job_step_t step = rig_speculative_step (1);
+  job_step_t wide = rig_step (1);
+  run_status_t second = rig_row (1, 0, 2);
+
+  wide.need.cpu_milli = 1000 * RIG_CORES;
+  rig_take_over_copies (&step);
+  rig_submit (2, &wide, 1);
+  rig_report ("w2", &second, 1, NULL, 0);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  ck_assert_uint_eq (rig_count_planned (ORDER_START), 0);
+}
+END_TEST
+
+/* Guards against a snapshot that lacks the earlier copy of a task.  */
+START_TEST (test_recorded_copy_is_in_the_snapshot)
+{
+  job_step_t step = rig_speculative_step (2);
+
+  step.spread_max = 1;
+  rig_submit (1, &step, 1);
+  rig_record_start (1, 0, 1, g_intern_string ("w1"));
+  rig_record_start (1, 0, 2, g_intern_string ("w2"));
+  load_snapshot ();
+  rig_open_sched (2);
+  rig_worker ("w1", RIG_CORES, false);
+  ck_assert_uint_eq (rig_count_planned (ORDER_START), 0);
+}
+END_TEST
+
+/* Opens a new owner of job 1, two tasks of which one may run on a worker.  An
+   earlier owner has started task 0 on w1, and then on w2, and recorded that
+   attempt DONE of it is done.  Worker ID lists nothing.  */
+static void
+take_over_done_task (uint32_t done, const char *id)
+{
+  job_step_t step = rig_speculative_step (2);
+
+  step.spread_max = 1;
+  rig_submit (1, &step, 1);
+  rig_record_start (1, 0, 1, g_intern_string ("w1"));
+  rig_record_start (1, 0, 2, g_intern_string ("w2"));
+  rig_record_end (1, 0, done);
+  rig_open_sched (2);
+  rig_worker (id, RIG_CORES, false);
+}
+
+/* Guards against a start beside a copy of a task that was done before the
+   owner changed (ROUTE), and against a copy that isn't stopped.  */
+START_TEST (test_earlier_copy_of_a_done_task_counts)
+{
+  run_status_t row = rig_row (1, 0, 1);
+  run_end_t end = { .sequence = 1, .attempt = 1, .kind = RUN_STOPPED };
+  g_autoptr (GArray) orders = NULL;
+
+  take_over_done_task (2, "w1");
+  ck_assert_uint_eq (rig_count_planned (ORDER_START), 0);
+  rig_advance_clock (50);
+  rig_report ("w1", &row, 1, NULL, 0);
+  orders = rig_plan (false);
+  ck_assert_uint_eq (count_stops (orders, 1), 1);
+  ck_assert_uint_eq (rig_count_orders (orders, ORDER_START), 0);
+  rig_advance_clock (50);
+  end.task = row.task;
+  rig_report ("w1", NULL, 0, &end, 1);
+  ck_assert_uint_eq (rig_count_planned (ORDER_START), 1);
+}
+END_TEST
+
+/* Guards against the same when the earlier copy was the one that ended.  */
+START_TEST (test_last_copy_of_a_done_task_counts)
+{
+  take_over_done_task (1, "w2");
+  ck_assert_uint_eq (rig_count_planned (ORDER_START), 0);
+}
+END_TEST
+
+/* Guards against a new owner that stops what ended long ago: the stops of all
+   copies on record would delay its other orders.  */
+START_TEST (test_copy_that_is_not_listed_is_not_stopped)
+{
+  take_over_done_task (2, "w1");
+  ck_assert_uint_eq (rig_count_planned (ORDER_STOP), 0);
+  rig_advance_clock (50);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  rig_advance_clock (400);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  ck_assert_uint_eq (rig_count_planned (ORDER_STOP), 0);
+}
+END_TEST
+
+/* Folds the end of job NUMBER with STATE.  */
+static void
+end_job (uint32_t number, job_state_t state)
+{
+  job_rec_t rec = { .kind = JREC_PROGRESS };
+  job_change_t change = { .state = state };
+
+  memcpy (change.id, rig_id (number), JOB_ID_BYTES);
+  rec.u.progress.epoch = rig.tab->owner.epoch;
+  rec.u.progress.placed = g_array_new (FALSE, FALSE, sizeof (task_placed_t));
+  rec.u.progress.ends = g_array_new (FALSE, FALSE, sizeof (task_end_t));
+  rec.u.progress.changes = g_array_new (FALSE, FALSE, sizeof change);
+  g_array_append_val (rec.u.progress.changes, change);
+  jobtab_fold (rig.tab, &rec, rig.now.wall_ms);
+  job_rec_clear (&rec);
+}
+
+/* Opens a new owner.  An earlier one has started a task of job 1, which takes
+   all of w1, and job 1 has got STATE.  w1 hasn't reported.  */
+static void
+take_over_ended_job (job_state_t state)
+{
+  job_step_t step = rig_step (1);
+
+  step.need.cpu_milli = 1000 * RIG_CORES;
+  rig_submit (1, &step, 1);
+  rig_record_start (1, 0, 1, g_intern_string ("w1"));
+  end_job (1, state);
+  load_snapshot ();
+  rig_open_sched (2);
+  rig_worker ("w1", RIG_CORES, true);
+}
+
+static void
+submit_small_job (void)
+{
+  job_step_t step = rig_step (1);
+
+  rig_submit (2, &step, 1);
+}
+
+/* Guards against a workspace that has more running than its cap (QUOTA): runs
+   of a cancelled job on a worker that has not reported were not counted; or
+   counted for ever.  */
+START_TEST (test_run_of_a_cancelled_job_counts_for_the_cap)
+{
+  run_end_t end = { .sequence = 1, .attempt = 1, .kind = RUN_STOPPED };
+
+  take_over_ended_job (JOB_STATE_CANCELLED);
+  rig_set_cap (1000 * RIG_CORES);
+  rig_worker ("w2", RIG_CORES, false);
+  submit_small_job ();
+  ck_assert_uint_eq (rig_count_planned (ORDER_START), 0);
+  rig_advance_clock (50);
+  end.task = rig_task_ref (1, 0);
+  rig_report ("w1", NULL, 0, &end, 1);
+  ck_assert_uint_eq (rig_count_planned (ORDER_START), 1);
+  ck_assert_int_eq (rig_job_state (1), JOB_STATE_CANCELLED);
+}
+END_TEST
+
+/* Guards against the same for a job that has failed, until the lease of its
+   run ends.  */
+START_TEST (test_run_of_a_failed_job_counts_until_its_lease_ends)
+{
+  take_over_ended_job (JOB_STATE_FAILED);
+  rig_set_cap (1000 * RIG_CORES);
+  rig_worker ("w2", RIG_CORES, false);
+  submit_small_job ();
+  ck_assert_uint_eq (rig_count_planned (ORDER_START), 0);
+  rig_advance_clock (SCHED_LEASE_HORIZON_MS);
+  rig_report ("w2", NULL, 0, NULL, 0);
+  ck_assert_uint_eq (rig_count_planned (ORDER_START), 0);
+  rig_advance_clock (SCHED_LEASE_HORIZON_MS / 10);
+  rig_report ("w2", NULL, 0, NULL, 0);
+  ck_assert_uint_eq (rig_count_planned (ORDER_START), 1);
+  ck_assert_int_eq (rig_job_state (1), JOB_STATE_FAILED);
+}
+END_TEST
+
+/* Guards against starts beyond the capacity of a worker (LIMIT): a run of a
+   cancelled job that was being stopped when the owner changed is in neither
+   list.  */
+START_TEST (test_run_of_a_cancelled_job_keeps_its_room)
+{
+  take_over_ended_job (JOB_STATE_CANCELLED);
+  submit_small_job ();
+  rig_report ("w1", NULL, 0, NULL, 0);
+  ck_assert_uint_eq (rig_count_planned (ORDER_START), 0);
+  rig_advance_clock (50);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  rig_advance_clock (400);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  ck_assert_uint_eq (rig_count_planned (ORDER_START), 1);
+}
+END_TEST
+
+/* Guards against a run of a cancelled job that goes on, and against a worker
+   that gets no tasks beside it although what the run needs is known.  */
+START_TEST (test_run_of_a_cancelled_job_is_stopped_once_listed)
+{
+  run_status_t row = rig_row (1, 0, 1);
+  g_autoptr (GArray) orders = NULL;
+
+  take_over_ended_job (JOB_STATE_CANCELLED);
+  rig_worker ("w1", RIG_CORES + 1, true);
+  submit_small_job ();
+  ck_assert_uint_eq (rig_count_planned (ORDER_STOP), 0);
+  rig_report ("w1", &row, 1, NULL, 0);
+  orders = rig_plan (false);
+  ck_assert_uint_eq (count_stops (orders, 1), 1);
+  ck_assert_uint_eq (rig_count_orders (orders, ORDER_START), 1);
+}
+END_TEST
+
+/* Guards against a run of a later occurrence that isn't counted, as its job
+   has ended.  */
+START_TEST (test_run_of_a_later_occurrence_counts)
+{
+  job_step_t step = rig_step (1);
+  job_entry_t *entry = rig_submit (1, &step, 1);
+
+  entry->desc->repeats = 3;
+  g_free (entry->tasks);
+  entry->tasks_count = 3;
+  entry->tasks = g_new0 (task_progress_t, 3);
+  entry->tasks[2].placed = 1;
+  entry->tasks[2].worker = g_intern_string ("w1");
+  end_job (1, JOB_STATE_CANCELLED);
+  rig_open_sched (2);
+  rig_set_cap (1000);
+  rig_worker ("w1", RIG_CORES, true);
+  rig_worker ("w2", RIG_CORES, false);
+  submit_small_job ();
+  ck_assert_uint_eq (rig_count_planned (ORDER_START), 0);
+}
+END_TEST
+
+/* Guards against a second run of a job that has ended, or a change of its
+   state, when its worker has no run of it.  */
+START_TEST (test_ended_job_stays_ended)
+{
+  take_over_ended_job (JOB_STATE_CANCELLED);
+  rig_advance_clock (50);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  rig_advance_clock (400);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  ck_assert_uint_eq (rig_count_planned (ORDER_START), 0);
+  sched_cancel_job (rig.sched, rig_id (1));
+  ck_assert (!sched_has_progress (rig.sched));
+  ck_assert_int_eq (rig_job_state (1), JOB_STATE_CANCELLED);
+}
+END_TEST
+
+/* Guards against a worker that gets no tasks as a copy that has ended, which
+   only the log shows, is taken for a slow run.  */
+START_TEST (test_recorded_copy_is_not_slow)
+{
+  job_step_t copies = rig_speculative_step (1);
+  job_step_t step = rig_step (1);
+
+  rig_take_over_copies (&copies);
+  rig_advance_clock (400);
+  rig_report ("w1", NULL, 0, NULL, 0);
+  rig_submit (2, &step, 1);
+  rig_advance_clock (10);
+  ck_assert_uint_eq (rig_count_planned (ORDER_START), 1);
+}
+END_TEST
+
+TEST_PROGRAM_WITH ("jobs/inherit", rig_reset, rig_tear_down,
+                   test_recorded_copy_counts_for_the_limit_per_worker,
+                   test_recorded_copy_counts_for_the_cap_until_its_lease_ends,
+                   test_recorded_copy_keeps_its_room,
+                   test_recorded_copy_is_in_the_snapshot,
+                   test_earlier_copy_of_a_done_task_counts,
+                   test_last_copy_of_a_done_task_counts,
+                   test_copy_that_is_not_listed_is_not_stopped,
+                   test_run_of_a_cancelled_job_counts_for_the_cap,
+                   test_run_of_a_failed_job_counts_until_its_lease_ends,
+                   test_run_of_a_cancelled_job_keeps_its_room,
+                   test_run_of_a_cancelled_job_is_stopped_once_listed,
+                   test_run_of_a_later_occurrence_counts,
+                   test_ended_job_stays_ended, test_recorded_copy_is_not_slow)
--- a/jobs/test/rig.c
+++ b/jobs/test/rig.c
@@ -397,3 +397,48 @@
   g_array_set_size (orders, 0);
   return found;
 }
+
+run_status_t
+rig_row (uint32_t number, uint32_t index, uint32_t attempt)
+{
+  return (run_status_t){ .task = rig_task_ref (number, index),
+                         .attempt = attempt,
+                         .checkpoint = "",
+                         .percent = 100 };
+}
+
+void
+rig_take_over_copies (const job_step_t *step)
+{
+  rig_submit (1, step, 1);
+  rig_record_start (1, 0, 1, g_intern_string ("w1"));
+  rig_record_start (1, 0, 2, g_intern_string ("w2"));
+  rig_open_sched (2);
+  rig_worker ("w1", RIG_CORES, true);
+  rig_worker ("w2", RIG_CORES, true);
+}
+
+uint32_t
+rig_count_planned (order_kind_t kind)
+{
+  g_autoptr (GArray) orders = rig_plan (false);
+
+  return rig_count_orders (orders, kind);
+}
+
+void
+rig_set_cap (int64_t cpu_milli)
+{
+  g_array_index (rig.rules->workspaces, rules_workspace_t, 0).cap.cpu_milli
+      = cpu_milli;
+  sched_set_rules (rig.sched, rig.rules);
+}
+
+job_step_t
+rig_speculative_step (uint32_t count)
+{
+  job_step_t step = rig_step (count);
+
+  step.speculative = true;
+  return step;
+}
--- a/jobs/test/rig.h
+++ b/jobs/test/rig.h
@@ -13,6 +13,7 @@
 #define RIG_SERVICE "fitting"
 #define RIG_WORKSPACE "acme"
 #define RIG_HOLD_MAX_MS 6000
+#define RIG_CORES 8
 
 typedef struct rig
 {
@@ -123,4 +124,22 @@
    sent then; false if there is none.  */
 bool rig_next_order (int64_t ms, host_order_t *order);
 
+/* rig_row - a row of a report: ATTEMPT of task INDEX of job NUMBER.  */
+run_status_t rig_row (uint32_t number, uint32_t index, uint32_t attempt);
+
+/* rig_count_planned - number of orders of KIND before and after the progress
+   is durable.  */
+uint32_t rig_count_planned (order_kind_t kind);
+
+/* rig_set_cap - limit the CPU of the rig's workspace.  */
+void rig_set_cap (int64_t cpu_milli);
+
+/* rig_speculative_step - a step of COUNT tasks that may run as copies.  */
+job_step_t rig_speculative_step (uint32_t count);
+
+/* rig_take_over_copies - open a new owner of job 1 with STEP.  An earlier
+   owner has started task 0 on w1, and then a second time on w2.  Neither
+   worker, each of RIG_CORES, has reported.  */
+void rig_take_over_copies (const job_step_t *step);
+
 #endif
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -108,7 +108,7 @@
   g_hash_table_remove (sched->workers, worker->id);
 }
 
-static worker_t *
+worker_t *
 worker_add (sched_t *sched, const char *id, pool_t *pool, sched_now_t now)
 {
   worker_t *worker = g_new0 (worker_t, 1);
@@ -129,40 +129,6 @@
   return worker;
 }
 
-/* The worker ID of an earlier owner, which may not be registered any more.  */
-static worker_t *
-recorded_worker (sched_t *sched, const task_t *task, const char *id,
-                 sched_now_t now)
-{
-  worker_t *worker = g_hash_table_lookup (sched->workers, id);
-
-  return worker ? worker : worker_add (sched, id, task->stage->job->pool, now);
-}
-
-void
-worker_expect_run (sched_t *sched, task_t *task, uint32_t attempt,
-                   const char *id, sched_now_t now)
-{
-  worker_t *worker = recorded_worker (sched, task, id, now);
-  run_t *run = run_new (sched, task, worker, attempt, now);
-
-  run_clear_start_pending (sched, run);
-  run->phase = RUN_ACTIVE;
-  run->active_us = now.us;
-}
-
-void
-worker_expect_extra_run (sched_t *sched, task_t *task, uint32_t attempt,
-                         const char *id, sched_now_t now)
-{
-  worker_t *worker = recorded_worker (sched, task, id, now);
-  run_t *run = run_new_extra (sched, task, worker, attempt, now);
-
-  run->stop_when_listed = true;
-  if (task->done || task->stage->job->ended)
-    run_stop (sched, run);
-}
-
 /* Stops the long-running tasks of a draining worker, so that they restart
    elsewhere before it shuts down.  */
 static void
