--- a/jobs/replies.c
+++ b/jobs/replies.c
@@ -127,7 +127,6 @@
   run_clear_start_pending (sched, run);
   if (run->active_us == 0)
     run->active_us = now.us;
-  run->task->unavailable_since_us = 0;
   job_mark_running (sched, run->task->stage->job);
 }
 
--- a/jobs/runs.c
+++ b/jobs/runs.c
@@ -173,7 +173,6 @@
   if (task->run == run)
     {
       task->run = NULL;
-      task->unavailable_since_us = now.us;
       if (!task->done && !job->ended)
         task_requeue (sched, task);
     }
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -112,7 +112,6 @@
   int64_t not_before_us;
   const char *avoid_worker;     /* interned; worker of its last failed run */
   int64_t avoid_until_us;       /* no start there before this time */
-  int64_t unavailable_since_us; /* long-running task; 0: it runs */
 };
 
 /* The tasks of one step in one occurrence of a job.  */
--- a/jobs/stages.c
+++ b/jobs/stages.c
@@ -296,7 +296,6 @@
 
       task->stage = stage;
       task->index = i;
-      task->unavailable_since_us = now.us;
       if (!mark)
         continue;
       task->failures = mark->failures;
