--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -110,8 +110,8 @@
   run_t *run;
   uint32_t run_count; /* including earlier attempts and copies */
   int64_t not_before_us;
-  const char *avoid_worker;     /* interned; worker of its last failed run */
-  int64_t avoid_until_us;       /* no start there before this time */
+  const char *avoid_worker; /* interned; worker of its last failed run */
+  int64_t avoid_until_us;   /* no start there before this time */
 };
 
 /* The tasks of one step in one occurrence of a job.  */
