entry: a daemon that can't listen ends its threads first

What operators saw: a daemon whose port is taken logs 1004 listen-failed and then may crash instead of ending with status 1.

Cause: run_daemon returned without core_stop, and entry_run freed the settings that the core's thread goes on using.

Change: the core is stopped and the read model closed before the return.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -70,6 +70,9 @@
     {
       event_log (EV_LISTEN_FAILED, "front=%s ready=%s", settings->front,
                  settings->ready);
+      if (core)
+        core_stop (core); /* its thread uses SETTINGS and MODEL */
+      readmodel_close (&model);
       return EXIT_FAILURE;
     }
   event_log (EV_STARTED, "name=%s front=%s ready=%s store=%s", settings->name,
