soak: daemons that found their port taken start again at other ports

Change: while the load runs, a daemon that has ended with status 1 is started at other ports; one that ended in any other way is a violation, which was not noticed before. The path itself was not run: no port was taken since.

--- a/test/soak/soak_main.c
+++ b/test/soak/soak_main.c
@@ -575,6 +575,27 @@
          && workers_copies (soak->workers) > soak->copies_before;
 }
 
+/* Starts daemons that found a port taken at other ports: the kernel gives a
+   port that free_port has returned to other processes, too.  A daemon that
+   ends by itself in any other way is a violation.  */
+static void
+replace_ended_daemons (soak_t *soak)
+{
+  for (uint32_t i = 0; i < soak->count; i++)
+    {
+      process_t *process = &soak->processes[i];
+      int status;
+
+      if (waitpid (process->pid, &status, WNOHANG) != process->pid)
+        continue;
+      if (!WIFEXITED (status) || WEXITSTATUS (status) != EXIT_FAILURE)
+        report_violation (soak, "daemon ended by itself:", process->settings);
+      printf ("daemon %u ended; it starts again at other ports\n", i);
+      g_free (process->settings);
+      init_daemon (soak, i);
+    }
+}
+
 static void
 run_load (soak_t *soak, uint32_t seconds)
 {
@@ -587,6 +608,7 @@
     {
       int64_t pause_us;
 
+      replace_ended_daemons (soak);
       submit (soak, number++);
       if (g_rand_int_range (soak->rand, 0, 10) == 0)
         cancel_random_job (soak);
