soak: only a daemon whose port is taken is started elsewhere

Cause: since the soak replaced every daemon that ended with status 1, so one that ended for another reason went unnoticed.

Change: the daemon's last log line has to be 1004 listen-failed; any other end is a violation.

--- a/test/soak/soak_main.c
+++ b/test/soak/soak_main.c
@@ -575,6 +575,20 @@
          && workers_copies (soak->workers) > soak->copies_before;
 }
 
+/* Whether the last line that the daemon logged says that it can't listen.  */
+static bool
+found_port_taken (const process_t *process)
+{
+  g_autofree char *log = g_strdup_printf ("%s.log", process->settings);
+  g_autofree char *text = NULL;
+  const char *last;
+
+  if (!g_file_get_contents (log, &text, NULL, NULL))
+    return false;
+  last = strrchr (g_strchomp (text), '\n');
+  return strstr (last ? last : text, " 1004 ") != NULL;
+}
+
 /* Starts daemons that found a port taken at other ports: the kernel gives a
    port that free_port has returned to other processes, too.  A daemon that
    ends by itself in any other way is a violation.  */
@@ -588,7 +602,8 @@
 
       if (waitpid (process->pid, &status, WNOHANG) != process->pid)
         continue;
-      if (!WIFEXITED (status) || WEXITSTATUS (status) != EXIT_FAILURE)
+      if (!WIFEXITED (status) || WEXITSTATUS (status) != EXIT_FAILURE
+          || !found_port_taken (process))
         report_violation (soak, "daemon ended by itself:", process->settings);
       printf ("daemon %u ended; it starts again at other ports\n", i);
       g_free (process->settings);
