jobs/model: a suspended owner's waiting orders wait for the log

The product sends none before it has read the log (resync_needed in entry/orders and entry/hub). Change: the model doesn't either.

--- a/jobs/test/model_net.c
+++ b/jobs/test/model_net.c
@@ -250,12 +250,23 @@
   return owner && owner->paused_until_us > rig.now.us;
 }
 
+/* Whether an order that waited may be sent.  An owner that was suspended sends
+   none before it has read the log.  */
+static bool
+may_send (const call_t *call)
+{
+  const model_owner_t *owner = model_find_owner (call->order.token);
+
+  return call->sent_us <= rig.now.us && !is_paused (call)
+         && (!owner || !owner->needs_resync);
+}
+
 static void
 run_call (call_t *call)
 {
   if (!call->is_sent)
     {
-      if (call->sent_us <= rig.now.us && !is_paused (call))
+      if (may_send (call))
         send_call (call);
       return;
     }
