jobs/jobtab: that a run is over counts in whichever epoch it was recorded

Cause: in a slow store the owner's records of seconds wait behind one append, and the next claim overtakes them. The rows that say which runs are over were dropped with the rest of the record, so each further owner expected these runs again and waited 5.8 s from its own start. It works as an owner counts a lease as ended only as of a reading that confirmed its ownership: no later owner can have extended it.

--- a/entry/core.c
+++ b/entry/core.c
@@ -193,6 +193,20 @@
     }
 }
 
+/* Passes on which runs are over by REC, the progress of a replaced owner.  */
+static void
+apply_superseded (core_t *core, const job_rec_t *rec)
+{
+  const GArray *over = rec->u.progress.over;
+
+  if (!core->sched || !over || over->len == 0)
+    return;
+  event_log (EV_PROGRESS_SUPERSEDED,
+             "epoch=%" PRIu64 " present=%" PRIu64 " over=%u",
+             rec->u.progress.epoch, core->tab->owner.epoch, over->len);
+  sched_end_runs (core->sched, over, core_now ());
+}
+
 void
 core_record_folded (core_t *core, const job_rec_t *rec, fold_result_t fold,
                     size_t bytes, int64_t now_us)
@@ -227,6 +241,9 @@
       if (core->sched)
         sched_set_durable (core->sched, rec->u.progress.batch);
       return;
+    case FOLD_SUPERSEDED:
+      apply_superseded (core, rec);
+      return;
     case FOLD_NOTHING:
     case FOLD_RENEWED:
     case FOLD_PROBED:
--- a/jobs/inherit.c
+++ b/jobs/inherit.c
@@ -71,6 +71,22 @@
   run->phase = RUN_ACTIVE;
 }
 
+/* A run that has been listed since, or that is being stopped as it wasn't, is
+   left to the reports of its worker.  */
+void
+sched_end_runs (sched_t *sched, const GArray *over, sched_now_t now)
+{
+  for (uint32_t i = 0; i < over->len; i++)
+    {
+      const run_over_t *row = &g_array_index (over, run_over_t, i);
+      const task_t *task = sched_task (sched, &row->task);
+      run_t *run = task ? run_find_anywhere (sched, task, row->attempt) : NULL;
+
+      if (run && (run->start_in_doubt || run->stop_when_listed))
+        run_close (sched, run, "recorded-late", now);
+    }
+}
+
 void
 inherit_runs (sched_t *sched, task_t *task, const task_progress_t *progress,
               sched_now_t now)
--- a/jobs/jobtab.c
+++ b/jobs/jobtab.c
@@ -213,7 +213,7 @@
 }
 
 static void
-fold_placed (jobtab_t *table, const task_placed_t *placed)
+fold_placed (jobtab_t *table, const task_placed_t *placed, uint64_t epoch)
 {
   const job_entry_t *entry;
   task_progress_t *progress = find_task (table, &placed->task, &entry);
@@ -229,6 +229,7 @@
     }
   progress->placed = placed->attempt;
   progress->worker = placed->worker;
+  progress->placed_epoch = (uint32_t)epoch;
 }
 
 /* Records that ATTEMPT of a task has ended.  */
@@ -241,14 +242,37 @@
     progress->earlier_worker = NULL;
 }
 
-static void
-fold_over (jobtab_t *table, const run_over_t *over)
+/* Clears the run OVER, which an owner of EPOCH has recorded.  A later owner
+   that has not read of an attempt uses its number again, so the row of an
+   attempt that was placed after EPOCH is about another run.  False: nothing
+   has changed.  */
+static bool
+fold_over (jobtab_t *table, const run_over_t *over, uint64_t epoch)
 {
   const job_entry_t *entry;
   task_progress_t *progress = find_task (table, &over->task, &entry);
+  bool could_run;
+
+  if (!progress || progress->placed_epoch > epoch)
+    return false;
+  could_run
+      = (progress->worker && over->attempt == progress->placed)
+        || (progress->earlier_worker && over->attempt == progress->earlier);
+  clear_run (progress, over->attempt);
+  return could_run;
+}
+
+/* Applies what REC, the progress of a replaced owner, says of runs that are
+   over, and removes the other rows of them.  */
+static void
+fold_superseded (jobtab_t *table, const job_rec_t *rec)
+{
+  GArray *over = rec->u.progress.over;
 
-  if (progress)
-    clear_run (progress, over->attempt);
+  for (uint32_t i = over ? over->len : 0; i-- > 0;)
+    if (!fold_over (table, &g_array_index (over, run_over_t, i),
+                    rec->u.progress.epoch))
+      g_array_remove_index_fast (over, i);
 }
 
 static void
@@ -274,14 +298,21 @@
   const GArray *changes = rec->u.progress.changes;
   const GArray *over = rec->u.progress.over;
 
-  if (rec->u.progress.epoch != table->owner.epoch)
+  if (rec->u.progress.epoch < table->owner.epoch)
+    {
+      fold_superseded (table, rec);
+      return (fold_result_t){ FOLD_SUPERSEDED, NULL };
+    }
+  if (rec->u.progress.epoch > table->owner.epoch)
     return (fold_result_t){ FOLD_NOTHING, NULL };
   for (uint32_t i = 0; i < placed->len; i++)
-    fold_placed (table, &g_array_index (placed, task_placed_t, i));
+    fold_placed (table, &g_array_index (placed, task_placed_t, i),
+                 rec->u.progress.epoch);
   for (uint32_t i = 0; i < ends->len; i++)
     fold_end (table, &g_array_index (ends, task_end_t, i));
   for (uint32_t i = 0; over && i < over->len; i++)
-    fold_over (table, &g_array_index (over, run_over_t, i));
+    fold_over (table, &g_array_index (over, run_over_t, i),
+               rec->u.progress.epoch);
   for (uint32_t i = 0; i < changes->len; i++)
     {
       const job_change_t *change = &g_array_index (changes, job_change_t, i);
--- a/jobs/jobtab.h
+++ b/jobs/jobtab.h
@@ -8,8 +8,10 @@
      the log.  Daemons that have folded the same records hold the same table.
      A snapshot of the table replaces the records before it.
 
-     Only progress records of the current epoch take effect, so records that a
-     replaced owner still appends change nothing.  */
+     Only progress records of the current epoch take effect.  Of those that a
+     replaced owner still appends, the runs that are over count: that a run has
+     ended stays true whoever is the owner.  Starts and ends don't, as the next
+     owner decides on them anew.  */
 
 #ifndef CUMINPIN_JOBTAB_H
 #define CUMINPIN_JOBTAB_H
@@ -25,6 +27,8 @@
   const char *worker; /* of the last attempt; interned; NULL: it has ended */
   const char *earlier_worker; /* the same of the one before */
   bool done;
+  /* Epoch that PLACED was recorded in, or a later one up to the present.  */
+  uint32_t placed_epoch;
 } task_progress_t;
 
 /* The recorded runs of a job are kept for this time after its end.  They are
@@ -69,7 +73,9 @@
   FOLD_RELEASED,  /* the owner has resigned */
   FOLD_RENEWED,   /* heartbeat of the owner */
   FOLD_PROBED,    /* a daemon requests a heartbeat */
-  FOLD_PROGRESS   /* the owner's progress was applied */
+  FOLD_PROGRESS,  /* the owner's progress was applied */
+  FOLD_SUPERSEDED /* progress of a replaced owner; the record keeps the rows of
+                     runs that are over that were applied */
 } fold_kind_t;
 
 typedef struct fold_result
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -61,6 +61,7 @@
             = now_us; /* no other probe is needed */
       return;
     case FOLD_NOTHING:
+    case FOLD_SUPERSEDED:
     case FOLD_SUBMITTED:
     case FOLD_CANCELLED:
       return;
--- a/jobs/runs.c
+++ b/jobs/runs.c
@@ -266,6 +266,23 @@
   return NULL;
 }
 
+run_t *
+run_find_anywhere (const sched_t *sched, const task_t *task, uint32_t attempt)
+{
+  GHashTableIter iter;
+  gpointer worker;
+  run_t *run = NULL;
+
+  if (task->run && task->run->attempt == attempt)
+    return task->run;
+  if (task->run_count == (task->run ? 1U : 0U))
+    return NULL;
+  g_hash_table_iter_init (&iter, sched->workers);
+  while (!run && g_hash_table_iter_next (&iter, NULL, &worker))
+    run = run_find (worker, task, attempt);
+  return run;
+}
+
 void
 run_stop (sched_t *sched, run_t *run)
 {
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -486,6 +486,9 @@
    the task may run twice or RUN can't start any more.  */
 void run_detach (sched_t *sched, run_t *run);
 run_t *run_find (const worker_t *worker, const task_t *task, uint32_t attempt);
+/* run_find_anywhere - the same on all workers.  */
+run_t *run_find_anywhere (const sched_t *sched, const task_t *task,
+                          uint32_t attempt);
 /* run_is_listed - whether REPORT says that RUN goes on.  */
 bool run_is_listed (const run_t *run, const worker_report_t *report);
 /* worker_close_runs - all runs of WORKER are over for the reason WHY.  */
--- a/jobs/scheduler.h
+++ b/jobs/scheduler.h
@@ -206,6 +206,11 @@
 void sched_add_job (sched_t *sched, const job_entry_t *entry, sched_now_t now);
 void sched_cancel_job (sched_t *sched, const char *id);
 
+/* sched_end_runs - the runs OVER, an array of run_over_t, were recorded as
+   over by an earlier owner after the claim of this one.  Their tasks no longer
+   wait for leases that these runs may have.  */
+void sched_end_runs (sched_t *sched, const GArray *over, sched_now_t now);
+
 /* sched_admit - whether the new job DESC is admitted.  An admitted one counts
    as waiting from then on; it is to be submitted.  A refusal is not recorded:
    the caller may find that the job is known, or that it is admitted now.
--- a/jobs/tabpack.c
+++ b/jobs/tabpack.c
@@ -92,13 +92,15 @@
   return worker ? g_intern_string (worker) : NULL;
 }
 
+/* A snapshot doesn't say in which epoch a task was placed: it is taken to be
+   EPOCH, the last one.  */
 static const char *
-read_task (const msgpack_object *object, job_entry_t *entry)
+read_task (const msgpack_object *object, job_entry_t *entry, uint64_t epoch)
 {
   fields_t f = fields_open (object, "mark");
   uint64_t number = fields_u64 (&f, "number", UINT32_MAX);
   const msgpack_object *attempts;
-  task_progress_t progress = { 0 };
+  task_progress_t progress = { .placed_epoch = (uint32_t)epoch };
   uint32_t kept;
 
   progress.done = fields_u64 (&f, "done", 1);
@@ -126,7 +128,7 @@
 }
 
 static void
-read_tasks (fields_t *f, job_entry_t *entry)
+read_tasks (fields_t *f, job_entry_t *entry, uint64_t epoch)
 {
   const msgpack_object *items;
   uint32_t count = array_read (f, "marks", &items);
@@ -134,7 +136,7 @@
   entry->tasks_count = job_tasks (entry->desc);
   entry->tasks = g_new0 (task_progress_t, entry->tasks_count);
   for (uint32_t i = 0; i < count && !f->bad; i++)
-    f->bad = read_task (&items[i], entry);
+    f->bad = read_task (&items[i], entry, epoch);
 }
 
 static const char *
@@ -153,7 +155,7 @@
       if (job_check (entry->desc))
         f.bad = "steps";
       else
-        read_tasks (&f, entry);
+        read_tasks (&f, entry, table->owner.epoch);
     }
   if (f.bad || jobtab_find (table, entry->desc->id))
     job_entry_free (entry);
--- a/jobs/test/rig.h
+++ b/jobs/test/rig.h
@@ -83,6 +83,14 @@
 /* rig_record_end - the same, that ATTEMPT of that task is done.  */
 void rig_record_end (uint32_t number, uint32_t index, uint32_t attempt);
 
+/* rig_record_over - fold a record of an owner of EPOCH that ATTEMPT of that
+   task is over, and pass it to the scheduler, if there is one.
+   rig_load_snapshot - replace the table by its snapshot, as a daemon that
+   starts does.  */
+void rig_record_over (uint32_t number, uint32_t index, uint32_t attempt,
+                      uint64_t epoch);
+void rig_load_snapshot (void);
+
 /* rig_plan - the orders before and after the progress is durable, in an array
    that the caller owns.  Holds are left out unless HOLDS.  */
 GArray *rig_plan (bool holds);
