jobs/silence: owners don't wait anew each for a worker that none has reached

Cause: a new owner counts with the longest lease, 5.8 s from its own start, for each worker that it can't reach. Owners that follow each other within that time (planned stops, slow store, stronger hosts) add up their waits, and none of them sees the leases end. Change: an owner that has asked a worker with runs in vain for 1.2 s records how long the leases of earlier owners last there, and grants it none until the log says that it answers or is gone; neither does any later owner. Claims say that their daemon keeps to this; a claim of an earlier version voids the rows.

--- a/base/event.c
+++ b/base/event.c
@@ -81,6 +81,7 @@
   { EV_ADVICE_TIMED_OUT, LEVEL_WARN, "advice-timed-out" },
   { EV_WORKER_DOUBTED, LEVEL_INFO, "worker-doubted" },
   { EV_PROGRESS_SUPERSEDED, LEVEL_INFO, "progress-superseded" },
+  { EV_WORKER_SILENT, LEVEL_INFO, "worker-silent" },
   { EV_EVACUATION_BEGUN, LEVEL_INFO, "evacuation-begun" },
   { EV_EVACUATION_PROGRESS, LEVEL_INFO, "evacuation-progress" },
   { EV_EVACUATION_EMPTIED, LEVEL_INFO, "evacuation-emptied" },
--- a/entry/core.c
+++ b/entry/core.c
@@ -100,6 +100,7 @@
 
   rec.u.owner.epoch = epoch;
   rec.u.owner.holder = core->holder;
+  rec.u.owner.heeds_silences = kind == JREC_CLAIM;
   appends_add_direct (core, job_rec_pack (&rec));
 }
 
--- a/entry/feeds.c
+++ b/entry/feeds.c
@@ -349,7 +349,7 @@
   /* jobtab_fold takes the job description out of the record.  */
   if (rec.kind == JREC_SUBMIT)
     appends_handle_record (core, &rec);
-  fold = jobtab_fold (core->tab, &rec, clock_wall_ms ());
+  fold = jobtab_fold (core->tab, &rec, clock_wall_ms (), now_us);
   core_record_folded (core, &rec, fold, record->len, now_us);
   if (rec.kind == JREC_CANCEL)
     appends_handle_record (core, &rec);
--- a/entry/test/admissions_test.c
+++ b/entry/test/admissions_test.c
@@ -68,7 +68,7 @@
   job_rec_t rec;
 
   ck_assert (job_rec_unpack (data, len, &rec, NULL));
-  folded = jobtab_fold (owner.tab, &rec, clock_wall_ms ());
+  folded = jobtab_fold (owner.tab, &rec, clock_wall_ms (), clock_boot_us ());
   if (folded.kind == FOLD_SUBMITTED)
     sched_add_job (owner.sched, folded.entry, core_now ());
   job_rec_clear (&rec);
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -168,6 +168,17 @@
   uint32_t attempt;
 } run_over_t;
 
+/* The owner records that a worker which may have leases of earlier owners does
+   not answer it, and that it grants the worker no lease until a row with
+   ANSWERS is in the log.  So later owners needn't count with leases of this
+   one.  */
+typedef struct worker_silence
+{
+  const char *worker; /* interned */
+  bool answers;     /* the worker answers, or is gone: leases may be granted */
+  uint32_t left_ms; /* otherwise: until all its leases have ended */
+} worker_silence_t;
+
 typedef struct job_change
 {
   char id[JOB_ID_BYTES];
@@ -187,6 +198,9 @@
     {
       uint64_t epoch;
       char *holder;
+      /* CLAIM: the holder keeps to the rows on silent workers.  Daemons of
+         earlier versions don't.  */
+      bool heeds_silences;
     } owner; /* CLAIM, RENEW, PROBE, RELEASE */
     struct
     {
@@ -198,6 +212,7 @@
       /* Of run_over_t; NULL if there are none.  Daemons of earlier versions
          don't read them.  */
       GArray *over;
+      GArray *silences; /* of worker_silence_t; the same */
     } progress;
   } u;
 } job_rec_t;
--- a/jobs/jobtab.c
+++ b/jobs/jobtab.c
@@ -18,6 +18,8 @@
 
   table->jobs
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, job_entry_free);
+  table->silent
+      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
   return table;
 }
 
@@ -27,6 +29,7 @@
   if (!table)
     return;
   g_hash_table_destroy (table->jobs);
+  g_hash_table_destroy (table->silent);
   g_free (table->owner.holder);
   g_free (table);
 }
@@ -196,6 +199,8 @@
   g_free (owner->holder);
   owner->holder = g_steal_pointer (&rec->u.owner.holder);
   owner->released = false;
+  if (!rec->u.owner.heeds_silences)
+    g_hash_table_remove_all (table->silent);
   return (fold_result_t){ FOLD_CLAIMED, NULL };
 }
 
@@ -290,13 +295,36 @@
   clear_run (progress, end->attempt);
 }
 
+void
+jobtab_set_silent (jobtab_t *table, const char *worker, int64_t until_us)
+{
+  int64_t *until = g_new (int64_t, 1);
+
+  *until = until_us;
+  g_hash_table_insert (table->silent, (gpointer)worker, until);
+}
+
+/* The time is counted from when the row is read, which is later than when its
+   owner has written it.  */
+static void
+fold_silence (jobtab_t *table, const worker_silence_t *row, int64_t now_us)
+{
+  if (row->answers)
+    g_hash_table_remove (table->silent, row->worker);
+  else
+    jobtab_set_silent (table, row->worker,
+                       now_us + (int64_t)row->left_ms * 1000);
+}
+
 static fold_result_t
-fold_progress (jobtab_t *table, const job_rec_t *rec, int64_t now_ms)
+fold_progress (jobtab_t *table, const job_rec_t *rec, int64_t now_ms,
+               int64_t now_us)
 {
   const GArray *placed = rec->u.progress.placed;
   const GArray *ends = rec->u.progress.ends;
   const GArray *changes = rec->u.progress.changes;
   const GArray *over = rec->u.progress.over;
+  const GArray *silences = rec->u.progress.silences;
 
   if (rec->u.progress.epoch < table->owner.epoch)
     {
@@ -313,6 +341,9 @@
   for (uint32_t i = 0; over && i < over->len; i++)
     fold_over (table, &g_array_index (over, run_over_t, i),
                rec->u.progress.epoch);
+  for (uint32_t i = 0; silences && i < silences->len; i++)
+    fold_silence (table, &g_array_index (silences, worker_silence_t, i),
+                  now_us);
   for (uint32_t i = 0; i < changes->len; i++)
     {
       const job_change_t *change = &g_array_index (changes, job_change_t, i);
@@ -325,7 +356,7 @@
 }
 
 fold_result_t
-jobtab_fold (jobtab_t *table, job_rec_t *rec, int64_t now_ms)
+jobtab_fold (jobtab_t *table, job_rec_t *rec, int64_t now_ms, int64_t now_us)
 {
   bool present = rec->kind != JREC_SUBMIT && rec->kind != JREC_CANCEL
                  && rec->kind != JREC_PROGRESS
@@ -347,7 +378,7 @@
       table->owner.released |= present;
       return (fold_result_t){ present ? FOLD_RELEASED : FOLD_NOTHING, NULL };
     case JREC_PROGRESS:
-      return fold_progress (table, rec, now_ms);
+      return fold_progress (table, rec, now_ms, now_us);
     }
   return (fold_result_t){ FOLD_NOTHING, NULL };
 }
--- a/jobs/jobtab.h
+++ b/jobs/jobtab.h
@@ -61,6 +61,9 @@
 {
   GHashTable *jobs; /* id -> job_entry_t */
   ownership_t owner;
+  /* Workers to which no owner grants leases, interned -> int64_t: when those
+     granted before have ended, by this daemon's clock; INT64_MAX: unknown.  */
+  GHashTable *silent;
   uint64_t next; /* offset of the first record that is not folded */
 } jobtab_t;
 
@@ -104,9 +107,15 @@
 /* job_entry_free - free ENTRY, a job_entry_t that is in no table.  */
 void job_entry_free (gpointer entry);
 
-/* jobtab_fold - apply REC at NOW_MS, Unix time.  TABLE may take parts of REC.
-   The caller advances table->next.  */
-fold_result_t jobtab_fold (jobtab_t *table, job_rec_t *rec, int64_t now_ms);
+/* jobtab_fold - apply REC at NOW_MS, Unix time, and NOW_US, by the clock that
+   is not stepped.  TABLE may take parts of REC.  The caller advances
+   table->next.  */
+fold_result_t jobtab_fold (jobtab_t *table, job_rec_t *rec, int64_t now_ms,
+                           int64_t now_us);
+
+/* jobtab_set_silent - WORKER, which is interned, gets no leases; those that it
+   has have ended at UNTIL_US.  */
+void jobtab_set_silent (jobtab_t *table, const char *worker, int64_t until_us);
 
 /* task_may_run - whether a recorded run of the task with PROGRESS may go on.
  */
--- a/jobs/judge.c
+++ b/jobs/judge.c
@@ -150,7 +150,7 @@
     return JUDGED_COLD;
   if (worker->orphans->len > 0)
     return JUDGED_ORPHANS;
-  if (!worker_is_answering (worker))
+  if (!worker_is_answering (worker) || worker->silence)
     return JUDGED_SILENT;
   if (worker->suspect_until_us > now_us)
     return JUDGED_PAUSED;
--- a/jobs/record.c
+++ b/jobs/record.c
@@ -42,6 +42,8 @@
         g_array_free (rec->u.progress.changes, TRUE);
       if (rec->u.progress.over)
         g_array_free (rec->u.progress.over, TRUE);
+      if (rec->u.progress.silences)
+        g_array_free (rec->u.progress.silences, TRUE);
       break;
     }
   memset (rec, 0, sizeof *rec);
@@ -152,17 +154,27 @@
     }
 }
 
+static bool
+has_silences (const job_rec_t *rec)
+{
+  return rec->u.progress.silences && rec->u.progress.silences->len > 0;
+}
+
+/* The field is there also if a later one is.  */
 static bool
 has_over (const job_rec_t *rec)
 {
-  return rec->u.progress.over && rec->u.progress.over->len > 0;
+  return has_silences (rec)
+         || (rec->u.progress.over && rec->u.progress.over->len > 0);
 }
 
 static void
 pack_over (msgpack_packer *pk, const GArray *over)
 {
-  msgpack_pack_array (pk, over->len);
-  for (uint32_t i = 0; i < over->len; i++)
+  uint32_t count = over ? over->len : 0;
+
+  msgpack_pack_array (pk, count);
+  for (uint32_t i = 0; i < count; i++)
     {
       const run_over_t *row = &g_array_index (over, run_over_t, i);
 
@@ -172,6 +184,22 @@
     }
 }
 
+static void
+pack_silences (msgpack_packer *pk, const GArray *silences)
+{
+  msgpack_pack_array (pk, silences->len);
+  for (uint32_t i = 0; i < silences->len; i++)
+    {
+      const worker_silence_t *row
+          = &g_array_index (silences, worker_silence_t, i);
+
+      msgpack_pack_array (pk, 3);
+      pack_name (pk, row->worker);
+      msgpack_pack_uint32 (pk, row->answers);
+      msgpack_pack_uint32 (pk, row->left_ms);
+    }
+}
+
 static void
 pack_progress (msgpack_packer *pk, const job_rec_t *rec)
 {
@@ -202,6 +230,8 @@
     }
   if (has_over (rec))
     pack_over (pk, rec->u.progress.over);
+  if (has_silences (rec))
+    pack_silences (pk, rec->u.progress.silences);
 }
 
 /* Number of fields of REC, the kind included.  */
@@ -214,12 +244,13 @@
     case JREC_CANCEL:
       return 2;
     case JREC_CLAIM:
+      return 4;
     case JREC_RENEW:
     case JREC_PROBE:
     case JREC_RELEASE:
       return 3;
     case JREC_PROGRESS:
-      return has_over (rec) ? 7 : 6;
+      return 6 + (uint32_t)has_over (rec) + (uint32_t)has_silences (rec);
     }
   return 0;
 }
@@ -248,6 +279,8 @@
     case JREC_RELEASE:
       msgpack_pack_uint64 (&pk, rec->u.owner.epoch);
       pack_name (&pk, rec->u.owner.holder);
+      if (rec->kind == JREC_CLAIM)
+        msgpack_pack_uint32 (&pk, rec->u.owner.heeds_silences);
       break;
     case JREC_PROGRESS:
       pack_progress (&pk, rec);
@@ -481,6 +514,16 @@
   over->attempt = (uint32_t)fields_u64 (row, "attempt", UINT32_MAX);
 }
 
+static void
+read_silence (fields_t *row, void *to)
+{
+  worker_silence_t *silence = to;
+
+  silence->worker = interned_text (row, "worker");
+  silence->answers = fields_u64 (row, "answers", 1);
+  silence->left_ms = (uint32_t)fields_u64 (row, "left", UINT32_MAX);
+}
+
 static void
 read_change (fields_t *row, void *to)
 {
@@ -542,6 +585,8 @@
     case JREC_RELEASE:
       rec->u.owner.epoch = fields_u64 (&f, "epoch", UINT64_MAX);
       rec->u.owner.holder = text_read (&f, "holder");
+      if (f.left > 0) /* absent in claims of earlier versions */
+        rec->u.owner.heeds_silences = fields_u64 (&f, "silences", 1);
       break;
     case JREC_PROGRESS:
       rec->u.progress.epoch = fields_u64 (&f, "epoch", UINT64_MAX);
@@ -555,6 +600,9 @@
       if (f.left > 0) /* absent if there are none, and in earlier versions */
         rec->u.progress.over
             = read_rows (&f, "over", sizeof (run_over_t), read_over);
+      if (f.left > 0)
+        rec->u.progress.silences = read_rows (
+            &f, "silences", sizeof (worker_silence_t), read_silence);
       break;
     default:
       f.bad = "kind";
--- a/jobs/replies.c
+++ b/jobs/replies.c
@@ -243,6 +243,7 @@
                        now);
   update_clock (worker, reply, now);
   holds_process_answer (sched, worker, now.us);
+  silence_end (sched, worker);
   /* The leases of an earlier owner are unknown, but not longer than
      SCHED_LEASE_HORIZON_MS.  */
   if (!worker->has_reported && sched_inherits_leases (sched, now.us))
--- a/jobs/sched.c
+++ b/jobs/sched.c
@@ -114,6 +114,7 @@
   sched->placed = g_array_new (FALSE, TRUE, sizeof (task_placed_t));
   sched->ends = g_array_new (FALSE, TRUE, sizeof (task_end_t));
   sched->over = g_array_new (FALSE, TRUE, sizeof (run_over_t));
+  sched->silences = g_array_new (FALSE, TRUE, sizeof (worker_silence_t));
   sched->changes = g_array_new (FALSE, TRUE, sizeof (job_change_t));
   sched->hosts
       = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, host_free);
@@ -133,6 +134,7 @@
     sched->admit = admit_new ();
   if (limits->keep_shares)
     sched->shares = shares_new ();
+  silences_inherit (sched, table);
   add_inherited_jobs (sched, table, now);
   return sched;
 }
@@ -170,6 +172,8 @@
   g_array_free (sched->placed, TRUE);
   g_array_free (sched->ends, TRUE);
   g_array_free (sched->over, TRUE);
+  g_array_free (sched->silences, TRUE);
+  g_hash_table_destroy (sched->silent);
   g_array_free (sched->changes, TRUE);
   interference_free (sched->interference);
   runtimes_free (sched->runtimes);
@@ -253,7 +257,8 @@
 has_rows (const sched_t *sched)
 {
   return sched->placed->len > 0 || sched->ends->len > 0
-         || sched->changes->len > 0 || sched->over->len > 0;
+         || sched->changes->len > 0 || sched->over->len > 0
+         || sched->silences->len > 0;
 }
 
 bool
@@ -284,6 +289,8 @@
   rec->u.progress.changes = take_rows (sched->changes, left);
   left -= rec->u.progress.changes->len;
   rec->u.progress.over = take_rows (sched->over, left);
+  left -= rec->u.progress.over->len;
+  rec->u.progress.silences = take_rows (sched->silences, left);
   rec->u.progress.batch = has_rows (sched) ? sched->batch - 1 : sched->batch++;
   return rec;
 }
@@ -308,6 +315,7 @@
 sched_set_durable (sched_t *sched, uint64_t batch)
 {
   sched->durable_batch = MAX (sched->durable_batch, batch);
+  silences_set_durable (sched);
   for (uint32_t i = sched->batch_waiters->len; i-- > 0;)
     {
       worker_t *worker = g_ptr_array_index (sched->batch_waiters, i);
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -1,8 +1,8 @@
 /* schedint - data shared by the modules of the scheduler: sched, build,
-   stages, workers, boots, wakeups, holds, runs, inherit, orphans, replies,
-   judge, startorder, place, advice, neighbours, pace, stall, hosts, waves,
-   demand, moves, evacuation, evacmoves, learned, expected, admit, fairness and
-   explain.  Private to jobs/.  */
+   stages, workers, boots, wakeups, holds, runs, inherit, silence, orphans,
+   replies, judge, startorder, place, advice, neighbours, pace, stall, hosts,
+   waves, demand, moves, evacuation, evacmoves, learned, expected, admit,
+   fairness and explain.  Private to jobs/.  */
 
 #ifndef CUMINPIN_SCHEDINT_H
 #define CUMINPIN_SCHEDINT_H
@@ -60,6 +60,15 @@
 typedef struct advice advice_t;
 typedef struct admit admit_t;
 
+/* A worker that gets no leases from this owner, as the log says.  */
+typedef struct silence
+{
+  int64_t until_us;      /* leases of earlier owners have ended by then;
+                            INT64_MAX: unknown */
+  uint64_t answer_batch; /* in which it is recorded that the worker answers;
+                            0: it isn't */
+} silence_t;
+
 typedef enum run_phase
 {
   RUN_PLANNED, /* its progress record is not yet durable */
@@ -225,6 +234,7 @@
   bool has_clock;
   bool cordoned;   /* gets no new tasks, so that its host can be drained */
   bool going_down; /* its host has been ordered down */
+  bool granted;    /* this owner has granted it a lease */
   bool maintenance_due; /* a wave will take its host down */
   int64_t clock_ms;
   int64_t clock_read_us;
@@ -258,6 +268,7 @@
   uint32_t images_count;
   int64_t learned_us; /* its report was last learned from */
   pacing_state_t pacing;
+  silence_t *silence;        /* NULL: none */
   int64_t wake_us;           /* when it needs attention */
   GSequenceIter *wake_place; /* in sched->wakeups */
   bool taken;                /* it is looked after in this plan */
@@ -335,6 +346,8 @@
   GHashTable *jobs;          /* id -> sched_job_t */
   GHashTable *workers;       /* id -> worker_t */
   GSequence *wakeups;        /* all workers, by wake_us */
+  GHashTable *silent;        /* interned worker -> silence_t */
+  int64_t listed_us;         /* when all registrations were read; 0: not yet */
   int64_t sweep_us;          /* when all workers are due */
   GPtrArray *batch_waiters;  /* worker_t with planned starts or ends that wait
                                 until a batch is durable */
@@ -344,9 +357,10 @@
   GPtrArray *recurring_jobs; /* sched_job_t with future occurrences */
   GArray *orders;            /* orders of the current plan */
   /* Progress to append.  */
-  GArray *placed; /* of task_placed_t */
-  GArray *ends;   /* of task_end_t */
-  GArray *over;   /* of run_over_t */
+  GArray *placed;   /* of task_placed_t */
+  GArray *ends;     /* of task_end_t */
+  GArray *over;     /* of run_over_t */
+  GArray *silences; /* of worker_silence_t */
   GArray *changes;
   GHashTable *hosts;           /* interned name -> host_t */
   GHashTable *workers_by_host; /* interned name -> array of worker_t */
@@ -624,6 +638,22 @@
 void inherit_runs (sched_t *sched, task_t *task,
                    const task_progress_t *progress, sched_now_t now);
 
+/* silence.c: workers that may have leases of earlier owners and don't answer.
+   A new owner waits for the longest lease of a worker that it can't reach.
+   Owners that follow each other would wait anew each, so an owner records that
+   it grants such a worker no leases, and how long those of others last.  */
+/* silences_inherit - start from what TABLE says.
+   silence_attach - set the silence of WORKER, which was added.
+   silence_check - record that WORKER is silent, if it is.
+   silence_end - WORKER has answered, or is gone; it is recorded, and once that
+   is durable leases may be granted again.
+   silences_set_durable - records were read back from the log.  */
+void silences_inherit (sched_t *sched, const jobtab_t *table);
+void silence_attach (const sched_t *sched, worker_t *worker);
+void silence_check (sched_t *sched, worker_t *worker, int64_t now_us);
+void silence_end (sched_t *sched, worker_t *worker);
+void silences_set_durable (sched_t *sched);
+
 /* orphans.c: runs that a worker lists and that are not expected there.  Those
    of a known task become runs of it.  What those of an unknown job need isn't
    known, so their worker gets no tasks until they have ended.  */
--- a/jobs/tabpack.c
+++ b/jobs/tabpack.c
@@ -53,6 +53,18 @@
       pack_task (pk, i, &entry->tasks[i]);
 }
 
+static void
+pack_silent (msgpack_packer *pk, GHashTable *silent)
+{
+  GHashTableIter iter;
+  gpointer worker;
+
+  msgpack_pack_array (pk, g_hash_table_size (silent));
+  g_hash_table_iter_init (&iter, silent);
+  while (g_hash_table_iter_next (&iter, &worker, NULL))
+    pack_name (pk, worker);
+}
+
 GBytes *
 jobtab_pack (const jobtab_t *table)
 {
@@ -63,7 +75,7 @@
 
   msgpack_sbuffer_init (&buf);
   msgpack_packer_init (&pk, &buf, msgpack_sbuffer_write);
-  msgpack_pack_array (&pk, 6);
+  msgpack_pack_array (&pk, 7);
   msgpack_pack_uint32 (&pk, SNAPSHOT_FORMAT);
   msgpack_pack_uint64 (&pk, table->next);
   msgpack_pack_uint64 (&pk, table->owner.epoch);
@@ -81,6 +93,7 @@
       desc_pack (&pk, entry->desc);
       pack_tasks (&pk, entry);
     }
+  pack_silent (&pk, table->silent);
   return pack_steal (&buf);
 }
 
@@ -164,6 +177,28 @@
   return f.bad;
 }
 
+/* How long the leases of these workers last isn't known from a snapshot, only
+   that they get no further ones.  */
+static void
+read_silent (fields_t *f, jobtab_t *table)
+{
+  const msgpack_object *items;
+  uint32_t count = array_read (f, "silent", &items);
+
+  for (uint32_t i = 0; i < count && !f->bad; i++)
+    {
+      g_autofree char *worker = NULL;
+
+      if (items[i].type != MSGPACK_OBJECT_STR)
+        {
+          f->bad = "silent";
+          return;
+        }
+      worker = g_strndup (items[i].via.str.ptr, items[i].via.str.size);
+      jobtab_set_silent (table, g_intern_string (worker), INT64_MAX);
+    }
+}
+
 static void
 read_table (fields_t *f, jobtab_t *table)
 {
@@ -179,6 +214,8 @@
   count = array_read (f, "jobs", &items);
   for (uint32_t i = 0; i < count && !f->bad; i++)
     f->bad = read_entry (&items[i], table);
+  if (f->left > 0) /* absent in snapshots of earlier versions */
+    read_silent (f, table);
 }
 
 jobtab_t *
--- a/jobs/test/inherit_test.c
+++ b/jobs/test/inherit_test.c
@@ -384,7 +384,7 @@
   rec.u.progress.ends = g_array_new (FALSE, FALSE, sizeof (task_end_t));
   rec.u.progress.changes = g_array_new (FALSE, FALSE, sizeof change);
   g_array_append_val (rec.u.progress.changes, change);
-  jobtab_fold (rig.tab, &rec, rig.now.wall_ms);
+  jobtab_fold (rig.tab, &rec, rig.now.wall_ms, rig.now.us);
   job_rec_clear (&rec);
 }
 
--- a/jobs/test/jobtab_test.c
+++ b/jobs/test/jobtab_test.c
@@ -17,7 +17,7 @@
 
   rec.u.owner.epoch = epoch;
   rec.u.owner.holder = g_strdup (holder);
-  folded = jobtab_fold (rig.tab, &rec, NOW_MS);
+  folded = jobtab_fold (rig.tab, &rec, NOW_MS, 0);
   job_rec_clear (&rec);
   return folded.kind;
 }
@@ -28,7 +28,7 @@
   job_rec_t rec = { .kind = JREC_CANCEL };
 
   memcpy (rec.u.cancel, rig_id (number), JOB_ID_BYTES);
-  return jobtab_fold (rig.tab, &rec, NOW_MS).kind;
+  return jobtab_fold (rig.tab, &rec, NOW_MS, 0).kind;
 }
 
 static fold_kind_t
@@ -44,7 +44,7 @@
   rec.u.progress.ends = g_array_new (FALSE, FALSE, sizeof (task_end_t));
   rec.u.progress.changes = g_array_new (FALSE, FALSE, sizeof (job_change_t));
   g_array_append_val (rec.u.progress.changes, change);
-  folded = jobtab_fold (rig.tab, &rec, NOW_MS);
+  folded = jobtab_fold (rig.tab, &rec, NOW_MS, 0);
   job_rec_clear (&rec);
   return folded.kind;
 }
--- a/jobs/test/model_owner.c
+++ b/jobs/test/model_owner.c
@@ -108,7 +108,8 @@
           && !model_store_is_down ())
         {
           fold_kind_t kind
-              = jobtab_fold (rig.tab, item->rec, rig.now.wall_ms).kind;
+              = jobtab_fold (rig.tab, item->rec, rig.now.wall_ms, rig.now.us)
+                    .kind;
 
           item->folded = true;
           item->read_us = kind == FOLD_PROGRESS
--- a/jobs/test/model_test.c
+++ b/jobs/test/model_test.c
@@ -175,7 +175,8 @@
     return;
   job->cancelled_us = rig.now.us;
   memcpy (rec.u.cancel, rig_id (job->number), JOB_ID_BYTES);
-  if (jobtab_fold (rig.tab, &rec, rig.now.wall_ms).kind == FOLD_CANCELLED)
+  if (jobtab_fold (rig.tab, &rec, rig.now.wall_ms, rig.now.us).kind
+      == FOLD_CANCELLED)
     sched_cancel_job (rig.sched, rig_id (job->number));
   model_trace ("job %04x is cancelled", job->number);
 }
--- a/jobs/test/rig.c
+++ b/jobs/test/rig.c
@@ -101,7 +101,7 @@
   rec.u.submit = desc;
   if (!rig.tab)
     rig.tab = jobtab_new ();
-  folded = jobtab_fold (rig.tab, &rec, rig.now.wall_ms);
+  folded = jobtab_fold (rig.tab, &rec, rig.now.wall_ms, rig.now.us);
   job_rec_clear (&rec);
   if (rig.sched && folded.entry)
     sched_add_job (rig.sched, folded.entry, rig.now);
@@ -245,7 +245,7 @@
     g_array_append_vals (rec.u.progress.placed, placed, 1);
   if (end)
     g_array_append_vals (rec.u.progress.ends, end, 1);
-  jobtab_fold (rig.tab, &rec, rig.now.wall_ms);
+  jobtab_fold (rig.tab, &rec, rig.now.wall_ms, rig.now.us);
   job_rec_clear (&rec);
 }
 
@@ -281,7 +281,7 @@
 
   rec.u.progress.over = g_array_new (FALSE, FALSE, sizeof over);
   g_array_append_val (rec.u.progress.over, over);
-  folded = jobtab_fold (rig.tab, &rec, rig.now.wall_ms);
+  folded = jobtab_fold (rig.tab, &rec, rig.now.wall_ms, rig.now.us);
   if (rig.sched && folded.kind == FOLD_SUPERSEDED)
     sched_end_runs (rig.sched, rec.u.progress.over, rig.now);
   job_rec_clear (&rec);
@@ -350,7 +350,7 @@
 
   while ((rec = sched_progress (rig.sched)))
     {
-      jobtab_fold (rig.tab, rec, rig.now.wall_ms);
+      jobtab_fold (rig.tab, rec, rig.now.wall_ms, rig.now.us);
       sched_set_durable (rig.sched, rec->u.progress.batch);
       job_rec_clear (rec);
       g_free (rec);
--- a/jobs/test/tabpack_test.c
+++ b/jobs/test/tabpack_test.c
@@ -15,7 +15,7 @@
   job_rec_t rec = { .kind = JREC_CANCEL };
 
   memcpy (rec.u.cancel, rig_id (number), JOB_ID_BYTES);
-  jobtab_fold (rig.tab, &rec, NOW_MS);
+  jobtab_fold (rig.tab, &rec, NOW_MS, 0);
 }
 
 /* Guards against a snapshot that lacks state of the records it replaces.  */
@@ -42,7 +42,7 @@
   rec.u.progress.ends = g_array_new (FALSE, FALSE, sizeof end);
   rec.u.progress.changes = g_array_new (FALSE, FALSE, sizeof (job_change_t));
   g_array_append_val (rec.u.progress.ends, end);
-  jobtab_fold (rig.tab, &rec, NOW_MS);
+  jobtab_fold (rig.tab, &rec, NOW_MS, 0);
   job_rec_clear (&rec);
   cancel_job (2);
   rig.tab->next = 77;
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -50,8 +50,15 @@
 {
   /* Until WORKER has reported, it may hold leases of an earlier owner.  */
   if (!worker->has_reported)
-    return sched->started_us
-           + add_clock_drift ((int64_t)SCHED_LEASE_HORIZON_MS * 1000);
+    {
+      int64_t end_us
+          = sched->started_us
+            + add_clock_drift ((int64_t)SCHED_LEASE_HORIZON_MS * 1000);
+
+      return worker->silence && !worker->granted
+                 ? MIN (end_us, worker->silence->until_us)
+                 : end_us;
+    }
   return worker->clock_read_us
          + add_clock_drift ((worker->lease_end_ms - worker->clock_ms) * 1000);
 }
@@ -84,8 +91,10 @@
                           (int64_t)sched->limits.lease_ms * 1000);
   int64_t deadline_ms;
 
-  if (!worker->has_clock || worker->doubted_us != 0 || lease_us <= 0)
+  if (!worker->has_clock || worker->doubted_us != 0 || worker->silence
+      || lease_us <= 0)
     return 0;
+  worker->granted = true;
   deadline_ms = worker_clock_at (worker, now_us) + lease_us / 1000;
   worker->lease_end_ms = MAX (worker->lease_end_ms, deadline_ms);
   return deadline_ms;
@@ -98,6 +107,7 @@
              worker->id, worker->pool->name,
              worker_silent_ms (worker, now.us));
   worker_close_runs (sched, worker, "worker-gone", now);
+  silence_end (sched, worker);
   holds_clear_pending (sched, worker);
   hosts_set_worker (sched, worker, NULL);
   wakeups_remove_worker (sched, worker);
@@ -119,6 +129,7 @@
   worker->filler_pace_percent = 100;
   worker->hold_due_us = now.us;
   worker->boot_known_us = now.us;
+  silence_attach (sched, worker);
   g_ptr_array_add (worker->pool->workers, worker);
   g_hash_table_insert (sched->workers, worker->id, worker);
   wakeups_add_worker (sched, worker, now.us);
@@ -223,6 +234,8 @@
   GHashTableIter iter;
   gpointer value;
 
+  if (sched->listed_us == 0)
+    sched->listed_us = now.us;
   g_hash_table_iter_init (&iter, sched->workers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -286,6 +299,7 @@
         worker_wake_at (sched, worker, now.us + STOP_MARGIN_US);
     }
   end_expired_runs (sched, worker, now);
+  silence_check (sched, worker, now.us);
   orphans_check_leases (sched, worker, now);
 }
 
