--- a/jobs/silence.c
+++ b/jobs/silence.c
@@ -37,6 +37,12 @@
   return worker->address ? worker->asked_us : sched->listed_us;
 }
 
+static bool
+is_bounded (const silence_t *silence)
+{
+  return silence && silence->until_us != INT64_MAX;
+}
+
 static void
 record (sched_t *sched, const worker_t *worker, bool answers, uint32_t left_ms)
 {
@@ -52,7 +58,7 @@
   int64_t since_us = silent_since_us (sched, worker);
   int64_t left_us;
 
-  if (worker->silence || worker->has_reported || worker->granted
+  if (is_bounded (worker->silence) || worker->has_reported || worker->granted
       || worker->runs->len == 0 || since_us == 0)
     return;
   if (now_us - since_us < WORKER_SILENCE_MAX_US)
@@ -65,7 +71,10 @@
     return;
   left_us = MAX (worker_lease_end_us (sched, worker) - now_us, 0);
   left_us += left_us * CLOCK_DRIFT_MAX_PERCENT / 100; /* for the reader's */
-  worker->silence = add_silence (sched, worker->interned, now_us + left_us);
+  if (worker->silence)
+    worker->silence->until_us = now_us + left_us;
+  else
+    worker->silence = add_silence (sched, worker->interned, now_us + left_us);
   record (sched, worker, false, (uint32_t)((left_us + 999) / 1000));
   event_log (EV_WORKER_SILENT,
              "worker=%s registered=%d runs=%u lease_left_ms=%" PRId64,
--- a/jobs/test/silence_test.c
+++ b/jobs/test/silence_test.c
@@ -124,6 +124,28 @@
 }
 END_TEST
 
+/* Guards against the wait once for each owner after a loss of all daemons:
+   each of them has read a snapshot.  */
+START_TEST (test_owner_with_a_snapshot_records_how_long_leases_last)
+{
+  take_over_from_lost_worker ();
+  fail_holds (2000);
+  rig_load_snapshot ();
+  rig_open_sched (3);
+  rig_worker (W1, RIG_CORES, true);
+  rig_worker ("w2", RIG_CORES, false);
+  fail_holds (4000);
+  rig_open_sched (4);
+  rig_worker (W1, RIG_CORES, true);
+  rig_worker ("w2", RIG_CORES, false);
+  ck_assert_uint_eq (rig_count_planned (ORDER_START), 0);
+  fail_holds (1500);
+  rig_advance_clock (500);
+  rig_report ("w2", NULL, 0, NULL, 0);
+  ck_assert_uint_eq (rig_count_planned (ORDER_START), 1);
+}
+END_TEST
+
 /* Guards against a row that is not true (TWICE): this owner has granted the
    worker a lease before it fell silent.  */
 START_TEST (test_worker_that_has_a_lease_of_this_owner_is_not_recorded)
@@ -183,6 +205,7 @@
                    test_next_owner_waits_for_the_leases_of_earlier_ones,
                    test_silent_worker_gets_no_lease_before_it_is_recorded,
                    test_owner_with_a_snapshot_grants_a_silent_worker_no_lease,
+                   test_owner_with_a_snapshot_records_how_long_leases_last,
                    test_worker_that_has_a_lease_of_this_owner_is_not_recorded,
                    test_worker_that_is_not_registered_is_recorded,
                    test_worker_that_is_gone_is_not_silent)
