entry/link: a link whose first frame doesn't come is closed

Change: an accepted link whose first frame isn't complete after 10 s is closed. A daemon sends its hello as it connects. Result: test_link_without_a_first_frame_is_closed of entry/link failed before.

--- a/entry/link.c
+++ b/entry/link.c
@@ -112,7 +112,7 @@
   link->connecting = connecting;
   linkbuf_open (&link->input, &links->input_bytes);
   linkbuf_open (&link->output, &links->output_bytes);
-  link->heard_us = now_us;
+  link->opened_us = link->heard_us = now_us;
   set_options (fd);
   g_hash_table_insert (links->by_fd, GINT_TO_POINTER (fd), link);
   watch (link, EPOLLIN | (connecting ? EPOLLOUT : 0), EPOLL_CTL_ADD);
@@ -445,6 +445,9 @@
 
       if (read_us - link->heard_us >= LINK_SILENCE_US)
         link_close (link, "silent");
+      else if (link->accepted && !link->greeted
+               && read_us - link->opened_us >= LINK_FIRST_FRAME_US)
+        link_close (link, "no-first-frame");
       else if (!link->connecting)
         link_send (link, NULL, 0);
     }
--- a/entry/link.h
+++ b/entry/link.h
@@ -22,6 +22,9 @@
 
 #define LINK_PING_US 400000
 #define LINK_SILENCE_US 3000000
+/* An accepted link whose first frame isn't complete by then is closed.  A
+   daemon sends it as it connects; this covers two losses on a slow link.  */
+#define LINK_FIRST_FRAME_US 10000000
 /* Longest frame: a batch of records to append.  */
 #define LINK_FRAME_MAX (2 * 1024 * 1024)
 /* Longest first frame of an accepted link: names and a port.  Only daemons
--- a/entry/linkint.h
+++ b/entry/linkint.h
@@ -23,6 +23,7 @@
   linkbuf_t output;
   uint64_t frame_serial; /* rises with the time at which INPUT's frame began */
   uint32_t events;
+  int64_t opened_us;
   int64_t heard_us;    /* last bytes were read, or it was opened */
   int64_t received_us; /* last bytes were read; 0: none yet */
 };
--- a/entry/test/link_test.c
+++ b/entry/test/link_test.c
@@ -148,6 +148,30 @@
 }
 END_TEST
 
+/* Guards against links that are kept for good by peers that are no daemons:
+   one sends pings or parts of a frame, and never says who it is.  */
+START_TEST (test_link_without_a_first_frame_is_closed)
+{
+  static const uint8_t ping[4] = { 0 };
+  int fd = connect_raw ();
+
+  run_once ();
+  for (int64_t us = 0; us < LINK_FIRST_FRAME_US && closed == 0;
+       us += LINK_PING_US)
+    {
+      ck_assert_int_eq (send (fd, ping, sizeof ping, 0), sizeof ping);
+      now_us += LINK_PING_US;
+      run_once ();
+      run_once ();
+    }
+  now_us += LINK_PING_US;
+  run_once ();
+  ck_assert_uint_eq (closed, 1);
+  ck_assert_str_eq (close_reason, "no-first-frame");
+  close (fd);
+}
+END_TEST
+
 /* Guards against closing a link because this daemon had no time to read.  */
 START_TEST (test_unread_link_is_not_silent)
 {
@@ -524,6 +548,7 @@
 
 TEST_PROGRAM_WITH ("entry/link", set_up, tear_down,
                    test_frames_arrive_in_order, test_silent_link_is_closed,
+                   test_link_without_a_first_frame_is_closed,
                    test_unread_link_is_not_silent,
                    test_new_link_has_received_nothing,
                    test_idle_link_stays_open, test_long_frame_is_refused,
