jobs/explain: a job waits while unconfirmed rules hold all starts

Change: such a step waits with "rules-unconfirmed"; evacuation_allows_starts is what the plan asks as well. Result: test_rules_are_not_confirmed of jobs/explainjob failed before.

--- a/jobs/evacuation.c
+++ b/jobs/evacuation.c
@@ -246,8 +246,8 @@
          - LEASE_MARGIN_US;
 }
 
-static bool
-rules_allow_starts (const sched_t *sched, int64_t now_us)
+bool
+evacuation_allows_starts (const sched_t *sched, int64_t now_us)
 {
   int64_t shortest_us
       = MIN (START_LEASE_MIN_US,
@@ -267,7 +267,7 @@
 
   if (sched->limits.evacuate_ms == 0)
     return deadline_ms;
-  if (!rules_allow_starts (sched, now_us))
+  if (!evacuation_allows_starts (sched, now_us))
     return 0;
   /* The worker's clock may be slow, so it shows less when the time is over. */
   left_us = (start_limit_us (sched) - worker->clock_read_us) * 100
@@ -308,7 +308,7 @@
 void
 evacuation_place (sched_t *sched, sched_now_t now)
 {
-  bool allowed = rules_allow_starts (sched, now.us);
+  bool allowed = evacuation_allows_starts (sched, now.us);
 
   hold_starts (sched, !allowed, now.us);
   if (!allowed)
@@ -392,10 +392,10 @@
 evacuation_dump (const sched_t *sched, GString *out, sched_now_t now)
 {
   if (sched->limits.evacuate_ms > 0)
-    g_string_append_printf (out, "rules-age-ms %" PRId64 " starts %s\n",
-                            (now.us - sched->rules_confirmed_us) / 1000,
-                            rules_allow_starts (sched, now.us) ? "allowed"
-                                                               : "held");
+    g_string_append_printf (
+        out, "rules-age-ms %" PRId64 " starts %s\n",
+        (now.us - sched->rules_confirmed_us) / 1000,
+        evacuation_allows_starts (sched, now.us) ? "allowed" : "held");
   for (uint32_t i = 0; sched->evacuations && i < sched->evacuations->len; i++)
     {
       const evacuation_t *row
--- a/jobs/evacuation.h
+++ b/jobs/evacuation.h
@@ -56,6 +56,10 @@
 void evacuation_update_worker (sched_t *sched, struct worker *worker);
 void evacuation_update_host (const sched_t *sched, struct host *host);
 
+/* evacuation_allows_starts - whether the operators' records were confirmed
+   lately enough for any start.  */
+bool evacuation_allows_starts (const sched_t *sched, int64_t now_us);
+
 /* evacuation_deadline_ms - the deadline for a start on WORKER now, on its
    clock, that is not after DEADLINE_MS; 0: none may be sent, because the rules
    were confirmed too long ago.  */
--- a/jobs/explain.h
+++ b/jobs/explain.h
@@ -59,6 +59,7 @@
   EXPLAIN_WAIT_RETRY,       /* the pause after a failure isn't over */
   EXPLAIN_WAIT_EARLIER_RUN, /* an earlier run has not ended */
   EXPLAIN_WAIT_OWNERSHIP,   /* the owner's leases are too short to start */
+  EXPLAIN_WAIT_RULES,       /* the operators' records are not confirmed */
   EXPLAIN_WAIT_NOT_DUE,     /* the time of its next occurrence has not come */
   EXPLAIN_WAIT_UNDECIDED    /* as many workers were judged as may be */
 } explain_wait_t;
--- a/jobs/explainjob.c
+++ b/jobs/explainjob.c
@@ -150,6 +150,9 @@
   step->wait = EXPLAIN_WAIT_OWNERSHIP;
   if (work->sched->lease_limit_us - work->now.us < START_LEASE_MIN_US)
     return;
+  step->wait = EXPLAIN_WAIT_RULES;
+  if (!evacuation_allows_starts (work->sched, work->now.us))
+    return;
   result = trial_place (work->trial, stage, start_rank (stage, work->now.us));
   step->starting = result.started;
   step->wait = wait_reason (work, stage, step, result.stop);
--- a/jobs/explainnames.c
+++ b/jobs/explainnames.c
@@ -33,6 +33,7 @@
           [EXPLAIN_WAIT_RETRY] = "retry-pause",
           [EXPLAIN_WAIT_EARLIER_RUN] = "earlier-run",
           [EXPLAIN_WAIT_OWNERSHIP] = "ownership-unconfirmed",
+          [EXPLAIN_WAIT_RULES] = "rules-unconfirmed",
           [EXPLAIN_WAIT_NOT_DUE] = "not-due",
           [EXPLAIN_WAIT_UNDECIDED] = "undecided" };
 
--- a/jobs/test/explainjob_test.c
+++ b/jobs/test/explainjob_test.c
@@ -51,6 +51,22 @@
 }
 END_TEST
 
+/* Guards against a job that counts as placed while the owner starts nothing,
+   as it may have missed the evacuation of a data centre.  */
+START_TEST (test_rules_are_not_confirmed)
+{
+  explanation_t *answer;
+
+  rig.sched->limits.evacuate_ms = 1000;
+  rig.sched->rules_confirmed_us = rig.now.us - 5000000;
+  expect_wait (explain_step (rig_step (1)), EXPLAIN_WAIT_RULES);
+  sched_confirm_rules (rig.sched, rig.now.us);
+  answer = explain_step (rig_step (1));
+  ck_assert_int_eq (answer->kind, EXPLAIN_PLACED);
+  explanation_free (answer);
+}
+END_TEST
+
 /* Guards against a gang of which a part would start.  */
 START_TEST (test_gang_that_does_not_fit)
 {
@@ -222,5 +238,5 @@
                    test_all_workers_of_the_label_drain,
                    test_jobs_of_higher_rank_are_ahead,
                    test_jobs_ahead_without_workers, test_unanswered_starts,
-                   test_open_steps_come_first, test_later_steps_are_blocked,
-                   test_rank_of_a_running_job)
+                   test_rules_are_not_confirmed, test_open_steps_come_first,
+                   test_later_steps_are_blocked, test_rank_of_a_running_job)
