jobs/silence: rows of workers that nobody knows any more are taken back

Change: once the registrations were read, an owner takes back the rows of workers that are neither registered nor have runs. Taking a row back is always safe: the next owner waits as without it.

--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -647,11 +647,14 @@
    silence_check - record that WORKER is silent, if it is.
    silence_end - WORKER has answered, or is gone; it is recorded, and once that
    is durable leases may be granted again.
+   silences_end_unknown - the same for workers that are neither registered nor
+   have runs.
    silences_set_durable - records were read back from the log.  */
 void silences_inherit (sched_t *sched, const jobtab_t *table);
 void silence_attach (const sched_t *sched, worker_t *worker);
 void silence_check (sched_t *sched, worker_t *worker, int64_t now_us);
-void silence_end (sched_t *sched, worker_t *worker);
+void silence_end (sched_t *sched, const worker_t *worker);
+void silences_end_unknown (sched_t *sched);
 void silences_set_durable (sched_t *sched);
 
 /* orphans.c: runs that a worker lists and that are not expected there.  Those
--- a/jobs/silence.c
+++ b/jobs/silence.c
@@ -37,17 +37,21 @@
   return worker->address ? worker->asked_us : sched->listed_us;
 }
 
+/* Whether SILENCE is recorded with its bound.  Once it is recorded that the
+   worker answers, it isn't recorded anew: leases are granted as soon as that
+   record is durable.  */
 static bool
-is_bounded (const silence_t *silence)
+is_settled (const silence_t *silence)
 {
-  return silence && silence->until_us != INT64_MAX;
+  return silence
+         && (silence->until_us != INT64_MAX || silence->answer_batch != 0);
 }
 
 static void
-record (sched_t *sched, const worker_t *worker, bool answers, uint32_t left_ms)
+record (sched_t *sched, const char *worker, bool answers, uint32_t left_ms)
 {
   worker_silence_t row
-      = { .worker = worker->interned, .answers = answers, .left_ms = left_ms };
+      = { .worker = worker, .answers = answers, .left_ms = left_ms };
 
   g_array_append_val (sched->silences, row);
 }
@@ -58,7 +62,7 @@
   int64_t since_us = silent_since_us (sched, worker);
   int64_t left_us;
 
-  if (is_bounded (worker->silence) || worker->has_reported || worker->granted
+  if (is_settled (worker->silence) || worker->has_reported || worker->granted
       || worker->runs->len == 0 || since_us == 0)
     return;
   if (now_us - since_us < WORKER_SILENCE_MAX_US)
@@ -75,22 +79,42 @@
     worker->silence->until_us = now_us + left_us;
   else
     worker->silence = add_silence (sched, worker->interned, now_us + left_us);
-  record (sched, worker, false, (uint32_t)((left_us + 999) / 1000));
+  record (sched, worker->interned, false, (uint32_t)((left_us + 999) / 1000));
   event_log (EV_WORKER_SILENT,
              "worker=%s registered=%d runs=%u lease_left_ms=%" PRId64,
              worker->id, worker->address != NULL, worker->runs->len,
              left_us / 1000);
 }
 
-void
-silence_end (sched_t *sched, worker_t *worker)
+static void
+end_silence (sched_t *sched, const char *worker, silence_t *silence)
 {
-  if (!worker->silence || worker->silence->answer_batch != 0)
+  if (silence->answer_batch != 0)
     return;
-  worker->silence->answer_batch = sched->batch;
+  silence->answer_batch = sched->batch;
   record (sched, worker, true, 0);
 }
 
+void
+silence_end (sched_t *sched, const worker_t *worker)
+{
+  if (worker->silence)
+    end_silence (sched, worker->interned, worker->silence);
+}
+
+void
+silences_end_unknown (sched_t *sched)
+{
+  GHashTableIter iter;
+  gpointer name;
+  gpointer silence;
+
+  g_hash_table_iter_init (&iter, sched->silent);
+  while (g_hash_table_iter_next (&iter, &name, &silence))
+    if (!g_hash_table_contains (sched->workers, name))
+      end_silence (sched, name, silence);
+}
+
 void
 silences_set_durable (sched_t *sched)
 {
--- a/jobs/test/silence_test.c
+++ b/jobs/test/silence_test.c
@@ -146,6 +146,26 @@
 }
 END_TEST
 
+/* Guards against rows that stay for good: the worker's runs were recorded as
+   over, so that a later owner doesn't know the worker at all.  */
+START_TEST (test_worker_without_runs_and_registration_is_not_silent)
+{
+  g_autoptr (GHashTable) registered
+      = g_hash_table_new (g_str_hash, g_str_equal);
+
+  take_over_from_lost_worker ();
+  fail_holds (2000);
+  rig_record_over (1, 0, 1, 2);
+  rig_open_sched (3);
+  rig_worker ("w2", RIG_CORES, false);
+  ck_assert_uint_eq (g_hash_table_size (rig.tab->silent), 1);
+  g_hash_table_add (registered, "w2");
+  sched_retain_workers (rig.sched, registered, rig.now);
+  rig_commit ();
+  ck_assert_uint_eq (g_hash_table_size (rig.tab->silent), 0);
+}
+END_TEST
+
 /* Guards against a row that is not true (TWICE): this owner has granted the
    worker a lease before it fell silent.  */
 START_TEST (test_worker_that_has_a_lease_of_this_owner_is_not_recorded)
@@ -200,12 +220,15 @@
 }
 END_TEST
 
-TEST_PROGRAM_WITH ("jobs/silence", rig_reset, rig_tear_down,
-                   test_next_owner_does_not_wait_anew,
-                   test_next_owner_waits_for_the_leases_of_earlier_ones,
-                   test_silent_worker_gets_no_lease_before_it_is_recorded,
-                   test_owner_with_a_snapshot_grants_a_silent_worker_no_lease,
-                   test_owner_with_a_snapshot_records_how_long_leases_last,
-                   test_worker_that_has_a_lease_of_this_owner_is_not_recorded,
-                   test_worker_that_is_not_registered_is_recorded,
-                   test_worker_that_is_gone_is_not_silent)
+TEST_PROGRAM_WITH (
+    "jobs/silence", rig_reset, rig_tear_down,
+    test_next_owner_does_not_wait_anew,
+    test_next_owner_waits_for_the_leases_of_earlier_ones,
+    test_silent_worker_gets_no_lease_before_it_is_recorded,
+    test_owner_with_a_snapshot_grants_a_silent_worker_no_lease,
+    test_owner_with_a_snapshot_records_how_long_leases_last,
+    test_worker_that_has_answered_is_not_recorded_as_silent_again,
+    test_worker_without_runs_and_registration_is_not_silent,
+    test_worker_that_has_a_lease_of_this_owner_is_not_recorded,
+    test_worker_that_is_not_registered_is_recorded,
+    test_worker_that_is_gone_is_not_silent)
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -246,6 +246,7 @@
       worker->listed = false;
       worker_wake_at (sched, worker, now.us);
     }
+  silences_end_unknown (sched);
 }
 
 int64_t
