jobs/moves: a host that a wave will take down is moved last

Cause: the last host was one that had been moved between pools (ordered at 24.2 and 26.6 s of a wave that ends at 28.8 s): moving takes 1.5 s, and what starts there afterwards is given 3 s before the maintenance. Change: a host that is due counts as loaded by a half when a host to move is chosen, so that others go first. Result: test_host_that_is_due_for_maintenance_is_moved_last of jobs/moves failed before.

--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -19,6 +19,11 @@
 #define MOVES_MIN 20
 #define MOVES_PERCENT 50
 
+/* Added to the load of a host that a wave will take down.  In a move it can't
+   be, and what starts there afterwards delays it further: the last host of a
+   wave was often one that had just been moved.  */
+#define MAINTENANCE_DUE_LOAD 0.5
+
 /* Surplus hosts that leave a pool in one plan.  The next plan takes their
    leaving into account.  */
 #define RELEASE_BATCH_HOSTS 4
@@ -83,6 +88,8 @@
         continue;
       if (worker)
         share = dominant_share (&worker->allocated, &worker->capacity);
+      if (host->maintenance_due)
+        share += MAINTENANCE_DUE_LOAD;
       if (share >= best_share)
         continue;
       best = host;
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -322,6 +322,7 @@
   bool unanswered;      /* an order since it was up may be carried out */
   bool down;            /* ordered, and not listed as up since */
   bool for_maintenance; /* the order was for maintenance, not a move */
+  bool maintenance_due; /* a wave will take it down */
   char *ordered_worker; /* on the host when it was first ordered down */
   int64_t ordered_us;   /* last order sent or accepted */
   int64_t retry_us;     /* no order before */
--- a/jobs/test/moves_test.c
+++ b/jobs/test/moves_test.c
@@ -99,6 +99,53 @@
   return orders_after (200);
 }
 
+/* Guards against a wave that ends late, as its last hosts are being moved: of
+   the three hosts of the standby pool DUE are due for maintenance, and a burst
+   of the service needs one.  Returns the host that is moved.  */
+static const char *
+moved_beside_wave (const char *due)
+{
+  job_step_t step = rig_step (12);
+  const char *moved = NULL;
+  uint32_t moves = 0;
+
+  rig_worker ("w0", 8, false);
+  list_hosts (1, 3);
+  rig_set_wave (due, 1);
+  sched_set_rules (rig.sched, rig.rules);
+  for (uint32_t i = 0; i < 2; i++)
+    g_array_unref (orders_after (200));
+  rig_submit (1, &step, 1);
+  g_array_unref (rig_plan (false));
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      g_autoptr (GArray) orders = orders_after (200);
+
+      for (uint32_t j = 0; j < orders->len; j++)
+        {
+          const host_order_t *order = &g_array_index (orders, host_order_t, j);
+
+          if (order->kind != HOST_ORDER_MOVE)
+            continue;
+          moved = moves++ == 0 ? order->host : moved;
+        }
+    }
+  ck_assert_uint_ge (moves, 1);
+  return moved;
+}
+
+START_TEST (test_host_that_is_due_for_maintenance_is_moved_last)
+{
+  ck_assert_str_eq (moved_beside_wave ("h1 h2"), "h3");
+  rig_tear_down ();
+  set_up ();
+  ck_assert_str_eq (moved_beside_wave ("h2 h3"), "h1");
+  rig_tear_down ();
+  set_up ();
+  ck_assert_str_eq (moved_beside_wave ("h1 h3"), "h2");
+}
+END_TEST
+
 /* Guards against a long-running task that waits while its pool has room on
    workers that may not take it (LOST): on trouble-2 of a deployment with 349
    hosts one waited for 3.7 s, until a burst brought hosts.  */
@@ -472,6 +519,7 @@
 
 TEST_PROGRAM_WITH ("jobs/moves", set_up, rig_tear_down,
                    test_burst_gets_standby_hosts,
+                   test_host_that_is_due_for_maintenance_is_moved_last,
                    test_long_running_task_without_a_worker_gets_a_host,
                    test_long_running_tasks_share_the_host_that_they_get,
                    test_task_larger_than_a_host_moves_nothing,
--- a/jobs/waves.c
+++ b/jobs/waves.c
@@ -383,22 +383,24 @@
     }
 }
 
-/* Marks the workers of hosts that WAVE will take down.  */
+/* Marks the hosts that WAVE will take down, and their workers.  */
 static void
 mark_workers (const sched_t *sched, const wave_t *wave)
 {
   for (uint32_t i = 0; i < wave->names->len; i++)
     {
       const char *name = g_ptr_array_index (wave->names, i);
-      const host_t *host = g_hash_table_lookup (sched->hosts, name);
+      host_t *host = g_hash_table_lookup (sched->hosts, name);
       g_autoptr (GPtrArray) workers = NULL;
 
       if (!host)
         continue;
+      host->maintenance_due
+          = host->listed && !g_hash_table_contains (wave->begun, name);
       workers = host_workers (sched, host);
       for (uint32_t w = 0; w < workers->len; w++)
         ((worker_t *)g_ptr_array_index (workers, w))->maintenance_due
-            = host->listed && !g_hash_table_contains (wave->begun, name);
+            = host->maintenance_due;
     }
 }
 
