jobs: tests of the narrower rule on silent workers and of claims of earlier versions

Nothing failed if a row was written for each worker with runs again, or if a claim of a daemon that doesn't heed the rows left them valid (TWICE). Result: the first fails with jobs/silence.c of, the second with the check of the claim taken out.

--- a/jobs/test/jobtab_test.c
+++ b/jobs/test/jobtab_test.c
@@ -137,6 +137,24 @@
 }
 END_TEST
 
+/* Guards against a second run (TWICE): a daemon of an earlier version, whose
+   claim doesn't say that it heeds the rows, grants silent workers leases.  */
+START_TEST (test_claim_of_an_earlier_version_voids_silences)
+{
+  job_rec_t claim = { .kind = JREC_CLAIM };
+
+  jobtab_set_silent (rig.tab, g_intern_string ("w1"), 0);
+  claim.u.owner.epoch = 1;
+  claim.u.owner.holder = g_strdup ("a");
+  claim.u.owner.heeds_silences = true;
+  jobtab_fold (rig.tab, &claim, NOW_MS, 0);
+  job_rec_clear (&claim);
+  ck_assert_uint_eq (g_hash_table_size (rig.tab->silent), 1);
+  fold_owner (JREC_CLAIM, 2, "b");
+  ck_assert_uint_eq (g_hash_table_size (rig.tab->silent), 0);
+}
+END_TEST
+
 /* Guards against mistaking a restart of the owner for another owner, or the
    reverse: a new owner waits before its first orders to hosts only if the
    previous one was another daemon.  */
@@ -368,6 +386,7 @@
                    test_same_id_is_one_job, test_first_claim_wins,
                    test_progress_of_a_replaced_owner_is_ignored,
                    test_run_that_is_recorded_as_over_late_is_over,
+                   test_claim_of_an_earlier_version_voids_silences,
                    test_late_record_of_another_run_with_the_number_is_ignored,
                    test_holders_of_one_daemon_are_recognised,
                    test_final_states_stay,
--- a/jobs/test/silence_test.c
+++ b/jobs/test/silence_test.c
@@ -214,6 +214,22 @@
 }
 END_TEST
 
+/* Guards against leases that are held back from most workers of a large fleet
+   after a take-over: other tasks are shorter than the wait.  */
+START_TEST (test_worker_without_long_running_tasks_is_not_recorded)
+{
+  job_step_t step = rig_step (1);
+
+  rig_submit (1, &step, 1);
+  rig_record_start (1, 0, 1, g_intern_string (W1));
+  rig_open_sched (2);
+  rig_worker (W1, RIG_CORES, true);
+  rig_worker ("w2", RIG_CORES, false);
+  fail_holds (2000);
+  ck_assert_uint_eq (g_hash_table_size (rig.tab->silent), 0);
+}
+END_TEST
+
 /* Guards against rows that stay for good: a worker that is gone is removed. */
 START_TEST (test_worker_that_is_gone_is_not_silent)
 {
@@ -235,8 +251,8 @@
                    test_silent_worker_gets_no_lease_before_it_is_recorded,
                    test_owner_with_a_snapshot_grants_a_silent_worker_no_lease,
                    test_owner_with_a_snapshot_records_how_long_leases_last,
-
                    test_worker_without_runs_and_registration_is_not_silent,
                    test_worker_that_has_a_lease_of_this_owner_is_not_recorded,
                    test_worker_that_is_not_registered_is_recorded,
+                   test_worker_without_long_running_tasks_is_not_recorded,
                    test_worker_that_is_gone_is_not_silent)
