--- a/entry/appends.c
+++ b/entry/appends.c
@@ -6,6 +6,8 @@
 #define FAILING_MAX_US 700000
 /* Delay before a retry.  */
 #define APPEND_RETRY_US 80000
+/* Interval of the log lines about failed appends.  */
+#define FAILURE_LOG_INTERVAL_US 1000000
 /* Well below the platform's limit of 2 MiB for one append.  */
 #define BATCH_BYTES_MAX (1024 * 1024)
 
@@ -140,6 +142,32 @@
   g_ptr_array_set_size (core->append_batch, 0);
 }
 
+static void
+log_failure (core_t *core, const call_result_t *result, int64_t now_us)
+{
+  uint64_t bytes = 0;
+
+  core->append_failures++;
+  if (core->append_logged_us != 0
+      && now_us - core->append_logged_us < FAILURE_LOG_INTERVAL_US)
+    return;
+  for (uint32_t i = 0; i < core->append_batch->len; i++)
+    {
+      const queued_append_t *queued
+          = g_ptr_array_index (core->append_batch, i);
+
+      bytes += g_bytes_get_size (queued->record);
+    }
+  event_log (EV_APPEND_FAILED,
+             "status=%u took_ms=%" PRId64
+             " failed=%u records=%u bytes=%" PRIu64 " rto_ms=%u owner=%d",
+             result->status, (now_us - core->append_sent_us) / 1000,
+             core->append_failures, core->append_batch->len, bytes,
+             rto_timeout_ms (&core->append_rto), core->sched != NULL);
+  core->append_failures = 0;
+  core->append_logged_us = now_us;
+}
+
 static void
 on_appended (void *ctx, const call_result_t *result)
 {
@@ -156,6 +184,7 @@
   core_set_store_reached (core, false, "append");
   if (result->status == 0)
     rto_add_timeout (&core->append_rto);
+  log_failure (core, result, now_us);
   if (core->append_failing_us == 0)
     core->append_failing_us = result->sent_us;
   if (now_us - core->append_failing_us >= FAILING_MAX_US)
--- a/entry/core.c
+++ b/entry/core.c
@@ -317,6 +317,10 @@
       append_owner_record (core, JREC_PROBE, epoch);
       return;
     case OWNER_CLAIM:
+      event_log (EV_OWNER_CLAIMED,
+                 "epoch=%" PRIu64 " silent_ms=%" PRId64 " store_ms=%" PRId64,
+                 epoch + 1, (now_us - core->owner.last_record_us) / 1000,
+                 core->owner.store_delay_us / 1000);
       agent_suspect_owner (core, now_us);
       append_owner_record (core, JREC_CLAIM, epoch + 1);
       return;
--- a/entry/core.h
+++ b/entry/core.h
@@ -177,6 +177,8 @@
   rto_t append_rto;
   int64_t append_failing_us;  /* appends have failed since; 0: the last one was
                                  stored */
+  uint32_t append_failures;   /* not logged yet */
+  int64_t append_logged_us;   /* failed appends were logged last */
   GPtrArray *pending_cancels; /* append_req_t stored but not yet folded */
   int64_t append_due_us;
   bool store_reached;
