--- a/test/soak/standins.h
+++ b/test/soak/standins.h
@@ -19,12 +19,18 @@
 
 typedef struct store store_t;
 
+/* Appends that would wait longer for those before them are refused.  */
+#define STORE_QUEUE_MAX_MS 2000
+
 /* Faults of the store, until they are replaced.  */
 typedef struct store_faults
 {
   bool down;                   /* every request fails with 503 */
   uint32_t lost_reply_percent; /* of appends, which are stored */
   uint32_t delay_ms;           /* before each reply */
+  uint32_t append_ms;          /* a topic takes this long for an append, one
+                                  after another; 503 if more than
+                                  STORE_QUEUE_MAX_MS are waiting */
 } store_faults_t;
 
 store_t *store_start (void);
--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -12,6 +12,7 @@
   GPtrArray *records;        /* GBytes */
   uint64_t first_offset;     /* offset of the oldest record */
   GHashTable *latest_values; /* key -> GBytes */
+  int64_t busy_until_us;     /* with the appends taken so far */
 } topic_t;
 
 /* A port of the store.  */
@@ -97,6 +98,27 @@
     http_reply (conn, 200, "{\"offset\":0,\"end\":0}", 20);
 }
 
+/* Waits until the topic NAME has processed the appends before this one, and
+   this one.  False if too many wait.  */
+static bool
+await_turn (store_t *store, const char *name)
+{
+  topic_t *topic = get_topic (store, name);
+  int64_t now_us = g_get_monotonic_time ();
+  int64_t turn_us = MAX (topic->busy_until_us, now_us);
+
+  if (store->faults.append_ms == 0)
+    return true;
+  if (turn_us - now_us > STORE_QUEUE_MAX_MS * 1000)
+    return false;
+  turn_us += (int64_t)store->faults.append_ms * 1000;
+  topic->busy_until_us = turn_us;
+  g_mutex_unlock (&store->lock);
+  g_usleep ((gulong)(turn_us - now_us));
+  g_mutex_lock (&store->lock);
+  return true;
+}
+
 static void
 append_u64 (GByteArray *out, uint64_t value)
 {
@@ -196,6 +218,8 @@
     http_close_unanswered (conn);
   else if (store->faults.down || !topic)
     http_reply (conn, 503, "", 0);
+  else if (strcmp (path, "/log-append") == 0 && !await_turn (store, topic))
+    http_reply (conn, 503, "", 0);
   else if (strcmp (path, "/log-append") == 0)
     append_records (store, conn, topic, body);
   else if (strcmp (path, "/log-read") == 0)
--- a/test/takeover/cases_main.c
+++ b/test/takeover/cases_main.c
@@ -1,4 +1,4 @@
-/* takeover_cases - starts that workers carry out after the owner has changed
+/* takeover_cases - what starts after the owner has changed, and what must not
 
    usage: takeover_cases DAEMON CASE
 
@@ -23,6 +23,16 @@
 /* Time after which no start can be carried out late.  */
 #define OBSERVED_US INT64_C (4000000)
 
+/* Daemons that share a store, each append of which takes this long: together
+   they can have more appends under way than its queue takes.  */
+#define MANY_DAEMONS 24
+#define SLOW_APPEND_MS 200
+/* Three times as much work as the workers have room for.  */
+#define WAITING_TASKS (3 * SITE_JOB_TASKS)
+#define WAITING_TASK_MS 500
+/* The deployments' recovery_s.  */
+#define RECOVERY_US INT64_C (12000000)
+
 /* Guards against a second run of a task: the owner is killed when the starts
    of its tasks have arrived at the workers, which carry them out after the
    next owner, the same daemon after its restart, has started the tasks
@@ -52,11 +62,58 @@
   site_close (site);
 }
 
+/* The daemon that owns the decisions.  */
+static uint32_t
+find_owner (site_t *site)
+{
+  uint32_t owner = 0;
+
+  while (owner < site->count
+         && (!site_has_logged (site, owner, " 1700 ")
+             || site_has_logged (site, owner, " 1701 ")))
+    owner++;
+  site_require (owner < site->count, "no owner");
+  return owner;
+}
+
+/* Guards against work that waits though there is room: the owner is killed
+   while the store is slow, and probes, claims and client records of all the
+   others keep the queue of the store full, so that no owner can record a start
+   there.  */
+static void
+run_slow_store (const char *program)
+{
+  site_t *site = site_open (program, MANY_DAEMONS, 0, false);
+  store_faults_t slow = { .append_ms = SLOW_APPEND_MS };
+  uint32_t owner;
+
+  site_start (site, 0);
+  site_await (site, 0, " 1700 ");
+  for (uint32_t i = 1; i < MANY_DAEMONS; i++)
+    site_start (site, i);
+  site_run_job (site, 0, SHORT_TASK_MS);
+  site_await_end (site, 0);
+  store_set_faults (site->store, &slow);
+  owner = find_owner (site);
+  for (uint32_t i = 1; i < MANY_DAEMONS; i++)
+    site_run_job (site, i, SHORT_TASK_MS);
+  site_submit_job (site, (owner + 1) % MANY_DAEMONS, WAITING_TASKS,
+                   WAITING_TASK_MS);
+  site_signal (site, owner, SIGKILL);
+  site_require (
+      workers_await_starts (site->workers, WORKERS_ALL_ZONES,
+                            MANY_DAEMONS * SITE_JOB_TASKS + WAITING_TASKS,
+                            g_get_monotonic_time () + RECOVERY_US),
+      "tasks have not started");
+  site_close (site);
+}
+
 static const struct
 {
   const char *name;
   void (*run) (const char *program);
-} cases[] = { { "late-start", run_late_start } };
+} cases[]
+    = { { "late-start", run_late_start }, { "slow-store", run_slow_store } };
 
 int
 main (int argc, char **argv)
