jobs/waiting: log what waits, and when unanswered starts limit the rate

Cause: the log didn't say why tasks wait though workers have room.

Change: event 1609 names the step that has waited longest, over 3 s, and counts its pool's workers by the reason for which they are passed over; 1610 says that the limit of unanswered starts binds, with the owner's load. One line a second each. No decision is changed.

--- a/base/event.c
+++ b/base/event.c
@@ -63,6 +63,8 @@
   { EV_TASK_RETURNED, LEVEL_WARN, "task-returned" },
   { EV_TASK_INTERRUPTED, LEVEL_INFO, "task-interrupted" },
   { EV_RUN_UNEXPECTED, LEVEL_INFO, "run-unexpected" },
+  { EV_TASKS_WAITING, LEVEL_INFO, "tasks-waiting" },
+  { EV_STARTS_LIMITED, LEVEL_INFO, "starts-limited" },
   { EV_OWNER_GAINED, LEVEL_INFO, "owner-gained" },
   { EV_OWNER_LOST, LEVEL_WARN, "owner-lost" },
   { EV_OWNER_RELEASED, LEVEL_INFO, "owner-released" },
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -1,5 +1,6 @@
 #include "judge.h"
 #include "startorder.h"
+#include "waiting.h"
 
 /* Records that no worker of POOL has NEED free, so that the rest of this plan
    skips tasks that need as much.  */
@@ -212,9 +213,12 @@
         {
           stage->queued = false;
           stage->waits_since_us = 0;
+          stage->waiting_us = 0;
           g_ptr_array_remove_index_fast (pool->stages, i);
           continue;
         }
+      if (stage->waiting_us == 0)
+        stage->waiting_us = now_us;
       candidate = start_candidate (stage, pool_cpu_milli, now_us);
       candidate.account = fairness_wait (stage, now_us);
       candidate.exceeds_pool
@@ -225,6 +229,33 @@
   fairness_judge (pool, now_us);
 }
 
+static void
+place_candidates (sched_t *sched, const GArray *candidates, sched_now_t now)
+{
+  bool limited = false;
+
+  for (uint32_t i = 0; i < candidates->len; i++)
+    {
+      const candidate_t *candidate
+          = &g_array_index (candidates, candidate_t, i);
+      uint32_t waiting = candidate->stage->unstarted;
+
+      if (sched->starts_pending >= start_limit (sched, candidate->rank))
+        {
+          if (!limited)
+            waiting_log_limited (sched, candidate->rank, now.us);
+          limited = true;
+          continue;
+        }
+      place_stage (sched, candidate, now);
+      if (candidate->stage->unstarted > 0
+          && advice_is_needed (candidate->stage))
+        advice_request_workers (sched, candidate->stage, now);
+      if (candidate->stage->unstarted < waiting)
+        log_starts (candidate, waiting, now);
+    }
+}
+
 /* Orders the stages of all pools together, because the limits of unanswered
    starts apply to all of them.  */
 void
@@ -245,19 +276,6 @@
   if (sched->lease_limit_us - now.us < START_LEASE_MIN_US)
     return;
   g_array_sort (candidates, start_compare);
-  for (uint32_t i = 0; i < candidates->len; i++)
-    {
-      const candidate_t *candidate
-          = &g_array_index (candidates, candidate_t, i);
-      uint32_t waiting = candidate->stage->unstarted;
-
-      if (sched->starts_pending >= start_limit (sched, candidate->rank))
-        continue;
-      place_stage (sched, candidate, now);
-      if (candidate->stage->unstarted > 0
-          && advice_is_needed (candidate->stage))
-        advice_request_workers (sched, candidate->stage, now);
-      if (candidate->stage->unstarted < waiting)
-        log_starts (candidate, waiting, now);
-    }
+  place_candidates (sched, candidates, now);
+  waiting_log (sched, candidates, now.us);
 }
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -1,8 +1,8 @@
 /* schedint - data shared by the modules of the scheduler: sched, build,
    stages, workers, boots, wakeups, holds, runs, inherit, silence, orphans,
-   replies, judge, startorder, place, advice, neighbours, pace, stall, hosts,
-   waves, demand, moves, evacuation, evacmoves, learned, expected, admit,
-   fairness and explain.  Private to jobs/.  */
+   replies, judge, startorder, waiting, place, advice, neighbours, pace, stall,
+   hosts, waves, demand, moves, evacuation, evacmoves, learned, expected,
+   admit, fairness and explain.  Private to jobs/.  */
 
 #ifndef CUMINPIN_SCHEDINT_H
 #define CUMINPIN_SCHEDINT_H
@@ -165,6 +165,8 @@
   bool queued;                /* in pool->stages */
   bool lacks_worker;          /* no worker could take its next task */
   advice_t *advice;           /* NULL: not requested yet */
+  int64_t waiting_us;         /* first plan of this owner in which it had tasks
+                                 to start; 0: none */
   int64_t waits_since_us;     /* first plan in which it waited, while shares
                                  are kept; 0: none */
   uint32_t image;             /* its number; IMAGES_NONE: unknown */
@@ -405,6 +407,9 @@
   bool place_needed;       /* a change may allow a task to start */
   int64_t next_place_us;   /* time of the next placement without a change */
   uint32_t starts_pending; /* runs whose start is unanswered */
+  int64_t waiting_logged_us;    /* 1609 was logged last */
+  int64_t limited_logged_us;    /* 1610 was logged last */
+  uint32_t limited_plans;       /* that were limited since */
   interference_t *interference; /* NULL: it is not avoided */
   runtimes_t *runtimes;         /* NULL: estimates are used */
   admit_t *admit;               /* NULL: all jobs are admitted */
