jobs/startwindow: unanswered starts are limited by the owner's load

Callers saw: accepted jobs wait though workers have room (LOST).

Cause: 48 starts of the last rank, 256 of late jobs and 512 of jobs that can be on time could be unanswered. So the starts a second were bounded to that number divided by the time of an answer, however idle the owner was: 1,200 to 1,400 a second of expired work, and 250 to 560 of all work while 40 % of the orders are left unanswered, with 61 of 90 workers suitable and the owner busy for 40 to 69 % (1609, 1610). Class: a fixed bound that protects work in time binds where there is none.

Change: the window of unanswered starts grows while it binds and the owner is busy for less than 75 %, and shrinks above 90 %, to the former limits of each rank. Only starts of a rank and better ones count for its limit, so that lower ranks get what these leave and never hold them up. Beyond 100 steps that wait, placements are up to 10 ms apart, as each answer led to one.

test_lower_ranks_have_lower_limits holds for a busy owner as before, and asks in addition that pending starts of lower ranks don't limit better ones.

--- a/jobs/explain.h
+++ b/jobs/explain.h
@@ -134,8 +134,8 @@
   bool has_rank;           /* a step is unfinished */
   rank_t rank;             /* of the first open step, else of the first
                               unfinished one */
-  uint64_t starts_pending; /* unanswered starts ... */
-  uint64_t starts_max;     /* ... and their limit for RANK */
+  uint64_t starts_pending; /* unanswered starts of RANK and better ones ... */
+  uint64_t starts_max;     /* ... and their limit */
   explain_ahead_t ahead;
   explain_workspace_t workspace;
   bool admission;   /* jobs may be refused */
--- a/jobs/explainjob.c
+++ b/jobs/explainjob.c
@@ -108,9 +108,8 @@
                  ? EXPLAIN_WAIT_AHEAD
                  : EXPLAIN_WAIT_CAP;
     case TRIAL_STARTS:
-      return work->sched->starts_pending < start_limit (work->sched, rank)
-                 ? EXPLAIN_WAIT_AHEAD
-                 : EXPLAIN_WAIT_STARTS;
+      return starts_are_limited (work->sched, rank, 0) ? EXPLAIN_WAIT_STARTS
+                                                       : EXPLAIN_WAIT_AHEAD;
     case TRIAL_RETRY:
       return EXPLAIN_WAIT_RETRY;
     case TRIAL_EARLIER_RUN:
@@ -229,6 +228,7 @@
 {
   work->to->has_rank = true;
   work->to->rank = rank;
+  work->to->starts_pending = starts_pending (work->sched, rank);
   work->to->starts_max = start_limit (work->sched, rank);
 }
 
@@ -293,7 +293,6 @@
   g_autoptr (GArray) ahead = NULL;
   candidate_t first;
 
-  work->to->starts_pending = work->sched->starts_pending;
   if (unfinished)
     set_rank (work, start_rank (unfinished, work->now.us));
   if (!stage)
--- a/jobs/holds.c
+++ b/jobs/holds.c
@@ -283,6 +283,7 @@
   uint32_t over = MIN (busy_percent, 100);
 
   update_idle_pause (sched, busy_percent);
+  start_window_update (&sched->start_window, busy_percent);
   sched->busy_percent = busy_percent;
   over = over > BUSY_PERCENT_MIN ? over - BUSY_PERCENT_MIN : 0;
   sched->hold_pause_us = HOLD_PAUSE_MAX_US * over / (100 - BUSY_PERCENT_MIN);
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -163,7 +163,7 @@
 
       if (task->done || task->run || place_awaits_earlier_run (task))
         continue;
-      if (sched->starts_pending >= start_limit (sched, candidate->rank))
+      if (starts_are_limited (sched, candidate->rank, 0))
         return;
       if (task->not_before_us > now.us)
         {
@@ -240,11 +240,12 @@
           = &g_array_index (candidates, candidate_t, i);
       uint32_t waiting = candidate->stage->unstarted;
 
-      if (sched->starts_pending >= start_limit (sched, candidate->rank))
+      if (starts_are_limited (sched, candidate->rank, 0))
         {
           if (!limited)
             waiting_log_limited (sched, candidate->rank, now.us);
           limited = true;
+          sched->start_window.bound = true;
           continue;
         }
       place_stage (sched, candidate, now);
@@ -256,6 +257,16 @@
     }
 }
 
+/* How long the next placement waits after one with STEPS that wait.  */
+static int64_t
+pause_us (uint32_t steps)
+{
+  return steps <= PLACE_STEPS_FREE
+             ? 0
+             : MIN ((int64_t)(steps - PLACE_STEPS_FREE) * PLACE_STEP_US,
+                    PLACE_PAUSE_MAX_US);
+}
+
 /* Orders the stages of all pools together, because the limits of unanswered
    starts apply to all of them.  */
 void
@@ -273,6 +284,7 @@
   if (candidates->len == 0)
     return;
   sched->next_place_us = now.us + PLACE_RETRY_US;
+  sched->place_pause_us = now.us + pause_us (candidates->len);
   if (sched->lease_limit_us - now.us < START_LEASE_MIN_US)
     return;
   g_array_sort (candidates, start_compare);
--- a/jobs/runs.c
+++ b/jobs/runs.c
@@ -1,4 +1,4 @@
-#include "schedint.h"
+#include "startorder.h"
 
 /* Time for which a task avoids the worker on which it failed last.  After
    that, starting there is better than not starting.  */
@@ -105,7 +105,8 @@
   fairness_count_start (run);
   run->phase = RUN_PLANNED;
   run->start_pending = true;
-  sched->starts_pending++;
+  run->start_rank = start_rank (task->stage, now.us);
+  sched->starts_pending[run->start_rank]++;
   task->run = run;
   task->stage->unstarted--;
   if (job->started_us == 0)
@@ -132,7 +133,7 @@
 void
 run_clear_start_pending (sched_t *sched, run_t *run)
 {
-  sched->starts_pending -= run->start_pending;
+  sched->starts_pending[run->start_rank] -= run->start_pending;
   run->start_pending = false;
 }
 
--- a/jobs/sched.c
+++ b/jobs/sched.c
@@ -343,7 +343,8 @@
 int64_t
 sched_next_us (const sched_t *sched)
 {
-  return sched->place_needed ? 0 : sched->next_us;
+  return sched->place_needed ? MIN (sched->next_us, sched->place_pause_us)
+                             : sched->next_us;
 }
 
 GArray *
@@ -362,7 +363,8 @@
     }
   wakeups_take (sched, due, now.us);
   workers_check_timeouts (sched, due, now);
-  if (sched->place_needed || sched->next_place_us <= now.us)
+  if ((sched->place_needed && sched->place_pause_us <= now.us)
+      || sched->next_place_us <= now.us)
     {
       sched->place_needed = false;
       evacuation_place (sched, now);
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -1,8 +1,8 @@
 /* schedint - data shared by the modules of the scheduler: sched, build,
    stages, workers, boots, wakeups, holds, runs, inherit, silence, orphans,
-   replies, judge, startorder, waiting, place, advice, neighbours, pace, stall,
-   hosts, waves, demand, moves, evacuation, evacmoves, learned, expected,
-   admit, fairness and explain.  Private to jobs/.  */
+   replies, judge, startwindow, startorder, waiting, place, advice, neighbours,
+   pace, stall, hosts, waves, demand, moves, evacuation, evacmoves, learned,
+   expected, admit, fairness and explain.  Private to jobs/.  */
 
 #ifndef CUMINPIN_SCHEDINT_H
 #define CUMINPIN_SCHEDINT_H
@@ -11,8 +11,10 @@
 #include "hosts.h"
 #include "interference.h"
 #include "pacing.h"
+#include "reasons.h"
 #include "runtimes.h"
 #include "shares.h"
+#include "startwindow.h"
 
 /* Clocks of workers may be 2 % slow; 1 % more covers rounding.  */
 #define CLOCK_DRIFT_MAX_PERCENT 3
@@ -29,6 +31,12 @@
 /* Interval for placing tasks that wait for time to pass, such as the end of a
    worker's pause.  */
 #define PLACE_RETRY_US 20000
+/* A placement compares all steps that wait, and a backlog would have it
+   repeated with each answer: beyond PLACE_STEPS_FREE steps the next one
+   follows after PLACE_STEP_US for each of them, PLACE_PAUSE_MAX_US at most. */
+#define PLACE_STEPS_FREE 100
+#define PLACE_STEP_US 10
+#define PLACE_PAUSE_MAX_US 10000
 /* Shortest lease for a start.  With a shorter one the task would end with the
    lease before the ownership is confirmed again.  */
 #define START_LEASE_MIN_US 1000000
@@ -103,7 +111,8 @@
   bool stop_dispatched;  /* a stop was handed to the connection */
   bool end_recorded;     /* its own end is in the progress */
   bool start_answered;   /* active_us is when its worker accepted it */
-  bool start_pending;    /* counted in sched->starts_pending */
+  bool start_pending;    /* counted in sched->starts_pending ... */
+  rank_t start_rank;     /* ... for this rank */
   uint32_t unanswered_starts; /* number of unanswered starts */
   int64_t resend_us;          /* ORDERED: next resend; 0: awaiting a reply */
   uint32_t percent;
@@ -406,7 +415,9 @@
   bool has_unwritten_ends; /* ends were reported since the last batch */
   bool place_needed;       /* a change may allow a task to start */
   int64_t next_place_us;   /* time of the next placement without a change */
-  uint32_t starts_pending; /* runs whose start is unanswered */
+  int64_t place_pause_us;  /* no placement before this time */
+  uint32_t starts_pending[RANK_COUNT]; /* runs whose start is unanswered */
+  start_window_t start_window;
   int64_t waiting_logged_us;    /* 1609 was logged last */
   int64_t limited_logged_us;    /* 1610 was logged last */
   uint32_t limited_plans;       /* that were limited since */
--- a/jobs/startorder.c
+++ b/jobs/startorder.c
@@ -9,9 +9,9 @@
    starve.  */
 #define WORK_WEIGHT 10
 
-/* No more tasks of a rank are planned while this many starts are unanswered.
-   An owner handles one to two thousand starts a second; without these limits a
-   backlog of late jobs delays those that can still be on time.  */
+/* Unanswered starts that a rank may have however busy the owner is.  It
+   handles one to two thousand starts a second; a backlog of late jobs must not
+   delay those that can still be on time.  */
 static const uint32_t starts_pending_max[RANK_COUNT]
     = { [RANK_LONG_RUNNING] = UINT32_MAX,
         [RANK_ON_TIME] = 512,
@@ -139,7 +139,23 @@
   uint64_t factor = (uint64_t)CLAMP (
       sched->start_delay_us / START_DELAY_USUAL_US, 1, START_DELAY_FACTOR_MAX);
 
-  return starts_pending_max[rank] * factor;
+  return MAX (starts_pending_max[rank] * factor, sched->start_window.size);
+}
+
+uint64_t
+starts_pending (const sched_t *sched, rank_t rank)
+{
+  uint64_t count = 0;
+
+  for (uint32_t i = 0; i <= (uint32_t)rank; i++)
+    count += sched->starts_pending[i];
+  return count;
+}
+
+bool
+starts_are_limited (const sched_t *sched, rank_t rank, uint32_t more)
+{
+  return starts_pending (sched, rank) + more >= start_limit (sched, rank);
 }
 
 const char *
--- a/jobs/startorder.h
+++ b/jobs/startorder.h
@@ -6,7 +6,8 @@
    DESCRIPTION
      Stages of all pools are ordered together: by rank, then by the priority of
      their queue, then by the shares of their workspaces (fairness.c), then by
-     cost.  Each rank has a limit of unanswered starts.
+     cost.  Unanswered starts are limited (startwindow.h); a busy owner leaves
+     lower ranks less.
 
      Nothing is changed.  The functions read no clock; the present time is an
      argument.  Private to jobs/.  */
@@ -39,8 +40,12 @@
                              int64_t now_us);
 int start_compare (const void *a, const void *b);
 
-/* start_limit - no more tasks of RANK are planned while this many starts are
-   unanswered.  */
+/* start_limit - no more tasks of RANK are planned while this many starts of it
+   and of better ranks are unanswered: it gets what these leave.
+   starts_pending - number of these.
+   starts_are_limited - whether MORE of them, beside those, reach the limit. */
 uint64_t start_limit (const sched_t *sched, rank_t rank);
+uint64_t starts_pending (const sched_t *sched, rank_t rank);
+bool starts_are_limited (const sched_t *sched, rank_t rank, uint32_t more);
 
 #endif
--- a/jobs/test/explainjob_test.c
+++ b/jobs/test/explainjob_test.c
@@ -169,9 +169,9 @@
    unanswered starts.  */
 START_TEST (test_unanswered_starts)
 {
-  rig.sched->starts_pending = 512;
+  rig.sched->starts_pending[RANK_ON_TIME] = 512;
   expect_wait (explain_step (rig_step (1)), EXPLAIN_WAIT_STARTS);
-  rig.sched->starts_pending = 0;
+  rig.sched->starts_pending[RANK_ON_TIME] = 0;
 }
 END_TEST
 
--- a/jobs/test/place_test.c
+++ b/jobs/test/place_test.c
@@ -1,4 +1,5 @@
 #include "rig.h"
+#include "schedint.h"
 
 static uint32_t
 count_starts (const GArray *orders, uint32_t job)
@@ -465,6 +466,28 @@
 }
 END_TEST
 
+/* Load: 600 jobs that wait for one worker.  Guards against a placement with
+   each answer, which takes the time that the owner needs for the answers.  */
+START_TEST (test_placements_of_a_backlog_keep_a_pause)
+{
+  job_step_t step = rig_step (1);
+  int64_t pause_us = (600 - PLACE_STEPS_FREE) * PLACE_STEP_US;
+
+  rig_worker ("w1", 1, true);
+  for (uint32_t i = 1; i <= 600; i++)
+    rig_submit (i, &step, 1);
+  g_array_unref (rig_plan (false));
+  rig.sched->place_needed = true;
+  ck_assert_int_eq (rig.sched->place_pause_us, rig.now.us + pause_us);
+  ck_assert_int_gt (sched_next_us (rig.sched), rig.now.us);
+  sched_plan (rig.sched, rig.now);
+  ck_assert (rig.sched->place_needed);
+  rig_advance_clock (pause_us / 1000 + 1);
+  sched_plan (rig.sched, rig.now);
+  ck_assert (!rig.sched->place_needed);
+}
+END_TEST
+
 TEST_PROGRAM_WITH (
     "jobs/place", rig_set_up, rig_tear_down, test_capacity_is_not_exceeded,
     test_small_task_starts_when_a_large_one_does_not_fit,
@@ -479,4 +502,5 @@
     test_long_running_tasks_of_a_step_share_workers,
     test_lost_workers_hit_few_jobs, test_slow_log_does_not_bound_the_starts,
     test_gang_that_does_not_fit_waits,
-    test_gang_that_does_not_fit_leaves_its_room)
+    test_gang_that_does_not_fit_leaves_its_room,
+    test_placements_of_a_backlog_keep_a_pause)
--- a/jobs/test/startorder_test.c
+++ b/jobs/test/startorder_test.c
@@ -59,10 +59,77 @@
                          start_limit (rig.sched, (rank_t)(i - 1)));
       ck_assert_ptr_nonnull (rank_name ((rank_t)i));
     }
+  rig.sched->starts_pending[RANK_EXPIRED] = START_WINDOW_MAX;
+  rig.sched->starts_pending[RANK_LATE] = START_WINDOW_MAX;
+  ck_assert (!starts_are_limited (rig.sched, RANK_ON_TIME, 0));
+  ck_assert (starts_are_limited (rig.sched, RANK_OVER_SHARE, 0));
+  rig.sched->starts_pending[RANK_LATE] = 0;
+  ck_assert (!starts_are_limited (rig.sched, RANK_OVER_SHARE, 0));
+  rig.sched->starts_pending[RANK_EXPIRED] = 0;
+}
+END_TEST
+
+/* Guards against a window that lets lower ranks take what better ones need:
+   these count for its limit.  */
+START_TEST (test_lower_ranks_get_what_better_ones_leave)
+{
+  rig.sched->start_window.size = 1000;
+  rig.sched->starts_pending[RANK_ON_TIME] = 600;
+  ck_assert (!starts_are_limited (rig.sched, RANK_EXPIRED, 399));
+  ck_assert (starts_are_limited (rig.sched, RANK_EXPIRED, 400));
+  rig.sched->starts_pending[RANK_ON_TIME] = 0;
+}
+END_TEST
+
+/* The starts in 4 s of a backlog of RANK alone, at an owner that is half busy.
+   Each answer takes ANSWER_MS.  */
+static uint32_t
+play_backlog (rank_t rank, uint32_t answer_ms)
+{
+  uint32_t answers[4000] = { 0 };
+  uint32_t started = 0;
+
+  rig.sched->start_window = (start_window_t){ 0 };
+  for (uint32_t ms = 0; ms < 4000; ms++)
+    {
+      rig.sched->starts_pending[rank] -= answers[ms];
+      while (!starts_are_limited (rig.sched, rank, 0))
+        {
+          rig.sched->starts_pending[rank]++;
+          started++;
+          if (ms + answer_ms < 4000)
+            answers[ms + answer_ms]++;
+        }
+      rig.sched->start_window.bound = true;
+      if (ms % 100 == 0)
+        sched_set_load (rig.sched, 50);
+    }
+  rig.sched->starts_pending[rank] = 0;
+  return started;
+}
+
+/* Load: a backlog of expired work alone, and workers that answer orders after
+   40 ms, or leave so many unanswered that it is 400 ms.  Guards against a
+   limit that bounds the rate by the time of an answer, though the owner has
+   time: 48 starts at a time were 1,200 a second, and 120.  */
+START_TEST (test_backlog_of_expired_work_starts_as_fast_as_urgent_work)
+{
+  static const uint32_t answers_ms[] = { 40, 400 };
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (answers_ms); i++)
+    {
+      uint32_t urgent = play_backlog (RANK_ON_TIME, answers_ms[i]);
+
+      ck_assert_uint_ge (play_backlog (RANK_EXPIRED, answers_ms[i]),
+                         urgent * 9 / 10);
+      ck_assert_uint_ge (urgent, 4 * 2500);
+    }
 }
 END_TEST
 
 TEST_PROGRAM_WITH ("jobs/startorder", rig_set_up, rig_tear_down,
                    test_rank_falls_as_time_passes,
                    test_rank_and_priority_precede_cost,
-                   test_lower_ranks_have_lower_limits)
+                   test_lower_ranks_have_lower_limits,
+                   test_lower_ranks_get_what_better_ones_leave,
+                   test_backlog_of_expired_work_starts_as_fast_as_urgent_work)
--- a/jobs/test/waiting_test.c
+++ b/jobs/test/waiting_test.c
@@ -68,12 +68,12 @@
   const char *text;
 
   rig_worker ("w1", RIG_CORES, false);
-  rig.sched->starts_pending = 100000;
+  rig.sched->starts_pending[RANK_ON_TIME] = 100000;
   rig_submit (1, &step, 1);
   text = plan_logged (2000);
   ck_assert_uint_ge (count (text, " starts-limited rank=on-time "), 1);
   ck_assert_uint_le (count (text, " starts-limited "), 2);
-  rig.sched->starts_pending = 0;
+  rig.sched->starts_pending[RANK_ON_TIME] = 0;
 }
 END_TEST
 
--- a/jobs/trial.c
+++ b/jobs/trial.c
@@ -171,10 +171,9 @@
 }
 
 static bool
-starts_are_limited (const trial_t *trial, rank_t rank)
+trial_is_limited (const trial_t *trial, rank_t rank)
 {
-  return trial->sched->starts_pending + trial->runs->len
-         >= start_limit (trial->sched, rank);
+  return starts_are_limited (trial->sched, rank, trial->runs->len);
 }
 
 trial_result_t
@@ -182,7 +181,7 @@
 {
   trial_result_t result = { 0 };
 
-  if (starts_are_limited (trial, rank))
+  if (trial_is_limited (trial, rank))
     return (trial_result_t){ .stop = TRIAL_STARTS };
   if (stage->spec->gang)
     return place_gang (trial, stage);
@@ -195,7 +194,7 @@
       if (task->done || task->run)
         continue;
       stop = place_awaits_earlier_run (task) ? TRIAL_EARLIER_RUN
-             : starts_are_limited (trial, rank)
+             : trial_is_limited (trial, rank)
                  ? TRIAL_STARTS
                  : place_task (trial, stage, task);
       switch (stop)
--- a/jobs/waiting.c
+++ b/jobs/waiting.c
@@ -79,9 +79,10 @@
   if (now_us - sched->limited_logged_us < WAITING_INTERVAL_US)
     return;
   event_log (EV_STARTS_LIMITED,
-             "rank=%s pending=%u limit=%" PRIu64 " plans=%u busy_percent=%u "
+             "rank=%s pending=%" PRIu64 " limit=%" PRIu64
+             " plans=%u busy_percent=%u "
              "start_delay_ms=%" PRId64,
-             rank_name (rank), sched->starts_pending,
+             rank_name (rank), starts_pending (sched, rank),
              start_limit (sched, rank), sched->limited_plans,
              sched->busy_percent, sched->start_delay_us / 1000);
   sched->limited_logged_us = now_us;
