jobs/hosts: a host goes down only when the ends of its runs are recorded

Callers saw: tasks that were done ran again, 5.8 s later, after the owner had changed while the store refused it; jobs wait though workers have room.

Cause: an owner that can't append went on to move hosts and to take them down whose runs had ended in its own view. The next owner knows the log alone: it expected these runs on workers that were gone, waited for their leases to end, and ran the tasks again. Class: an order that can't be taken back was given before the facts that it rests on were durable.

Change: a move, and the first order of maintenance, wait until the log says that all runs of the host's workers are over (closed_batch). In jobs/evacmoves the ends are recorded before the move is expected, as they are in operation.

The two new tests of jobs/hosts fail without the change.

--- a/jobs/hosts.c
+++ b/jobs/hosts.c
@@ -304,6 +304,16 @@
   return true;
 }
 
+bool
+workers_are_recorded (const sched_t *sched, const GPtrArray *workers)
+{
+  for (uint32_t i = 0; i < workers->len; i++)
+    if (((const worker_t *)g_ptr_array_index (workers, i))->closed_batch
+        > sched->durable_batch)
+      return false;
+  return true;
+}
+
 static void
 order_moves (sched_t *sched, sched_now_t now)
 {
@@ -322,7 +332,7 @@
       workers = host_workers (sched, host);
       if (should_cancel_move (host, workers, now.us))
         uncordon (sched, host);
-      else if (have_no_runs (workers))
+      else if (have_no_runs (workers) && workers_are_recorded (sched, workers))
         host_order_add (
             sched, host,
             (host_order_t){ .kind = HOST_ORDER_MOVE, .pool = host->move_to },
--- a/jobs/runs.c
+++ b/jobs/runs.c
@@ -191,6 +191,7 @@
                run->active_us ? (now.us - run->active_us) / 1000 : 0);
 
   record_over (sched, run);
+  run->worker->closed_batch = sched->batch;
   remove_run (sched, run, now.us);
   worker_wake_at (sched, run->worker, now.us);
   sched->place_needed = true;
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -263,6 +263,8 @@
   uint64_t ends_batch;   /* batch in which these ends become durable */
   uint64_t ends_durable; /* last durable end */
   uint64_t ends_sent;    /* last one to forget, in the last hold */
+  uint64_t closed_batch; /* in which it is recorded that its last closed run
+                            is over; 0: none was closed */
   uint64_t ends_forgotten; /* the same, in the last hold that was answered */
   GPtrArray *runs;
   GArray *orphans; /* of orphan_t */
@@ -717,6 +719,11 @@
 /* host_cordon - start no more tasks on HOST.  */
 void host_cordon (sched_t *sched, host_t *host, int64_t now_us);
 bool worker_has_long_running (const worker_t *worker);
+/* workers_are_recorded - whether the log says of all runs that WORKERS have
+   had that they are over.  A host goes down only then: the next owner would
+   wait for the leases of those of which it doesn't, and run their tasks again.
+ */
+bool workers_are_recorded (const sched_t *sched, const GPtrArray *workers);
 
 /* waves.c: maintenance waves */
 void wave_free (gpointer data);
--- a/jobs/test/evacmoves_test.c
+++ b/jobs/test/evacmoves_test.c
@@ -270,6 +270,7 @@
   if (evacuated)
     evacrig_evacuate ("far-dc");
   rig_report ("far", NULL, 0, ends, count);
+  rig_commit ();
   return gets_host ();
 }
 
--- a/jobs/test/hosts_test.c
+++ b/jobs/test/hosts_test.c
@@ -1,4 +1,5 @@
 #include "rig.h"
+#include "schedint.h"
 
 /* Guards against tasks that run twice: a late answer to a repeated order must
    not end the runs of the worker that has started on the host since.  */
@@ -96,7 +97,63 @@
 }
 END_TEST
 
+/* A task has ended on w0, the worker of the only host, and the end isn't in
+   the log.  */
+static void
+end_task_unrecorded (void)
+{
+  static const char *const ids[] = { "w0" };
+  job_step_t step = rig_step (1);
+  g_autoptr (GArray) starts = NULL;
+  run_end_t end;
+
+  rig_open_sched (1);
+  rig_worker ("w0", 8, false);
+  rig_list_hosts (ids, 1, UINT32_MAX);
+  rig_submit (1, &step, 1);
+  starts = rig_plan (false);
+  ck_assert_uint_eq (rig_count_orders (starts, ORDER_START), 1);
+  rig_confirm_start (&g_array_index (starts, order_t, 0));
+  end = rig_end (&g_array_index (starts, order_t, 0), 1, RUN_DONE);
+  rig_report ("w0", NULL, 0, &end, 1);
+}
+
+/* Guards against a host that goes down with ends that no record holds: the
+   next owner expects the runs there, waits for their leases, and runs tasks
+   again that were done.  */
+START_TEST (test_host_is_moved_only_when_its_ends_are_recorded)
+{
+  host_order_t order;
+  host_t *host;
+
+  end_task_unrecorded ();
+  host = g_hash_table_lookup (rig.sched->hosts, g_intern_string ("h0"));
+  host_cordon (rig.sched, host, rig.now.us);
+  host->move_to = g_intern_string ("other");
+  ck_assert (!rig_next_order (200, &order));
+  rig_commit ();
+  ck_assert (rig_next_order (200, &order));
+  ck_assert_int_eq (order.kind, HOST_ORDER_MOVE);
+}
+END_TEST
+
+/* The same for a host that is taken down for maintenance.  */
+START_TEST (test_host_is_maintained_only_when_its_ends_are_recorded)
+{
+  host_order_t order;
+
+  end_task_unrecorded ();
+  rig_set_wave ("h0", 1);
+  ck_assert (!rig_next_order (200, &order));
+  rig_commit ();
+  ck_assert (rig_next_order (200, &order));
+  ck_assert_int_eq (order.kind, HOST_ORDER_MAINTENANCE);
+}
+END_TEST
+
 TEST_PROGRAM_WITH ("jobs/hosts", rig_reset, rig_tear_down,
                    test_late_answer_ends_no_run_of_the_next_worker,
                    test_accepted_order_ends_no_run,
-                   test_worker_leaves_the_cordon_of_its_former_host)
+                   test_worker_leaves_the_cordon_of_its_former_host,
+                   test_host_is_moved_only_when_its_ends_are_recorded,
+                   test_host_is_maintained_only_when_its_ends_are_recorded)
--- a/jobs/waves.c
+++ b/jobs/waves.c
@@ -375,6 +375,8 @@
           log_waiting (wave, host, now.us);
           continue;
         }
+      if (!host->down && !workers_are_recorded (sched, workers))
+        continue;
       host_order_add (sched, host,
                       (host_order_t){ .kind = HOST_ORDER_MAINTENANCE,
                                       .wave = wave->number },
