entry/orders: an owner with time has more orders in flight

Cause: the owner has 48 orders in flight itself.

Change: the limit is the window of unanswered starts, which follows the owner's load (jobs/startwindow), and 48 at least. The limit for each relay stays, as the owner doesn't know a relay's load.

--- a/entry/hub.c
+++ b/entry/hub.c
@@ -6,7 +6,7 @@
    link, and the relay's own work.  */
 #define RELAY_SLACK_MS 150
 /* Limit on orders in flight through one relay, not counting holds; see
-   ORDERS_IN_FLIGHT_MAX.  */
+   ORDERS_IN_FLIGHT_MIN.  A relay's load isn't known to the owner.  */
 #define RELAY_ORDERS_MAX 48
 /* Jobs whose payload a relay is known to have; it keeps twice as many.  */
 #define PAYLOADS_MAX 1024
--- a/entry/orders.c
+++ b/entry/orders.c
@@ -7,10 +7,13 @@
 #define ORDER_TIMEOUT_MS 250
 /* Added to the time for which the worker holds the request open.  */
 #define HOLD_SLACK_MS 300
-/* Limit on orders in flight, not counting holds.  A daemon with a tenth of a
-   core processes this many well within ORDER_TIMEOUT_MS.  With more, replies
-   would wait here until they time out, and finally no task would start.  */
-#define ORDERS_IN_FLIGHT_MAX 48
+/* Limit on orders in flight, not counting holds, of a busy owner.  A daemon
+   with a tenth of a core processes this many well within ORDER_TIMEOUT_MS.
+   With more, replies would wait here until they time out, and finally no task
+   would start.  An owner that has time may have as many as unanswered starts:
+   with workers that leave orders unanswered a fixed number would bound the
+   starts a second.  */
+#define ORDERS_IN_FLIGHT_MIN 48
 
 uint32_t
 orders_timeout_ms (const order_t *order)
@@ -96,12 +99,18 @@
                       call->order.send_by_us, on_order_reply, call);
 }
 
+static bool
+may_send (const core_t *core)
+{
+  return core->sched && !core->resync_needed
+         && core->orders_in_flight
+                < MAX (sched_start_window (core->sched), ORDERS_IN_FLIGHT_MIN);
+}
+
 static void
 send_queued (core_t *core)
 {
-  while (core->sched && !core->resync_needed
-         && core->orders_in_flight < ORDERS_IN_FLIGHT_MAX
-         && core->orders->length > 0)
+  while (may_send (core) && core->orders->length > 0)
     {
       direct_call_t *call = g_queue_pop_head (core->orders);
 
--- a/entry/test/orders_test.c
+++ b/entry/test/orders_test.c
@@ -1,5 +1,6 @@
 #include "../../test/run_suite.h"
 #include "../core.h"
+#include "schedint.h"
 #include <arpa/inet.h>
 #include <poll.h>
 #include <string.h>
@@ -192,6 +193,23 @@
 }
 END_TEST
 
+/* Guards against a fixed number of orders in flight, which bounds the starts a
+   second where workers leave orders unanswered, though the owner has time.  */
+START_TEST (test_owner_with_time_has_more_orders_in_flight)
+{
+  uint32_t busy;
+
+  for (uint32_t i = 0; i < 200; i++)
+    send_stop ();
+  busy = core.orders_in_flight;
+  ck_assert_uint_lt (busy, 100);
+  ck_assert_uint_gt (core.orders->length, 0);
+  core.sched->start_window.size = 150;
+  send_stop ();
+  ck_assert_uint_eq (core.orders_in_flight, 150);
+}
+END_TEST
+
 static void
 on_done (void *ctx, const call_result_t *result)
 {
@@ -281,6 +299,7 @@
 
 TEST_PROGRAM_WITH ("entry/orders", set_up, tear_down,
                    test_queued_order_waits_until_the_log_was_read,
+                   test_owner_with_time_has_more_orders_in_flight,
                    test_order_queued_for_a_relay_waits_until_the_log_was_read,
                    test_delayed_start_is_not_sent,
                    test_start_is_not_sent_after_its_deadline,
--- a/jobs/holds.c
+++ b/jobs/holds.c
@@ -277,6 +277,12 @@
                       MAX (*pause_us / IDLE_FAST_DIVISOR, IDLE_PAUSE_MIN_US));
 }
 
+uint32_t
+sched_start_window (const sched_t *sched)
+{
+  return sched->start_window.size;
+}
+
 void
 sched_set_load (sched_t *sched, uint32_t busy_percent)
 {
--- a/jobs/scheduler.h
+++ b/jobs/scheduler.h
@@ -267,6 +267,9 @@
    high load it sends holds less often, so that each reply lists more ends.  */
 void sched_set_load (sched_t *sched, uint32_t busy_percent);
 
+/* sched_start_window - how many starts the owner has time for at once.  */
+uint32_t sched_start_window (const sched_t *sched);
+
 /* sched_set_durable - all progress up to BATCH was read back from the log
    while this daemon was the owner, so workers may forget the ends in it.  The
    store's reply to the append is not enough: a claim may precede the record in
