jobs/owner: only the daemon whose probe is read first claims first

Cause: each daemon whose probe was read after another one took itself for the first, too, so several claimed at once; with two probes in the queue that was usual.

Change: the first probe that is read decides. The soak's slow store takes one append after another, as the platform does, so that its daemons compete.

Result: the case of a second probe in test_daemon_that_has_probed_claims_first fails on the code before.

--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -41,7 +41,6 @@
 
   if (now_us - owner->read_delay_at_us <= OWNER_DELAY_KEPT_US)
     delay_us = owner->read_delay_us;
-
   if (now_us - owner->store_delay_at_us <= OWNER_DELAY_KEPT_US)
     delay_us = MAX (delay_us, owner->store_delay_us);
   return delay_us;
@@ -115,12 +114,15 @@
       else if (owner->probed_us == 0)
         {
           owner->probed_us = now_us;
+          owner->probes_read = 1;
           owner->probed_by_self = false;
           owner->claim_us = 0;
           /* No other probe is needed.  */
           owner->probe_us
               = now_us + OWNER_RETRY_US + delay_allowance (owner, now_us);
         }
+      else
+        owner->probes_read++;
       return;
     case FOLD_NOTHING:
     case FOLD_SUPERSEDED:
@@ -160,7 +162,7 @@
 void
 owner_note_own_probe (owner_t *owner)
 {
-  owner->probed_by_self = owner->probed_us != 0;
+  owner->probed_by_self |= owner->probed_us != 0 && owner->probes_read == 1;
 }
 
 /* Until when the silence of the owner in the log means nothing.  */
@@ -172,7 +174,7 @@
       = MIN (owner->linked_us + OWNER_LINK_AGE_US,
              owner->last_record_us + OWNER_LINKED_SILENCE_US);
 
-  if (owner->closed_epoch == 0 || owner->closed_epoch != owner->epoch)
+  if (owner->closed_epoch != owner->epoch)
     end_us += delay_allowance (owner, now_us);
   return owner->linked_us == 0 ? end_us : MAX (end_us, linked_end_us);
 }
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -117,7 +117,8 @@
   int64_t last_record_us;    /* when the owner's last record was folded; 0:
                                 the log was not read to its end yet */
   int64_t probed_us;         /* when a probe was folded; 0: none is pending */
-  bool probed_by_self;       /* it was this daemon's */
+  uint32_t probes_read;      /* since then */
+  bool probed_by_self;       /* the first of them is this daemon's */
   int64_t probe_us;          /* no probe before this time */
   int64_t claim_us;          /* no claim before this time */
   int64_t store_delay_us;    /* duration of the last append ... */
@@ -153,8 +154,8 @@
    owner.  */
 bool owner_decides (const owner_t *owner, const jobtab_t *table);
 
-/* owner_note_own_probe - the probe that was folded last is this daemon's.  It
-   claims first if there is no answer.  */
+/* owner_note_own_probe - the probe that was folded last is this daemon's.  The
+   daemon whose probe is the first one claims first if there is no answer.  */
 void owner_note_own_probe (owner_t *owner);
 
 /* owner_next - the record to append now.  Until that record is folded, further
--- a/jobs/test/owner_test.c
+++ b/jobs/test/owner_test.c
@@ -213,6 +213,11 @@
                     OWNER_ANSWER_TIMEOUT_US + OWNER_SEEN_FACTOR * 200 * MS);
   set_owner ("a#2");
   owner_note_record (&owner, table, FOLD_PROBED, now_us);
+  owner_note_record (&owner, table, FOLD_PROBED, now_us);
+  owner_note_own_probe (&owner);
+  ck_assert (!owner.probed_by_self); /* it is the second one */
+  set_owner ("a#3");
+  owner_note_record (&owner, table, FOLD_PROBED, now_us);
   owner_note_own_probe (&owner);
   owner_set_store_delay (&owner, 0, now_us);
   ck_assert_int_eq (action_within (700), OWNER_CLAIM);
--- a/test/soak/soak_main.c
+++ b/test/soak/soak_main.c
@@ -399,7 +399,7 @@
       faults.down = true;
       break;
     case FAULT_STORE_SLOW:
-      faults.delay_ms = 20 + n % 200;
+      faults.delay_ms = faults.append_ms = 20 + n % 200;
       break;
     case FAULT_REPLIES_LOST:
       faults.lost_reply_percent = 30;
