jobs/owner: a later process of this daemon is not replaced at once

Two processes named d2 replaced each other every 60 ms, up to epoch 306.

Cause: each took the other for its earlier process, which can't answer a probe, and claimed at once.

Change: only a process that was started before counts as the earlier one, and the wait between two claims outlasts a change of the epoch again.

With the change the earlier process claims no more than every 1.5 s.

--- a/jobs/jobtab.c
+++ b/jobs/jobtab.c
@@ -176,6 +176,14 @@
   return separator && b && strncmp (a, b, (size_t)(separator - a) + 1) == 0;
 }
 
+int64_t
+holder_start_ms (const char *holder)
+{
+  const char *separator = holder ? strchr (holder, '#') : NULL;
+
+  return separator ? g_ascii_strtoll (separator + 1, NULL, 10) : 0;
+}
+
 uint32_t
 holder_share_percent (const char *holder)
 {
--- a/jobs/jobtab.h
+++ b/jobs/jobtab.h
@@ -93,11 +93,13 @@
    holder_name - the holder name of a process; the caller frees it.  ADDRESS
    may be NULL.
    holder_is_same_daemon - whether A and B are processes of the same daemon.
+   holder_start_ms - when that process was started; 0: unknown.
    holder_share_percent - the CPU share, or 0 when HOLDER has none.
    holder_address - the address, which points into HOLDER, or NULL.  */
 char *holder_name (const char *daemon, int64_t start_ms, double cpu_share,
                    const char *address);
 bool holder_is_same_daemon (const char *a, const char *b);
+int64_t holder_start_ms (const char *holder);
 uint32_t holder_share_percent (const char *holder);
 const char *holder_address (const char *holder);
 
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -97,7 +97,6 @@
       owner->epoch_seen_us = now_us;
       owner->superseded = false;
       owner->probed_us = 0;
-      owner->probe_us = owner->claim_us = 0;
     }
   switch (kind)
     {
@@ -180,14 +179,16 @@
 }
 
 /* Whether the owner is an earlier process of this daemon, which can't answer a
-   probe.  */
+   probe.  An earlier process that still runs must not take the present one for
+   that.  */
 static bool
 is_earlier_process (const owner_t *owner, const jobtab_t *table)
 {
   const char *holder = table->owner.holder;
 
   return holder && strcmp (holder, owner->self) != 0
-         && holder_is_same_daemon (holder, owner->self);
+         && holder_is_same_daemon (holder, owner->self)
+         && holder_start_ms (holder) < holder_start_ms (owner->self);
 }
 
 /* ACTION, unless it is too early for it by *RETRY_US.  */
--- a/jobs/test/owner_test.c
+++ b/jobs/test/owner_test.c
@@ -260,6 +260,25 @@
 }
 END_TEST
 
+/* Guards against two processes of one daemon that replace each other without
+   end: the earlier one was suspended, or was started twice.  */
+START_TEST (test_later_process_is_not_replaced_immediately)
+{
+  uint32_t claims = 0;
+
+  set_owner ("b#2");
+  ck_assert_int_eq (action_within (500), OWNER_NONE);
+  owner_init (&owner, "b#2", 1.0, 0);
+  for (int64_t ms = 0; ms < 3000; ms += 60)
+    {
+      set_owner ("b#1");
+      claims += action_within (50) == OWNER_CLAIM;
+    }
+  ck_assert_uint_ge (claims, 1);
+  ck_assert_uint_le (claims, 3);
+}
+END_TEST
+
 /* Guards against seconds without orders when an owner stops while the store is
    slow.  In roll_term with platform_slow there were 5 s, because the release
    and the next claim each waited 2 s in the store.  */
@@ -451,6 +470,7 @@
     test_refused_claim_is_repeated_soon, test_old_store_delays_expire,
     test_released_ownership_is_claimed_soon,
     test_earlier_process_is_replaced_immediately,
+    test_later_process_is_not_replaced_immediately,
     test_released_owner_decides_until_the_next_claim,
     test_owner_with_little_cpu_is_replaced,
     test_owner_with_enough_cpu_is_not_replaced,
