jobs/owner: the wait of a daemon that has not probed is checked

Seen, on reading the change again: the bound in test_daemon_that_has_probed_claims_first could not fail, as two seconds had passed before the wait began.

Change: the silence is over before the probe is read, and the claim of a daemon that has not probed is asked to come later than the answer and the time in which the probing daemon's claim is read.

--- a/jobs/test/owner_test.c
+++ b/jobs/test/owner_test.c
@@ -202,15 +202,14 @@
   int64_t probed_us;
 
   set_owner ("a#1");
+  now_us += 10000 * MS; /* the owner's silence is long enough */
   owner_set_store_delay (&owner, 200 * MS, now_us);
   owner_note_record (&owner, table, FOLD_PROBED, now_us);
   probed_us = now_us;
-  now_us += 2000 * MS;
-  owner_set_store_delay (&owner, 200 * MS, now_us);
-  owner.linked_us = 0;
   ck_assert_int_eq (action_within (8000), OWNER_CLAIM);
   ck_assert_int_ge (now_us - probed_us,
-                    OWNER_ANSWER_TIMEOUT_US + OWNER_SEEN_FACTOR * 200 * MS);
+                    OWNER_ANSWER_TIMEOUT_US
+                        + (OWNER_DELAY_FACTOR + OWNER_SEEN_FACTOR) * 200 * MS);
   set_owner ("a#2");
   owner_note_record (&owner, table, FOLD_PROBED, now_us);
   owner_note_record (&owner, table, FOLD_PROBED, now_us);
