test/soak: each soak has a loopback address of its own

Both logs have front=127.0.0.1:52521 for d2.

Cause: a port is chosen by the kernel and released for the daemon to bind. The other soak was given the same one; both daemons listened on it, and the kernel shared the connections between them.

Change: the daemons of a soak listen on an address made from its process id, as those of test/evacuation do. No check or bound is changed.

--- a/test/soak/soak_main.c
+++ b/test/soak/soak_main.c
@@ -121,6 +121,21 @@
   fflush (stdout);
 }
 
+/* The loopback address of this soak's daemons: a port that is free there is
+   not taken by another soak before the daemon has bound it.  Both listened on
+   one port otherwise, and shared its connections.  */
+static const char *
+daemon_address (void)
+{
+  static char text[INET_ADDRSTRLEN];
+  uint32_t pid = (uint32_t)getpid ();
+
+  if (text[0] == '\0')
+    g_snprintf (text, sizeof text, "127.%u.%u.1", 1 + (pid >> 8) % 254,
+                pid % 256);
+  return text;
+}
+
 static uint16_t
 free_port (void)
 {
@@ -128,7 +143,7 @@
   socklen_t len = sizeof address;
   int fd = socket (AF_INET, SOCK_STREAM, 0);
 
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  inet_pton (AF_INET, daemon_address (), &address.sin_addr);
   if (fd < 0 || bind (fd, (struct sockaddr *)&address, sizeof address) != 0
       || getsockname (fd, (struct sockaddr *)&address, &len) != 0)
     exit (EXIT_FAILURE);
@@ -164,15 +179,15 @@
   process->peer = free_port ();
   process->settings = g_strdup_printf ("%s/d%u.yaml", soak->dir, index);
   text = g_strdup_printf (
-      "name: d%u\ndata_centre: dc-%u\nfront: 127.0.0.1:%u\nready: "
-      "127.0.0.1:%u\npeer: 127.0.0.1:%u\nstore: 127.0.0.1:%u\nhosts_api: "
+      "name: d%u\ndata_centre: dc-%u\nfront: %s:%u\nready: "
+      "%s:%u\npeer: %s:%u\nstore: 127.0.0.1:%u\nhosts_api: "
       "\"\"\ncpu_share: "
       "%s\nhold_max_ms: %u\nstop_grace_ms: 100\ngrace_s: 3\nkeep_s: 8\n"
       "evacuate_ms: %u\n%s",
-      index, soak->evacuates ? index % EVACUATE_ZONES : 0, process->front,
-      process->ready, process->peer, store_port (soak->store),
-      soak->relays ? "0.01" : "1.0", WORKERS_HOLD_MAX_MS,
-      soak->evacuates ? EVACUATOR_BOUND_MS : 0,
+      index, soak->evacuates ? index % EVACUATE_ZONES : 0, daemon_address (),
+      process->front, daemon_address (), process->ready, daemon_address (),
+      process->peer, store_port (soak->store), soak->relays ? "0.01" : "1.0",
+      WORKERS_HOLD_MAX_MS, soak->evacuates ? EVACUATOR_BOUND_MS : 0,
       soak->admission ? "admission: objective\nrun_times: learn\n" : "");
   if (!g_file_set_contents (process->settings, text, -1, NULL))
     exit (EXIT_FAILURE);
@@ -192,7 +207,8 @@
 send_to_port (uint16_t port, const char *method, const char *path,
               const char *body, GString *answer)
 {
-  g_autofree char *url = g_strdup_printf ("http://127.0.0.1:%u%s", port, path);
+  g_autofree char *url
+      = g_strdup_printf ("http://%s:%u%s", daemon_address (), port, path);
   struct curl_slist *headers = curl_slist_append (NULL, "Host: " HOST);
   CURL *easy = curl_easy_init ();
   long status = 0;
