--- a/review/bed-2/late.c
+++ b/review/bed-2/late.c
@@ -1,7 +1,9 @@
 /* late - a job that was given up and cancelled comes into being afterwards
 
    The store turns the owner away for CUT_MS.  A client hands a job in at the
-   owner meanwhile, gets 504, and cancels the job at another daemon.  */
+   owner meanwhile, gets 504, and cancels the job at another daemon.
+   With the argument "freeze" a daemon that is not the owner stands still for
+   FREEZE_MS instead, and the client gets no answer.  */
 
 #include "bed2.h"
 #include <signal.h>
@@ -11,6 +13,8 @@
 #define DAEMONS 3
 /* `platform_down`, "nodes leader": for_s 7.0, count 1.  */
 #define CUT_MS 7000
+/* `node_freeze`: for_s 4.0, count 1.  */
+#define FREEZE_MS 4000
 /* When the job is due, after the beginning of the cut: the store has been
    sound for over contact_ms by then.  */
 #define DUE_MS 16000
@@ -28,11 +32,28 @@
   bed_note ("GET at edge-%u: %d %s", index, status, text->str);
 }
 
+/* Begins or ends the disruption of the daemon INDEX.  */
+static void
+disrupt (bed_t *bed, uint32_t index, bool freeze, bool begin)
+{
+  if (freeze)
+    kill (bed->daemons[index].pid, begin ? SIGSTOP : SIGCONT);
+  else
+    store_cut_port (bed->store, bed->daemons[index].store_port, begin);
+  if (freeze)
+    bed_note ("edge-%u %s", index, begin ? "freezes" : "wakes");
+  else
+    bed_note ("the store %s edge-%u", begin ? "turns away" : "serves again",
+              index);
+}
+
 int
-main (void)
+main (int argc, char **argv)
 {
   bed_t *bed = bed_new (DAEMONS);
   bool trouble = bed_trouble ();
+  bool freeze = argc > 1 && strcmp (argv[1], "freeze") == 0;
+  int64_t disrupted_ms = freeze ? FREEZE_MS : CUT_MS;
   uint32_t owner;
   uint32_t other;
   g_autofree char *job = NULL;
@@ -48,8 +69,9 @@
   g_usleep (1500000);
   owner = bed_owner (bed);
   bed_require (bed, owner != UINT32_MAX, "no owner");
-  other = (owner + 1) % DAEMONS;
   bed_note ("edge-%u is the owner", owner);
+  other = freeze ? owner : (owner + 1) % DAEMONS;
+  owner = freeze ? (owner + 1) % DAEMONS : owner; /* that is disrupted */
   from_ms = bed_ms ();
   job = g_strdup_printf (
       "{\"spec\":\"1000\",\"steps\":[{\"count\":2,\"cpu\":1000,\"mem_mb\":64,"
@@ -57,10 +79,7 @@
       ",\"interval_ms\":1000}",
       g_get_real_time () / 1000 + DUE_MS);
   if (trouble)
-    {
-      store_cut_port (bed->store, bed->daemons[owner].store_port, true);
-      bed_note ("the store turns edge-%u away for %d ms", owner, CUT_MS);
-    }
+    disrupt (bed, owner, freeze, true);
   g_usleep (100000);
   bed_note ("POST " ID " at edge-%u", owner);
   status = bed_call (bed->daemons[owner].address, BED_FRONT, "POST", PATH, job,
@@ -71,8 +90,8 @@
   /* As a daemon may answer 503 while there is no owner, the client repeats.  */
   while (acked_ms == 0)
     {
-      bed_require (bed, bed_ms () - from_ms < CUT_MS - 500,
-                   "no ack of the cancelling during the cut");
+      bed_require (bed, bed_ms () - from_ms < disrupted_ms - 100,
+                   "no ack of the cancelling during the disruption");
       status = bed_call (bed->daemons[other].address, BED_FRONT, "DELETE",
                          PATH, NULL, 3000, NULL);
       bed_note ("DELETE " ID " at edge-%u: %d", other, status);
@@ -84,11 +103,10 @@
   get_state (bed, other);
   while (bed_ms () - from_ms < END_MS)
     {
-      if (!cut_ended && bed_ms () - from_ms >= CUT_MS)
+      if (!cut_ended && bed_ms () - from_ms >= disrupted_ms)
         {
-          store_cut_port (bed->store, bed->daemons[owner].store_port, false);
+          disrupt (bed, owner, freeze, false);
           cut_ended = true;
-          bed_note ("the store serves edge-%u again", owner);
         }
       if (!broken && workers_starts (bed->workers, WORKERS_ALL_ZONES) > 0)
         {
@@ -96,10 +114,10 @@
 
           bed_note ("a work item of " ID " has started, %" PRId64
                     " ms after the ack of the cancelling and %" PRId64
-                    " ms after the store's recovery",
-                    late_ms, bed_ms () - from_ms - CUT_MS);
+                    " ms after the end of the disruption",
+                    late_ms, bed_ms () - from_ms - disrupted_ms);
           broken = late_ms > BED_CANCEL_MS
-                   && bed_ms () - from_ms > CUT_MS + BED_CONTACT_MS;
+                   && bed_ms () - from_ms > disrupted_ms + BED_CONTACT_MS;
           get_state (bed, other);
         }
       g_usleep (20000);
