--- a/review/bed-2/bed2.c
+++ b/review/bed-2/bed2.c
@@ -173,13 +173,22 @@
 int
 bed_call (const char *ip, uint16_t port, const char *method, const char *path,
           const char *body, int timeout_ms, GString *answer)
+{
+  return bed_call_as (NULL, ip, port, method, path, body, timeout_ms, answer);
+}
+
+int
+bed_call_as (const char *key, const char *ip, uint16_t port,
+             const char *method, const char *path, const char *body,
+             int timeout_ms, GString *answer)
 {
   int fd = bed_connect (ip, port);
   g_autofree char *text = g_strdup_printf (
       "%s %s HTTP/1.1\r\nHost: " BED_HOST "\r\nConnection: close\r\n"
-      "X-Deadline-Ms: %d\r\nContent-Type: application/json\r\n"
+      "%s%s%sX-Deadline-Ms: %d\r\nContent-Type: application/json\r\n"
       "Content-Length: %zu\r\n\r\n%s",
-      method, path, timeout_ms, body ? strlen (body) : 0, body ? body : "");
+      method, path, key ? "Authorization: Bearer " : "", key ? key : "",
+      key ? "\r\n" : "", timeout_ms, body ? strlen (body) : 0, body ? body : "");
   g_autoptr (GString) in = g_string_new (NULL);
   int64_t end_ms = bed_ms () + timeout_ms;
   const char *data;
--- a/review/bed-2/bed2.h
+++ b/review/bed-2/bed2.h
@@ -86,6 +86,10 @@
 int bed_call (const char *ip, uint16_t port, const char *method,
               const char *path, const char *body, int timeout_ms,
               GString *answer);
+/* bed_call_as - the same with the API key KEY.  */
+int bed_call_as (const char *key, const char *ip, uint16_t port,
+                 const char *method, const char *path, const char *body,
+                 int timeout_ms, GString *answer);
 int bed_connect (const char *ip, uint16_t port);
 
 #endif
