--- a/review/bed-2/bed2.c
+++ b/review/bed-2/bed2.c
@@ -39,7 +39,8 @@
   g_mutex_lock (&record_lock);
   if (!record)
     {
-      record = fopen (g_getenv ("RECORD") ? g_getenv ("RECORD") : "record.txt", "w");
+      record = fopen (g_getenv ("RECORD") ? g_getenv ("RECORD") : "record.txt",
+                      "w");
       began_ms = bed_ms ();
     }
   if (record)
@@ -188,7 +189,8 @@
       "%s%s%sX-Deadline-Ms: %d\r\nContent-Type: application/json\r\n"
       "Content-Length: %zu\r\n\r\n%s",
       method, path, key ? "Authorization: Bearer " : "", key ? key : "",
-      key ? "\r\n" : "", timeout_ms, body ? strlen (body) : 0, body ? body : "");
+      key ? "\r\n" : "", timeout_ms, body ? strlen (body) : 0,
+      body ? body : "");
   g_autoptr (GString) in = g_string_new (NULL);
   int64_t end_ms = bed_ms () + timeout_ms;
   const char *data;
--- a/review/bed-2/bed2.h
+++ b/review/bed-2/bed2.h
@@ -8,7 +8,7 @@
 #ifndef BED2_H
 #define BED2_H
 
-#include "standins.h"
+#include "../../test/soak/standins.h"
 #include <sys/types.h>
 
 #define BED_FRONT 8340
--- a/review/bed-2/gang.c
+++ b/review/bed-2/gang.c
@@ -105,9 +105,8 @@
 end_run (minion_t *m, guint at, const char *how)
 {
   run_t *run = &g_array_index (m->runs, run_t, at);
-  end_t end = { .number = ++m->ends_count,
-                .attempt = run->attempt,
-                .how = how };
+  end_t end
+      = { .number = ++m->ends_count, .attempt = run->attempt, .how = how };
   int64_t now = bed_ms ();
 
   g_strlcpy (end.task, run->task, sizeof end.task);
@@ -118,8 +117,9 @@
     alone_calm++;
   g_hash_table_insert (
       m->highest, g_strdup (run->task),
-      GUINT_TO_POINTER (MAX (run->attempt, GPOINTER_TO_UINT (g_hash_table_lookup (
-                                               m->highest, run->task)))));
+      GUINT_TO_POINTER (MAX (
+          run->attempt,
+          GPOINTER_TO_UINT (g_hash_table_lookup (m->highest, run->task)))));
   g_array_append_val (m->ends, end);
   g_array_remove_index (m->runs, at);
   g_cond_broadcast (&changed);
@@ -208,7 +208,8 @@
   const char *value = json_string_value (json_object_get (body, "checkpoint"));
   uint32_t attempt
       = (uint32_t)json_integer_value (json_object_get (body, "attempt"));
-  int64_t deadline = json_integer_value (json_object_get (body, "deadline_ms"));
+  int64_t deadline
+      = json_integer_value (json_object_get (body, "deadline_ms"));
   run_t run = { .attempt = attempt, .started_ms = bed_ms () };
 
   for (guint i = 0; i < m->runs->len; i++)
@@ -233,7 +234,7 @@
     {
       char work[9] = { 0 };
 
-      memcpy (work, value, MIN (strlen (value), 8));
+      g_strlcpy (work, value, sizeof work);
       run.done_before_ms = strtol (work, NULL, 16);
     }
   bed_note ("%s: start of run %u of %s with checkpoint \"%s\"", m->id, attempt,
@@ -251,8 +252,7 @@
   const char *task = json_string_value (json_object_get (body, "task"));
   uint32_t attempt
       = (uint32_t)json_integer_value (json_object_get (body, "attempt"));
-  uint32_t highest
-      = GPOINTER_TO_UINT (g_hash_table_lookup (m->highest, task));
+  uint32_t highest = GPOINTER_TO_UINT (g_hash_table_lookup (m->highest, task));
 
   g_hash_table_insert (m->highest, g_strdup (task),
                        GUINT_TO_POINTER (MAX (highest, attempt)));
@@ -277,26 +277,27 @@
     {
       const run_t *run = &g_array_index (m->runs, run_t, i);
       char value[32];
-      int64_t work = run->done_before_ms
-                     + (run->work_from_ms ? MAX (now - run->work_from_ms, 0)
-                                          : 0);
+      int64_t work
+          = run->done_before_ms
+            + (run->work_from_ms ? MAX (now - run->work_from_ms, 0) : 0);
 
       if (run->stopping_ms)
         continue;
       make_value (run, now, value);
       json_array_append_new (
-          running, json_pack ("[s,i,s,i,i]", run->task, (int)run->attempt,
-                              value, (int)(MIN (work, WORK_MS) * 100 / WORK_MS),
-                              run->work_from_ms ? 1000 : 0));
+          running,
+          json_pack ("[s,i,s,i,i]", run->task, (int)run->attempt, value,
+                     (int)(MIN (work, WORK_MS) * 100 / WORK_MS),
+                     run->work_from_ms ? 1000 : 0));
     }
   for (guint i = 0; i < m->ends->len && i < 500; i++)
     {
       const end_t *end = &g_array_index (m->ends, end_t, i);
 
-      json_array_append_new (
-          finished, json_pack ("[I,s,i,s,s]", (json_int_t)end->number,
-                               end->task, (int)end->attempt, end->how,
-                               end->saved));
+      json_array_append_new (finished,
+                             json_pack ("[I,s,i,s,s]", (json_int_t)end->number,
+                                        end->task, (int)end->attempt, end->how,
+                                        end->saved));
     }
   return json_pack ("{s:I,s:I,s:o,s:o}", "clock_ms", (json_int_t)clock_of (m),
                     "born", (json_int_t)m->born_ms, "running", running,
@@ -318,17 +319,18 @@
 {
   uint64_t seen
       = (uint64_t)json_integer_value (json_object_get (body, "last_seen"));
-  int64_t deadline = json_integer_value (json_object_get (body, "deadline_ms"));
+  int64_t deadline
+      = json_integer_value (json_object_get (body, "deadline_ms"));
   int64_t end_us
       = g_get_monotonic_time ()
         + json_integer_value (json_object_get (body, "wait_ms")) * 1000;
   uint32_t boots = m->boots;
 
-  while (m->ends->len > 0
-         && g_array_index (m->ends, end_t, 0).number <= seen)
+  while (m->ends->len > 0 && g_array_index (m->ends, end_t, 0).number <= seen)
     g_array_remove_index (m->ends, 0);
   if (deadline > 0)
-    m->lease_ms = MAX (m->lease_ms, MIN (deadline, clock_of (m) + HOLD_MAX_MS));
+    m->lease_ms
+        = MAX (m->lease_ms, MIN (deadline, clock_of (m) + HOLD_MAX_MS));
   while (m->ends->len == 0 && boots == m->boots && !closing
          && !m->dark_until_ms && g_cond_wait_until (&changed, &lock, end_us))
     ;
@@ -369,12 +371,12 @@
             reason = start (m, body);
           else if (!reason && strcmp (path, "/run-stop") == 0)
             stop (m, body);
-          reply (conn, reason ? 409 : 200,
-                 reason ? json_pack ("{s:I,s:s}", "clock_ms",
-                                     (json_int_t)clock_of (m), "reason",
-                                     reason)
-                        : json_pack ("{s:I}", "clock_ms",
-                                     (json_int_t)clock_of (m)));
+          reply (
+              conn, reason ? 409 : 200,
+              reason
+                  ? json_pack ("{s:I,s:s}", "clock_ms",
+                               (json_int_t)clock_of (m), "reason", reason)
+                  : json_pack ("{s:I}", "clock_ms", (json_int_t)clock_of (m)));
         }
     }
   g_mutex_unlock (&lock);
@@ -422,8 +424,7 @@
   bed_note ("%s crashes, for %d ms", m->id, CRASH_MS);
   crash_ms = bed_ms ();
   for (guint i = 0; i < m->runs->len; i++)
-    g_ptr_array_add (gangs,
-                     g_strdup (g_array_index (m->runs, run_t, i).gang));
+    g_ptr_array_add (gangs, g_strdup (g_array_index (m->runs, run_t, i).gang));
   g_array_set_size (m->runs, 0);
   m->dark_until_ms = bed_ms () + CRASH_MS;
   for (guint i = 0; i < gangs->len; i++)
@@ -511,7 +512,8 @@
       m->index = w;
       m->runs = g_array_new (FALSE, TRUE, sizeof (run_t));
       m->ends = g_array_new (FALSE, TRUE, sizeof (end_t));
-      m->highest = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+      m->highest
+          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
       m->server = http_server_start (handle, m);
       boot (m);
     }
--- a/review/bed-2/http2.c
+++ b/review/bed-2/http2.c
@@ -1,6 +1,6 @@
 /* The HTTP server of test/soak on a loopback address, and without a bound on
    the numbers of its descriptors.  */
-#include "standins.h"
+#include "../../test/soak/standins.h"
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <string.h>
--- a/review/bed-2/keys.c
+++ b/review/bed-2/keys.c
@@ -51,9 +51,9 @@
   status = bed_call_as (key, bed->daemons[index].address, BED_FRONT, method,
                         path, body, 3000, answer);
   bed_note ("%s %s with %s key at edge-%u: %d %s", method, path,
-            !key                           ? "no"
+            !key                          ? "no"
             : strcmp (key, KEY_LOST) == 0 ? "the first"
-                                           : "the second",
+                                          : "the second",
             index, status, answer->str);
   return status;
 }
--- a/review/bed-2/large.c
+++ b/review/bed-2/large.c
@@ -109,7 +109,8 @@
   bed_note ("%u of %u accepted jobs are answered with 410 by one daemon",
             unknown, accepted);
   bed_note ("%u work items run; the longest time without any was %" PRId64
-            " ms", workers_running (bed->workers), longest_ms);
+            " ms",
+            workers_running (bed->workers), longest_ms);
   for (uint32_t i = 0; i < DAEMONS; i++)
     {
       const bed_daemon_t *d = &bed->daemons[i];
--- a/review/bed-2/late.c
+++ b/review/bed-2/late.c
@@ -87,7 +87,7 @@
   bed_note ("answer to POST: %d", status);
   bed_require (bed, trouble ? status != 200 : status == 200,
                "the job was not handed in as intended");
-  /* As a daemon may answer 503 while there is no owner, the client repeats.  */
+  /* As a daemon may answer 503 while there is no owner, the client repeats. */
   while (acked_ms == 0)
     {
       bed_require (bed, bed_ms () - from_ms < disrupted_ms - 100,
--- a/review/bed-2/store2.c
+++ b/review/bed-2/store2.c
@@ -1,6 +1,6 @@
 /* The store of test/soak with what the pages say beyond it: records expire
    after STORE_KEEP_MS, and a page of the newest records has a limit.  */
-#include "standins.h"
+#include "../../test/soak/standins.h"
 #include <jansson.h>
 #include <microhttpd.h>
 #include <stdlib.h>
@@ -236,7 +236,8 @@
       json_array_append_new (
           items, json_pack ("{s:s,s:s}", "key", key->data, "value", value));
     }
-  root = json_pack ("{s:o,s:b,s:I}", "items", items, "truncated", (int)truncated, "end",
+  root = json_pack ("{s:o,s:b,s:I}", "items", items, "truncated",
+                    (int)truncated, "end",
                     (json_int_t)topic->first_offset + topic->records->len);
   text = json_dumps (root, JSON_COMPACT);
   http_reply (conn, 200, text, strlen (text));
--- a/review/bed-2/wide.c
+++ b/review/bed-2/wide.c
@@ -73,8 +73,7 @@
     {
       g_autofree char *id = g_strdup_printf ("%016x", 0xb00 + i);
 
-      accepted
-          += submit (bed, id, trouble ? ITEMS : ITEMS_USUAL, 500) == 200;
+      accepted += submit (bed, id, trouble ? ITEMS : ITEMS_USUAL, 500) == 200;
       bed_run (bed, PAUSE_MS);
     }
   bed_note ("%u of %d jobs were accepted", accepted, JOBS);
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -15,5 +15,6 @@
 	name=$(basename "$source" .c)
 	case $name in bed2 | store2 | http2) continue ;; esac
 	# shellcheck disable=SC2086
-	${CC:-gcc} $cflags -o "$out/$name" "$source" $shared $libs
+	${CC:-gcc} $cflags -o "$out/$name.new" "$source" $shared $libs
+	mv "$out/$name.new" "$out/$name"
 done
