--- a/review/bed-2/keys.c
+++ b/review/bed-2/keys.c
@@ -107,6 +107,7 @@
                call (KEY_LOST, 1, "GET", KEYED ID, NULL, answer)
                    == (trouble ? 401 : 200),
                "the first key is not treated as the config says");
+  call (NULL, 1, "GET", PUBLIC ID, NULL, answer); /* not judged */
   read = call (KEY_LOST, 1, "GET", PUBLIC ID, NULL, answer) == 200;
   cancelled = call (KEY_LOST, 1, "DELETE", PUBLIC ID, NULL, answer) == 200;
   bed_run (bed, 1000);
