entry: log appends that outlive their request, and late submissions

Cause: after a 504 nothing in the logs shows what becomes of the record, so a submission that a daemon kept can't be told from one that the store carried out late or a client sent again. Change: 1218 is logged when a request ends while its record may be or become stored; 1611 when a submission is accepted 3 s or more after its record was made, by daemons that have read the log lately. With a frozen daemon there is no 1218 and no 1611: the record is made after the wake. ctest base/ and entry/: 27 of 27 passed.

--- a/entry/appends.c
+++ b/entry/appends.c
@@ -285,6 +285,9 @@
 
       if (!queued->request || queued->request->deadline_us > now_us)
         continue;
+      if (maybe_stored)
+        event_log (EV_APPEND_OUTLIVES_REQUEST, "id=%s cancel=%d",
+                   queued->request->id, queued->request->is_cancel);
       appends_finish_request (
           queued->request, maybe_stored ? APPEND_UNKNOWN : APPEND_NOT_STORED);
       queued->request = NULL;
--- a/entry/feeds.c
+++ b/entry/feeds.c
@@ -19,6 +19,8 @@
 #define OWNER_READ_INTERVAL_US 4000
 /* Most malformed registrations that are remembered, and logged.  */
 #define REJECTED_LOGGED_MAX 1024
+/* Age of a submission at which its client has usually had its answer.  */
+#define SUBMISSION_LATE_MS 3000
 /* Each worker registers about once a second, so a short delay does no harm. */
 #define WORKERS_READ_INTERVAL_US 200000
 
@@ -352,6 +354,22 @@
 
 /* Job log.  */
 
+/* Logs a submission that was accepted long after its record was made, unless
+   this daemon is itself behind.  */
+static void
+log_late_submission (const core_t *core, const job_entry_t *entry,
+                     int64_t now_us)
+{
+  int64_t age_ms = clock_wall_ms () - entry->desc->accepted_ms;
+
+  if (age_ms < SUBMISSION_LATE_MS
+      || now_us - atomic_load (&core->model->log_known_us)
+             > READMODEL_LOG_AGE_MAX_US)
+    return;
+  event_log (EV_SUBMISSION_LATE, "id=%s age_ms=%" PRId64, entry->desc->id,
+             age_ms);
+}
+
 static void
 apply_job_record (core_t *core, const platform_record_t *record,
                   int64_t now_us)
@@ -374,6 +392,8 @@
     appends_handle_record (core, &rec);
   fold = jobtab_fold (core->tab, &rec, clock_wall_ms (), now_us);
   core_record_folded (core, &rec, fold, record->len, now_us);
+  if (fold.kind == FOLD_SUBMITTED)
+    log_late_submission (core, fold.entry, now_us);
   if (rec.kind == JREC_CANCEL)
     appends_handle_record (core, &rec);
   job_rec_clear (&rec);
