--- a/base/event.c
+++ b/base/event.c
@@ -67,6 +67,7 @@
   { EV_TASKS_WAITING, LEVEL_INFO, "tasks-waiting" },
   { EV_STARTS_LIMITED, LEVEL_INFO, "starts-limited" },
   { EV_SUBMISSION_LATE, LEVEL_INFO, "submission-late" },
+  { EV_RECORD_VOID, LEVEL_INFO, "record-void" },
   { EV_OWNER_GAINED, LEVEL_INFO, "owner-gained" },
   { EV_OWNER_LOST, LEVEL_WARN, "owner-lost" },
   { EV_OWNER_RELEASED, LEVEL_INFO, "owner-released" },
--- a/entry/admissions.c
+++ b/entry/admissions.c
@@ -1,6 +1,6 @@
 #include "core.h"
 
-/* Submissions that are read within this time after a pause, or before the log
+/* Requests that are read within this time after a pause, or before the log
    was read, may have waited in a socket for as long as the pause.  */
 #define PAUSE_REQUESTS_US 500000
 
@@ -105,29 +105,61 @@
     g_queue_push_tail (&core->held_submits, held);
 }
 
-/* Whether a submission that is read now may be from before a pause.  Its
-   client has gone on, and another daemon may have told it that the job was
-   refused.  */
+/* Whether a request that is read now may be from before a pause.  Its client
+   has gone on: another daemon may have told it that the job was refused, or
+   accepted a job that it had cancelled here.  */
 static bool
 may_be_outdated (const core_t *core, int64_t now_us)
 {
-  return core->settings->admission_by_objective
-         && (core->resync_needed
-             || (core->pause_detected_us > 0
-                 && now_us - core->pause_detected_us < PAUSE_REQUESTS_US));
+  return core->resync_needed
+         || (core->pause_detected_us > 0
+             && now_us - core->pause_detected_us < PAUSE_REQUESTS_US);
 }
 
-void
-admissions_take (core_t *core, append_req_t *request, int64_t now_us)
+/* Whether the client of REQUEST, a submission, may have cancelled the job
+   since, as far as this daemon has read.  */
+static bool
+is_cancelled_since (const core_t *core, const append_req_t *request,
+                    int64_t now_us)
 {
-  if (request->is_cancel)
-    appends_add (core, g_bytes_ref (request->record), request);
-  else if (may_be_outdated (core, now_us))
+  const cancels_t *cancels = &core->tab->cancels;
+
+  return !jobtab_find (core->tab, request->id)
+         && (request->position < cancels_limit (cancels, request->id)
+             || cancels_hold (cancels, request->id, now_us));
+}
+
+static void
+take_submit (core_t *core, append_req_t *request, int64_t now_us)
+{
+  if (core->settings->admission_by_objective && may_be_outdated (core, now_us))
     appends_finish_request (request, APPEND_NOT_STORED);
+  else if (is_cancelled_since (core, request, now_us))
+    appends_finish_request (request, APPEND_VOID);
   else
     admissions_add (core, g_bytes_ref (request->record), request);
 }
 
+void
+admissions_take (core_t *core, append_req_t *request, int64_t now_us)
+{
+  switch (request->kind)
+    {
+    case APPEND_CANCEL:
+      if (may_be_outdated (core, now_us))
+        appends_finish_request (request, APPEND_NOT_STORED);
+      else
+        appends_add (core, g_bytes_ref (request->record), request);
+      return;
+    case APPEND_FORWARD:
+      appends_add (core, g_bytes_ref (request->record), request);
+      return;
+    case APPEND_SUBMIT:
+      take_submit (core, request, now_us);
+      return;
+    }
+}
+
 /* Refuses HELD, or has it appended if its refusal can't be kept, and frees it.
  */
 static void
--- a/entry/appends.c
+++ b/entry/appends.c
@@ -25,7 +25,7 @@
 {
   core->append_queue = g_ptr_array_new_with_free_func (queued_append_free);
   core->append_batch = g_ptr_array_new_with_free_func (queued_append_free);
-  core->pending_cancels = g_ptr_array_new ();
+  core->pending_folds = g_ptr_array_new ();
 }
 
 void
@@ -55,10 +55,10 @@
         }
       g_ptr_array_unref (lists[l]);
     }
-  for (uint32_t i = 0; i < core->pending_cancels->len; i++)
-    appends_finish_request (g_ptr_array_index (core->pending_cancels, i),
+  for (uint32_t i = 0; i < core->pending_folds->len; i++)
+    appends_finish_request (g_ptr_array_index (core->pending_folds, i),
                             APPEND_UNKNOWN);
-  g_ptr_array_unref (core->pending_cancels);
+  g_ptr_array_unref (core->pending_folds);
 }
 
 void
@@ -68,7 +68,7 @@
 
   queued->record = record;
   queued->request = request;
-  if (request && !request->is_cancel)
+  if (request && request->kind != APPEND_CANCEL)
     g_strlcpy (queued->id, request->id, sizeof queued->id);
   g_ptr_array_add (core->append_queue, queued);
 }
@@ -103,18 +103,38 @@
   return core->append_queue->len == 0 && core->append_batch->len == 0;
 }
 
-/* A cancellation is completed when it is folded, because only then it is known
-   whether the job exists.  */
+/* Whether REQUEST, whose job is in the table, is answered by that.  */
+static bool
+is_settled_by_job (const append_req_t *request, const job_entry_t *entry)
+{
+  return request->kind == APPEND_SUBMIT
+         || (request->kind == APPEND_CANCEL
+             && job_state_is_final (entry->state));
+}
+
 static void
 note_stored (core_t *core, queued_append_t *queued)
 {
-  if (!queued->request)
+  append_req_t *request = g_steal_pointer (&queued->request);
+
+  if (!request)
     return;
-  if (queued->request->is_cancel)
-    g_ptr_array_add (core->pending_cancels, queued->request);
-  else
-    appends_finish_request (queued->request, APPEND_STORED);
-  queued->request = NULL;
+  switch (request->kind)
+    {
+    case APPEND_FORWARD:
+      appends_finish_request (request, APPEND_STORED);
+      return;
+    case APPEND_SUBMIT:
+      if (jobtab_find (core->tab, request->id)
+          && history_is_complete (&core->history))
+        appends_finish_request (request, APPEND_STORED);
+      else
+        g_ptr_array_add (core->pending_folds, request);
+      return;
+    case APPEND_CANCEL:
+      g_ptr_array_add (core->pending_folds, request);
+      return;
+    }
 }
 
 /* Returns the batch in flight to the head of the queue, but for the records
@@ -287,7 +307,8 @@
         continue;
       if (maybe_stored)
         event_log (EV_APPEND_OUTLIVES_REQUEST, "id=%s cancel=%d",
-                   queued->request->id, queued->request->is_cancel);
+                   queued->request->id,
+                   queued->request->kind == APPEND_CANCEL);
       appends_finish_request (
           queued->request, maybe_stored ? APPEND_UNKNOWN : APPEND_NOT_STORED);
       queued->request = NULL;
@@ -297,15 +318,15 @@
 }
 
 static void
-expire_cancels (core_t *core, int64_t now_us)
+expire_pending (core_t *core, int64_t now_us)
 {
-  for (uint32_t i = core->pending_cancels->len; i-- > 0;)
+  for (uint32_t i = core->pending_folds->len; i-- > 0;)
     {
-      append_req_t *request = g_ptr_array_index (core->pending_cancels, i);
+      append_req_t *request = g_ptr_array_index (core->pending_folds, i);
 
       if (request->deadline_us > now_us)
         continue;
-      g_ptr_array_remove_index_fast (core->pending_cancels, i);
+      g_ptr_array_remove_index_fast (core->pending_folds, i);
       appends_finish_request (request, APPEND_UNKNOWN);
     }
 }
@@ -341,7 +362,7 @@
 
   expire_requests (core->append_queue, false, now_us);
   expire_requests (core->append_batch, true, now_us);
-  expire_cancels (core, now_us);
+  expire_pending (core, now_us);
   check_forwarding (core, now_us);
   if (core->append_batch->len > 0 || core->append_queue->len == 0
       || queue_due_us (core, now_us) > now_us)
@@ -426,82 +447,103 @@
     due_us = MAX (queue_due_us (core, now_us), now_us);
   due_us = earliest_deadline (core->append_queue, due_us);
   due_us = earliest_deadline (core->append_batch, due_us);
-  for (uint32_t i = 0; i < core->pending_cancels->len; i++)
+  for (uint32_t i = 0; i < core->pending_folds->len; i++)
     due_us = MIN (due_us, ((const append_req_t *)g_ptr_array_index (
-                               core->pending_cancels, i))
+                               core->pending_folds, i))
                               ->deadline_us);
   return due_us;
 }
 
-static void
-complete_submits (GPtrArray *list, const char *id)
+/* Whether RECORD was made for REQUEST.  The records of two cancellings differ.
+   Those of two submissions that are equal have the same effect.  */
+static bool
+is_own_record (const append_req_t *request, const folded_record_t *record)
 {
-  for (uint32_t i = 0; i < list->len; i++)
-    {
-      queued_append_t *queued = g_ptr_array_index (list, i);
+  gsize len;
+  const void *data = g_bytes_get_data (request->record, &len);
 
-      if (!queued->request || queued->request->is_cancel
-          || strcmp (queued->request->id, id) != 0)
-        continue;
-      appends_finish_request (queued->request, APPEND_STORED);
-      queued->request = NULL;
-    }
+  return len == record->len && memcmp (data, record->data, len) == 0;
 }
 
-static void
-complete_cancel (core_t *core, append_req_t *request)
+/* The outcome of REQUEST, a client's for the job of RECORD, after that was
+   folded; APPEND_PENDING: it waits for another one.  */
+static append_outcome_t
+settle (const core_t *core, append_req_t *request,
+        const folded_record_t *record)
 {
-  request->existed = jobtab_find (core->tab, request->id) != NULL;
-  appends_finish_request (request, APPEND_STORED);
+  const job_entry_t *entry = jobtab_find (core->tab, record->id);
+
+  if (!history_is_complete (&core->history))
+    return APPEND_PENDING;
+  request->existed = entry != NULL;
+  if (entry && is_settled_by_job (request, entry))
+    return APPEND_STORED;
+  if (!is_own_record (request, record))
+    return APPEND_PENDING;
+  return record->fold == FOLD_VOID ? APPEND_VOID : APPEND_STORED;
+}
+
+/* Ends REQUEST, of a client, if RECORD answers it; NULL: the table was
+   replaced by a newer one.  */
+static bool
+try_settle (core_t *core, append_req_t *request, const folded_record_t *record)
+{
+  append_outcome_t outcome = APPEND_PENDING;
+  const job_entry_t *entry;
+
+  if (!request || request->kind == APPEND_FORWARD)
+    return false;
+  if (record && strcmp (request->id, record->id) == 0)
+    outcome = settle (core, request, record);
+  entry = record ? NULL : jobtab_find (core->tab, request->id);
+  if (entry && is_settled_by_job (request, entry))
+    {
+      request->existed = true;
+      outcome = APPEND_STORED;
+    }
+  if (outcome == APPEND_PENDING)
+    return false;
+  appends_finish_request (request, outcome);
+  return true;
 }
 
 static void
-complete_cancels (core_t *core, const char *id)
+settle_all (core_t *core, const folded_record_t *record)
 {
   GPtrArray *const lists[] = { core->append_queue, core->append_batch };
 
-  for (uint32_t i = core->pending_cancels->len; i-- > 0;)
-    {
-      append_req_t *request = g_ptr_array_index (core->pending_cancels, i);
-
-      if (strcmp (request->id, id) != 0)
-        continue;
-      g_ptr_array_remove_index_fast (core->pending_cancels, i);
-      complete_cancel (core, request);
-    }
+  for (uint32_t i = core->pending_folds->len; i-- > 0;)
+    if (try_settle (core, g_ptr_array_index (core->pending_folds, i), record))
+      g_ptr_array_remove_index_fast (core->pending_folds, i);
   for (uint32_t l = 0; l < G_N_ELEMENTS (lists); l++)
     for (uint32_t i = 0; i < lists[l]->len; i++)
       {
         queued_append_t *queued = g_ptr_array_index (lists[l], i);
 
-        if (!queued->request || !queued->request->is_cancel
-            || strcmp (queued->request->id, id) != 0)
-          continue;
-        complete_cancel (core, queued->request);
-        queued->request = NULL;
+        if (try_settle (core, queued->request, record))
+          queued->request = NULL;
       }
 }
 
 void
-appends_handle_record (core_t *core, const job_rec_t *rec)
+appends_handle_record (core_t *core, const folded_record_t *record)
 {
-  switch (rec->kind)
-    {
-    case JREC_SUBMIT:
-      if (rec->u.submit)
-        {
-          complete_submits (core->append_batch, rec->u.submit->id);
-          complete_submits (core->append_queue, rec->u.submit->id);
-        }
-      return;
-    case JREC_CANCEL:
-      complete_cancels (core, rec->u.cancel);
-      return;
-    case JREC_CLAIM:
-    case JREC_RENEW:
-    case JREC_PROBE:
-    case JREC_RELEASE:
-    case JREC_PROGRESS:
-      return;
-    }
+  settle_all (core, record);
+}
+
+void
+appends_handle_snapshot (core_t *core)
+{
+  settle_all (core, NULL);
+}
+
+bool
+appends_await_cancel (const core_t *core)
+{
+  for (uint32_t i = 0; i < core->pending_folds->len; i++)
+    if (((const append_req_t *)g_ptr_array_index (core->pending_folds, i))
+            ->kind
+        == APPEND_CANCEL)
+      return true;
+  return false;
 }
--- a/entry/core.c
+++ b/entry/core.c
@@ -215,7 +215,8 @@
 {
   owner_note_record (&core->owner, core->tab, fold.kind, now_us);
   history_add_record (&core->history, bytes,
-                      fold.kind != FOLD_NOTHING && fold.kind != FOLD_RENEWED
+                      fold.kind != FOLD_NOTHING && fold.kind != FOLD_VOID
+                          && fold.kind != FOLD_RENEWED
                           && fold.kind != FOLD_PROBED,
                       now_us);
   switch (fold.kind)
@@ -252,6 +253,8 @@
           && strcmp (rec->u.owner.holder, core->holder) == 0)
         owner_note_own_probe (&core->owner);
       return;
+    case FOLD_DENIED:
+    case FOLD_VOID:
     case FOLD_NOTHING:
     case FOLD_RENEWED:
       return;
@@ -301,6 +304,9 @@
   drop_sched (core);
   jobtab_free (core->tab);
   core->tab = tab;
+  cancels_set_read (&tab->cancels, clock_boot_us ());
+  atomic_store (&core->model->log_position, tab->next);
+  appends_handle_snapshot (core);
   update_ownership (core, clock_boot_us ());
 }
 
--- a/entry/core.h
+++ b/entry/core.h
@@ -54,6 +54,16 @@
   int64_t first_page_sent_us; /* when the first page was requested */
 } feed_t;
 
+/* A SUBMIT or CANCEL record that was read from the log and folded.  */
+typedef struct folded_record
+{
+  job_rec_kind_t kind;
+  char id[JOB_ID_BYTES];
+  const uint8_t *data;
+  size_t len;
+  fold_kind_t fold;
+} folded_record_t;
+
 /* A record to append to the job log.  */
 typedef struct queued_append
 {
@@ -181,11 +191,11 @@
   appendpace_t append_pace;  /* of direct ones, while this is not the owner */
   uint32_t append_read_back; /* records of the batch read from the log */
   rto_t append_rto;
-  int64_t append_failing_us;  /* appends have failed since; 0: the last one was
-                                 stored */
-  uint32_t append_failures;   /* not logged yet */
-  int64_t append_logged_us;   /* failed appends were logged last */
-  GPtrArray *pending_cancels; /* append_req_t stored but not yet folded */
+  int64_t append_failing_us; /* appends have failed since; 0: the last one was
+                                stored */
+  uint32_t append_failures;  /* not logged yet */
+  int64_t append_logged_us;  /* failed appends were logged last */
+  GPtrArray *pending_folds;  /* append_req_t stored but not yet folded */
   int64_t append_due_us;
   bool store_reached;
 
@@ -252,9 +262,16 @@
    not.  */
 void appends_read_back (core_t *core, const uint8_t *data, size_t len,
                         int64_t now_us);
-/* appends_handle_record - complete the requests for REC, which was read from
-   the log.  */
-void appends_handle_record (core_t *core, const job_rec_t *rec);
+/* appends_handle_record - complete the requests of clients that RECORD
+   answers.  A submission waits until the job is in the table, and a cancelling
+   until its own record is folded: others of the id may be older than records
+   that this daemon has not read.  Neither is answered while records are
+   missing.
+   appends_handle_snapshot - the same after the table was replaced.
+   appends_await_cancel - whether a cancelling waits to be folded.  */
+void appends_handle_record (core_t *core, const folded_record_t *record);
+void appends_handle_snapshot (core_t *core);
+bool appends_await_cancel (const core_t *core);
 bool appends_idle (const core_t *core);
 /* appends_finish_request - REQUEST has OUTCOME; it is not used afterwards.  */
 void appends_finish_request (append_req_t *request, append_outcome_t outcome);
@@ -268,8 +285,9 @@
 
 /* admissions.c: submissions that the owner admits or refuses */
 /* admissions_take - append the record of REQUEST, which this daemon's front
-   has read, or end the request.  A submission that may have waited while this
-   process was suspended is not appended, if jobs are admitted by objective.
+   has read, or end the request.  A cancelling that may have waited while this
+   process was suspended is not appended, nor is a submission if jobs are
+   admitted by objective, or its id was cancelled since.
    admissions_add - append RECORD as appends_add does, for a SUBMIT record that
    was not appended anywhere before.  While this daemon is the owner and jobs
    are admitted by objective, it may be refused: once the log was read to an
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -146,6 +146,8 @@
   atomic_int_fast64_t rules_known_us;
   /* All records that the job log had at this time are folded.  */
   atomic_int_fast64_t log_known_us;
+  /* Number of records of the job log that are read.  */
+  atomic_uint_fast64_t log_position;
   /* Requests to the store have been failing since; 0: they succeed.  */
   atomic_int_fast64_t store_failing_since_us;
   atomic_bool stopping;
@@ -188,13 +190,23 @@
 typedef enum append_outcome
 {
   APPEND_PENDING,
-  APPEND_STORED,     /* the record is in the log */
+  APPEND_STORED,     /* the record is in the log; if a client waits, it has
+                        taken effect */
   APPEND_NOT_STORED, /* the record is not in the log and never will be */
   APPEND_UNKNOWN,    /* the record may be in the log */
-  APPEND_REFUSED /* the owner refused the job: the same as NOT_STORED, with a
-                    time to return */
+  APPEND_REFUSED,    /* the owner refused the job: the same as NOT_STORED, with
+                        a time to return */
+  APPEND_VOID        /* the record has no effect and never will: the id was
+                        cancelled, or submitted, since the request came */
 } append_outcome_t;
 
+typedef enum append_kind
+{
+  APPEND_FORWARD, /* a record of another daemon, which awaits its effect */
+  APPEND_SUBMIT,
+  APPEND_CANCEL
+} append_kind_t;
+
 /* outcome_add - the outcome of a batch after that of one more RECORD; a batch
    without records is APPEND_PENDING.  Refused records are left out.  If its
    records differ, it is APPEND_UNKNOWN: some of them are in the log.  */
@@ -205,11 +217,12 @@
   pipe_node_t node;
   GBytes *record;
   char id[JOB_ID_BYTES];
-  bool is_cancel;
+  append_kind_t kind;
+  uint64_t position; /* of the record; see job_rec_t */
   int64_t deadline_us;
   atomic_int outcome;     /* append_outcome_t; set once, by the core */
   bool existed;           /* cancellations: the job exists */
-  uint32_t retry_after_s; /* APPEND_REFUSED: when to return */
+  uint32_t retry_after_s; /* APPEND_REFUSED, APPEND_VOID: when to return */
   /* Called by the core, which does not use the request afterwards.  */
   void (*done) (struct append_req *request);
   void *ctx;
--- a/entry/feeds.c
+++ b/entry/feeds.c
@@ -370,12 +370,58 @@
              age_ms);
 }
 
+/* The SUBMIT or CANCEL record REC, of which RECORD is the encoding.  */
+static folded_record_t
+describe_record (const job_rec_t *rec, const platform_record_t *record)
+{
+  folded_record_t folded
+      = { .kind = rec->kind, .data = record->data, .len = record->len };
+
+  g_strlcpy (folded.id,
+             rec->kind == JREC_SUBMIT ? rec->u.submit->id : rec->u.cancel,
+             sizeof folded.id);
+  return folded;
+}
+
+/* Folds REC, a SUBMIT or CANCEL record, and answers the requests for it.  */
+static void
+apply_request_record (core_t *core, job_rec_t *rec,
+                      const platform_record_t *record, int64_t now_us)
+{
+  /* jobtab_fold takes the job description out of the record.  */
+  folded_record_t folded = describe_record (rec, record);
+  fold_result_t fold = jobtab_fold (core->tab, rec, clock_wall_ms (), now_us);
+
+  folded.fold = fold.kind;
+  core_record_folded (core, rec, fold, record->len, now_us);
+  switch (fold.kind)
+    {
+    case FOLD_SUBMITTED:
+      log_late_submission (core, fold.entry, now_us);
+      break;
+    case FOLD_VOID:
+      event_log (EV_RECORD_VOID, "id=%s cancel=%d position=%" PRIu64,
+                 folded.id, rec->kind == JREC_CANCEL, rec->position);
+      break;
+    case FOLD_CANCELLED:
+    case FOLD_DENIED:
+    case FOLD_NOTHING:
+    case FOLD_CLAIMED:
+    case FOLD_RELEASED:
+    case FOLD_RENEWED:
+    case FOLD_PROBED:
+    case FOLD_PROGRESS:
+    case FOLD_SUPERSEDED:
+      break;
+    }
+  appends_handle_record (core, &folded);
+}
+
 static void
 apply_job_record (core_t *core, const platform_record_t *record,
                   int64_t now_us)
 {
   g_autoptr (GError) error = NULL;
-  fold_result_t fold = { FOLD_NOTHING, NULL };
   job_rec_t rec;
 
   core->tab->next++;
@@ -387,15 +433,23 @@
                  PLATFORM_TOPIC_JOBS, core->tab->next - 1, error->message);
       return;
     }
-  /* jobtab_fold takes the job description out of the record.  */
-  if (rec.kind == JREC_SUBMIT)
-    appends_handle_record (core, &rec);
-  fold = jobtab_fold (core->tab, &rec, clock_wall_ms (), now_us);
-  core_record_folded (core, &rec, fold, record->len, now_us);
-  if (fold.kind == FOLD_SUBMITTED)
-    log_late_submission (core, fold.entry, now_us);
-  if (rec.kind == JREC_CANCEL)
-    appends_handle_record (core, &rec);
+  switch (rec.kind)
+    {
+    case JREC_SUBMIT:
+    case JREC_CANCEL:
+      apply_request_record (core, &rec, record, now_us);
+      break;
+    case JREC_CLAIM:
+    case JREC_RENEW:
+    case JREC_PROBE:
+    case JREC_RELEASE:
+    case JREC_PROGRESS:
+      core_record_folded (
+          core, &rec, jobtab_fold (core->tab, &rec, clock_wall_ms (), now_us),
+          record->len, now_us);
+      break;
+    }
+  atomic_store (&core->model->log_position, core->tab->next);
   job_rec_clear (&rec);
 }
 
@@ -418,7 +472,7 @@
   if (core->tab->next >= end)
     core_caught_up (core, result->sent_us, now_us);
   feed->due_us = core->tab->next < end ? now_us
-                 : core->sched || core->pending_cancels->len > 0
+                 : core->sched || appends_await_cancel (core)
                      ? now_us + OWNER_READ_INTERVAL_US
                      : now_us + STANDBY_READ_INTERVAL_US;
   if (!core->sched && history_reread_is_due (&core->history, now_us))
--- a/entry/front.c
+++ b/entry/front.c
@@ -1,4 +1,5 @@
 #include "conns.h"
+#include <sodium.h>
 #include <string.h>
 
 /* Used if neither the client nor the queue sets a deadline.  */
@@ -25,6 +26,7 @@
   RESPONSE_NOT_STORED,      /* not accepted: the store failed */
   RESPONSE_NO_ROOM,         /* not accepted: no memory for the body */
   RESPONSE_OVERLOAD,        /* the owner refused the job */
+  RESPONSE_VOID,            /* a request for the id has overtaken it */
   RESPONSE_UNKNOWN          /* the store may or may not have the record */
 } response_kind_t;
 
@@ -48,6 +50,7 @@
   [RESPONSE_NOT_STORED] = { 503, RETRY_AFTER_S, "not-stored" },
   [RESPONSE_NO_ROOM] = { 503, RETRY_AFTER_S, "no-room" },
   [RESPONSE_OVERLOAD] = { 429, RETRY_AFTER_S, "overload" },
+  [RESPONSE_VOID] = { 503, RETRY_AFTER_S, "overtaken" },
   [RESPONSE_UNKNOWN] = { 504, 0, "unknown" },
 };
 
@@ -164,15 +167,16 @@
 }
 
 static enum MHD_Result
-append_record (client_req_t *req, GBytes *record, const char *id,
-               bool is_cancel, uint32_t deadline_ms)
+append_record (client_req_t *req, const job_rec_t *rec, GBytes *record,
+               const char *id, uint32_t deadline_ms)
 {
   int64_t wait_ms = MAX ((int64_t)deadline_ms - RESPONSE_MARGIN_MS, 1);
 
   memset (&req->append, 0, sizeof req->append);
   req->append.record = record;
   g_strlcpy (req->append.id, id, sizeof req->append.id);
-  req->append.is_cancel = is_cancel;
+  req->append.kind = rec->kind == JREC_CANCEL ? APPEND_CANCEL : APPEND_SUBMIT;
+  req->append.position = rec->position;
   req->append.deadline_us = clock_boot_us () + wait_ms * 1000;
   req->append.done = on_append_done;
   req->append.ctx = req;
@@ -193,7 +197,9 @@
 {
   const rules_workspace_t *limits = rules_workspace (rules, workspace);
   const GByteArray *body = req->state->data;
-  job_rec_t rec = { .kind = JREC_SUBMIT };
+  job_rec_t rec
+      = { .kind = JREC_SUBMIT,
+          .position = atomic_load (&req->front->model->log_position) };
   g_autoptr (GError) error = NULL;
   job_desc_t *desc;
   GBytes *record;
@@ -215,13 +221,14 @@
   job_desc_accept (desc, queue, limits, clock_wall_ms ());
   rec.u.submit = desc;
   record = job_rec_pack (&rec);
-  job_rec_clear (&rec);
+  job_desc_unref (desc);
   if (g_bytes_get_size (record) > JOB_REC_BYTES_MAX)
     {
       g_bytes_unref (record);
       return refuse (req, RESPONSE_TOO_LARGE, id, NULL);
     }
-  return append_record (req, record, id, false,
+  rec.u.submit = NULL;
+  return append_record (req, &rec, record, id,
                         get_deadline_ms (req->conn, queue));
 }
 
@@ -229,7 +236,9 @@
 cancel (client_req_t *req, const rules_queue_t *queue, const char *id,
         const readmodel_job_t *job, int64_t now_us)
 {
-  job_rec_t rec = { .kind = JREC_CANCEL };
+  job_rec_t rec
+      = { .kind = JREC_CANCEL,
+          .position = atomic_load (&req->front->model->log_position) };
 
   if (!job_id_is_valid (id))
     return reply (req, RESPONSE_NO_JOB, NULL);
@@ -238,7 +247,8 @@
   if (readmodel_store_is_failing (req->front->model, now_us))
     return refuse (req, RESPONSE_NOT_STORED, id, NULL);
   g_strlcpy (rec.u.cancel, id, sizeof rec.u.cancel);
-  return append_record (req, job_rec_pack (&rec), id, true,
+  randombytes_buf (&rec.nonce, sizeof rec.nonce);
+  return append_record (req, &rec, job_rec_pack (&rec), id,
                         get_deadline_ms (req->conn, queue));
 }
 
@@ -331,28 +341,30 @@
 reply_to_append (client_req_t *req)
 {
   const append_req_t *append = &req->append;
-  const char *what = append->is_cancel ? "cancel" : NULL;
+  bool is_cancel = append->kind == APPEND_CANCEL;
+  const char *what = is_cancel ? "cancel" : NULL;
 
   switch ((append_outcome_t)atomic_load (&append->outcome))
     {
     case APPEND_STORED:
-      if (!append->is_cancel)
+      if (!is_cancel)
         {
           counter_add (COUNT_JOBS_ACCEPTED, 1);
           histogram_add (HIST_ACCEPT, clock_boot_us () - req->append_sent_us);
         }
-      event_log (append->is_cancel ? EV_JOB_CANCELLED : EV_JOB_ACCEPTED,
+      event_log (is_cancel ? EV_JOB_CANCELLED : EV_JOB_ACCEPTED,
                  "id=%s stored_ms=%" PRId64 " existed=%d", append->id,
                  (clock_boot_us () - req->append_sent_us) / 1000,
-                 !append->is_cancel || append->existed);
-      return reply (req,
-                    append->is_cancel && !append->existed ? RESPONSE_NO_JOB
-                                                          : RESPONSE_OK,
-                    NULL);
+                 !is_cancel || append->existed);
+      return reply (
+          req, is_cancel && !append->existed ? RESPONSE_NO_JOB : RESPONSE_OK,
+          NULL);
     case APPEND_NOT_STORED:
       return refuse (req, RESPONSE_NOT_STORED, append->id, what);
     case APPEND_REFUSED:
       return refuse (req, RESPONSE_OVERLOAD, append->id, what);
+    case APPEND_VOID:
+      return refuse (req, RESPONSE_VOID, append->id, what);
     case APPEND_UNKNOWN:
     case APPEND_PENDING:
       return refuse (req, RESPONSE_UNKNOWN, append->id, what);
--- a/entry/test/admissions_test.c
+++ b/entry/test/admissions_test.c
@@ -319,6 +319,7 @@
   g_autoptr (GBytes) record = submit_record (1, 1, false);
   int64_t now_us = clock_boot_us ();
 
+  request->kind = later->kind = APPEND_SUBMIT;
   request->record = later->record = record;
   other.resync_needed = true;
   other.pause_detected_us = now_us;
@@ -331,6 +332,61 @@
 }
 END_TEST
 
+/* Guards against a job that was accepted anew and is cancelled by a request
+   from before, which waited in the socket of a suspended daemon.  */
+START_TEST (test_cancelling_from_before_a_pause_is_not_appended)
+{
+  append_req_t *request = new_request (WAIT_MAX_US);
+  append_req_t *later = new_request (WAIT_MAX_US);
+  g_autoptr (GBytes) record = g_bytes_new_static ("", 0);
+  int64_t now_us = clock_boot_us ();
+
+  settings.admission_by_objective = false;
+  request->kind = later->kind = APPEND_CANCEL;
+  request->record = later->record = record;
+  other.pause_detected_us = now_us;
+  admissions_take (&other, request, now_us);
+  ck_assert_int_eq (outcome_of (request), APPEND_NOT_STORED);
+  admissions_take (&other, later, now_us + 1000000);
+  ck_assert_int_eq (outcome_of (later), APPEND_PENDING);
+}
+END_TEST
+
+/* Takes a submission of job 1 that came when POSITION records were read.  */
+static append_outcome_t
+take_submission (uint64_t position, GBytes *record, int64_t now_us)
+{
+  append_req_t *request = new_request (WAIT_MAX_US);
+
+  request->kind = APPEND_SUBMIT;
+  request->position = position;
+  request->record = record;
+  g_strlcpy (request->id, "0000000000000001", sizeof request->id);
+  admissions_take (&other, request, now_us);
+  return outcome_of (request);
+}
+
+/* Guards against a job that runs although its cancelling was acknowledged
+   (UNASKED): the request waited in the socket of a suspended daemon, which has
+   read of the cancelling before it reads the request.  */
+START_TEST (test_submission_is_held_after_a_cancelling)
+{
+  g_autoptr (GBytes) record = submit_record (1, 1, false);
+  int64_t now_us = clock_boot_us ();
+
+  cancels_add (&other.tab->cancels, "0000000000000001", 7, now_us);
+  ck_assert_int_eq (take_submission (7, record, now_us), APPEND_VOID);
+  ck_assert_int_eq (take_submission (7, record, now_us + CANCELS_HOLD_US - 1),
+                    APPEND_VOID);
+  ck_assert_int_eq (take_submission (6, record, now_us + CANCELS_HOLD_US),
+                    APPEND_VOID);
+  ck_assert_uint_eq (other.append_queue->len, 0);
+  ck_assert_int_eq (take_submission (7, record, now_us + CANCELS_HOLD_US),
+                    APPEND_PENDING);
+  ck_assert_uint_eq (other.append_queue->len, 1);
+}
+END_TEST
+
 static void
 iterate_core (core_t *core)
 {
@@ -477,6 +533,8 @@
                    test_held_request_ends_with_ownership_or_deadline,
                    test_all_are_appended_unless_asked_for,
                    test_submission_from_before_a_pause_is_not_appended,
+                   test_submission_is_held_after_a_cancelling,
+                   test_cancelling_from_before_a_pause_is_not_appended,
                    test_outcomes_come_back_over_a_link,
                    test_batch_that_is_refused_as_a_whole_is_over,
                    test_record_that_may_be_stored_is_not_refused,
--- /dev/null
+++ b/entry/test/appends_test.c
@@ -0,0 +1,217 @@
+#include "../../test/run_suite.h"
+#include "../core.h"
+#include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#define ID "00000000000000ab"
+#define WAIT_US 10000000
+
+static core_t core;
+static entry_settings_t settings = { .name = "e1", .cpu_share = 1 };
+static readmodel_t model;
+static append_req_t request;
+static uint32_t done;
+
+static void
+on_done (append_req_t *append)
+{
+  (void)append;
+  done++;
+}
+
+static void
+set_up (void)
+{
+  memset (&core, 0, sizeof core);
+  memset (&request, 0, sizeof request);
+  done = 0;
+  core.settings = &settings;
+  core.model = &model;
+  core.store_reached = true;
+  core.holder = g_strdup ("e1");
+  owner_init (&core.owner, "e1", 1, 0);
+  core.epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
+  core.tab = jobtab_new ();
+  history_init (&core.history, 300000000);
+  ck_assert (hub_open (&core));
+  agent_open (&core);
+  appends_open (&core);
+}
+
+static void
+tear_down (void)
+{
+  appends_close (&core);
+  agent_close (&core);
+  hub_close (&core);
+  jobtab_free (core.tab);
+  if (request.record)
+    g_bytes_unref (request.record);
+  close (core.epoll_fd);
+  g_free (core.holder);
+}
+
+static GBytes *
+submit_record (uint64_t position)
+{
+  job_rec_t rec = { .kind = JREC_SUBMIT, .position = position };
+  job_desc_t *desc = g_new0 (job_desc_t, 1);
+  GBytes *record;
+
+  g_strlcpy (desc->id, ID, sizeof desc->id);
+  desc->workspace = desc->queue = desc->settings.service
+      = g_intern_string ("q");
+  desc->payload = g_strdup ("");
+  desc->steps = g_new0 (job_step_t, 1);
+  desc->steps[0] = (job_step_t){ .count = 1,
+                                 .need = { .cpu_milli = 1, .mem_mib = 1 },
+                                 .estimate_ms = 1 };
+  desc->steps_count = 1;
+  rec.u.submit = desc;
+  record = job_rec_pack (&rec);
+  job_rec_clear (&rec);
+  return record;
+}
+
+static GBytes *
+cancel_record (uint64_t position, uint64_t nonce)
+{
+  job_rec_t rec = {
+    .kind = JREC_CANCEL, .position = position, .nonce = nonce, .u.cancel = ID
+  };
+
+  return job_rec_pack (&rec);
+}
+
+/* Queues the request of a client with RECORD and lets the store take it.  */
+static void
+store_request (append_kind_t kind, GBytes *record)
+{
+  request = (append_req_t){ .kind = kind,
+                            .id = ID,
+                            .record = record,
+                            .deadline_us = clock_boot_us () + WAIT_US,
+                            .done = on_done };
+  appends_add (&core, g_bytes_ref (record), &request);
+  g_ptr_array_add (core.append_batch,
+                   g_ptr_array_steal_index (core.append_queue, 0));
+  appends_complete (&core, clock_boot_us ());
+}
+
+/* Reads RECORD as the next one of the log, and releases it.  */
+static void
+read_record (GBytes *record)
+{
+  folded_record_t folded = { .id = ID };
+  job_rec_t rec;
+
+  folded.data = g_bytes_get_data (record, &folded.len);
+  ck_assert (job_rec_unpack (folded.data, folded.len, &rec, NULL));
+  folded.kind = rec.kind;
+  core.tab->next++;
+  folded.fold = jobtab_fold (core.tab, &rec, 0, 0).kind;
+  appends_handle_record (&core, &folded);
+  job_rec_clear (&rec);
+  g_bytes_unref (record);
+}
+
+static append_outcome_t
+outcome (void)
+{
+  return (append_outcome_t)atomic_load (&request.outcome);
+}
+
+/* Guards against a 200 for a job that never runs: its submission is in the
+   log, but so is a cancelling before it.  */
+START_TEST (test_void_submission_is_not_answered_as_accepted)
+{
+  store_request (APPEND_SUBMIT, submit_record (0));
+  ck_assert_int_eq (outcome (), APPEND_PENDING);
+  read_record (cancel_record (0, 1));
+  ck_assert_int_eq (outcome (), APPEND_PENDING);
+  read_record (g_bytes_ref (request.record));
+  ck_assert_int_eq (outcome (), APPEND_VOID);
+  ck_assert_uint_eq (done, 1);
+}
+END_TEST
+
+/* Guards against a submission that is never answered: another copy of it came
+   into the log first.  */
+START_TEST (test_submission_is_answered_by_any_copy)
+{
+  store_request (APPEND_SUBMIT, submit_record (0));
+  read_record (submit_record (3));
+  ck_assert_int_eq (outcome (), APPEND_STORED);
+}
+END_TEST
+
+/* Guards against a 410 that a submission makes untrue: a cancelling of the
+   same id that is read now may be older than the submission, which this daemon
+   has not read.  */
+START_TEST (test_cancelling_of_an_unknown_job_waits_for_its_own_record)
+{
+  store_request (APPEND_CANCEL, cancel_record (0, 1));
+  read_record (cancel_record (0, 2));
+  ck_assert_int_eq (outcome (), APPEND_PENDING);
+  read_record (g_bytes_ref (request.record));
+  ck_assert_int_eq (outcome (), APPEND_STORED);
+  ck_assert (!request.existed);
+}
+END_TEST
+
+/* Guards against a cancelling that is answered 200 although the job goes on:
+   its daemon had not read of the job, so its record is void.  */
+START_TEST (test_void_cancelling_is_not_answered_as_done)
+{
+  store_request (APPEND_CANCEL, cancel_record (0, 1));
+  read_record (submit_record (0));
+  ck_assert_int_eq (outcome (), APPEND_PENDING);
+  read_record (g_bytes_ref (request.record));
+  ck_assert_int_eq (outcome (), APPEND_VOID);
+  ck_assert_uint_eq (core.append_queue->len, 0);
+}
+END_TEST
+
+/* Guards against a cancelling that waits for its own record although the job
+   is over.  */
+START_TEST (test_cancelling_of_a_cancelled_job_is_answered)
+{
+  read_record (submit_record (0));
+  store_request (APPEND_CANCEL, cancel_record (1, 1));
+  read_record (cancel_record (1, 2));
+  ck_assert_int_eq (outcome (), APPEND_STORED);
+  ck_assert (request.existed);
+}
+END_TEST
+
+/* Guards against an answer by a daemon that lacks records: a cancelling among
+   them would make it untrue.  */
+START_TEST (test_nothing_is_answered_while_records_are_missing)
+{
+  history_note_gap (&core.history, 1000);
+  store_request (APPEND_SUBMIT, submit_record (0));
+  read_record (g_bytes_ref (request.record));
+  ck_assert_int_eq (outcome (), APPEND_PENDING);
+  appends_handle_snapshot (&core);
+  ck_assert_int_eq (outcome (), APPEND_STORED);
+}
+END_TEST
+
+/* Guards against a record of another daemon that blocks it until it is folded
+   here.  */
+START_TEST (test_forwarded_record_is_answered_when_stored)
+{
+  store_request (APPEND_FORWARD, submit_record (0));
+  ck_assert_int_eq (outcome (), APPEND_STORED);
+}
+END_TEST
+
+TEST_PROGRAM_WITH ("entry/appends", set_up, tear_down,
+                   test_void_submission_is_not_answered_as_accepted,
+                   test_submission_is_answered_by_any_copy,
+                   test_cancelling_of_an_unknown_job_waits_for_its_own_record,
+                   test_void_cancelling_is_not_answered_as_done,
+                   test_cancelling_of_a_cancelled_job_is_answered,
+                   test_nothing_is_answered_while_records_are_missing,
+                   test_forwarded_record_is_answered_when_stored)
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -185,11 +185,19 @@
   job_state_t state;
 } job_change_t;
 
+#define JOB_POSITION_NONE UINT64_MAX
+
 /* A log record.  Epochs number the ownerships from 1.  A claim carries the
    epoch that it begins, one above the current one.  */
 typedef struct job_rec
 {
   job_rec_kind_t kind;
+  /* SUBMIT, CANCEL: the number of log records that the daemon had read when
+     the request came; JOB_POSITION_NONE in records of earlier versions.  It
+     tells whether the daemon had read the last record of the same job.  */
+  uint64_t position;
+  /* CANCEL: a random number, by which a daemon knows its own record.  */
+  uint64_t nonce;
   union
   {
     job_desc_t *submit;
--- a/jobs/jobtab.c
+++ b/jobs/jobtab.c
@@ -20,6 +20,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, job_entry_free);
   table->silent
       = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+  cancels_init (&table->cancels);
   return table;
 }
 
@@ -30,6 +31,7 @@
     return;
   g_hash_table_destroy (table->jobs);
   g_hash_table_destroy (table->silent);
+  cancels_clear (&table->cancels);
   g_free (table->owner.holder);
   g_free (table);
 }
@@ -122,8 +124,11 @@
 
   if (jobtab_find (table, desc->id))
     return (fold_result_t){ FOLD_NOTHING, NULL };
+  if (rec->position < cancels_limit (&table->cancels, desc->id))
+    return (fold_result_t){ FOLD_VOID, NULL };
   rec->u.submit = NULL;
   entry = g_new0 (job_entry_t, 1);
+  entry->limit = table->next;
   entry->desc = desc;
   entry->state = JOB_STATE_QUEUED;
   entry->since_ms = now_ms;
@@ -134,12 +139,17 @@
 }
 
 static fold_result_t
-fold_cancel (jobtab_t *table, const job_rec_t *rec, int64_t now_ms)
+fold_cancel (jobtab_t *table, const job_rec_t *rec, int64_t now_ms,
+             int64_t now_us)
 {
   job_entry_t *entry = jobtab_find (table, rec->u.cancel);
+  bool active = entry && !job_state_is_final (entry->state);
 
-  if (!entry || job_state_is_final (entry->state))
-    return (fold_result_t){ FOLD_NOTHING, NULL };
+  if (active && rec->position < entry->limit)
+    return (fold_result_t){ FOLD_VOID, NULL };
+  cancels_add (&table->cancels, rec->u.cancel, table->next, now_us);
+  if (!active)
+    return (fold_result_t){ FOLD_DENIED, NULL };
   entry_set_state (table, entry, JOB_STATE_CANCELLED, now_ms);
   return (fold_result_t){ FOLD_CANCELLED, entry };
 }
@@ -375,7 +385,7 @@
     case JREC_SUBMIT:
       return fold_submit (table, rec, now_ms);
     case JREC_CANCEL:
-      return fold_cancel (table, rec, now_ms);
+      return fold_cancel (table, rec, now_ms, now_us);
     case JREC_CLAIM:
       return fold_claim (table, rec);
     case JREC_RENEW:
--- a/jobs/jobtab.h
+++ b/jobs/jobtab.h
@@ -11,12 +11,19 @@
      Only progress records of the current epoch take effect.  Of those that a
      replaced owner still appends, the runs that are over count: that a run has
      ended stays true whoever is the owner.  Starts and ends don't, as the next
-     owner decides on them anew.  */
+     owner decides on them anew.
+
+     Requests for one id take effect in the order of the log, and each only if
+     its daemon had read the last one that has: a submission is void if the id
+     was cancelled in a record that its daemon had not read when the request
+     came, and a cancelling is if the job was accepted in such a record.  So
+     what a client was told of a job stays true whichever record of it enters
+     the log later.  */
 
 #ifndef CUMINPIN_JOBTAB_H
 #define CUMINPIN_JOBTAB_H
 
-#include "job.h"
+#include "cancels.h"
 
 /* Recorded progress of one task.  */
 typedef struct task_progress
@@ -47,6 +54,7 @@
   int64_t since_ms;       /* start of the current state, Unix time */
   task_progress_t *tasks; /* by task number; NULL: final, without runs */
   uint32_t tasks_count;
+  uint64_t limit; /* cancellings with a lower position are void */
 } job_entry_t;
 
 typedef struct ownership
@@ -64,6 +72,7 @@
   /* Workers to which no owner grants leases, interned -> int64_t: when those
      granted before have ended, by this daemon's clock; INT64_MAX: unknown.  */
   GHashTable *silent;
+  cancels_t cancels;
   uint64_t next; /* offset of the first record that is not folded */
 } jobtab_t;
 
@@ -72,7 +81,10 @@
   FOLD_NOTHING,   /* no change: a duplicate, or from a replaced owner */
   FOLD_SUBMITTED, /* the entry is new */
   FOLD_CANCELLED, /* the entry was cancelled */
-  FOLD_CLAIMED,   /* the owner has changed */
+  FOLD_DENIED,    /* a cancelling of a job that is unknown or final */
+  FOLD_VOID,    /* a submission or cancelling without effect, as its daemon had
+                   not read the last one of the id */
+  FOLD_CLAIMED, /* the owner has changed */
   FOLD_RELEASED,  /* the owner has resigned */
   FOLD_RENEWED,   /* heartbeat of the owner */
   FOLD_PROBED,    /* a daemon requests a heartbeat */
@@ -110,8 +122,8 @@
 void job_entry_free (gpointer entry);
 
 /* jobtab_fold - apply REC at NOW_MS, Unix time, and NOW_US, by the clock that
-   is not stepped.  TABLE may take parts of REC.  The caller advances
-   table->next.  */
+   is not stepped.  TABLE may take parts of REC.  The caller has advanced
+   table->next beyond REC.  */
 fold_result_t jobtab_fold (jobtab_t *table, job_rec_t *rec, int64_t now_ms,
                            int64_t now_us);
 
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -124,6 +124,8 @@
         owner->probes_read++;
       return;
     case FOLD_NOTHING:
+    case FOLD_DENIED:
+    case FOLD_VOID:
     case FOLD_SUPERSEDED:
     case FOLD_SUBMITTED:
     case FOLD_CANCELLED:
--- a/jobs/record.c
+++ b/jobs/record.c
@@ -240,11 +240,10 @@
 {
   switch (rec->kind)
     {
-    case JREC_SUBMIT:
     case JREC_CANCEL:
-      return 2;
     case JREC_CLAIM:
       return 4;
+    case JREC_SUBMIT:
     case JREC_RENEW:
     case JREC_PROBE:
     case JREC_RELEASE:
@@ -269,9 +268,12 @@
     {
     case JREC_SUBMIT:
       desc_pack (&pk, rec->u.submit);
+      msgpack_pack_uint64 (&pk, rec->position);
       break;
     case JREC_CANCEL:
       pack_name (&pk, rec->u.cancel);
+      msgpack_pack_uint64 (&pk, rec->position);
+      msgpack_pack_uint64 (&pk, rec->nonce);
       break;
     case JREC_CLAIM:
     case JREC_RENEW:
@@ -553,6 +555,14 @@
   return rows;
 }
 
+/* The position is absent in records of earlier versions.  */
+static void
+read_position (fields_t *f, job_rec_t *rec)
+{
+  rec->position = f->left > 0 ? fields_u64 (f, "position", UINT64_MAX)
+                              : JOB_POSITION_NONE;
+}
+
 bool
 job_rec_unpack (const void *data, size_t len, job_rec_t *rec, GError **error)
 {
@@ -575,9 +585,13 @@
       rec->u.submit = desc_read (&f);
       if (!f.bad && job_check (rec->u.submit))
         f.bad = "submit";
+      read_position (&f, rec);
       break;
     case JREC_CANCEL:
       id_read (&f, rec->u.cancel);
+      read_position (&f, rec);
+      if (f.left > 0)
+        rec->nonce = fields_u64 (&f, "nonce", UINT64_MAX);
       break;
     case JREC_CLAIM:
     case JREC_RENEW:
--- a/jobs/tabpack.c
+++ b/jobs/tabpack.c
@@ -65,6 +65,22 @@
     pack_name (pk, worker);
 }
 
+static void
+pack_cancels (msgpack_packer *pk, const cancels_t *cancels)
+{
+  msgpack_pack_array (pk, 2);
+  msgpack_pack_uint64 (pk, cancels->dropped);
+  msgpack_pack_array (pk, cancels->rows.length);
+  for (const GList *link = cancels->rows.head; link; link = link->next)
+    {
+      const cancelled_t *row = link->data;
+
+      msgpack_pack_array (pk, 2);
+      pack_name (pk, row->id);
+      msgpack_pack_uint64 (pk, row->limit);
+    }
+}
+
 GBytes *
 jobtab_pack (const jobtab_t *table)
 {
@@ -75,7 +91,7 @@
 
   msgpack_sbuffer_init (&buf);
   msgpack_packer_init (&pk, &buf, msgpack_sbuffer_write);
-  msgpack_pack_array (&pk, 7);
+  msgpack_pack_array (&pk, 8);
   msgpack_pack_uint32 (&pk, SNAPSHOT_FORMAT);
   msgpack_pack_uint64 (&pk, table->next);
   msgpack_pack_uint64 (&pk, table->owner.epoch);
@@ -87,13 +103,15 @@
     {
       const job_entry_t *entry = value;
 
-      msgpack_pack_array (&pk, 4);
+      msgpack_pack_array (&pk, 5);
       msgpack_pack_uint32 (&pk, entry->state);
       msgpack_pack_int64 (&pk, entry->since_ms);
       desc_pack (&pk, entry->desc);
       pack_tasks (&pk, entry);
+      msgpack_pack_uint64 (&pk, entry->limit);
     }
   pack_silent (&pk, table->silent);
+  pack_cancels (&pk, &table->cancels);
   return pack_steal (&buf);
 }
 
@@ -170,6 +188,10 @@
       else
         read_tasks (&f, entry, table->owner.epoch);
     }
+  else if (!f.bad)
+    fields_next (&f, "marks");
+  if (f.left > 0) /* absent in snapshots of earlier versions */
+    entry->limit = fields_u64 (&f, "limit", UINT64_MAX);
   if (f.bad || jobtab_find (table, entry->desc->id))
     job_entry_free (entry);
   else
@@ -199,6 +221,37 @@
     }
 }
 
+/* When this daemon reads of them is for the caller to set.  */
+static void
+read_cancels (fields_t *outer, cancels_t *cancels)
+{
+  fields_t f = fields_open (fields_next (outer, "cancels"), "cancels");
+  const msgpack_object *items;
+  uint32_t count;
+  uint64_t last;
+
+  cancels->dropped = fields_u64 (&f, "dropped", UINT64_MAX);
+  last = cancels->dropped;
+  count = array_read (&f, "cancels", &items);
+  if (count > CANCELS_MAX)
+    f.bad = "cancels";
+  for (uint32_t i = 0; i < count && !f.bad; i++)
+    {
+      fields_t row = fields_open (&items[i], "cancels");
+      char id[JOB_ID_BYTES];
+      uint64_t limit;
+
+      id_read (&row, id);
+      limit = fields_u64 (&row, "limit", UINT64_MAX);
+      f.bad = limit < last ? "cancels" : row.bad;
+      last = limit;
+      if (!f.bad)
+        cancels_add (cancels, id, limit, 0);
+    }
+  if (!outer->bad)
+    outer->bad = f.bad;
+}
+
 static void
 read_table (fields_t *f, jobtab_t *table)
 {
@@ -216,6 +269,8 @@
     f->bad = read_entry (&items[i], table);
   if (f->left > 0) /* absent in snapshots of earlier versions */
     read_silent (f, table);
+  if (f->left > 0)
+    read_cancels (f, &table->cancels);
 }
 
 jobtab_t *
--- a/jobs/test/rig.h
+++ b/jobs/test/rig.h
@@ -58,6 +58,11 @@
 job_entry_t *rig_submit (uint32_t number, const job_step_t *steps,
                          uint32_t steps_count);
 
+/* rig_fold_submission - the same with POSITION in its record; the result of
+   the fold.  */
+fold_result_t rig_fold_submission (uint32_t number, const job_step_t *steps,
+                                   uint32_t steps_count, uint64_t position);
+
 /* rig_worker - register worker ID with CORES; it answers its first hold unless
    UNREACHABLE.  */
 void rig_worker (const char *id, uint32_t cores, bool unreachable);
--- a/jobs/test/tabpack_test.c
+++ b/jobs/test/tabpack_test.c
@@ -68,6 +68,60 @@
 }
 END_TEST
 
+static jobtab_t *
+pack_and_unpack (const jobtab_t *table, gsize *len)
+{
+  g_autoptr (GBytes) bytes = jobtab_pack (table);
+  const void *data = g_bytes_get_data (bytes, len);
+
+  return jobtab_unpack (data, *len, NULL);
+}
+
+/* Guards against a cancelled job that runs after a restart: the daemon has
+   read a snapshot in place of the cancelling.  */
+START_TEST (test_cancellings_are_in_the_snapshot)
+{
+  job_step_t step = rig_step (1);
+  jobtab_t *copy;
+  gsize len;
+
+  rig_submit (3, &step, 1);
+  jobtab_find (rig.tab, rig_id (3))->limit = 5;
+  for (uint32_t i = 0; i <= CANCELS_MAX; i++)
+    {
+      rig.tab->next = 10 + i;
+      cancel_job (100 + i);
+    }
+  copy = pack_and_unpack (rig.tab, &len);
+  ck_assert_ptr_nonnull (copy);
+  ck_assert_uint_eq (copy->cancels.dropped, 10);
+  ck_assert_uint_eq (copy->cancels.rows.length, CANCELS_MAX);
+  ck_assert_uint_eq (cancels_limit (&copy->cancels, rig_id (100)), 10);
+  ck_assert_uint_eq (cancels_limit (&copy->cancels, rig_id (101)), 11);
+  ck_assert_uint_eq (
+      cancels_limit (&copy->cancels, rig_id (100 + CANCELS_MAX)),
+      10 + CANCELS_MAX);
+  ck_assert_uint_eq (jobtab_find (copy, rig_id (3))->limit, 5);
+  jobtab_free (copy);
+}
+END_TEST
+
+/* Guards against a snapshot that grows with each cancelling.  A row has an id
+   of 17 bytes and a number of 9 at most.  */
+START_TEST (test_cancellings_in_a_snapshot_are_bounded)
+{
+  gsize len = 0;
+
+  for (uint32_t i = 0; i < 3 * CANCELS_MAX; i++)
+    {
+      rig.tab->next = (UINT64_C (1) << 40) + i;
+      cancel_job (100 + i);
+    }
+  jobtab_free (pack_and_unpack (rig.tab, &len));
+  ck_assert_uint_le (len, CANCELS_MAX * 27 + 64);
+}
+END_TEST
+
 /* A table in format 2 as of version 76559ad, which had no earlier placements
    and no runs of ended jobs: job 1 of two tasks, of which task 0 was started
    twice, and the cancelled job 2.  */
@@ -107,4 +161,6 @@
 
 TEST_PROGRAM_WITH ("jobs/tabpack", set_up, rig_tear_down,
                    test_snapshot_round_trip,
+                   test_cancellings_are_in_the_snapshot,
+                   test_cancellings_in_a_snapshot_are_bounded,
                    test_snapshot_of_an_earlier_version_is_read)
--- a/test/evacuation/site.h
+++ b/test/evacuation/site.h
@@ -71,6 +71,14 @@
 void site_await (site_t *site, uint32_t index, const char *text);
 bool site_has_logged (site_t *site, uint32_t index, const char *text);
 
+/* site_call - send METHOD for job ID to a daemon, and wait for MS; the status,
+   or 0 without a response.
+   site_job_body - the body of a job of COUNT tasks of MS; the caller frees
+   it.  */
+long site_call (const site_t *site, uint32_t index, const char *method,
+                const char *id, const char *body, long ms);
+char *site_job_body (uint32_t count, uint32_t ms);
+
 /* site_submit_job - submit a job of COUNT tasks of MS through a daemon.
    site_run_job - the same with SITE_JOB_TASKS tasks, and wait until all have
    started.  */
--- a/test/soak/standins.h
+++ b/test/soak/standins.h
@@ -31,6 +31,9 @@
   uint32_t append_ms;          /* a topic takes this long for an append, one
                                   after another; 503 if more than
                                   STORE_QUEUE_MAX_MS are waiting */
+  uint32_t late_percent;       /* of appends, which get no reply and are
+                                  carried out LATE_MS later */
+  uint32_t late_ms;
 } store_faults_t;
 
 store_t *store_start (void);
@@ -44,6 +47,12 @@
 void store_cut_port (store_t *store, uint16_t port, bool cut);
 void store_set_faults (store_t *store, const store_faults_t *faults);
 
+/* store_delay_port - appends at PORT get no reply, and are carried out MS
+   later; 0: at once.
+   store_await_delayed - wait until all such appends are carried out.  */
+void store_delay_port (store_t *store, uint16_t port, uint32_t ms);
+void store_await_delayed (store_t *store);
+
 /* store_put - write VALUE under KEY of the keyed TOPIC, as operators and
    workers do; NULL deletes the key.  */
 void store_put (store_t *store, const char *topic, const char *key,
