entry: missing records don't count as read

Cause: a daemon that has missed records took the number of the first record after the gap for its position, so a submission that reached it late was valid although the cancelling was among the missing ones.

Change: the position that requests get rises only while the table is complete.

--- a/entry/core.c
+++ b/entry/core.c
@@ -130,6 +130,13 @@
   core->owner.incomplete = false;
 }
 
+void
+core_publish_position (core_t *core)
+{
+  if (history_is_complete (&core->history))
+    atomic_store (&core->model->log_position, core->tab->next);
+}
+
 static void
 start_sched (core_t *core, int64_t now_us)
 {
@@ -305,7 +312,6 @@
   jobtab_free (core->tab);
   core->tab = tab;
   cancels_set_read (&tab->cancels, clock_boot_us ());
-  atomic_store (&core->model->log_position, tab->next);
   appends_handle_snapshot (core);
   update_ownership (core, clock_boot_us ());
 }
--- a/entry/core.h
+++ b/entry/core.h
@@ -457,6 +457,9 @@
    core_fill_gap - TAB has them now.  */
 void core_note_gap (core_t *core, uint64_t end);
 void core_fill_gap (core_t *core);
+/* core_publish_position - the front takes what TAB has for read, unless
+   records are missing from it: one of them may be a cancelling.  */
+void core_publish_position (core_t *core);
 /* core_lose_ownership - stop scheduling because REFUSED_BY, a worker or a
    host, knows a higher fencing token.  */
 void core_lose_ownership (core_t *core, const char *refused_by);
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -222,7 +222,7 @@
   int64_t deadline_us;
   atomic_int outcome;     /* append_outcome_t; set once, by the core */
   bool existed;           /* cancellations: the job exists */
-  uint32_t retry_after_s; /* APPEND_REFUSED, APPEND_VOID: when to return */
+  uint32_t retry_after_s; /* APPEND_REFUSED: when to return */
   /* Called by the core, which does not use the request afterwards.  */
   void (*done) (struct append_req *request);
   void *ctx;
--- a/entry/feeds.c
+++ b/entry/feeds.c
@@ -449,7 +449,7 @@
           record->len, now_us);
       break;
     }
-  atomic_store (&core->model->log_position, core->tab->next);
+  core_publish_position (core);
   job_rec_clear (&rec);
 }
 
--- a/entry/snapshots.c
+++ b/entry/snapshots.c
@@ -84,6 +84,7 @@
       core_note_gap (core, feed->next_offset);
       core->tab->next = feed->next_offset;
     }
+  core_publish_position (core);
   feed->loaded = true;
 }
 
--- a/entry/test/appends_test.c
+++ b/entry/test/appends_test.c
@@ -25,6 +25,7 @@
 {
   memset (&core, 0, sizeof core);
   memset (&request, 0, sizeof request);
+  memset (&model, 0, sizeof model);
   done = 0;
   core.settings = &settings;
   core.model = &model;
@@ -198,6 +199,24 @@
 }
 END_TEST
 
+/* Guards against a cancelled job that runs (UNASKED): the cancelling is among
+   the records that a daemon has missed, and it takes a submission from before
+   for one that came after.  */
+START_TEST (test_missing_records_do_not_count_as_read)
+{
+  core.tab->next = 10;
+  core_publish_position (&core);
+  ck_assert_uint_eq (atomic_load (&model.log_position), 10);
+  history_note_gap (&core.history, 1000);
+  core.tab->next = 1000;
+  core_publish_position (&core);
+  ck_assert_uint_eq (atomic_load (&model.log_position), 10);
+  history_fill_gap (&core.history);
+  core_publish_position (&core);
+  ck_assert_uint_eq (atomic_load (&model.log_position), 1000);
+}
+END_TEST
+
 /* Guards against a record of another daemon that blocks it until it is folded
    here.  */
 START_TEST (test_forwarded_record_is_answered_when_stored)
@@ -214,4 +233,5 @@
                    test_void_cancelling_is_not_answered_as_done,
                    test_cancelling_of_a_cancelled_job_is_answered,
                    test_nothing_is_answered_while_records_are_missing,
+                   test_missing_records_do_not_count_as_read,
                    test_forwarded_record_is_answered_when_stored)
