entry: unregister threads of the HTTP server from RCU when they end

Seen: entry/front hangs for its 120 s when a test puts a job into the read model: the server's threads have ended, and readmodel_close waits in rcu_barrier.

Cause: a thread registers itself with RCU at its first request and ends without being unregistered, so its entry in the registry is memory that may hold anything, and a grace period waits for it.

Change: a destructor of thread-specific data unregisters the thread.

A daemon that hangs at its end for this cause was not seen.

--- a/entry/front.c
+++ b/entry/front.c
@@ -1,4 +1,5 @@
 #include "conns.h"
+#include <pthread.h>
 #include <sodium.h>
 #include <string.h>
 
@@ -76,15 +77,32 @@
   int64_t append_sent_us;
 } client_req_t;
 
-static __thread bool thread_registered; /* registered with RCU */
+/* Threads of the HTTP server that are registered with RCU.  A thread that ends
+   without being unregistered blocks all grace periods after that.  */
+static pthread_once_t thread_key_once = PTHREAD_ONCE_INIT;
+static pthread_key_t thread_key;
+
+static void
+unregister_thread (void *registered)
+{
+  (void)registered;
+  rcu_unregister_thread ();
+}
+
+static void
+create_thread_key (void)
+{
+  pthread_key_create (&thread_key, unregister_thread);
+}
 
 static void
 register_thread (void)
 {
-  if (thread_registered)
+  pthread_once (&thread_key_once, create_thread_key);
+  if (pthread_getspecific (thread_key))
     return;
   rcu_register_thread ();
-  thread_registered = true;
+  pthread_setspecific (thread_key, &thread_key);
 }
 
 static enum MHD_Result
