jobs: a job is reached at its own queue only

PROTOCOL.md: "A call carries a key of the job's tenant, unless the call's route is public"; a job is submitted at PREFIX + ID.

Cause: jobs were looked up by their id alone, and a call at a public queue left out the check of the workspace. The same held for a DELETE that is folded before its daemon knows the job, and for repeated POSTs.

CANCEL records say what they apply to. A job at another queue is 410, and a POST of its id there 409. Jobs of a queue that is gone stay within reach of those who had it.

--- a/entry/admissions.c
+++ b/entry/admissions.c
@@ -49,7 +49,10 @@
 
   if (jobtab_find (core->tab, desc->id))
     {
-      appends_finish_request (held->request, APPEND_STORED);
+      appends_finish_request (held->request,
+                              held->request->kind == APPEND_FORWARD
+                                  ? APPEND_STORED
+                                  : appends_judge (core, held->request));
       held_free (held);
       return true;
     }
@@ -123,10 +126,12 @@
                     int64_t now_us)
 {
   const cancels_t *cancels = &core->tab->cancels;
+  uint64_t scope
+      = access_scope (request->call.queue, access_workspace (&request->call));
 
   return !jobtab_find (core->tab, request->id)
-         && (request->position < cancels_limit (cancels, request->id)
-             || cancels_hold (cancels, request->id, now_us));
+         && (request->position < cancels_limit (cancels, request->id, scope)
+             || cancels_hold (cancels, request->id, scope, now_us));
 }
 
 static void
--- a/entry/appends.c
+++ b/entry/appends.c
@@ -103,19 +103,41 @@
   return core->append_queue->len == 0 && core->append_batch->len == 0;
 }
 
-/* Whether REQUEST, whose job is in the table, is answered by that.  */
-static bool
-is_settled_by_job (const append_req_t *request, const job_entry_t *entry)
+/* The outcome of REQUEST, a client's, as ENTRY has its id.  APPEND_PENDING: a
+   cancelling that isn't folded.  */
+static append_outcome_t
+judge_by_job (const core_t *core, const append_req_t *request,
+              const job_entry_t *entry)
 {
-  return request->kind == APPEND_SUBMIT
-         || (request->kind == APPEND_CANCEL
-             && job_state_is_final (entry->state));
+  bool submits = request->kind == APPEND_SUBMIT;
+
+  switch (access_decide (core->rules, &request->call, entry->desc->queue,
+                         entry->desc->workspace))
+    {
+    case ACCESS_GRANTED:
+      return submits || job_state_is_final (entry->state) ? APPEND_STORED
+                                                          : APPEND_PENDING;
+    case ACCESS_NO_JOB:
+      return submits ? APPEND_ID_IN_USE : APPEND_NO_JOB;
+    case ACCESS_OTHER_WORKSPACE:
+      return APPEND_FORBIDDEN;
+    }
+  return APPEND_PENDING;
+}
+
+append_outcome_t
+appends_judge (const core_t *core, const append_req_t *request)
+{
+  const job_entry_t *entry = jobtab_find (core->tab, request->id);
+
+  return entry ? judge_by_job (core, request, entry) : APPEND_PENDING;
 }
 
 static void
 note_stored (core_t *core, queued_append_t *queued)
 {
   append_req_t *request = g_steal_pointer (&queued->request);
+  append_outcome_t outcome;
 
   if (!request)
     return;
@@ -125,9 +147,11 @@
       appends_finish_request (request, APPEND_STORED);
       return;
     case APPEND_SUBMIT:
-      if (jobtab_find (core->tab, request->id)
-          && history_is_complete (&core->history))
-        appends_finish_request (request, APPEND_STORED);
+      outcome = history_is_complete (&core->history)
+                    ? appends_judge (core, request)
+                    : APPEND_PENDING;
+      if (outcome != APPEND_PENDING)
+        appends_finish_request (request, outcome);
       else
         g_ptr_array_add (core->pending_folds, request);
       return;
@@ -468,19 +492,22 @@
 /* The outcome of REQUEST, a client's for the job of RECORD, after that was
    folded; APPEND_PENDING: it waits for another one.  */
 static append_outcome_t
-settle (const core_t *core, append_req_t *request,
+settle (const core_t *core, const append_req_t *request,
         const folded_record_t *record)
 {
   const job_entry_t *entry = jobtab_find (core->tab, record->id);
+  append_outcome_t outcome
+      = entry ? judge_by_job (core, request, entry) : APPEND_PENDING;
 
   if (!history_is_complete (&core->history))
     return APPEND_PENDING;
-  request->existed = entry != NULL;
-  if (entry && is_settled_by_job (request, entry))
-    return APPEND_STORED;
+  if (outcome != APPEND_PENDING)
+    return outcome;
   if (!is_own_record (request, record))
     return APPEND_PENDING;
-  return record->fold == FOLD_VOID ? APPEND_VOID : APPEND_STORED;
+  /* A cancelling that has left the job active was void, or its daemon knew of
+     another queue.  */
+  return record->fold == FOLD_VOID || entry ? APPEND_VOID : APPEND_NO_JOB;
 }
 
 /* Ends REQUEST, of a client, if RECORD answers it; NULL: the table was
@@ -489,18 +516,13 @@
 try_settle (core_t *core, append_req_t *request, const folded_record_t *record)
 {
   append_outcome_t outcome = APPEND_PENDING;
-  const job_entry_t *entry;
 
   if (!request || request->kind == APPEND_FORWARD)
     return false;
-  if (record && strcmp (request->id, record->id) == 0)
+  if (!record)
+    outcome = appends_judge (core, request);
+  else if (strcmp (request->id, record->id) == 0)
     outcome = settle (core, request, record);
-  entry = record ? NULL : jobtab_find (core->tab, request->id);
-  if (entry && is_settled_by_job (request, entry))
-    {
-      request->existed = true;
-      outcome = APPEND_STORED;
-    }
   if (outcome == APPEND_PENDING)
     return false;
   appends_finish_request (request, outcome);
--- a/entry/core.c
+++ b/entry/core.c
@@ -236,7 +236,7 @@
     case FOLD_CANCELLED:
       readmodel_put_job (core->model, fold.entry);
       if (core->sched)
-        sched_cancel_job (core->sched, rec->u.cancel);
+        sched_cancel_job (core->sched, rec->u.cancel.id);
       return;
     case FOLD_CLAIMED:
       appends_drop_once (core);
--- a/entry/core.h
+++ b/entry/core.h
@@ -269,6 +269,10 @@
    missing.
    appends_handle_snapshot - the same after the table was replaced.
    appends_await_cancel - whether a cancelling waits to be folded.  */
+/* appends_judge - the outcome of REQUEST, a client's, if the table answers it
+   now, else APPEND_PENDING.  */
+append_outcome_t appends_judge (const core_t *core,
+                                const append_req_t *request);
 void appends_handle_record (core_t *core, const folded_record_t *record);
 void appends_handle_snapshot (core_t *core);
 bool appends_await_cancel (const core_t *core);
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -196,6 +196,9 @@
   APPEND_UNKNOWN,    /* the record may be in the log */
   APPEND_REFUSED,    /* the owner refused the job: the same as NOT_STORED, with
                         a time to return */
+  APPEND_NO_JOB,     /* a cancelling: there is no such job at its queue */
+  APPEND_FORBIDDEN,  /* the job is of another workspace */
+  APPEND_ID_IN_USE,  /* a submission: the id is that of a job elsewhere */
   APPEND_VOID        /* the record has no effect and never will: the id was
                         cancelled, or submitted, since the request came */
 } append_outcome_t;
@@ -218,10 +221,10 @@
   GBytes *record;
   char id[JOB_ID_BYTES];
   append_kind_t kind;
-  uint64_t position; /* of the record; see job_rec_t */
+  access_call_t call; /* SUBMIT, CANCEL */
+  uint64_t position;  /* of the record; see job_rec_t */
   int64_t deadline_us;
   atomic_int outcome;     /* append_outcome_t; set once, by the core */
-  bool existed;           /* cancellations: the job exists */
   uint32_t retry_after_s; /* APPEND_REFUSED: when to return */
   /* Called by the core, which does not use the request afterwards.  */
   void (*done) (struct append_req *request);
--- a/entry/feeds.c
+++ b/entry/feeds.c
@@ -378,7 +378,7 @@
       = { .kind = rec->kind, .data = record->data, .len = record->len };
 
   g_strlcpy (folded.id,
-             rec->kind == JREC_SUBMIT ? rec->u.submit->id : rec->u.cancel,
+             rec->kind == JREC_SUBMIT ? rec->u.submit->id : rec->u.cancel.id,
              sizeof folded.id);
   return folded;
 }
--- a/entry/front.c
+++ b/entry/front.c
@@ -27,8 +27,9 @@
   RESPONSE_NOT_STORED,      /* not accepted: the store failed */
   RESPONSE_NO_ROOM,         /* not accepted: no memory for the body */
   RESPONSE_OVERLOAD,        /* the owner refused the job */
-  RESPONSE_VOID,            /* a request for the id has overtaken it */
-  RESPONSE_UNKNOWN          /* the store may or may not have the record */
+  RESPONSE_ID_IN_USE, /* not accepted: the id is that of a job elsewhere */
+  RESPONSE_VOID,      /* a request for the id has overtaken it */
+  RESPONSE_UNKNOWN    /* the store may or may not have the record */
 } response_kind_t;
 
 typedef struct response_row
@@ -51,6 +52,7 @@
   [RESPONSE_NOT_STORED] = { 503, RETRY_AFTER_S, "not-stored" },
   [RESPONSE_NO_ROOM] = { 503, RETRY_AFTER_S, "no-room" },
   [RESPONSE_OVERLOAD] = { 429, RETRY_AFTER_S, "overload" },
+  [RESPONSE_ID_IN_USE] = { 409, 0, "id-in-use" },
   [RESPONSE_VOID] = { 503, RETRY_AFTER_S, "overtaken" },
   [RESPONSE_UNKNOWN] = { 504, 0, "unknown" },
 };
@@ -186,7 +188,7 @@
 
 static enum MHD_Result
 append_record (client_req_t *req, const job_rec_t *rec, GBytes *record,
-               const char *id, uint32_t deadline_ms)
+               const char *id, const access_call_t *call, uint32_t deadline_ms)
 {
   int64_t wait_ms = MAX ((int64_t)deadline_ms - RESPONSE_MARGIN_MS, 1);
 
@@ -194,6 +196,7 @@
   req->append.record = record;
   g_strlcpy (req->append.id, id, sizeof req->append.id);
   req->append.kind = rec->kind == JREC_CANCEL ? APPEND_CANCEL : APPEND_SUBMIT;
+  req->append.call = *call;
   req->append.position = rec->position;
   req->append.deadline_us = clock_boot_us () + wait_ms * 1000;
   req->append.done = on_append_done;
@@ -211,8 +214,10 @@
 
 static enum MHD_Result
 submit (client_req_t *req, const rules_t *rules, const rules_queue_t *queue,
-        const char *workspace, const char *id, int64_t now_us)
+        const access_call_t *call, const char *id, const readmodel_job_t *job,
+        int64_t now_us)
 {
+  const char *workspace = access_workspace (call);
   const rules_workspace_t *limits = rules_workspace (rules, workspace);
   const GByteArray *body = req->state->data;
   job_rec_t rec
@@ -227,7 +232,7 @@
   if (!job_id_is_valid (id))
     return refuse (req, RESPONSE_BAD_REQUEST, "-",
                    "id: expected 16 hexadecimal digits");
-  if (readmodel_find_job (req->front->model, id))
+  if (job)
     return reply (req, RESPONSE_OK, NULL);
   if (readmodel_store_is_failing (req->front->model, now_us))
     return refuse (req, RESPONSE_NOT_STORED, id, NULL);
@@ -246,13 +251,14 @@
       return refuse (req, RESPONSE_TOO_LARGE, id, NULL);
     }
   rec.u.submit = NULL;
-  return append_record (req, &rec, record, id,
+  return append_record (req, &rec, record, id, call,
                         get_deadline_ms (req->conn, queue));
 }
 
 static enum MHD_Result
-cancel (client_req_t *req, const rules_queue_t *queue, const char *id,
-        const readmodel_job_t *job, int64_t now_us)
+cancel (client_req_t *req, const rules_queue_t *queue,
+        const access_call_t *call, const char *id, const readmodel_job_t *job,
+        int64_t now_us)
 {
   job_rec_t rec
       = { .kind = JREC_CANCEL,
@@ -264,9 +270,12 @@
     return reply (req, RESPONSE_OK, NULL);
   if (readmodel_store_is_failing (req->front->model, now_us))
     return refuse (req, RESPONSE_NOT_STORED, id, NULL);
-  g_strlcpy (rec.u.cancel, id, sizeof rec.u.cancel);
-  randombytes_buf (&rec.nonce, sizeof rec.nonce);
-  return append_record (req, &rec, job_rec_pack (&rec), id,
+  g_strlcpy (rec.u.cancel.id, id, sizeof rec.u.cancel.id);
+  randombytes_buf (&rec.u.cancel.nonce, sizeof rec.u.cancel.nonce);
+  /* The job's own, as its queue may have been removed.  */
+  rec.u.cancel.queue = job ? job->queue : queue->name;
+  rec.u.cancel.workspace = job ? job->workspace : access_workspace (call);
+  return append_record (req, &rec, job_rec_pack (&rec), id, call,
                         get_deadline_ms (req->conn, queue));
 }
 
@@ -309,6 +318,36 @@
   return rules_workspace_for_key (rules, header + strlen (BEARER));
 }
 
+/* Handles METHOD for ID by CALL at QUEUE, whose key was checked.  */
+static enum MHD_Result
+handle_call (client_req_t *req, const readmodel_view_t *view,
+             const rules_queue_t *queue, const access_call_t *call,
+             const char *id, const char *method)
+{
+  const readmodel_job_t *job = readmodel_find_job (req->front->model, id);
+  access_t access
+      = job ? access_decide (view->rules, call, job->queue, job->workspace)
+            : ACCESS_GRANTED;
+  int64_t now_us = clock_boot_us ();
+
+  if (access == ACCESS_OTHER_WORKSPACE)
+    return refuse (req, RESPONSE_OTHER_WORKSPACE, id, NULL);
+  if (strcmp (method, "POST") == 0)
+    return access == ACCESS_NO_JOB
+               ? refuse (req, RESPONSE_ID_IN_USE, id, NULL)
+               : submit (req, view->rules, queue, call, id, job, now_us);
+  if (access == ACCESS_NO_JOB
+      && (strcmp (method, "DELETE") == 0 || strcmp (method, "GET") == 0))
+    return reply (req, RESPONSE_NO_JOB, NULL);
+  if (strcmp (method, "DELETE") == 0)
+    return cancel (req, queue, call, id, job, now_us);
+  if (strcmp (method, "GET") != 0)
+    return reply (req, RESPONSE_NO_METHOD, NULL);
+  if (id[0] == '\0')
+    return get_pending (req, view, queue);
+  return get_job (req, id, job, now_us);
+}
+
 static enum MHD_Result
 handle_request (client_req_t *req, const readmodel_view_t *view,
                 const char *path, const char *method)
@@ -322,9 +361,8 @@
   int64_t now_us = clock_boot_us ();
   bool fresh = readmodel_rules_are_fresh (model, settings->revoke_ms, now_us);
   const rules_queue_t *queue;
-  const char *workspace = "";
+  access_call_t call;
   const char *id;
-  readmodel_job_t *job;
 
   if (!view || !view->rules)
     return refuse (req, RESPONSE_NOT_READY, "-", "no rules yet");
@@ -333,26 +371,16 @@
     return fresh ? reply (req, RESPONSE_NO_QUEUE, NULL)
                  : refuse (req, RESPONSE_NOT_READY, "-", "stale rules");
   id = path + strlen (queue->path_prefix);
-  if (!queue->is_public)
-    {
-      if (!fresh)
-        return refuse (req, RESPONSE_NOT_READY, id, "stale keys");
-      workspace = get_workspace (req->conn, view->rules);
-      if (!workspace)
-        return refuse (req, RESPONSE_KEY_REJECTED, id, NULL);
-    }
-  job = readmodel_find_job (model, id);
-  if (job && !queue->is_public && job->workspace != workspace)
-    return refuse (req, RESPONSE_OTHER_WORKSPACE, id, NULL);
-  if (strcmp (method, "POST") == 0)
-    return submit (req, view->rules, queue, workspace, id, now_us);
-  if (strcmp (method, "DELETE") == 0)
-    return cancel (req, queue, id, job, now_us);
-  if (strcmp (method, "GET") != 0)
-    return reply (req, RESPONSE_NO_METHOD, NULL);
-  if (id[0] == '\0')
-    return get_pending (req, view, queue);
-  return get_job (req, id, job, now_us);
+  call = (access_call_t){
+    .queue = queue->name,
+    .is_public = queue->is_public,
+    .holder = fresh ? get_workspace (req->conn, view->rules) : NULL,
+  };
+  if (!queue->is_public && !fresh)
+    return refuse (req, RESPONSE_NOT_READY, id, "stale keys");
+  if (!queue->is_public && !call.holder)
+    return refuse (req, RESPONSE_KEY_REJECTED, id, NULL);
+  return handle_call (req, view, queue, &call, id, method);
 }
 
 static enum MHD_Result
@@ -361,10 +389,12 @@
   const append_req_t *append = &req->append;
   bool is_cancel = append->kind == APPEND_CANCEL;
   const char *what = is_cancel ? "cancel" : NULL;
+  append_outcome_t outcome = (append_outcome_t)atomic_load (&append->outcome);
 
-  switch ((append_outcome_t)atomic_load (&append->outcome))
+  switch (outcome)
     {
     case APPEND_STORED:
+    case APPEND_NO_JOB:
       if (!is_cancel)
         {
           counter_add (COUNT_JOBS_ACCEPTED, 1);
@@ -373,10 +403,13 @@
       event_log (is_cancel ? EV_JOB_CANCELLED : EV_JOB_ACCEPTED,
                  "id=%s stored_ms=%" PRId64 " existed=%d", append->id,
                  (clock_boot_us () - req->append_sent_us) / 1000,
-                 !is_cancel || append->existed);
+                 outcome != APPEND_NO_JOB);
       return reply (
-          req, is_cancel && !append->existed ? RESPONSE_NO_JOB : RESPONSE_OK,
-          NULL);
+          req, outcome == APPEND_NO_JOB ? RESPONSE_NO_JOB : RESPONSE_OK, NULL);
+    case APPEND_FORBIDDEN:
+      return refuse (req, RESPONSE_OTHER_WORKSPACE, append->id, what);
+    case APPEND_ID_IN_USE:
+      return refuse (req, RESPONSE_ID_IN_USE, append->id, what);
     case APPEND_NOT_STORED:
       return refuse (req, RESPONSE_NOT_STORED, append->id, what);
     case APPEND_REFUSED:
--- a/jobs/cancels.h
+++ b/jobs/cancels.h
@@ -8,7 +8,8 @@
      cancelled it: a daemon keeps it while the store doesn't answer, the store
      carries an append out late, or a daemon was suspended.  So a cancelling
      holds for all submissions that were made before it was read, whether the
-     job is known or not.
+     job is known or not.  It holds for the jobs that the call could reach: a
+     caller who can't reach a job doesn't void its submission either.
 
      The set is a function of the log alone: the same at all daemons that have
      read the same records.  It keeps the ids of the newest CANCELS_MAX
@@ -33,13 +34,14 @@
 typedef struct cancelled
 {
   char id[JOB_ID_BYTES];
+  uint64_t scope;  /* of access_scope; 0: of any */
   uint64_t limit;  /* submissions with a lower position are void */
   int64_t read_us; /* when this daemon read of it; not in snapshots */
 } cancelled_t;
 
 typedef struct cancels
 {
-  GHashTable *links; /* id -> GList in ROWS */
+  GHashTable *links; /* cancelled_t -> GList in ROWS; by id and scope */
   GQueue rows;       /* cancelled_t, by rising limit */
   uint64_t dropped;  /* highest limit of a row that was dropped; 0: none */
 } cancels_t;
@@ -47,17 +49,19 @@
 void cancels_init (cancels_t *set);
 void cancels_clear (cancels_t *set);
 
-/* cancels_add - submissions of ID with positions below LIMIT are void.  LIMIT
-   doesn't fall from call to call.  */
-void cancels_add (cancels_t *set, const char *id, uint64_t limit,
-                  int64_t now_us);
+/* cancels_add - submissions of ID in SCOPE with positions below LIMIT are
+   void. LIMIT doesn't fall from call to call.  */
+void cancels_add (cancels_t *set, const char *id, uint64_t scope,
+                  uint64_t limit, int64_t now_us);
 
-/* cancels_limit - the lowest position at which a submission of ID is valid.
-   cancels_hold - whether a cancelling of ID was read so lately that a request
-   from before it may still arrive.
+/* cancels_limit - the lowest position at which a submission of ID in SCOPE is
+   valid.
+   cancels_hold - whether a cancelling of it was read so lately that a request
+   from before may still arrive.
    cancels_set_read - this daemon has read of all cancellings at NOW_US.  */
-uint64_t cancels_limit (const cancels_t *set, const char *id);
-bool cancels_hold (const cancels_t *set, const char *id, int64_t now_us);
+uint64_t cancels_limit (const cancels_t *set, const char *id, uint64_t scope);
+bool cancels_hold (const cancels_t *set, const char *id, uint64_t scope,
+                   int64_t now_us);
 void cancels_set_read (cancels_t *set, int64_t now_us);
 
 #endif
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -196,12 +196,19 @@
      the request came; JOB_POSITION_NONE in records of earlier versions.  It
      tells whether the daemon had read the last record of the same job.  */
   uint64_t position;
-  /* CANCEL: a random number, by which a daemon knows its own record.  */
-  uint64_t nonce;
   union
   {
     job_desc_t *submit;
-    char cancel[JOB_ID_BYTES];
+    struct
+    {
+      char id[JOB_ID_BYTES];
+      /* A random number, by which a daemon knows its own record.  */
+      uint64_t nonce;
+      /* Of the jobs that it applies to; see access_call_t.  NULL in records of
+         earlier versions: to any.  */
+      const char *queue;     /* interned */
+      const char *workspace; /* interned */
+    } cancel;
     struct
     {
       uint64_t epoch;
--- a/jobs/jobtab.c
+++ b/jobs/jobtab.c
@@ -124,7 +124,9 @@
 
   if (jobtab_find (table, desc->id))
     return (fold_result_t){ FOLD_NOTHING, NULL };
-  if (rec->position < cancels_limit (&table->cancels, desc->id))
+  if (rec->position
+      < cancels_limit (&table->cancels, desc->id,
+                       access_scope (desc->queue, desc->workspace)))
     return (fold_result_t){ FOLD_VOID, NULL };
   rec->u.submit = NULL;
   entry = g_new0 (job_entry_t, 1);
@@ -138,16 +140,35 @@
   return (fold_result_t){ FOLD_SUBMITTED, entry };
 }
 
+/* Whether the cancelling REC applies to jobs of DESC's queue and workspace.
+   Its workspace is "" if its queue was public, and DESC's is if the queue was
+   when it accepted the job.  */
+static bool
+cancel_applies (const job_rec_t *rec, const job_desc_t *desc)
+{
+  const char *workspace = rec->u.cancel.workspace;
+
+  return !rec->u.cancel.queue
+         || (rec->u.cancel.queue == desc->queue
+             && (workspace[0] == '\0' || desc->workspace[0] == '\0'
+                 || workspace == desc->workspace));
+}
+
 static fold_result_t
 fold_cancel (jobtab_t *table, const job_rec_t *rec, int64_t now_ms,
              int64_t now_us)
 {
-  job_entry_t *entry = jobtab_find (table, rec->u.cancel);
-  bool active = entry && !job_state_is_final (entry->state);
+  job_entry_t *entry = jobtab_find (table, rec->u.cancel.id);
+  bool applies = entry && cancel_applies (rec, entry->desc);
+  bool active = applies && !job_state_is_final (entry->state);
 
   if (active && rec->position < entry->limit)
     return (fold_result_t){ FOLD_VOID, NULL };
-  cancels_add (&table->cancels, rec->u.cancel, table->next, now_us);
+  cancels_add (&table->cancels, rec->u.cancel.id,
+               rec->u.cancel.queue ? access_scope (rec->u.cancel.queue,
+                                                   rec->u.cancel.workspace)
+                                   : 0,
+               table->next, now_us);
   if (!active)
     return (fold_result_t){ FOLD_DENIED, NULL };
   entry_set_state (table, entry, JOB_STATE_CANCELLED, now_ms);
--- a/jobs/jobtab.h
+++ b/jobs/jobtab.h
@@ -23,6 +23,7 @@
 #ifndef CUMINPIN_JOBTAB_H
 #define CUMINPIN_JOBTAB_H
 
+#include "access.h"
 #include "cancels.h"
 
 /* Recorded progress of one task.  */
@@ -81,7 +82,8 @@
   FOLD_NOTHING,   /* no change: a duplicate, or from a replaced owner */
   FOLD_SUBMITTED, /* the entry is new */
   FOLD_CANCELLED, /* the entry was cancelled */
-  FOLD_DENIED,    /* a cancelling of a job that is unknown or final */
+  FOLD_DENIED,  /* a cancelling of a job that is unknown or final, or that the
+                   call didn't reach */
   FOLD_VOID,    /* a submission or cancelling without effect, as its daemon had
                    not read the last one of the id */
   FOLD_CLAIMED, /* the owner has changed */
--- a/jobs/record.c
+++ b/jobs/record.c
@@ -241,6 +241,7 @@
   switch (rec->kind)
     {
     case JREC_CANCEL:
+      return rec->u.cancel.queue ? 6 : 4;
     case JREC_CLAIM:
       return 4;
     case JREC_SUBMIT:
@@ -271,9 +272,14 @@
       msgpack_pack_uint64 (&pk, rec->position);
       break;
     case JREC_CANCEL:
-      pack_name (&pk, rec->u.cancel);
+      pack_name (&pk, rec->u.cancel.id);
       msgpack_pack_uint64 (&pk, rec->position);
-      msgpack_pack_uint64 (&pk, rec->nonce);
+      msgpack_pack_uint64 (&pk, rec->u.cancel.nonce);
+      if (rec->u.cancel.queue)
+        {
+          pack_name (&pk, rec->u.cancel.queue);
+          pack_name (&pk, rec->u.cancel.workspace);
+        }
       break;
     case JREC_CLAIM:
     case JREC_RENEW:
@@ -563,6 +569,20 @@
                               : JOB_POSITION_NONE;
 }
 
+/* The fields after the id are absent in records of earlier versions.  */
+static void
+read_cancel (fields_t *f, job_rec_t *rec)
+{
+  id_read (f, rec->u.cancel.id);
+  read_position (f, rec);
+  if (f->left > 0)
+    rec->u.cancel.nonce = fields_u64 (f, "nonce", UINT64_MAX);
+  if (f->left == 0)
+    return;
+  rec->u.cancel.queue = interned_text (f, "queue");
+  rec->u.cancel.workspace = interned_text (f, "workspace");
+}
+
 bool
 job_rec_unpack (const void *data, size_t len, job_rec_t *rec, GError **error)
 {
@@ -588,10 +608,7 @@
       read_position (&f, rec);
       break;
     case JREC_CANCEL:
-      id_read (&f, rec->u.cancel);
-      read_position (&f, rec);
-      if (f.left > 0)
-        rec->nonce = fields_u64 (&f, "nonce", UINT64_MAX);
+      read_cancel (&f, rec);
       break;
     case JREC_CLAIM:
     case JREC_RENEW:
--- a/jobs/tabpack.c
+++ b/jobs/tabpack.c
@@ -75,9 +75,10 @@
     {
       const cancelled_t *row = link->data;
 
-      msgpack_pack_array (pk, 2);
+      msgpack_pack_array (pk, 3);
       pack_name (pk, row->id);
       msgpack_pack_uint64 (pk, row->limit);
+      msgpack_pack_uint64 (pk, row->scope);
     }
 }
 
@@ -240,13 +241,15 @@
       fields_t row = fields_open (&items[i], "cancels");
       char id[JOB_ID_BYTES];
       uint64_t limit;
+      uint64_t scope;
 
       id_read (&row, id);
       limit = fields_u64 (&row, "limit", UINT64_MAX);
+      scope = fields_u64 (&row, "scope", UINT64_MAX);
       f.bad = limit < last ? "cancels" : row.bad;
       last = limit;
       if (!f.bad)
-        cancels_add (cancels, id, limit, 0);
+        cancels_add (cancels, id, scope, limit, 0);
     }
   if (!outer->bad)
     outer->bad = f.bad;
