--- a/entry/front.c
+++ b/entry/front.c
@@ -330,6 +330,11 @@
             : ACCESS_GRANTED;
   int64_t now_us = clock_boot_us ();
 
+  /* With newer rules the call may reach the job.  */
+  if (access != ACCESS_GRANTED
+      && !readmodel_rules_are_fresh (req->front->model,
+                                     req->front->settings->revoke_ms, now_us))
+    return refuse (req, RESPONSE_NOT_READY, id, "stale rules");
   if (access == ACCESS_OTHER_WORKSPACE)
     return refuse (req, RESPONSE_OTHER_WORKSPACE, id, NULL);
   if (strcmp (method, "POST") == 0)
--- a/entry/test/front_test.c
+++ b/entry/test/front_test.c
@@ -124,7 +124,7 @@
 
 /* Guards against a job of a queue that needs a key which is read, cancelled or
    taken for accepted by a call at a public one, whose caller has no key or a
-   withdrawn one (CONFIG).  */
+   withdrawn one (CONFIG), and against a 410 by rules that are out of date.  */
 START_TEST (test_job_is_at_its_own_queue_only)
 {
   job_desc_t desc = { .id = JOB_ID,
@@ -134,6 +134,9 @@
 
   readmodel_put_job (&model, &entry);
   request ("GET", "/p/" JOB_ID);
+  ck_assert_ptr_nonnull (strstr (response, "HTTP/1.1 503 "));
+  atomic_store (&model.rules_known_us, clock_boot_us ());
+  request ("GET", "/p/" JOB_ID);
   ck_assert_ptr_nonnull (strstr (response, "HTTP/1.1 410 "));
   request ("DELETE", "/p/" JOB_ID);
   ck_assert_ptr_nonnull (strstr (response, "HTTP/1.1 410 "));
