entry: the owner says whether forwarded submissions are accepted

Callers saw: more 502 and 504 answers to submissions since they wait for the fold: a daemon that reaches the owner and not the store has its record appended, but can't read it.

Change: the owner answers a forwarded batch once its submissions are folded there, within 250 ms, and says whether their jobs are accepted. The fold is the same at all daemons, so that is as good as the own one. The test of admissions reads a stored record as the job log's reader does.

--- a/entry/admissions.c
+++ b/entry/admissions.c
@@ -46,9 +46,11 @@
 accept_submit (core_t *core, held_submit_t *held, admission_t *refusal)
 {
   const job_desc_t *desc = held->rec.u.submit;
+  const job_entry_t *entry = jobtab_find (core->tab, desc->id);
 
-  if (jobtab_find (core->tab, desc->id))
+  if (entry)
     {
+      held->request->effective = job_entry_is_of (entry, desc);
       appends_finish_request (held->request,
                               held->request->kind == APPEND_FORWARD
                                   ? APPEND_STORED
--- a/entry/agent.c
+++ b/entry/agent.c
@@ -178,6 +178,8 @@
   for (uint32_t i = 0; i < msg->u.stored.refused_count; i++)
     appends_refuse (core, msg->u.stored.refused[i].index - i,
                     msg->u.stored.refused[i].retry_after_s);
+  if (msg->u.stored.stored && msg->u.stored.effective)
+    appends_accept (core);
   if (msg->u.stored.stored)
     appends_complete (core, now_us);
   else
--- a/entry/appends.c
+++ b/entry/appends.c
@@ -8,6 +8,9 @@
 #define APPEND_RETRY_US 80000
 /* Interval of the log lines about failed appends.  */
 #define FAILURE_LOG_INTERVAL_US 1000000
+/* How long a forwarded submission waits to be folded.  The next batch of its
+   daemon waits behind it.  */
+#define FORWARD_FOLD_MAX_US 250000
 /* Well below the platform's limit of 2 MiB for one append.  */
 #define BATCH_BYTES_MAX (1024 * 1024)
 
@@ -133,6 +136,21 @@
   return entry ? judge_by_job (core, request, entry) : APPEND_PENDING;
 }
 
+/* A record of another daemon is stored.  */
+static void
+note_forward_stored (core_t *core, append_req_t *request)
+{
+  if (!request->record || !job_rec_is_submit (request->record))
+    {
+      request->effective = true;
+      appends_finish_request (request, APPEND_STORED);
+      return;
+    }
+  request->deadline_us
+      = MIN (request->deadline_us, clock_boot_us () + FORWARD_FOLD_MAX_US);
+  g_ptr_array_add (core->pending_folds, request);
+}
+
 static void
 note_stored (core_t *core, queued_append_t *queued)
 {
@@ -144,7 +162,7 @@
   switch (request->kind)
     {
     case APPEND_FORWARD:
-      appends_finish_request (request, APPEND_STORED);
+      note_forward_stored (core, request);
       return;
     case APPEND_SUBMIT:
       outcome = history_is_complete (&core->history)
@@ -218,6 +236,20 @@
   core->append_forwards = forwards;
 }
 
+void
+appends_accept (core_t *core)
+{
+  for (uint32_t i = 0; i < core->append_batch->len; i++)
+    {
+      queued_append_t *queued = g_ptr_array_index (core->append_batch, i);
+
+      if (!queued->request || queued->request->kind != APPEND_SUBMIT)
+        continue;
+      appends_finish_request (queued->request, APPEND_STORED);
+      queued->request = NULL;
+    }
+}
+
 void
 appends_complete (core_t *core, int64_t now_us)
 {
@@ -351,7 +383,9 @@
       if (request->deadline_us > now_us)
         continue;
       g_ptr_array_remove_index_fast (core->pending_folds, i);
-      appends_finish_request (request, APPEND_UNKNOWN);
+      appends_finish_request (request, request->kind == APPEND_FORWARD
+                                           ? APPEND_STORED
+                                           : APPEND_UNKNOWN);
     }
 }
 
@@ -510,6 +544,20 @@
   return record->fold == FOLD_VOID || entry ? APPEND_VOID : APPEND_NO_JOB;
 }
 
+/* Ends REQUEST, of another daemon, if RECORD is its own.  */
+static bool
+try_settle_forward (const core_t *core, append_req_t *request,
+                    const folded_record_t *record)
+{
+  if (record->kind != JREC_SUBMIT || !request->record
+      || !is_own_record (request, record))
+    return false;
+  request->effective
+      = record->accepted && history_is_complete (&core->history);
+  appends_finish_request (request, APPEND_STORED);
+  return true;
+}
+
 /* Ends REQUEST, of a client, if RECORD answers it; NULL: the table was
    replaced by a newer one.  */
 static bool
@@ -517,8 +565,10 @@
 {
   append_outcome_t outcome = APPEND_PENDING;
 
-  if (!request || request->kind == APPEND_FORWARD)
+  if (!request)
     return false;
+  if (request->kind == APPEND_FORWARD)
+    return record && try_settle_forward (core, request, record);
   if (!record)
     outcome = appends_judge (core, request);
   else if (strcmp (request->id, record->id) == 0)
--- a/entry/core.h
+++ b/entry/core.h
@@ -62,6 +62,8 @@
   const uint8_t *data;
   size_t len;
   fold_kind_t fold;
+  bool
+      accepted; /* SUBMIT: its job is in the table, by this record or a copy */
 } folded_record_t;
 
 /* A record to append to the job log.  */
@@ -253,6 +255,9 @@
 /* appends_complete - the batch in flight is stored.
    appends_retry - it is not, or perhaps not; its records are appended again,
    at AT_US or later.  */
+/* appends_accept - the owner says that the submissions of the batch in flight
+   are accepted.  */
+void appends_accept (core_t *core);
 void appends_complete (core_t *core, int64_t now_us);
 void appends_retry (core_t *core, bool maybe_stored, int64_t at_us);
 void appends_run (core_t *core, int64_t now_us);
@@ -267,6 +272,8 @@
    until its own record is folded: others of the id may be older than records
    that this daemon has not read.  Neither is answered while records are
    missing.
+   A forwarded submission waits for its own record for a short time, so that
+   the daemon that has sent it needn't wait until it has read that itself.
    appends_handle_snapshot - the same after the table was replaced.
    appends_await_cancel - whether a cancelling waits to be folded.  */
 /* appends_judge - the outcome of REQUEST, a client's, if the table answers it
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -205,7 +205,7 @@
 
 typedef enum append_kind
 {
-  APPEND_FORWARD, /* a record of another daemon, which awaits its effect */
+  APPEND_FORWARD, /* a record of another daemon */
   APPEND_SUBMIT,
   APPEND_CANCEL
 } append_kind_t;
@@ -224,7 +224,8 @@
   access_call_t call; /* SUBMIT, CANCEL */
   uint64_t position;  /* of the record; see job_rec_t */
   int64_t deadline_us;
-  atomic_int outcome;     /* append_outcome_t; set once, by the core */
+  atomic_int outcome; /* append_outcome_t; set once, by the core */
+  bool effective; /* FORWARD, stored: no submission, or its job is accepted */
   uint32_t retry_after_s; /* APPEND_REFUSED: when to return */
   /* Called by the core, which does not use the request afterwards.  */
   void (*done) (struct append_req *request);
--- a/entry/feeds.c
+++ b/entry/feeds.c
@@ -393,6 +393,10 @@
   fold_result_t fold = jobtab_fold (core->tab, rec, clock_wall_ms (), now_us);
 
   folded.fold = fold.kind;
+  folded.accepted = fold.kind == FOLD_SUBMITTED
+                    || (fold.kind == FOLD_NOTHING && rec->u.submit
+                        && job_entry_is_of (jobtab_find (core->tab, folded.id),
+                                            rec->u.submit));
   core_record_folded (core, rec, fold, record->len, now_us);
   switch (fold.kind)
     {
--- a/entry/forwards.c
+++ b/entry/forwards.c
@@ -11,6 +11,7 @@
   uint64_t serial;
   uint32_t pending; /* records without an outcome */
   append_outcome_t outcome;
+  bool effective;  /* so far */
   bool given_up;   /* the peer appends them itself */
   GArray *refused; /* of linkmsg_refused_t */
 } forward_t;
@@ -41,6 +42,7 @@
   /* All others are stored if all were refused.  */
   msg.u.stored.stored = forward->outcome == APPEND_STORED
                         || forward->outcome == APPEND_PENDING;
+  msg.u.stored.effective = forward->effective;
   msg.u.stored.unknown = forward->outcome == APPEND_UNKNOWN;
   g_array_sort (forward->refused, compare_refused);
   msg.u.stored.refused = (linkmsg_refused_t *)(void *)forward->refused->data;
@@ -76,6 +78,8 @@
   if (outcome == APPEND_REFUSED)
     g_array_append_val (forward->refused, refused);
   forward->outcome = outcome_add (forward->outcome, outcome);
+  forward->effective &= append->effective || outcome == APPEND_REFUSED;
+  g_bytes_unref (append->record);
   g_free (record);
   if (--forward->pending == 0)
     finish_forward (forward);
@@ -93,6 +97,7 @@
                           .peer = peer->id,
                           .serial = msg->serial,
                           .pending = msg->u.append->len,
+                          .effective = true,
                           .refused = g_array_new (
                               FALSE, FALSE, sizeof (linkmsg_refused_t)) };
   g_hash_table_add (core->forwards, forward);
@@ -110,7 +115,8 @@
       record->index = i;
       record->append.deadline_us = now_us + FORWARD_TIMEOUT_US;
       record->append.done = on_forward_done;
-      add (core, g_bytes_ref (g_ptr_array_index (msg->u.append, i)),
-           &record->append);
+      record->append.record
+          = g_bytes_ref (g_ptr_array_index (msg->u.append, i));
+      add (core, g_bytes_ref (record->append.record), &record->append);
     }
 }
--- a/entry/linkmsg.c
+++ b/entry/linkmsg.c
@@ -122,7 +122,7 @@
       msgpack_pack_array (&pk, 4);
       break;
     case LINKMSG_STORED:
-      msgpack_pack_array (&pk, 5);
+      msgpack_pack_array (&pk, 6);
       break;
     case LINKMSG_ORDER:
       msgpack_pack_array (&pk, ORDER_FIELDS + 1);
@@ -157,6 +157,7 @@
       msgpack_pack_uint32 (&pk, msg->u.stored.stored);
       msgpack_pack_uint32 (&pk, msg->u.stored.unknown);
       pack_refused (&pk, msg);
+      msgpack_pack_uint32 (&pk, msg->u.stored.effective);
       return;
     case LINKMSG_ORDER:
       pack_order (&pk, msg);
@@ -363,6 +364,8 @@
     msg->u.stored.refused
         = read_rows (f, "refused", sizeof *msg->u.stored.refused,
                      &msg->u.stored.refused_count, read_refused);
+  if (f->left > 0)
+    msg->u.stored.effective = fields_u64 (f, "effective", 1);
 }
 
 static void
--- a/entry/linkmsg.h
+++ b/entry/linkmsg.h
@@ -68,6 +68,10 @@
          message.  */
       linkmsg_refused_t *refused;
       uint32_t refused_count;
+      /* STORED: the jobs of all submissions among the records are accepted, as
+         the owner has folded them.  Daemons of earlier versions don't send
+         it.  */
+      bool effective;
     } stored;
     struct
     {
--- a/entry/test/admissions_test.c
+++ b/entry/test/admissions_test.c
@@ -64,13 +64,17 @@
 {
   gsize len;
   const void *data = g_bytes_get_data (record, &len);
+  folded_record_t read
+      = { .kind = JREC_SUBMIT, .data = data, .len = len, .accepted = true };
   fold_result_t folded;
   job_rec_t rec;
 
   ck_assert (job_rec_unpack (data, len, &rec, NULL));
+  g_strlcpy (read.id, rec.u.submit->id, sizeof read.id);
   folded = jobtab_fold (owner.tab, &rec, clock_wall_ms (), clock_boot_us ());
   if (folded.kind == FOLD_SUBMITTED)
     sched_add_job (owner.sched, folded.entry, core_now ());
+  appends_handle_record (&owner, &read);
   job_rec_clear (&rec);
 }
 
@@ -446,8 +450,8 @@
       queued_append_t *queued
           = g_ptr_array_steal_index (owner.append_queue, 0);
 
-      fold_at_owner (queued->record);
       g_ptr_array_add (owner.append_batch, queued);
+      fold_at_owner (queued->record);
     }
   appends_complete (&owner, clock_boot_us ());
 }
--- a/entry/test/appends_test.c
+++ b/entry/test/appends_test.c
@@ -127,6 +127,7 @@
   folded.kind = rec.kind;
   core.tab->next++;
   folded.fold = jobtab_fold (core.tab, &rec, 0, 0).kind;
+  folded.accepted = folded.fold == FOLD_SUBMITTED;
   appends_handle_record (&core, &folded);
   job_rec_clear (&rec);
   g_bytes_unref (record);
@@ -262,12 +263,69 @@
 }
 END_TEST
 
-/* Guards against a record of another daemon that blocks it until it is folded
-   here.  */
-START_TEST (test_forwarded_record_is_answered_when_stored)
+/* Guards against a submission that is answered 504 although it is accepted:
+   its daemon reaches the owner and not the store, and waits for the log.  */
+START_TEST (test_forwarded_submission_is_answered_when_folded)
 {
   store_request (APPEND_FORWARD, submit_record (0));
+  ck_assert_int_eq (outcome (), APPEND_PENDING);
+  read_record (g_bytes_ref (request.record));
   ck_assert_int_eq (outcome (), APPEND_STORED);
+  ck_assert (request.effective);
+}
+END_TEST
+
+/* Guards against a void submission that is answered as accepted by way of the
+   owner, and against one that waits for the owner's log.  */
+START_TEST (test_forwarded_submission_without_effect_is_stored_only)
+{
+  read_record (cancel_record (0, 1));
+  store_request (APPEND_FORWARD, submit_record (0));
+  read_record (g_bytes_ref (request.record));
+  ck_assert_int_eq (outcome (), APPEND_STORED);
+  ck_assert (!request.effective);
+  g_bytes_unref (request.record);
+  store_request (APPEND_FORWARD, submit_record (0));
+  request.deadline_us = 0;
+  appends_run (&core, clock_boot_us ());
+  ck_assert_int_eq (outcome (), APPEND_STORED);
+  ck_assert (!request.effective);
+}
+END_TEST
+
+/* Guards against other records of another daemon that wait to be folded.  */
+START_TEST (test_other_forwarded_record_is_answered_when_stored)
+{
+  store_request (APPEND_FORWARD, cancel_record (0, 1));
+  ck_assert_int_eq (outcome (), APPEND_STORED);
+  ck_assert (request.effective);
+}
+END_TEST
+
+/* Guards against submissions that wait for the log after the owner has said
+   that they are accepted, and against a cancelling that doesn't.  */
+START_TEST (test_owner_accepts_submissions_only)
+{
+  request = (append_req_t){ .kind = APPEND_SUBMIT,
+                            .id = ID,
+                            .record = submit_record (0),
+                            .deadline_us = INT64_MAX,
+                            .done = on_done };
+  appends_add (&core, g_bytes_ref (request.record), &request);
+  g_ptr_array_add (core.append_batch,
+                   g_ptr_array_steal_index (core.append_queue, 0));
+  appends_accept (&core);
+  ck_assert_int_eq (outcome (), APPEND_STORED);
+  g_bytes_unref (request.record);
+  request.record = cancel_record (0, 1);
+  request.kind = APPEND_CANCEL;
+  atomic_store (&request.outcome, APPEND_PENDING);
+  appends_add (&core, g_bytes_ref (request.record), &request);
+  g_ptr_array_add (core.append_batch,
+                   g_ptr_array_steal_index (core.append_queue, 0));
+  appends_accept (&core);
+  appends_complete (&core, clock_boot_us ());
+  ck_assert_int_eq (outcome (), APPEND_PENDING);
 }
 END_TEST
 
@@ -281,4 +339,7 @@
                    test_missing_records_do_not_count_as_read,
                    test_requests_of_others_are_not_answered_as_done,
                    test_id_of_a_job_elsewhere_is_in_use,
-                   test_forwarded_record_is_answered_when_stored)
+                   test_forwarded_submission_is_answered_when_folded,
+                   test_forwarded_submission_without_effect_is_stored_only,
+                   test_other_forwarded_record_is_answered_when_stored,
+                   test_owner_accepts_submissions_only)
--- a/entry/test/linkmsg_test.c
+++ b/entry/test/linkmsg_test.c
@@ -170,11 +170,12 @@
   linkmsg_t msg = { .kind = LINKMSG_STORED, .serial = 3 };
   g_autoptr (GPtrArray) records = g_ptr_array_new ();
 
-  msg.u.stored.stored = true;
+  msg.u.stored.stored = msg.u.stored.effective = true;
   msg.u.stored.refused = rows;
   msg.u.stored.refused_count = 2;
   send_through (&msg);
   ck_assert (out.u.stored.stored);
+  ck_assert (out.u.stored.effective);
   ck_assert_uint_eq (out.u.stored.refused_count, 2);
   ck_assert_mem_eq (out.u.stored.refused, rows, sizeof rows);
   linkmsg_clear (&out);
@@ -210,6 +211,7 @@
 
   unpack_integers (stored, G_N_ELEMENTS (stored));
   ck_assert (out.u.stored.stored);
+  ck_assert (!out.u.stored.effective);
   ck_assert_uint_eq (out.u.stored.refused_count, 0);
   linkmsg_clear (&out);
 
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -236,6 +236,9 @@
 
 GBytes *job_rec_pack (const job_rec_t *rec);
 
+/* job_rec_is_submit - whether RECORD, which may be malformed, is a SUBMIT.  */
+bool job_rec_is_submit (GBytes *record);
+
 /* job_rec_unpack - decode the LEN bytes of DATA into REC; false, with *ERROR
    set, when they are malformed.  */
 bool job_rec_unpack (const void *data, size_t len, job_rec_t *rec,
--- a/jobs/jobtab.c
+++ b/jobs/jobtab.c
@@ -42,6 +42,13 @@
   return g_hash_table_lookup (table->jobs, id);
 }
 
+bool
+job_entry_is_of (const job_entry_t *entry, const job_desc_t *desc)
+{
+  return entry->desc->queue == desc->queue
+         && entry->desc->workspace == desc->workspace;
+}
+
 bool
 task_may_run (const task_progress_t *progress)
 {
--- a/jobs/jobtab.h
+++ b/jobs/jobtab.h
@@ -137,6 +137,10 @@
  */
 bool task_may_run (const task_progress_t *progress);
 
+/* job_entry_is_of - whether ENTRY is of the queue and workspace of DESC, which
+   has its id.  */
+bool job_entry_is_of (const job_entry_t *entry, const job_desc_t *desc);
+
 job_entry_t *jobtab_find (const jobtab_t *table, const char *id);
 
 /* jobtab_purge - remove the jobs that have been final for KEEP_MS, and call
--- a/jobs/record.c
+++ b/jobs/record.c
@@ -297,6 +297,17 @@
   return pack_steal (&buf);
 }
 
+/* A record is an array with fewer than 16 elements, which takes one byte,
+   before the kind.  */
+bool
+job_rec_is_submit (GBytes *record)
+{
+  gsize len;
+  const uint8_t *data = g_bytes_get_data (record, &len);
+
+  return len > 1 && data[1] == JREC_SUBMIT;
+}
+
 char *
 text_read (fields_t *f, const char *name)
 {
