core: put a field and its comment on one line

Cause: the formatter had broken the line after the type. Change: a shorter comment on folded_record_t.accepted. Result: no change of code; the formatter has nothing to add.

--- a/entry/core.h
+++ b/entry/core.h
@@ -62,8 +62,7 @@
   const uint8_t *data;
   size_t len;
   fold_kind_t fold;
-  bool
-      accepted; /* SUBMIT: its job is in the table, by this record or a copy */
+  bool accepted; /* SUBMIT: its job is in the table, by this or a copy */
 } folded_record_t;
 
 /* A record to append to the job log.  */
