entry: name the listener that can't be opened, its address and the error

Cause: a daemon whose port is taken ended at once with line 1004, which named two of its three addresses and no error; a taken peer port showed neither. Change: conns and link log 1004 with listener, address and error. Result: entry/entry fails without the change ("listener=front address=127.0.0.1:52251 error=Address already in use is missing") and passes with it.

--- a/entry/conns.c
+++ b/entry/conns.c
@@ -1,6 +1,7 @@
 #include "conns.h"
 #include "closings.h"
 #include <arpa/inet.h>
+#include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -86,6 +87,7 @@
   conns->closings.connections_max = limits->connections;
   conns->strict = limits->strict;
   conns->bodies = bodies_new (&limits->bodies);
+  errno = 0;
   conns->server = MHD_start_daemon (
       MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
       handler, ctx, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address,
@@ -98,6 +100,8 @@
       MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
   if (conns->server)
     return conns;
+  event_log (EV_LISTEN_FAILED, "listener=%s address=%s error=%s", name,
+             endpoint, g_strerror (errno));
   conns_stop (conns);
   return NULL;
 }
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -68,8 +68,8 @@
   front = core ? front_start (settings, &model, core) : NULL;
   if (!front)
     {
-      event_log (EV_LISTEN_FAILED, "front=%s ready=%s", settings->front,
-                 settings->ready);
+      event_log (EV_LISTEN_FAILED, "front=%s ready=%s peer=%s",
+                 settings->front, settings->ready, settings->peer);
       if (core)
         core_stop (core); /* its thread uses SETTINGS and MODEL */
       readmodel_close (&model);
--- a/entry/link.c
+++ b/entry/link.c
@@ -149,6 +149,8 @@
       || listen (fd, LISTEN_BACKLOG) != 0
       || getsockname (fd, (struct sockaddr *)&self, &len) != 0)
     {
+      event_log (EV_LISTEN_FAILED, "listener=peer address=%s error=%s",
+                 address, g_strerror (errno));
       close (fd);
       return false;
     }
