jobs: all starts of a gang's attempt carry one checkpoint

Cause: the owner kept the last reported value for each task and looked it up at each sending. Of the member on the crashed worker it knew an older one. Change: jobs/checkpoints keeps one value for a gang, the newest by attempt and arrival; it is chosen when an attempt is planned and kept for its starts and their repeats. The model's gangs save work, and its workers check that the members of an attempt carry one value that a member has saved.

--- a/jobs/build.c
+++ b/jobs/build.c
@@ -3,8 +3,7 @@
 static void
 stage_clear (stage_t *stage)
 {
-  for (uint32_t i = 0; i < stage->spec->count; i++)
-    g_free (stage->tasks[i].checkpoint);
+  checkpoints_clear (stage);
   g_free (stage->tasks);
   advice_free (stage->advice);
 }
--- a/jobs/replies.c
+++ b/jobs/replies.c
@@ -53,16 +53,6 @@
     worker->suspect_until_us = now.us + SUSPECT_PAUSE_US;
 }
 
-static void
-set_checkpoint (task_t *task, const char *checkpoint)
-{
-  if (!checkpoint || !checkpoint[0]
-      || g_strcmp0 (task->checkpoint, checkpoint) == 0)
-    return;
-  g_free (task->checkpoint);
-  task->checkpoint = g_strdup (checkpoint);
-}
-
 static const char *
 end_kind_name (run_end_kind_t kind)
 {
@@ -85,7 +75,7 @@
   if (!task)
     return;
   run = run_find (worker, task, end->attempt);
-  set_checkpoint (task, end->checkpoint);
+  checkpoint_learn (task, end->attempt, end->checkpoint);
   switch (end->kind)
     {
     case RUN_DONE:
@@ -155,7 +145,7 @@
     run->progress_us = now.us;
   run->percent = status->percent;
   run->load = status->load;
-  set_checkpoint (run->task, status->checkpoint);
+  checkpoint_learn (run->task, run->attempt, status->checkpoint);
   mark_active (sched, run, now);
 }
 
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -147,8 +147,8 @@
   uint32_t attempt; /* last attempt number used */
   failures_t failures;
   bool done;
-  bool restarted; /* was started elsewhere because its worker was slow */
-  char *checkpoint;
+  bool restarted;   /* was started elsewhere because its worker was slow */
+  char *checkpoint; /* last reported; NULL: none, or of a gang */
   run_t *run;
   uint32_t run_count; /* including earlier attempts and copies */
   int64_t not_before_us;
@@ -165,15 +165,18 @@
   const job_step_t *spec;
   task_t *tasks;
   uint32_t unfinished;
-  uint32_t steps_pending;     /* required steps that are not done */
-  uint32_t unstarted;         /* tasks without a run */
-  uint32_t attempt;           /* gang: last attempt number used */
-  failures_t gang_failures;   /* gang: failures of all tasks together */
-  uint32_t stay_logged;       /* gang: sched->evacuations_begun when it was
-                                 logged that it can't move out */
-  bool queued;                /* in pool->stages */
-  bool lacks_worker;          /* no worker could take its next task */
-  advice_t *advice;           /* NULL: not requested yet */
+  uint32_t steps_pending;      /* required steps that are not done */
+  uint32_t unstarted;          /* tasks without a run */
+  uint32_t attempt;            /* gang: last attempt number used */
+  failures_t gang_failures;    /* gang: failures of all tasks together */
+  char *checkpoint;            /* gang: newest that a member reported ... */
+  uint32_t checkpoint_attempt; /* ... and the attempt that saved it */
+  char *start_checkpoint;      /* gang: carried by all starts of the attempt */
+  uint32_t stay_logged;        /* gang: sched->evacuations_begun when it was
+                                  logged that it can't move out */
+  bool queued;                 /* in pool->stages */
+  bool lacks_worker;           /* no worker could take its next task */
+  advice_t *advice;            /* NULL: not requested yet */
   int64_t waiting_us;         /* first plan of this owner in which it had tasks
                                  to start; 0: none */
   int64_t waits_since_us;     /* first plan in which it waited, while shares
@@ -476,6 +479,22 @@
 bool job_exceeds_share (const workspace_t *workspace, const job_desc_t *desc,
                         uint32_t pending);
 
+/* checkpoints.c: the values that tasks continue from
+
+   All members of a gang's attempt have to start with one value, and the value
+   of any member is valid for all.  It is chosen when the attempt is planned
+   and kept for its starts and their repeats.  Only the owner that planned an
+   attempt starts it; a later owner stops it if a start may be missing.  */
+/* checkpoint_learn - ATTEMPT of TASK has saved VALUE; NULL or "": nothing.
+   checkpoint_begin_gang - choose the value of the attempt that is planned now
+   for the gang STAGE.
+   checkpoint_of_start - what a start of TASK carries; NULL: none.
+   checkpoints_clear - free the values of STAGE and its tasks.  */
+void checkpoint_learn (task_t *task, uint32_t attempt, const char *value);
+void checkpoint_begin_gang (stage_t *stage);
+const char *checkpoint_of_start (const task_t *task);
+void checkpoints_clear (stage_t *stage);
+
 /* runs.c: attempts at tasks */
 run_t *run_new (sched_t *sched, task_t *task, worker_t *worker,
                 uint32_t attempt, sched_now_t now);
--- a/jobs/test/model.h
+++ b/jobs/test/model.h
@@ -37,6 +37,11 @@
   uint32_t steps_count;
   bool is_chain;        /* each step comes after the one before */
   int64_t cancelled_us; /* 0: it is not */
+  /* By step, of a gang: the latest attempt that has begun, the value that its
+     first member carried, and the most work that a member has saved.  */
+  uint32_t gang_attempt[MODEL_STEPS_MAX];
+  const char *gang_value[MODEL_STEPS_MAX]; /* interned */
+  uint32_t gang_saved[MODEL_STEPS_MAX];
   model_task_t tasks[MODEL_STEPS_MAX][MODEL_TASKS_MAX];
 } model_job_t;
 
@@ -48,6 +53,8 @@
   int64_t begun_us;
   int64_t takes_us; /* from its begin, or that of the last one of its gang */
   int64_t ends_us;  /* INT64_MAX: not known yet */
+  uint32_t saved;   /* gang: checkpoints of work that it began with ... */
+  int64_t work_from_us; /* ... and when its members went on; 0: not yet */
   run_end_kind_t ends_as;
   bool stopping; /* in neither list */
 } model_run_t;
@@ -178,7 +185,9 @@
                                  const model_origin_t *origin);
 /* model_worker_report - its lists; the caller frees them.  */
 worker_report_t model_worker_report (const model_worker_t *worker);
-/* model_gangs_run - let gangs work that are complete, and break the others. */
+/* model_run_value - what RUN has saved, interned; "" if it isn't of a gang.
+   model_gangs_run - let gangs work that are complete, and break the others. */
+const char *model_run_value (const model_run_t *run);
 void model_gangs_run (void);
 
 /* model_net.c: the orders to workers and their replies, each of which may be
@@ -221,6 +230,9 @@
 /* model_check_start - WORKER has begun RUN, which is among its runs.  */
 void model_check_start (const model_worker_t *worker, const model_run_t *run,
                         const model_origin_t *origin);
+/* model_check_value - RUN, of a gang, has begun with VALUE, interned or NULL;
+   the checkpoints of work that it has.  */
+uint32_t model_check_value (const model_run_t *run, const char *value);
 /* model_note_end - END has reached last_seen of an owner.  */
 void model_note_end (const model_end_t *end);
 /* model_check_final - all jobs have to be final, and nothing runs.  */
--- a/jobs/test/model_check.c
+++ b/jobs/test/model_check.c
@@ -80,6 +80,7 @@
   else if (kind < 42)
     {
       step.gang = true;
+      step.checkpoints = true;
       step.count = 2;
       step.spread_max = 0;
       step.need.cpu_milli = 500;
@@ -291,6 +292,36 @@
     model_fail ("BUDGET %s/%u", name, run->attempt);
 }
 
+/* GANG: all members of an attempt carry one value, which a member has saved.
+   Otherwise they would not come together.  */
+uint32_t
+model_check_value (const model_run_t *run, const char *value)
+{
+  model_job_t *job = run->job;
+  uint32_t step = run->task.step;
+  g_autofree char *name = model_task_name (&run->task);
+  uint32_t of_job = job->number;
+  uint32_t of_step = step;
+  uint32_t saved = 0;
+
+  if (run->attempt > job->gang_attempt[step])
+    {
+      job->gang_attempt[step] = run->attempt;
+      job->gang_value[step] = value;
+    }
+  else if (run->attempt == job->gang_attempt[step]
+           && value != job->gang_value[step])
+    model_fail ("GANG %s/%u carries %s, another member %s", name, run->attempt,
+                value, job->gang_value[step]);
+  if (value
+      && (sscanf (value, "%u.%u.%u", &of_job, &of_step, &saved) != 3
+          || of_job != job->number || of_step != step
+          || saved > job->gang_saved[step]))
+    model_fail ("UNASKED %s/%u carries %s, which no member saved", name,
+                run->attempt, value);
+  return saved;
+}
+
 void
 model_note_end (const model_end_t *end)
 {
--- a/jobs/test/model_net.c
+++ b/jobs/test/model_net.c
@@ -67,7 +67,7 @@
 
       call->order = g_array_index (orders, order_t, i);
       call->order.payload = NULL;
-      call->order.checkpoint = NULL;
+      call->order.checkpoint = g_intern_string (call->order.checkpoint);
       call->worker = find_worker (call->order.worker);
       call->sent_us = rig.now.us;
       call->arrives_us = call->reply_us = INT64_MAX;
--- a/jobs/test/model_worker.c
+++ b/jobs/test/model_worker.c
@@ -9,6 +9,8 @@
 #define FIRST_END_US 1100000
 /* A run that lasts is at full speed after this time.  */
 #define STARTUP_US 400000
+/* Members of a gang save their work this often.  */
+#define CHECKPOINT_US 200000
 
 void
 model_worker_init (model_worker_t *worker, uint32_t number)
@@ -104,6 +106,25 @@
   return NULL;
 }
 
+const char *
+model_run_value (const model_run_t *run)
+{
+  model_job_t *job = run->job;
+  uint32_t step = run->task.step;
+  uint32_t saved = run->saved;
+  g_autofree char *text = NULL;
+
+  if (!job->steps[step].gang)
+    return "";
+  if (run->work_from_us != 0)
+    saved += (uint32_t)((rig.now.us - run->work_from_us) / CHECKPOINT_US);
+  job->gang_saved[step] = MAX (job->gang_saved[step], saved);
+  if (saved == 0)
+    return "";
+  text = g_strdup_printf ("%u.%u.%u", job->number, step, saved);
+  return g_intern_string (text);
+}
+
 /* Ends run INDEX of WORKER, which is listed as ended from now on.  */
 static void
 end_run (model_worker_t *worker, uint32_t index, run_end_kind_t kind)
@@ -115,7 +136,7 @@
                                .task = run.task,
                                .attempt = run.attempt,
                                .kind = kind,
-                               .checkpoint = "" } };
+                               .checkpoint = model_run_value (&run) } };
   g_autofree char *name = model_task_name (&run.task);
 
   task->done |= kind == RUN_DONE;
@@ -212,6 +233,8 @@
     run.ends_us = MAX (run.ends_us, worker->boot_us + FIRST_END_US);
   if (step->long_running)
     run.ends_as = RUN_FAILED;
+  if (step->gang)
+    run.saved = model_check_value (&run, order->checkpoint);
   model_trace ("%s: %s/%u begins, token %" PRIu64 " sent_us=%" PRId64,
                worker->id, name, run.attempt, order->token, origin->sent_us);
   g_array_append_val (worker->runs, run);
@@ -329,7 +352,7 @@
         report.runs[report.runs_count++]
             = (run_status_t){ .task = run->task,
                               .attempt = run->attempt,
-                              .checkpoint = "",
+                              .checkpoint = model_run_value (run),
                               .percent = percent_of (run),
                               .load
                               = MODEL_TARGET_MS / 4 * worker->runs->len };
@@ -361,6 +384,8 @@
           continue;
         other->ends_us = ends_us;
         other->ends_as = ends_as;
+        if (other->work_from_us == 0)
+          other->work_from_us = rig.now.us;
       }
   return count;
 }
--- a/jobs/workers.c
+++ b/jobs/workers.c
@@ -369,7 +369,7 @@
                               .task = task_ref (task),
                               .attempt = run->attempt,
                               .payload = task->stage->job->desc->payload,
-                              .checkpoint = task->checkpoint,
+                              .checkpoint = checkpoint_of_start (task),
                               .ticket = ticket });
   return NULL;
 }
