jobs: record the checkpoint that a gang's attempt starts with

Cause: workers drop the ends that an owner has acknowledged, and nothing else kept the values in them, so a gang lost its work with its owner. Values beyond 255 bytes are carried but not recorded, so that a record stays within what the store takes.

--- a/jobs/checkpoints.c
+++ b/jobs/checkpoints.c
@@ -1,4 +1,5 @@
 #include "schedint.h"
+#include <string.h>
 
 static bool
 is_none (const char *value)
@@ -36,9 +37,27 @@
 }
 
 void
-checkpoint_begin_gang (stage_t *stage)
+checkpoint_begin_gang (sched_t *sched, stage_t *stage, uint32_t attempt)
 {
+  gang_value_t row
+      = { .task = task_ref (&stage->tasks[0]), .attempt = attempt };
+
   set (&stage->start_checkpoint, stage->checkpoint);
+  if (!stage->checkpoint || strlen (stage->checkpoint) > GANG_VALUE_BYTES_MAX)
+    return;
+  row.value = g_strdup (stage->checkpoint);
+  g_array_append_val (sched->values, row);
+}
+
+/* The value was saved before ROW's attempt, and possibly in the one before, of
+   which later ends may still be reported.  */
+void
+checkpoint_inherit (stage_t *stage, const gang_value_t *row)
+{
+  if (!row)
+    return;
+  set (&stage->checkpoint, row->value);
+  stage->checkpoint_attempt = row->attempt - 1;
 }
 
 const char *
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -179,6 +179,21 @@
   uint32_t left_ms; /* otherwise: until all its leases have ended */
 } worker_silence_t;
 
+/* The starts of ATTEMPT of a gang carry VALUE, a checkpoint of an earlier
+   attempt.  Recorded before any of them, so that the work isn't lost with the
+   owner that knows of it.  */
+#define GANG_VALUE_BYTES_MAX 255 /* a longer one is not recorded */
+
+typedef struct gang_value
+{
+  task_ref_t task; /* the first one of the gang */
+  uint32_t attempt;
+  char *value; /* owned */
+} gang_value_t;
+
+/* gang_values_new - an array of gang_value_t that frees the values.  */
+GArray *gang_values_new (void);
+
 typedef struct job_change
 {
   char id[JOB_ID_BYTES];
@@ -228,6 +243,7 @@
          don't read them.  */
       GArray *over;
       GArray *silences; /* of worker_silence_t; the same */
+      GArray *values;   /* of gang_value_t; the same */
     } progress;
   } u;
 } job_rec_t;
--- a/jobs/jobtab.c
+++ b/jobs/jobtab.c
@@ -8,9 +8,37 @@
 
   job_desc_unref (entry->desc);
   g_free (entry->tasks);
+  g_clear_pointer (&entry->values, g_hash_table_destroy);
   g_free (entry);
 }
 
+static void
+value_free (gpointer data)
+{
+  g_free (((gang_value_t *)data)->value);
+  g_free (data);
+}
+
+void
+job_entry_set_value (job_entry_t *entry, uint32_t number, uint32_t attempt,
+                     const char *value)
+{
+  gpointer key = GUINT_TO_POINTER (number);
+  const gang_value_t *last;
+  gang_value_t *row;
+
+  if (!entry->values)
+    entry->values = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL,
+                                           value_free);
+  last = g_hash_table_lookup (entry->values, key);
+  if (last && last->attempt > attempt)
+    return;
+  row = g_new0 (gang_value_t, 1);
+  row->attempt = attempt;
+  row->value = g_strdup (value);
+  g_hash_table_insert (entry->values, key, row);
+}
+
 jobtab_t *
 jobtab_new (void)
 {
@@ -97,6 +125,7 @@
   small->settings = desc->settings;
   small->accepted_ms = desc->accepted_ms;
   small->payload = g_strdup ("");
+  g_clear_pointer (&entry->values, g_hash_table_destroy);
   if (keep_runs)
     copy_needs (small, desc);
   else
@@ -283,6 +312,19 @@
   progress->placed_epoch = (uint32_t)epoch;
 }
 
+static void
+fold_value (jobtab_t *table, const gang_value_t *row)
+{
+  job_entry_t *entry = jobtab_find (table, row->task.id);
+  uint32_t number;
+
+  if (!entry || job_state_is_final (entry->state) || !row->value)
+    return;
+  number = job_task_number (entry->desc, &row->task);
+  if (number != UINT32_MAX)
+    job_entry_set_value (entry, number, row->attempt, row->value);
+}
+
 /* Records that ATTEMPT of a task has ended.  */
 static void
 clear_run (task_progress_t *progress, uint32_t attempt)
@@ -371,6 +413,7 @@
   const GArray *changes = rec->u.progress.changes;
   const GArray *over = rec->u.progress.over;
   const GArray *silences = rec->u.progress.silences;
+  const GArray *values = rec->u.progress.values;
 
   if (rec->u.progress.epoch < table->owner.epoch)
     {
@@ -379,6 +422,8 @@
     }
   if (rec->u.progress.epoch > table->owner.epoch)
     return (fold_result_t){ FOLD_NOTHING, NULL };
+  for (uint32_t i = 0; values && i < values->len; i++)
+    fold_value (table, &g_array_index (values, gang_value_t, i));
   for (uint32_t i = 0; i < placed->len; i++)
     fold_placed (table, &g_array_index (placed, task_placed_t, i),
                  rec->u.progress.epoch);
--- a/jobs/jobtab.h
+++ b/jobs/jobtab.h
@@ -56,8 +56,16 @@
   task_progress_t *tasks; /* by task number; NULL: final, without runs */
   uint32_t tasks_count;
   uint64_t limit; /* cancellings with a lower position are void */
+  /* Number of the first task of a gang -> gang_value_t of its last attempt.
+     NULL: none is recorded, or the job is final.  */
+  GHashTable *values;
 } job_entry_t;
 
+/* job_entry_set_value - record that ATTEMPT of the gang whose first task is
+   NUMBER starts with VALUE, unless a later attempt is recorded.  */
+void job_entry_set_value (job_entry_t *entry, uint32_t number,
+                          uint32_t attempt, const char *value);
+
 typedef struct ownership
 {
   uint64_t epoch; /* 0: there was no owner yet */
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -127,7 +127,7 @@
     }
   if (runs->len == stage->unfinished)
     {
-      checkpoint_begin_gang (stage);
+      checkpoint_begin_gang (sched, stage, attempt);
       for (uint32_t i = 0; i < runs->len; i++)
         plan_start (sched, g_ptr_array_index (runs, i));
       return;
--- a/jobs/record.c
+++ b/jobs/record.c
@@ -17,6 +17,21 @@
   FLAG_FILLER = 32
 } step_flag_t;
 
+static void
+value_clear (gpointer data)
+{
+  g_free (((gang_value_t *)data)->value);
+}
+
+GArray *
+gang_values_new (void)
+{
+  GArray *values = g_array_new (FALSE, TRUE, sizeof (gang_value_t));
+
+  g_array_set_clear_func (values, value_clear);
+  return values;
+}
+
 void
 job_rec_clear (job_rec_t *rec)
 {
@@ -44,6 +59,8 @@
         g_array_free (rec->u.progress.over, TRUE);
       if (rec->u.progress.silences)
         g_array_free (rec->u.progress.silences, TRUE);
+      if (rec->u.progress.values)
+        g_array_free (rec->u.progress.values, TRUE);
       break;
     }
   memset (rec, 0, sizeof *rec);
@@ -154,13 +171,20 @@
     }
 }
 
+static bool
+has_values (const job_rec_t *rec)
+{
+  return rec->u.progress.values && rec->u.progress.values->len > 0;
+}
+
+/* A field is there also if a later one is.  */
 static bool
 has_silences (const job_rec_t *rec)
 {
-  return rec->u.progress.silences && rec->u.progress.silences->len > 0;
+  return has_values (rec)
+         || (rec->u.progress.silences && rec->u.progress.silences->len > 0);
 }
 
-/* The field is there also if a later one is.  */
 static bool
 has_over (const job_rec_t *rec)
 {
@@ -187,8 +211,10 @@
 static void
 pack_silences (msgpack_packer *pk, const GArray *silences)
 {
-  msgpack_pack_array (pk, silences->len);
-  for (uint32_t i = 0; i < silences->len; i++)
+  uint32_t count = silences ? silences->len : 0;
+
+  msgpack_pack_array (pk, count);
+  for (uint32_t i = 0; i < count; i++)
     {
       const worker_silence_t *row
           = &g_array_index (silences, worker_silence_t, i);
@@ -200,6 +226,21 @@
     }
 }
 
+static void
+pack_values (msgpack_packer *pk, const GArray *values)
+{
+  msgpack_pack_array (pk, values->len);
+  for (uint32_t i = 0; i < values->len; i++)
+    {
+      const gang_value_t *row = &g_array_index (values, gang_value_t, i);
+
+      msgpack_pack_array (pk, 6);
+      pack_ref (pk, &row->task);
+      msgpack_pack_uint32 (pk, row->attempt);
+      pack_name (pk, row->value);
+    }
+}
+
 static void
 pack_progress (msgpack_packer *pk, const job_rec_t *rec)
 {
@@ -232,6 +273,8 @@
     pack_over (pk, rec->u.progress.over);
   if (has_silences (rec))
     pack_silences (pk, rec->u.progress.silences);
+  if (has_values (rec))
+    pack_values (pk, rec->u.progress.values);
 }
 
 /* Number of fields of REC, the kind included.  */
@@ -250,7 +293,8 @@
     case JREC_RELEASE:
       return 3;
     case JREC_PROGRESS:
-      return 6 + (uint32_t)has_over (rec) + (uint32_t)has_silences (rec);
+      return 6 + (uint32_t)has_over (rec) + (uint32_t)has_silences (rec)
+             + (uint32_t)has_values (rec);
     }
   return 0;
 }
@@ -543,6 +587,16 @@
   silence->left_ms = (uint32_t)fields_u64 (row, "left", UINT32_MAX);
 }
 
+static void
+read_value (fields_t *row, void *to)
+{
+  gang_value_t *value = to;
+
+  read_ref (row, &value->task);
+  value->attempt = (uint32_t)fields_u64 (row, "attempt", UINT32_MAX);
+  value->value = text_read (row, "value");
+}
+
 static void
 read_change (fields_t *row, void *to)
 {
@@ -552,12 +606,12 @@
   change->state = (job_state_t)fields_u64 (row, "state", JOB_STATE_CANCELLED);
 }
 
-/* Decodes the array field NAME with READ into elements of SIZE bytes.  */
-static GArray *
-read_rows (fields_t *f, const char *name, guint size,
-           void (*read) (fields_t *row, void *to))
+/* Decodes the array field NAME with READ into ROWS, of elements of SIZE
+   bytes.  */
+static void
+read_rows_to (fields_t *f, const char *name, GArray *rows, guint size,
+              void (*read) (fields_t *row, void *to))
 {
-  GArray *rows = g_array_new (FALSE, TRUE, size);
   const msgpack_object *items;
   uint32_t count = array_read (f, name, &items);
 
@@ -569,6 +623,16 @@
       read (&row, rows->data + (gsize)i * size);
       f->bad = row.bad;
     }
+}
+
+/* The same into a new array.  */
+static GArray *
+read_rows (fields_t *f, const char *name, guint size,
+           void (*read) (fields_t *row, void *to))
+{
+  GArray *rows = g_array_new (FALSE, TRUE, size);
+
+  read_rows_to (f, name, rows, size, read);
   return rows;
 }
 
@@ -645,6 +709,12 @@
       if (f.left > 0)
         rec->u.progress.silences = read_rows (
             &f, "silences", sizeof (worker_silence_t), read_silence);
+      if (f.left > 0)
+        {
+          rec->u.progress.values = gang_values_new ();
+          read_rows_to (&f, "values", rec->u.progress.values,
+                        sizeof (gang_value_t), read_value);
+        }
       break;
     default:
       f.bad = "kind";
--- a/jobs/sched.c
+++ b/jobs/sched.c
@@ -115,6 +115,7 @@
   sched->ends = g_array_new (FALSE, TRUE, sizeof (task_end_t));
   sched->over = g_array_new (FALSE, TRUE, sizeof (run_over_t));
   sched->silences = g_array_new (FALSE, TRUE, sizeof (worker_silence_t));
+  sched->values = gang_values_new ();
   sched->changes = g_array_new (FALSE, TRUE, sizeof (job_change_t));
   sched->hosts
       = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, host_free);
@@ -173,6 +174,7 @@
   g_array_free (sched->ends, TRUE);
   g_array_free (sched->over, TRUE);
   g_array_free (sched->silences, TRUE);
+  g_array_free (sched->values, TRUE);
   g_hash_table_destroy (sched->silent);
   g_array_free (sched->changes, TRUE);
   interference_free (sched->interference);
@@ -253,12 +255,26 @@
   return rows;
 }
 
+/* The same for the values of gangs, which the new array owns.  */
+static GArray *
+take_values (GArray *from, uint32_t count)
+{
+  GArray *values = gang_values_new ();
+
+  count = MIN (count, from->len);
+  g_array_append_vals (values, from->data, count);
+  for (uint32_t i = 0; i < count; i++)
+    g_array_index (from, gang_value_t, i).value = NULL;
+  g_array_remove_range (from, 0, count);
+  return values;
+}
+
 static bool
 has_rows (const sched_t *sched)
 {
   return sched->placed->len > 0 || sched->ends->len > 0
          || sched->changes->len > 0 || sched->over->len > 0
-         || sched->silences->len > 0;
+         || sched->silences->len > 0 || sched->values->len > 0;
 }
 
 bool
@@ -282,6 +298,8 @@
   rec = g_new0 (job_rec_t, 1);
   rec->kind = JREC_PROGRESS;
   rec->u.progress.epoch = sched->epoch;
+  rec->u.progress.values = take_values (sched->values, left);
+  left -= rec->u.progress.values->len;
   rec->u.progress.placed = take_rows (sched->placed, left);
   left -= rec->u.progress.placed->len;
   rec->u.progress.ends = take_rows (sched->ends, left);
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -378,6 +378,7 @@
   GArray *ends;     /* of task_end_t */
   GArray *over;     /* of run_over_t */
   GArray *silences; /* of worker_silence_t */
+  GArray *values;   /* of gang_value_t, before the starts that carry them */
   GArray *changes;
   GHashTable *hosts;           /* interned name -> host_t */
   GHashTable *workers_by_host; /* interned name -> array of worker_t */
@@ -482,16 +483,21 @@
 /* checkpoints.c: the values that tasks continue from
 
    All members of a gang's attempt have to start with one value, and the value
-   of any member is valid for all.  It is chosen when the attempt is planned
-   and kept for its starts and their repeats.  Only the owner that planned an
-   attempt starts it; a later owner stops it if a start may be missing.  */
+   of any member is valid for all.  It is chosen when the attempt is planned,
+   recorded before the first start, and kept for all starts and their repeats.
+   Only the owner that planned an attempt starts it; a later owner stops it if
+   a start may be missing, and the next attempt continues from the recorded
+   value or a newer one.  */
 /* checkpoint_learn - ATTEMPT of TASK has saved VALUE; NULL or "": nothing.
-   checkpoint_begin_gang - choose the value of the attempt that is planned now
-   for the gang STAGE.
+   checkpoint_begin_gang - choose and record the value of ATTEMPT, which is
+   planned now for the gang STAGE.
+   checkpoint_inherit - an earlier owner recorded ROW, or nothing if NULL, for
+   the gang STAGE.
    checkpoint_of_start - what a start of TASK carries; NULL: none.
    checkpoints_clear - free the values of STAGE and its tasks.  */
 void checkpoint_learn (task_t *task, uint32_t attempt, const char *value);
-void checkpoint_begin_gang (stage_t *stage);
+void checkpoint_begin_gang (sched_t *sched, stage_t *stage, uint32_t attempt);
+void checkpoint_inherit (stage_t *stage, const gang_value_t *row);
 const char *checkpoint_of_start (const task_t *task);
 void checkpoints_clear (stage_t *stage);
 
--- a/jobs/stages.c
+++ b/jobs/stages.c
@@ -257,6 +257,10 @@
   const job_entry_t *entry = job->entry;
 
   neighbours_number_image (sched, stage, now.us);
+  if (entry && entry->values)
+    checkpoint_inherit (
+        stage,
+        g_hash_table_lookup (entry->values, GUINT_TO_POINTER (first_mark)));
   for (uint32_t i = 0; i < stage->spec->count; i++)
     {
       task_t *task = &stage->tasks[i];
--- a/jobs/tabpack.c
+++ b/jobs/tabpack.c
@@ -3,6 +3,8 @@
 
 #define SNAPSHOT_FORMAT 2
 #define SNAPSHOT_BYTES_MAX (64 * 1024 * 1024)
+#define ENTRY_FIELDS 5
+#define ENTRY_FIELDS_WITH_VALUES 6
 #define TASK_FIELDS 7
 #define TASK_FIELDS_WITH_EARLIER 9
 
@@ -53,6 +55,26 @@
       pack_task (pk, i, &entry->tasks[i]);
 }
 
+static void
+pack_values (msgpack_packer *pk, GHashTable *values)
+{
+  GHashTableIter iter;
+  gpointer number;
+  gpointer value;
+
+  msgpack_pack_array (pk, g_hash_table_size (values));
+  g_hash_table_iter_init (&iter, values);
+  while (g_hash_table_iter_next (&iter, &number, &value))
+    {
+      const gang_value_t *row = value;
+
+      msgpack_pack_array (pk, 3);
+      msgpack_pack_uint32 (pk, GPOINTER_TO_UINT (number));
+      msgpack_pack_uint32 (pk, row->attempt);
+      pack_name (pk, row->value);
+    }
+}
+
 static void
 pack_silent (msgpack_packer *pk, GHashTable *silent)
 {
@@ -104,12 +126,15 @@
     {
       const job_entry_t *entry = value;
 
-      msgpack_pack_array (&pk, 5);
+      msgpack_pack_array (&pk, entry->values ? ENTRY_FIELDS_WITH_VALUES
+                                             : ENTRY_FIELDS);
       msgpack_pack_uint32 (&pk, entry->state);
       msgpack_pack_int64 (&pk, entry->since_ms);
       desc_pack (&pk, entry->desc);
       pack_tasks (&pk, entry);
       msgpack_pack_uint64 (&pk, entry->limit);
+      if (entry->values)
+        pack_values (&pk, entry->values);
     }
   pack_silent (&pk, table->silent);
   pack_cancels (&pk, &table->cancels);
@@ -171,6 +196,25 @@
     f->bad = read_task (&items[i], entry, epoch);
 }
 
+static void
+read_values (fields_t *f, job_entry_t *entry)
+{
+  const msgpack_object *items;
+  uint32_t count = array_read (f, "values", &items);
+
+  for (uint32_t i = 0; i < count && !f->bad; i++)
+    {
+      fields_t row = fields_open (&items[i], "values");
+      uint32_t number = (uint32_t)fields_u64 (&row, "number", UINT32_MAX);
+      uint32_t attempt = (uint32_t)fields_u64 (&row, "attempt", UINT32_MAX);
+      g_autofree char *value = text_read (&row, "value");
+
+      f->bad = row.bad;
+      if (!f->bad && value && number < entry->tasks_count)
+        job_entry_set_value (entry, number, attempt, value);
+    }
+}
+
 static const char *
 read_entry (const msgpack_object *object, jobtab_t *table)
 {
@@ -193,6 +237,8 @@
     fields_next (&f, "marks");
   if (f.left > 0) /* absent in snapshots of earlier versions */
     entry->limit = fields_u64 (&f, "limit", UINT64_MAX);
+  if (f.left > 0) /* absent if there are none, and in earlier versions */
+    read_values (&f, entry);
   if (f.bad || jobtab_find (table, entry->desc->id))
     job_entry_free (entry);
   else
--- a/jobs/test/checkpoints_test.c
+++ b/jobs/test/checkpoints_test.c
@@ -233,6 +233,92 @@
 }
 END_TEST
 
+/* Starts job 1 of a gang under owner 1, ends it with the value "500", which is
+   acknowledged, and starts it again.  The starts are not carried out.  */
+static void
+start_from_a_value (void)
+{
+  job_step_t step = gang_step ();
+  g_autoptr (GArray) starts = NULL;
+  g_autoptr (GArray) again = NULL;
+
+  open_owner (1, MEMBERS);
+  rig_submit (1, &step, 1);
+  starts = start_gang ();
+  for (uint32_t i = 0; i < MEMBERS; i++)
+    {
+      rig_confirm_start (member (starts, i));
+      report_end (member (starts, i), RUN_BROKEN, "500");
+    }
+  again = start_gang ();
+  expect_value (again, "500");
+}
+
+/* The starts of the next owner, to which the workers report nothing.  It stops
+   the attempt before, whose starts may be carried out late.  */
+static GArray *
+start_under_next_owner (void)
+{
+  g_autoptr (GArray) stops = NULL;
+
+  open_owner (2, MEMBERS);
+  rig_advance_clock (100);
+  report_nothing (MEMBERS, NULL);
+  stops = rig_plan (false);
+  ck_assert_uint_eq (rig_count_orders (stops, ORDER_STOP), MEMBERS);
+  for (uint32_t i = 0; i < MEMBERS; i++)
+    rig_reply (member (stops, i), REPLY_OK);
+  return start_again (MEMBERS, NULL);
+}
+
+/* Guards against a gang that loses its work with the owner: the workers have
+   dropped the ends that were acknowledged, so only the record has the value.
+ */
+START_TEST (test_value_outlives_the_owner)
+{
+  g_autoptr (GArray) starts = NULL;
+
+  start_from_a_value ();
+  starts = start_under_next_owner ();
+  expect_value (starts, "500");
+}
+END_TEST
+
+/* Guards against a value that is not in the snapshot of the records.  */
+START_TEST (test_value_is_in_the_snapshot)
+{
+  g_autoptr (GArray) starts = NULL;
+
+  start_from_a_value ();
+  rig_load_snapshot ();
+  starts = start_under_next_owner ();
+  expect_value (starts, "500");
+}
+END_TEST
+
+/* Guards against a record that the store or a reader refuses for the length of
+   a value.  */
+START_TEST (test_long_value_is_not_recorded)
+{
+  g_autofree char *value = g_strnfill (GANG_VALUE_BYTES_MAX + 1, 'x');
+  job_step_t step = gang_step ();
+  g_autoptr (GArray) starts = NULL;
+  g_autoptr (GArray) again = NULL;
+
+  open_owner (1, MEMBERS);
+  rig_submit (1, &step, 1);
+  starts = start_gang ();
+  for (uint32_t i = 0; i < MEMBERS; i++)
+    {
+      rig_confirm_start (member (starts, i));
+      report_end (member (starts, i), RUN_BROKEN, value);
+    }
+  again = start_gang ();
+  expect_value (again, value);
+  ck_assert_ptr_null (jobtab_find (rig.tab, rig_id (1))->values);
+}
+END_TEST
+
 /* Guards against a task without a gang that begins anew, or from the value of
    another task of its step.  */
 START_TEST (test_other_tasks_keep_their_own_values)
@@ -272,4 +358,7 @@
                    test_repeated_start_carries_the_value_of_its_attempt,
                    test_value_of_an_earlier_attempt_is_not_newer,
                    test_take_over_between_two_starts,
+                   test_value_outlives_the_owner,
+                   test_value_is_in_the_snapshot,
+                   test_long_value_is_not_recorded,
                    test_other_tasks_keep_their_own_values)
--- a/jobs/test/record_test.c
+++ b/jobs/test/record_test.c
@@ -269,6 +269,43 @@
 }
 END_TEST
 
+/* Guards against a value of a gang that is lost when it is encoded, alone or
+   beside the optional fields before it.  */
+START_TEST (test_values_round_trip)
+{
+  worker_silence_t silence = { .worker = "w1", .left_ms = 7 };
+  job_rec_t rec = { .kind = JREC_PROGRESS };
+
+  rec.u.progress.placed = g_array_new (FALSE, FALSE, sizeof (task_placed_t));
+  rec.u.progress.ends = g_array_new (FALSE, FALSE, sizeof (task_end_t));
+  rec.u.progress.changes = g_array_new (FALSE, FALSE, sizeof (job_change_t));
+  rec.u.progress.values = gang_values_new ();
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      gang_value_t row = { { "00000000000000ab", 1, 2, 0 }, 4, NULL };
+      job_rec_t copy;
+
+      row.value = g_strdup ("500");
+      g_array_append_val (rec.u.progress.values, row);
+      if (i == 1)
+        {
+          rec.u.progress.silences = g_array_new (FALSE, FALSE, sizeof silence);
+          g_array_append_val (rec.u.progress.silences, silence);
+        }
+      copy = round_trip (&rec);
+      ck_assert_uint_eq (copy.u.progress.values->len, i + 1);
+      row = g_array_index (copy.u.progress.values, gang_value_t, i);
+      ck_assert_str_eq (row.task.id, "00000000000000ab");
+      ck_assert_uint_eq (row.task.step, 2);
+      ck_assert_uint_eq (row.attempt, 4);
+      ck_assert_str_eq (row.value, "500");
+      ck_assert_uint_eq (copy.u.progress.silences->len, i);
+      job_rec_clear (&copy);
+    }
+  job_rec_clear (&rec);
+}
+END_TEST
+
 /* Guards against an epoch or a holder that is lost when it is encoded.  */
 START_TEST (test_owner_records_round_trip)
 {
@@ -327,5 +364,6 @@
                    test_record_without_settings_is_read,
                    test_cancel_round_trip,
                    test_cancel_without_position_is_read,
-                   test_progress_round_trip, test_owner_records_round_trip,
+                   test_progress_round_trip, test_values_round_trip,
+                   test_owner_records_round_trip,
                    test_damaged_records_are_rejected)
