entry: a stop frees the core after the HTTP servers that call it

Cause: the core's thread ended and the core was freed while the front still passed requests to it; nobody answered those. Change: the stop has one order in stop_daemon: serve, halt the core, which refuses further requests and finishes those that wait, send the answers, close the listeners, free the core. core_append and core_explain pass a request in an RCU read-side section, and the halt waits for a grace period after its flag. Requests in flight are served until 85 % of grace_s, 95 % before, so that the rest fits before SIGKILL.

--- a/entry/conns.c
+++ b/entry/conns.c
@@ -16,6 +16,34 @@
   closings_t closings;
 };
 
+/* Threads of HTTP servers that are registered with RCU.  A thread that ends
+   without being unregistered blocks all grace periods after that.  */
+static pthread_once_t thread_key_once = PTHREAD_ONCE_INIT;
+static pthread_key_t thread_key;
+
+static void
+unregister_thread (void *registered)
+{
+  (void)registered;
+  rcu_unregister_thread ();
+}
+
+static void
+create_thread_key (void)
+{
+  pthread_key_create (&thread_key, unregister_thread);
+}
+
+void
+conns_register_thread (void)
+{
+  pthread_once (&thread_key_once, create_thread_key);
+  if (pthread_getspecific (thread_key))
+    return;
+  rcu_register_thread ();
+  pthread_setspecific (thread_key, &thread_key);
+}
+
 /* Shuts down the connections that are to be closed.  */
 static void
 close_decided (conns_t *conns, int64_t now_us)
--- a/entry/conns.h
+++ b/entry/conns.h
@@ -45,6 +45,10 @@
                       MHD_RequestCompletedCallback completed, void *ctx);
 void conns_stop (conns_t *conns);
 
+/* conns_register_thread - register the calling thread of a server with RCU,
+   unless it is.  Precedes calls of the core.  */
+void conns_register_thread (void);
+
 /* conns_get - the connection of CONNECTION.  */
 conn_t *conns_get (struct MHD_Connection *connection);
 
--- a/entry/core.c
+++ b/entry/core.c
@@ -657,7 +657,8 @@
   while (!atomic_load (&core->stopping))
     run_iteration (core);
   end_us = clock_boot_us () + STOP_APPENDS_MAX_US;
-  while (!appends_idle (core) && clock_boot_us () < end_us)
+  while ((!appends_idle (core) || core->pending_folds->len > 0)
+         && clock_boot_us () < end_us)
     run_iteration (core);
   rcu_unregister_thread ();
   return NULL;
@@ -708,10 +709,29 @@
   return core;
 }
 
+/* Passes NODE to PIPE unless the core halts.  core_halt waits until no thread
+   is between the two steps.  */
+static bool
+pass (core_t *core, pipe_t *pipe, pipe_node_t *node)
+{
+  bool passed;
+
+  rcu_read_lock ();
+  passed = !atomic_load (&core->halted) && pipe_put (pipe, node);
+  rcu_read_unlock ();
+  return passed;
+}
+
 bool
 core_append (core_t *core, append_req_t *request)
 {
-  return pipe_put (&core->pipe, &request->node);
+  return pass (core, &core->pipe, &request->node);
+}
+
+bool
+core_explain (core_t *core, explain_req_t *request)
+{
+  return pass (core, &core->explains, &request->node);
 }
 
 void
@@ -720,14 +740,34 @@
   atomic_store (&core->release_requested, true);
 }
 
+/* Finishes the requests that the thread has not taken; none has an effect.
+   There are some if it has spent the time of its last appends.  */
+static void
+refuse_requests (core_t *core)
+{
+  pipe_node_t *node;
+
+  while ((node = pipe_get (&core->pipe)))
+    appends_finish_request (caa_container_of (node, append_req_t, node),
+                            APPEND_NOT_STORED);
+}
+
 void
-core_stop (core_t *core)
+core_halt (core_t *core)
 {
+  atomic_store (&core->halted, true);
+  synchronize_rcu ();
   atomic_store (&core->stopping, true);
   pthread_join (core->thread, NULL);
+  refuse_requests (core);
   admissions_release (core);
   explains_close (core);
   appends_close (core);
+}
+
+void
+core_free (core_t *core)
+{
   drop_sched (core);
   orders_close (core);
   agent_close (core);
--- a/entry/core.h
+++ b/entry/core.h
@@ -128,6 +128,7 @@
   int epoll_fd;
   pthread_t thread;
   atomic_bool stopping;
+  atomic_bool halted; /* no requests are taken any more */
   atomic_bool release_requested;
   char *holder; /* identifies this process as owner */
 
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -13,8 +13,13 @@
    connections that they have.  Requests in flight may take until
    DRAIN_PERCENT.  */
 #define ACCEPT_PERCENT 75
-#define DRAIN_PERCENT 95
+#define DRAIN_PERCENT 85
 #define STOP_CHECK_US 20000
+/* Longest wait for the answers to requests that the core has finished.  The
+   core takes up to 200 ms for its last appends.  What is left after
+   DRAIN_PERCENT of grace_s has to be well over their sum, as a busy host
+   delays both, and SIGKILL cuts off what has not ended.  */
+#define ANSWERS_MAX_US 100000
 
 static void
 check_settings (const char *path)
@@ -55,6 +60,34 @@
     g_usleep (STOP_CHECK_US);
 }
 
+/* Waits until the requests that are finished are answered.  */
+static void
+await_answers (const front_t *front)
+{
+  int64_t end_us = clock_boot_us () + ANSWERS_MAX_US;
+
+  while (front_in_flight (front) > 0 && clock_boot_us () < end_us)
+    g_usleep (STOP_CHECK_US);
+}
+
+/* The order of a stop: all requests are served until callers have gone to
+   other hosts; those that wait are answered, and new ones refused; the
+   listeners are closed; the core, which they call, is freed last.  */
+static void
+stop_daemon (const entry_settings_t *settings, readmodel_t *model,
+             core_t *core, front_t *front)
+{
+  event_log (EV_STOPPING, "name=%s in_flight=%u", settings->name,
+             front_in_flight (front));
+  atomic_store (&model->stopping, true);
+  core_release_ownership (core);
+  drain (settings, front);
+  core_halt (core);
+  await_answers (front);
+  front_stop (front);
+  core_free (core);
+}
+
 static int
 run_daemon (const entry_settings_t *settings, const char *path,
             const sigset_t *signals)
@@ -70,21 +103,18 @@
     {
       event_log (EV_LISTEN_FAILED, "front=%s ready=%s peer=%s",
                  settings->front, settings->ready, settings->peer);
-      if (core)
-        core_stop (core); /* its thread uses SETTINGS and MODEL */
+      if (core) /* its thread uses SETTINGS and MODEL */
+        {
+          core_halt (core);
+          core_free (core);
+        }
       readmodel_close (&model);
       return EXIT_FAILURE;
     }
   event_log (EV_STARTED, "name=%s front=%s ready=%s store=%s", settings->name,
              settings->front, settings->ready, settings->store);
   wait_for_stop (signals, path);
-  event_log (EV_STOPPING, "name=%s in_flight=%u", settings->name,
-             front_in_flight (front));
-  atomic_store (&model.stopping, true);
-  core_release_ownership (core);
-  drain (settings, front);
-  core_stop (core);
-  front_stop (front);
+  stop_daemon (settings, &model, core, front);
   readmodel_close (&model);
   event_log (EV_STOPPED, "name=%s", settings->name);
   return EXIT_SUCCESS;
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -285,13 +285,20 @@
 
 core_t *core_start (const entry_settings_t *settings, readmodel_t *model);
 
-/* core_append - pass REQUEST to the core; false if its queue is full.  */
+/* core_append - pass REQUEST to the core; false if its queue is full, or it
+   has halted.  The thread is registered with RCU.  */
 bool core_append (core_t *core, append_req_t *request);
 
 /* core_release_ownership - resign if this daemon is the owner, and claim no
    more.  */
 void core_release_ownership (core_t *core);
-void core_stop (core_t *core);
+
+/* core_halt - refuse further requests, finish all that wait, and end the
+   core's thread.  The servers whose requests these are go on until they
+   have answered.
+   core_free - free a core that has halted, once nothing calls it any more.  */
+void core_halt (core_t *core);
+void core_free (core_t *core);
 
 /* core_dump - the core's state as text.  Requests an update and returns the
    result of the last request, so the first call after a while returns an old
@@ -324,7 +331,8 @@
   void *ctx;
 } explain_req_t;
 
-/* core_explain - pass REQUEST to the core; false if too many are waiting.  */
+/* core_explain - pass REQUEST to the core; false if too many are waiting, or
+   it has halted.  The thread is registered with RCU.  */
 bool core_explain (core_t *core, explain_req_t *request);
 
 /* Front.  */
--- a/entry/explaincalls.c
+++ b/entry/explaincalls.c
@@ -192,6 +192,7 @@
   /* The core may have stopped.  */
   if (atomic_load (&model->stopping))
     return reply_error (call, MHD_HTTP_SERVICE_UNAVAILABLE, "stopping", NULL);
+  conns_register_thread ();
   return send_to_core (core, call);
 }
 
--- a/entry/explains.c
+++ b/entry/explains.c
@@ -121,9 +121,3 @@
   return core->explains_waiting && !core->resync_needed ? core->explains_due_us
                                                         : INT64_MAX;
 }
-
-bool
-core_explain (core_t *core, explain_req_t *request)
-{
-  return pipe_put (&core->explains, &request->node);
-}
--- a/entry/front.c
+++ b/entry/front.c
@@ -79,34 +79,6 @@
   int64_t append_sent_us;
 } client_req_t;
 
-/* Threads of the HTTP server that are registered with RCU.  A thread that ends
-   without being unregistered blocks all grace periods after that.  */
-static pthread_once_t thread_key_once = PTHREAD_ONCE_INIT;
-static pthread_key_t thread_key;
-
-static void
-unregister_thread (void *registered)
-{
-  (void)registered;
-  rcu_unregister_thread ();
-}
-
-static void
-create_thread_key (void)
-{
-  pthread_key_create (&thread_key, unregister_thread);
-}
-
-static void
-register_thread (void)
-{
-  pthread_once (&thread_key_once, create_thread_key);
-  if (pthread_getspecific (thread_key))
-    return;
-  rcu_register_thread ();
-  pthread_setspecific (thread_key, &thread_key);
-}
-
 static enum MHD_Result
 reply (client_req_t *req, response_kind_t kind, char *text)
 {
@@ -459,7 +431,7 @@
   enum MHD_Result result;
 
   conns_complete (req->state);
-  register_thread ();
+  conns_register_thread ();
   rcu_read_lock ();
   /* Without limits in the settings, only a job's body matters.  */
   if (req->state->too_large && front->limits.strict)
--- a/test/evacuation/site.c
+++ b/test/evacuation/site.c
@@ -166,18 +166,40 @@
   return g_strdup_printf ("%s:%u", site->daemons[index].address, READY_PORT);
 }
 
+/* Waits for the end of a daemon; its status, as of waitpid.  */
+static int
+await_exit (site_daemon_t *daemon)
+{
+  int status = 0;
+
+  waitpid (daemon->pid, &status, 0);
+  g_thread_join (daemon->reader);
+  daemon->pid = 0;
+  return status;
+}
+
 void
-site_signal (site_t *site, uint32_t index, int signal)
+site_stop (site_t *site, uint32_t index)
 {
   site_daemon_t *daemon = &site->daemons[index];
   int status;
 
+  kill (daemon->pid, SIGTERM);
+  status = await_exit (daemon);
+  if (WIFSIGNALED (status))
+    printf ("daemon %u ended by signal %d\n", index, WTERMSIG (status));
+  site_require (WIFEXITED (status) && WEXITSTATUS (status) == EXIT_SUCCESS,
+                "the daemon didn't stop in order");
+}
+
+void
+site_signal (site_t *site, uint32_t index, int signal)
+{
+  site_daemon_t *daemon = &site->daemons[index];
+
   kill (daemon->pid, signal);
-  if (signal != SIGKILL)
-    return;
-  waitpid (daemon->pid, &status, 0);
-  g_thread_join (daemon->reader);
-  daemon->pid = 0;
+  if (signal == SIGKILL)
+    await_exit (daemon);
 }
 
 void
--- a/test/evacuation/site.h
+++ b/test/evacuation/site.h
@@ -67,6 +67,10 @@
 /* site_signal - send SIGNAL to a daemon; with SIGKILL, wait for its end.  */
 void site_signal (site_t *site, uint32_t index, int signal);
 
+/* site_stop - send SIGTERM to a daemon, and wait for its end; fails unless it
+   ends with exit status 0.  */
+void site_stop (site_t *site, uint32_t index);
+
 /* site_await - wait until a daemon has logged TEXT since its last start.  */
 void site_await (site_t *site, uint32_t index, const char *text);
 bool site_has_logged (site_t *site, uint32_t index, const char *text);
