--- a/jobs/job.h
+++ b/jobs/job.h
@@ -179,11 +179,13 @@
   uint32_t left_ms; /* otherwise: until all its leases have ended */
 } worker_silence_t;
 
-/* The starts of ATTEMPT of a gang carry VALUE, a checkpoint of an earlier
+/* Longest value of a gang that is recorded, so that a progress record stays
+   within what the store takes.  */
+#define GANG_VALUE_BYTES_MAX 255
+
+/* All starts of ATTEMPT of a gang carry VALUE, a checkpoint of an earlier
    attempt.  Recorded before any of them, so that the work isn't lost with the
    owner that knows of it.  */
-#define GANG_VALUE_BYTES_MAX 255 /* a longer one is not recorded */
-
 typedef struct gang_value
 {
   task_ref_t task; /* the first one of the gang */
--- a/jobs/test/checkpoints_test.c
+++ b/jobs/test/checkpoints_test.c
@@ -85,6 +85,34 @@
     ck_assert_str_eq (member (starts, i)->checkpoint, value);
 }
 
+/* Job 1, a gang, starts under owner 1; SPARE workers get no member.  */
+static GArray *
+start_first (uint32_t spare)
+{
+  job_step_t step = gang_step ();
+
+  open_owner (1, MEMBERS + spare);
+  rig_submit (1, &step, 1);
+  return start_gang ();
+}
+
+/* The members of STARTS work, end as broken with VALUE, and start again with
+   it.  */
+static GArray *
+start_next (const GArray *starts, const char *value)
+{
+  GArray *next;
+
+  for (uint32_t i = 0; i < MEMBERS; i++)
+    {
+      rig_confirm_start (member (starts, i));
+      report_end (member (starts, i), RUN_BROKEN, value);
+    }
+  next = start_gang ();
+  expect_value (next, value);
+  return next;
+}
+
 /* The starts of a gang once it is certain that none of its runs goes on.  LOST
    is one on a worker that doesn't answer any more, or NULL.  */
 static GArray *
@@ -113,13 +141,9 @@
    others: such a run never works (review/6).  */
 START_TEST (test_members_carry_one_value_after_a_crash)
 {
-  job_step_t step = gang_step ();
-  g_autoptr (GArray) starts = NULL;
+  g_autoptr (GArray) starts = start_first (1);
   g_autoptr (GArray) again = NULL;
 
-  open_owner (1, MEMBERS + 1);
-  rig_submit (1, &step, 1);
-  starts = start_gang ();
   for (uint32_t i = 0; i < MEMBERS; i++)
     {
       rig_confirm_start (member (starts, i));
@@ -138,21 +162,10 @@
    them.  */
 START_TEST (test_repeated_start_carries_the_value_of_its_attempt)
 {
-  job_step_t step = gang_step ();
-  g_autoptr (GArray) starts = NULL;
-  g_autoptr (GArray) again = NULL;
+  g_autoptr (GArray) starts = start_first (0);
+  g_autoptr (GArray) again = start_next (starts, "500");
   g_autoptr (GArray) repeats = NULL;
 
-  open_owner (1, MEMBERS);
-  rig_submit (1, &step, 1);
-  starts = start_gang ();
-  for (uint32_t i = 0; i < MEMBERS; i++)
-    {
-      rig_confirm_start (member (starts, i));
-      report_end (member (starts, i), RUN_BROKEN, "500");
-    }
-  again = start_gang ();
-  expect_value (again, "500");
   rig_reply (member (again, 0), REPLY_NO_ANSWER);
   for (uint32_t i = 1; i < MEMBERS; i++)
     {
@@ -170,21 +183,11 @@
    of which a worker that was silent reports late.  */
 START_TEST (test_value_of_an_earlier_attempt_is_not_newer)
 {
-  job_step_t step = gang_step ();
-  g_autoptr (GArray) starts = NULL;
-  g_autoptr (GArray) again = NULL;
+  g_autoptr (GArray) starts = start_first (0);
+  g_autoptr (GArray) again = start_next (starts, "500");
   g_autoptr (GArray) third = NULL;
   run_end_t late[2];
 
-  open_owner (1, MEMBERS);
-  rig_submit (1, &step, 1);
-  starts = start_gang ();
-  for (uint32_t i = 0; i < MEMBERS; i++)
-    {
-      rig_confirm_start (member (starts, i));
-      report_end (member (starts, i), RUN_BROKEN, "500");
-    }
-  again = start_gang ();
   for (uint32_t i = 0; i < MEMBERS; i++)
     rig_confirm_start (member (again, i));
   for (uint32_t i = 1; i < MEMBERS; i++)
@@ -208,14 +211,10 @@
    next attempt carries one value.  */
 START_TEST (test_take_over_between_two_starts)
 {
-  job_step_t step = gang_step ();
-  g_autoptr (GArray) starts = NULL;
+  g_autoptr (GArray) starts = start_first (0);
   g_autoptr (GArray) stops = NULL;
   g_autoptr (GArray) again = NULL;
 
-  open_owner (1, MEMBERS);
-  rig_submit (1, &step, 1);
-  starts = start_gang ();
   open_owner (2, MEMBERS);
   rig_advance_clock (100);
   for (uint32_t i = 0; i < 2; i++)
@@ -233,27 +232,6 @@
 }
 END_TEST
 
-/* Starts job 1 of a gang under owner 1, ends it with the value "500", which is
-   acknowledged, and starts it again.  The starts are not carried out.  */
-static void
-start_from_a_value (void)
-{
-  job_step_t step = gang_step ();
-  g_autoptr (GArray) starts = NULL;
-  g_autoptr (GArray) again = NULL;
-
-  open_owner (1, MEMBERS);
-  rig_submit (1, &step, 1);
-  starts = start_gang ();
-  for (uint32_t i = 0; i < MEMBERS; i++)
-    {
-      rig_confirm_start (member (starts, i));
-      report_end (member (starts, i), RUN_BROKEN, "500");
-    }
-  again = start_gang ();
-  expect_value (again, "500");
-}
-
 /* The starts of the next owner, to which the workers report nothing.  It stops
    the attempt before, whose starts may be carried out late.  */
 static GArray *
@@ -276,23 +254,24 @@
  */
 START_TEST (test_value_outlives_the_owner)
 {
-  g_autoptr (GArray) starts = NULL;
+  g_autoptr (GArray) starts = start_first (0);
+  g_autoptr (GArray) again = start_next (starts, "500");
+  g_autoptr (GArray) inherited = start_under_next_owner ();
 
-  start_from_a_value ();
-  starts = start_under_next_owner ();
-  expect_value (starts, "500");
+  expect_value (inherited, "500");
 }
 END_TEST
 
 /* Guards against a value that is not in the snapshot of the records.  */
 START_TEST (test_value_is_in_the_snapshot)
 {
-  g_autoptr (GArray) starts = NULL;
+  g_autoptr (GArray) starts = start_first (0);
+  g_autoptr (GArray) again = start_next (starts, "500");
+  g_autoptr (GArray) inherited = NULL;
 
-  start_from_a_value ();
   rig_load_snapshot ();
-  starts = start_under_next_owner ();
-  expect_value (starts, "500");
+  inherited = start_under_next_owner ();
+  expect_value (inherited, "500");
 }
 END_TEST
 
@@ -301,20 +280,10 @@
 START_TEST (test_long_value_is_not_recorded)
 {
   g_autofree char *value = g_strnfill (GANG_VALUE_BYTES_MAX + 1, 'x');
-  job_step_t step = gang_step ();
-  g_autoptr (GArray) starts = NULL;
-  g_autoptr (GArray) again = NULL;
+  g_autoptr (GArray) starts = start_first (0);
+  g_autoptr (GArray) again = start_next (starts, value);
 
-  open_owner (1, MEMBERS);
-  rig_submit (1, &step, 1);
-  starts = start_gang ();
-  for (uint32_t i = 0; i < MEMBERS; i++)
-    {
-      rig_confirm_start (member (starts, i));
-      report_end (member (starts, i), RUN_BROKEN, value);
-    }
-  again = start_gang ();
-  expect_value (again, value);
+  ck_assert_uint_eq (again->len, MEMBERS);
   ck_assert_ptr_null (jobtab_find (rig.tab, rig_id (1))->values);
 }
 END_TEST
