--- a/review/bed-3/bed3.c
+++ b/review/bed-3/bed3.c
@@ -12,6 +12,9 @@
 
 #define READY_MAX_MS 20000
 #define READY_POLL_MS 50
+#define CALL_MS 3000
+/* A daemon shows its state as of the request before, some time later.  */
+#define DUMP_MS 1500
 
 int64_t
 bed_ms (const bed_t *bed)
@@ -316,3 +319,62 @@
     client_close (client);
   return status;
 }
+
+void
+bed_put_config (bed_t *bed, store_t *store)
+{
+  store_put (store, "keyed.op", "config",
+             "{\"version\":1,\"routes\":[{\"name\":\"work\",\"host\":"
+             "\"" BED_HOST "\",\"path_prefix\":\"" BED_PREFIX
+             "\",\"service\":\"shop\",\"public\":true,\"timeout_ms\":3000,"
+             "\"priority\":0,\"max_attempts\":3,\"stretch_factor\":1.6,"
+             "\"target_latency_ms\":600}],\"services\":[{\"name\":\"shop\","
+             "\"enforces_capacity\":true}],\"tenants\":[],\"limits\":{}}");
+  bed_note (bed, "operator: config version 1 is acknowledged");
+}
+
+uint32_t
+bed_call (bed_t *bed, uint32_t daemon, const char *method, const char *id,
+      const char *body, GString *answer)
+{
+  g_autofree char *path = g_strconcat (BED_PREFIX, id, NULL);
+  client_t client;
+  uint32_t status;
+
+  client_open (&client, bed, bed->daemons[daemon].front);
+  status = client_call (&client, method, path, body, answer, CALL_MS);
+  client_close (&client);
+  bed_note (bed, "%s %s at d%u: %u %s", method, path, daemon, status,
+            answer->str);
+  return status;
+}
+
+void
+bed_submit (bed_t *bed, const char *id, const char *body)
+{
+  g_autoptr (GString) answer = g_string_new (NULL);
+
+  if (bed_call (bed, 0, "POST", id, body, answer) != 200)
+    bed_give_up (bed, "a job is not accepted");
+}
+
+int
+bed_find_owner (bed_t *bed)
+{
+  for (uint32_t i = 0; i < bed->count; i++)
+    {
+      g_autoptr (GString) first = g_string_new (NULL);
+      g_autoptr (GString) answer = g_string_new (NULL);
+      g_autofree char *self = g_strdup_printf ("\nowner d%u#", i);
+      client_t client;
+
+      client_open (&client, bed, bed->daemons[i].ready);
+      client_call (&client, "GET", "/dump", NULL, first, CALL_MS);
+      bed_sleep_ms (DUMP_MS);
+      client_call (&client, "GET", "/dump", NULL, answer, CALL_MS);
+      client_close (&client);
+      if (strstr (answer->str, self))
+        return (int)i;
+    }
+  return -1;
+}
--- a/review/bed-3/bed3.h
+++ b/review/bed-3/bed3.h
@@ -95,4 +95,16 @@
 uint32_t client_call (client_t *client, const char *method, const char *path,
                       const char *body, GString *answer, uint32_t timeout_ms);
 
+/* bed_put_config - the operator's config: one public queue at BED_PREFIX, whose
+   service is "shop".
+   bed_call - send METHOD for job ID to daemon INDEX; the status, or 0.
+   bed_submit - submit job ID to the first daemon; the case ends if that is not
+   accepted.
+   bed_find_owner - the daemon that says that it is the owner, or -1.  */
+void bed_put_config (bed_t *bed, store_t *store);
+uint32_t bed_call (bed_t *bed, uint32_t index, const char *method,
+                   const char *id, const char *body, GString *answer);
+void bed_submit (bed_t *bed, const char *id, const char *body);
+int bed_find_owner (bed_t *bed);
+
 #endif
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,12 +7,12 @@
 . review/bed-3/env.sh
 
 mkdir -p "$BED_3"
-shared='review/bed-3/bed3.c test/soak/store.c test/soak/workers.c
+shared='review/bed-3/bed3.c review/bed-3/minions.c review/bed-3/machines.c test/soak/store.c test/soak/workers.c
 test/soak/http_server.c test/soak/trace.c'
 libraries='glib-2.0 jansson libmicrohttpd liburcu-memb liburcu-cds apr-1'
 for source in review/bed-3/*.c; do
 	name=$(basename "$source" .c)
-	case $name in bed3) continue ;; esac
+	case $name in bed3 | machines | minions) continue ;; esac
 	# shellcheck disable=SC2046,SC2086
 	${CC:-cc} -std=gnu11 -D_GNU_SOURCE -O1 -g -Wall -Wextra \
 		-Wno-missing-field-initializers -Ibase -Itest/soak \
