--- a/review/bed-3/pending.c
+++ b/review/bed-3/pending.c
@@ -20,7 +20,7 @@
 #define ASKERS 2 /* for each daemon */
 #define DAEMONS 2
 #define ASK_MS 50000
-#define ASK_INTERVAL_MS 5 /* of an asker */
+#define ASK_INTERVAL_MS 2 /* of an asker */
 #define CONFIG_INTERVAL_MS 500
 /* Queues without jobs beside the one in use, as big_config adds them.  */
 #define IDLE_QUEUES 350
