--- a/review/bed-3/machines.c
+++ b/review/bed-3/machines.c
@@ -8,6 +8,7 @@
 #define TICK_MS 10
 /* An order is late by 2 to 12 s.  */
 #define LATE_MS 6000
+#define WAVES_MAX 16
 
 typedef struct machine
 {
@@ -30,7 +31,7 @@
   minions_t *minions;
   const char *pool;
   uint32_t count;
-  uint32_t cap;
+  uint32_t caps[WAVES_MAX]; /* by wave */
   machine_t *list;
   http_server_t *server;
   GMutex lock;
@@ -44,13 +45,14 @@
   bool stopping;
 };
 
+/* The machines that are down for their upkeep of WAVE.  */
 static uint32_t
-count_down (const machines_t *all)
+count_down (const machines_t *all, uint64_t wave)
 {
   uint32_t count = 0;
 
   for (uint32_t i = 0; i < all->count; i++)
-    count += all->list[i].up_at_ms != 0;
+    count += all->list[i].up_at_ms != 0 && all->list[i].wave == wave;
   return count;
 }
 
@@ -59,7 +61,8 @@
 carry_out (machines_t *all, const upkeep_t *order)
 {
   machine_t *machine = &all->list[order->machine];
-  uint32_t down = count_down (all);
+  uint32_t down = count_down (all, order->wave);
+  uint32_t cap = all->caps[order->wave];
 
   if (order->token < machine->token)
     {
@@ -78,12 +81,13 @@
   machine->wave = order->wave;
   machine->up_at_ms = bed_ms (all->bed) + UPKEEP_MS;
   all->begun++;
-  all->over_cap += down >= all->cap;
+  all->over_cap += down >= cap;
   bed_note (all->bed,
-            "upkeep of machine-%u by %s, token %u, begins; %u of %u down "
-            "already%s",
-            order->machine, order->holder, (unsigned)order->token, down,
-            all->cap, down >= all->cap ? ": OVER THE CAP" : "");
+            "wave %u: upkeep of machine-%u by %s, token %u, begins; %u of %u "
+            "down already%s",
+            (unsigned)order->wave, order->machine, order->holder,
+            (unsigned)order->token, down, cap,
+            down >= cap ? ": OVER THE CAP" : "");
   minions_take_down (all->minions, order->machine);
   return NULL;
 }
@@ -172,7 +176,7 @@
   order.wave = (uint64_t)json_integer_value (json_object_get (body, "wave"));
   order.token = strtoull (token, NULL, 10);
   order.holder = g_strdup (holder);
-  if (order.machine >= all->count)
+  if (order.machine >= all->count || order.wave >= WAVES_MAX)
     {
       http_reply (conn, 400, "", 0);
       return;
@@ -224,7 +228,8 @@
   all->minions = minions;
   all->pool = pool;
   all->count = count;
-  all->cap = cap;
+  for (uint32_t i = 0; i < WAVES_MAX; i++)
+    all->caps[i] = cap;
   all->list = g_new0 (machine_t, count);
   all->delayed_machine = -1;
   g_mutex_init (&all->lock);
@@ -249,6 +254,26 @@
   return http_server_port (all->server);
 }
 
+void
+machines_set_cap (machines_t *all, uint32_t wave, uint32_t cap)
+{
+  g_mutex_lock (&all->lock);
+  all->caps[wave] = cap;
+  g_mutex_unlock (&all->lock);
+}
+
+bool
+machines_is_back (machines_t *all, uint32_t machine, uint32_t wave)
+{
+  bool is_back;
+
+  g_mutex_lock (&all->lock);
+  is_back
+      = all->list[machine].wave == wave && all->list[machine].up_at_ms == 0;
+  g_mutex_unlock (&all->lock);
+  return is_back;
+}
+
 void
 machines_delay_upkeep (machines_t *all)
 {
--- a/review/bed-3/machines.h
+++ b/review/bed-3/machines.h
@@ -18,11 +18,16 @@
 typedef struct machines machines_t;
 
 /* machines_start - COUNT machines of POOL, with the minions of MINIONS; a wave
-   may have CAP of them down.  */
+   may have CAP of them down.
+   machines_set_cap - the same of one WAVE, from 0 to 15.
+   machines_is_back - whether MACHINE is up, and its last upkeep was for
+   WAVE.  */
 machines_t *machines_start (bed_t *bed, minions_t *minions, const char *pool,
                             uint32_t count, uint32_t cap);
 void machines_stop (machines_t *machines);
 uint16_t machines_port (machines_t *machines);
+void machines_set_cap (machines_t *machines, uint32_t wave, uint32_t cap);
+bool machines_is_back (machines_t *machines, uint32_t machine, uint32_t wave);
 
 /* machines_delay_upkeep - the next order of an upkeep gets no answer, and is
    carried out 6 s later.
