review: case 11, a wave leaves a lasting work item nowhere to run

Tried as a script: one wave over the three machines of a service, cap 3, 12 s, six lasting work items with may_miss 1.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
-# Kills the owner while fillers are paced down to 0; see claim.txt.
+# Asks for the upkeep of machines whose work items last; see claim.txt.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 . review/bed-3/env.sh
-[ -x "$BED_3/filler" ] || exit 2
-exec "$BED_3/filler" target/daemon/cuminpind "$here/record.txt" kill
+[ -x "$BED_3/emptied" ] || exit 2
+exec "$BED_3/emptied" target/daemon/cuminpind "$here/record.txt"
