--- a/review/bed-3/bed3.c
+++ b/review/bed-3/bed3.c
@@ -335,7 +335,7 @@
 
 uint32_t
 bed_call (bed_t *bed, uint32_t daemon, const char *method, const char *id,
-      const char *body, GString *answer)
+          const char *body, GString *answer)
 {
   g_autofree char *path = g_strconcat (BED_PREFIX, id, NULL);
   client_t client;
--- a/review/bed-3/bed3.h
+++ b/review/bed-3/bed3.h
@@ -16,13 +16,13 @@
 #ifndef CUMINPIN_BED3_H
 #define CUMINPIN_BED3_H
 
-#include "standins.h"
+#include "../../test/soak/standins.h"
 #include <stdio.h>
 #include <sys/types.h>
 
 #define BED_DAEMONS_MAX 5
 #define BED_HOST "jobs.example"
-#define BED_PREFIX "/work/"
+#define BED_PREFIX "/queue/"
 
 enum bed_exit
 {
@@ -95,12 +95,11 @@
 uint32_t client_call (client_t *client, const char *method, const char *path,
                       const char *body, GString *answer, uint32_t timeout_ms);
 
-/* bed_put_config - the operator's config: one public queue at BED_PREFIX, whose
-   service is "shop".
-   bed_call - send METHOD for job ID to daemon INDEX; the status, or 0.
-   bed_submit - submit job ID to the first daemon; the case ends if that is not
-   accepted.
-   bed_find_owner - the daemon that says that it is the owner, or -1.  */
+/* bed_put_config - the operator's config: one public queue at BED_PREFIX,
+   whose service is "shop". bed_call - send METHOD for job ID to daemon INDEX;
+   the status, or 0. bed_submit - submit job ID to the first daemon; the case
+   ends if that is not accepted. bed_find_owner - the daemon that says that it
+   is the owner, or -1.  */
 void bed_put_config (bed_t *bed, store_t *store);
 uint32_t bed_call (bed_t *bed, uint32_t index, const char *method,
                    const char *id, const char *body, GString *answer);
--- a/review/bed-3/filler.c
+++ b/review/bed-3/filler.c
@@ -1,5 +1,5 @@
-/* filler - has work items that fill paced down beside one that serves, and lets
-   the users of that go later
+/* filler - has work items that fill paced down beside one that serves, and
+   lets the users of that go later
 
    usage: filler DAEMON RECORD kill|late
 
@@ -107,9 +107,9 @@
   for (uint32_t i = 0; i < DAEMONS; i++)
     bed_await_ready (&bed, i);
   bed_submit (&bed, "00000000000000a1",
-          "{\"spec\":\"serve\",\"steps\":[{\"count\":1,\"cpu\":1000,"
-          "\"mem_mb\":64,\"long_running\":true,\"target_ms\":100,"
-          "\"image\":\"counter\"}]}");
+              "{\"spec\":\"serve\",\"steps\":[{\"count\":1,\"cpu\":1000,"
+              "\"mem_mb\":64,\"long_running\":true,\"target_ms\":100,"
+              "\"image\":\"counter\"}]}");
   end_ms = bed_ms (&bed) + STEP_MAX_MS;
   while (minions_count (minions).serving < 1 && bed_ms (&bed) < end_ms)
     bed_sleep_ms (20);
--- a/review/bed-3/machines.c
+++ b/review/bed-3/machines.c
@@ -143,12 +143,11 @@
       g_autofree char *id = minions_id (all->minions, i);
 
       json_array_append_new (
-          rows,
-          json_pack ("{s:s,s:s,s:s,s:s,s:[s,s],s:{s:i,s:i,s:i},s:s}",
-                     "machine", name, "pool", all->pool, "state",
-                     all->list[i].up_at_ms ? "upkeep" : "up", "zone", "dc-0",
-                     "labels", "a", "r1", "room", "cpu", 8000, "mem_mb", 65536,
-                     "gpu", 0, "id", id));
+          rows, json_pack ("{s:s,s:s,s:s,s:s,s:[s,s],s:{s:i,s:i,s:i},s:s}",
+                           "machine", name, "pool", all->pool, "state",
+                           all->list[i].up_at_ms ? "upkeep" : "up", "zone",
+                           "dc-0", "labels", "a", "r1", "room", "cpu", 8000,
+                           "mem_mb", 65536, "gpu", 0, "id", id));
     }
   reply (conn, 200, json_pack ("{s:o,s:n}", "machines", rows, "next_token"));
 }
@@ -157,15 +156,14 @@
 order_upkeep (machines_t *all, struct MHD_Connection *conn, const json_t *body)
 {
   const char *name = json_string_value (json_object_get (body, "machine"));
-  const char *token = MHD_lookup_connection_value (conn, MHD_HEADER_KIND,
-                                                   "X-Fencing-Token");
-  const char *holder = MHD_lookup_connection_value (conn, MHD_HEADER_KIND,
-                                                    "X-Lease-Holder");
+  const char *token
+      = MHD_lookup_connection_value (conn, MHD_HEADER_KIND, "X-Fencing-Token");
+  const char *holder
+      = MHD_lookup_connection_value (conn, MHD_HEADER_KIND, "X-Lease-Holder");
   upkeep_t order = { 0 };
   const char *refused;
 
-  if (!name || !token || !holder
-      || !g_str_has_prefix (name, "machine-"))
+  if (!name || !token || !holder || !g_str_has_prefix (name, "machine-"))
     {
       http_reply (conn, 400, "", 0);
       return;
--- a/review/bed-3/minions.c
+++ b/review/bed-3/minions.c
@@ -16,8 +16,8 @@
   char *name;
   uint32_t attempt;
   bool serves;
-  int64_t cpu;     /* counted against the room */
-  double need_ms;  /* of a filler */
+  int64_t cpu;    /* counted against the room */
+  double need_ms; /* of a filler */
   double worked_ms;
   uint32_t pace;
   int64_t started_ms;
@@ -63,7 +63,8 @@
   uint32_t users_ms;
   uint32_t harm_ms;
   uint32_t done;
-  uint32_t late_paces; /* so many more are carried out late */
+  GHashTable *done_names; /* of work items */
+  uint32_t late_paces;    /* so many more are carried out late */
   uint32_t late_ms;
   GPtrArray *late; /* of late_pace_t */
   bool stopping;
@@ -140,7 +141,10 @@
                        item->attempt, how };
   note_highest (minion, item->name, item->attempt);
   if (!item->serves && strcmp (how, "done") == 0)
-    minion->all->done++;
+    {
+      minion->all->done++;
+      g_hash_table_add (minion->all->done_names, g_strdup (item->name));
+    }
   bed_note (minion->all->bed, "%s: %s, run %u, ends as %s", minion->id,
             item->name, item->attempt, how);
   g_ptr_array_add (minion->ends, end);
@@ -310,7 +314,8 @@
   if (deadline_ms <= minion_clock_ms (minion))
     return "late";
   extend_lease (minion, deadline_ms);
-  if (attempt <= GPOINTER_TO_UINT (g_hash_table_lookup (minion->highest, name)))
+  if (attempt
+      <= GPOINTER_TO_UINT (g_hash_table_lookup (minion->highest, name)))
     return "old";
   item = g_new0 (item_t, 1);
   item->name = g_strdup (name);
@@ -345,10 +350,9 @@
   for (uint32_t i = 0; i < minion->items->len; i++)
     {
       const item_t *item = g_ptr_array_index (minion->items, i);
-      double percent
-          = item->serves
-                ? (double)(now_ms () - item->started_ms) * 100 / STARTUP_MS
-                : item->worked_ms * 100 / item->need_ms;
+      double percent = item->serves ? (double)(now_ms () - item->started_ms)
+                                          * 100 / STARTUP_MS
+                                    : item->worked_ms * 100 / item->need_ms;
 
       if (item->stop_at_ms == 0)
         json_array_append_new (
@@ -385,9 +389,9 @@
   for (uint32_t i = minion->ends->len; i-- > 0;)
     if (((item_end_t *)g_ptr_array_index (minion->ends, i))->number <= seen)
       g_ptr_array_remove_index (minion->ends, i);
-  while (minion->ends->len == 0 && !minion->all->stopping
-         && g_cond_wait_until (&minion->all->changed, &minion->all->lock,
-                               end_us))
+  while (
+      minion->ends->len == 0 && !minion->all->stopping
+      && g_cond_wait_until (&minion->all->changed, &minion->all->lock, end_us))
     if (minion->down)
       break;
   if (minion->down)
@@ -487,7 +491,8 @@
 begin_life (minion_t *minion)
 {
   g_free (minion->id);
-  minion->id = g_strdup_printf ("minion-%u-%u", minion->index, minion->lives++);
+  minion->id
+      = g_strdup_printf ("minion-%u-%u", minion->index, minion->lives++);
   minion->born_ms = g_get_real_time () / 1000;
   minion->base_ms = now_ms () - 1000;
   minion->token = 0;
@@ -558,6 +563,8 @@
   all->cpu = cpu;
   all->list = g_ptr_array_new ();
   all->late = g_ptr_array_new ();
+  all->done_names
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_mutex_init (&all->lock);
   g_cond_init (&all->changed);
   for (uint32_t i = 0; i < count; i++)
@@ -587,8 +594,7 @@
   g_mutex_unlock (&all->lock);
   g_thread_join (all->thread);
   for (uint32_t i = 0; i < all->list->len; i++)
-    http_server_stop (
-        ((minion_t *)g_ptr_array_index (all->list, i))->server);
+    http_server_stop (((minion_t *)g_ptr_array_index (all->list, i))->server);
 }
 
 void
@@ -625,8 +631,8 @@
         {
           const item_t *item = g_ptr_array_index (minion->items, j);
 
-          count.serving += item->serves
-                           && now_ms () - item->started_ms >= STARTUP_MS;
+          count.serving
+              += item->serves && now_ms () - item->started_ms >= STARTUP_MS;
           count.filling += !item->serves;
           count.paused += !item->serves && item->pace == 0;
           count.working_ms += item->serves ? 0 : (uint32_t)item->worked_ms;
@@ -635,3 +641,36 @@
   g_mutex_unlock (&all->lock);
   return count;
 }
+
+bool
+minions_runs (minions_t *all, const char *job)
+{
+  bool runs = false;
+
+  g_mutex_lock (&all->lock);
+  for (uint32_t i = 0; i < all->list->len; i++)
+    {
+      const minion_t *minion = g_ptr_array_index (all->list, i);
+
+      for (uint32_t j = 0; j < minion->items->len; j++)
+        runs |= g_str_has_prefix (
+            ((item_t *)g_ptr_array_index (minion->items, j))->name, job);
+    }
+  g_mutex_unlock (&all->lock);
+  return runs;
+}
+
+bool
+minions_ended (minions_t *all, const char *job)
+{
+  GHashTableIter iter;
+  gpointer name;
+  bool ended = false;
+
+  g_mutex_lock (&all->lock);
+  g_hash_table_iter_init (&iter, all->done_names);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    ended |= g_str_has_prefix (name, job);
+  g_mutex_unlock (&all->lock);
+  return ended;
+}
--- a/review/bed-3/minions.h
+++ b/review/bed-3/minions.h
@@ -7,10 +7,11 @@
      Workers that speak PROTOCOL.md over HTTP on loopback: hold, run-start,
      run-stop and pace, with leases, fencing tokens, rooms and lists of ends.
      The spec of a work item is "serve" or "fill MS".  One that fills has done
-     its work once it has worked for MS at full pace, and works at the pace that
-     was ordered.  One that serves lasts; it is at work after a short startup.
-     Its tail latency depends on how many users it has, which
-     minions_set_users says, and rises with the pace of what fills beside it. */
+     its work once it has worked for MS at full pace, and works at the pace
+   that was ordered.  One that serves lasts; it is at work after a short
+   startup. Its tail latency depends on how many users it has, which
+     minions_set_users says, and rises with the pace of what fills beside it.
+ */
 
 #ifndef CUMINPIN_MINIONS_H
 #define CUMINPIN_MINIONS_H
@@ -44,14 +45,19 @@
 char *minions_id (minions_t *minions, uint32_t index);
 uint32_t minions_items (minions_t *minions, uint32_t index);
 
+/* minions_runs - whether a work item of JOB runs.
+   minions_ended - whether one has ended as done.  */
+bool minions_runs (minions_t *minions, const char *job);
+bool minions_ended (minions_t *minions, const char *job);
+
 typedef struct minions_count
 {
-  uint32_t serving; /* at work */
-  uint32_t filling; /* running, at any pace */
-  uint32_t paused;  /* of those, at pace 0 */
+  uint32_t serving;    /* at work */
+  uint32_t filling;    /* running, at any pace */
+  uint32_t paused;     /* of those, at pace 0 */
   uint32_t working_ms; /* time that the fillers running now have worked for */
-  uint32_t done;    /* fillers that have ended as done */
-  uint64_t token;   /* highest fencing token seen */
+  uint32_t done;       /* fillers that have ended as done */
+  uint64_t token;      /* highest fencing token seen */
 } minions_count_t;
 
 minions_count_t minions_count (minions_t *minions);
--- a/review/bed-3/pending.c
+++ b/review/bed-3/pending.c
@@ -91,8 +91,7 @@
 {
   json_t *root = json_loads (text, 0, NULL);
   const json_t *value = json_object_get (root, "pending");
-  int64_t pending
-      = json_is_integer (value) ? json_integer_value (value) : -1;
+  int64_t pending = json_is_integer (value) ? json_integer_value (value) : -1;
 
   json_decref (root);
   return pending;
@@ -113,8 +112,7 @@
       int64_t pending;
 
       bed_sleep_ms (ASK_INTERVAL_MS);
-      status
-          = client_call (&client, "GET", BED_PREFIX, NULL, answer, CALL_MS);
+      status = client_call (&client, "GET", BED_PREFIX, NULL, answer, CALL_MS);
       pending = status == 200 ? read_pending (answer->str) : -1;
       if (pending < 0)
         {
@@ -169,9 +167,8 @@
             WAITING);
   for (uint32_t i = 0; i < G_N_ELEMENTS (askers); i++)
     {
-      askers[i] = (asker_t){ .bed = &bed,
-                             .daemon = i % DAEMONS,
-                             .end_ms = end_ms };
+      askers[i]
+          = (asker_t){ .bed = &bed, .daemon = i % DAEMONS, .end_ms = end_ms };
       askers[i].thread = g_thread_new ("asker", run_asker, &askers[i]);
     }
   while (bed_ms (&bed) < end_ms)
@@ -184,8 +181,9 @@
     {
       g_thread_join (askers[i].thread);
       wrong += askers[i].wrong;
-      bed_note (&bed, "asked at d%u: %u answers, %u of them under half; "
-                      "%u without a number",
+      bed_note (&bed,
+                "asked at d%u: %u answers, %u of them under half; "
+                "%u without a number",
                 askers[i].daemon, askers[i].answers, askers[i].wrong,
                 askers[i].others);
     }
