--- a/base/counter.c
+++ b/base/counter.c
@@ -69,6 +69,7 @@
   [COUNT_EVACUATIONS] = "evacuations",
   [COUNT_EVACUATED_STARTS] = "evacuated_starts",
   [COUNT_EVACUATED_MOVES] = "evacuated_moves",
+  [COUNT_HOSTS_PUT_BACK] = "hosts_put_back",
   [COUNT_INTERFERENCE_SAMPLES] = "interference_samples",
   [COUNT_INTERFERENCE_FOUND] = "interference_found",
   [COUNT_INTERFERENCE_FORGOTTEN] = "interference_forgotten",
--- a/base/event.c
+++ b/base/event.c
@@ -55,6 +55,8 @@
   { EV_WAVE_WAITING, LEVEL_WARN, "wave-waiting" },
   { EV_WAVE_DONE, LEVEL_INFO, "wave-done" },
   { EV_WAVE_ABANDONED, LEVEL_WARN, "wave-abandoned" },
+  { EV_HOST_PUT_BACK, LEVEL_INFO, "host-put-back" },
+  { EV_WAVE_LIMITED, LEVEL_INFO, "wave-limited" },
   { EV_JOB_ACCEPTED, LEVEL_INFO, "job-accepted" },
   { EV_JOB_REFUSED, LEVEL_INFO, "job-refused" },
   { EV_JOB_FINAL, LEVEL_INFO, "job-final" },
--- a/jobs/demand.c
+++ b/jobs/demand.c
@@ -113,8 +113,9 @@
       const job_step_t *spec = stage->spec;
       uint32_t count;
 
-      if (!spec->long_running || !stage->lacks_worker || spec->label
-          || advice_is_needed (stage) || !amounts_cover (room, &spec->need))
+      if (!spec->long_running || spec->gang || stage->lacks_worker_us == 0
+          || spec->label || advice_is_needed (stage)
+          || !amounts_cover (room, &spec->need))
         continue;
       count = count_allowed_tasks (stage);
       shares += count * dominant_share (&spec->need, room);
--- a/jobs/hosts.c
+++ b/jobs/hosts.c
@@ -1,4 +1,5 @@
 #include "hosts.h"
+#include "drain.h"
 #include "schedint.h"
 #include <string.h>
 
@@ -126,8 +127,8 @@
          || strcmp (host->worker, host->ordered_worker) != 0;
 }
 
-static void
-uncordon (sched_t *sched, host_t *host)
+void
+host_uncordon (sched_t *sched, host_t *host)
 {
   g_autoptr (GPtrArray) workers = host_workers (sched, host);
 
@@ -190,7 +191,7 @@
           && sent_us > host->ordered_us && order_is_settled (host))
         {
           host->down = host->unanswered = false;
-          uncordon (sched, host);
+          host_uncordon (sched, host);
         }
       /* Its next worker is not listed yet.  */
       sched->hosts_in_transit |= host->down || host->state != HOST_STATUS_UP;
@@ -331,7 +332,7 @@
         continue;
       workers = host_workers (sched, host);
       if (should_cancel_move (host, workers, now.us))
-        uncordon (sched, host);
+        host_uncordon (sched, host);
       else if (have_no_runs (workers) && workers_are_recorded (sched, workers))
         host_order_add (
             sched, host,
@@ -366,6 +367,7 @@
   if (sched->hosts_read_us == 0 || sched->next_hosts_plan_us > now.us)
     return sched->host_orders;
   sched->next_hosts_plan_us = now.us + PLAN_INTERVAL_US;
+  drain_release (sched, now);
   waves_plan (sched, now);
   moves_plan (sched, now);
   order_moves (sched, now);
--- a/jobs/hosts.h
+++ b/jobs/hosts.h
@@ -5,7 +5,8 @@
 
    DESCRIPTION
      Part of the scheduler, for the hosts that workers run on.  The hosts of a
-     wave are drained a few at a time, as many as are needed to finish in time.
+     wave are drained a few at a time, as many as are needed to finish in time
+     and as their long-running tasks have places elsewhere (drain.h).
      A host goes into maintenance when its short tasks have ended, or have had
      their time to, and stopping the rest leaves no long-running step with more
      interrupted tasks than it allows.
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -95,8 +95,8 @@
   return task->run_count > 0 && !task->stage->spec->speculative;
 }
 
-/* Plans all tasks of a gang, or none.  */
-static void
+/* Plans all tasks of a gang, or none; whether one of them lacks a worker.  */
+static bool
 place_gang (sched_t *sched, pool_t *pool, stage_t *stage, sched_now_t now)
 {
   g_autoptr (GPtrArray) runs = g_ptr_array_new ();
@@ -104,9 +104,10 @@
   amounts_t unplaceable = pool->unplaceable;
   int64_t next_us = sched->next_us;
   uint32_t attempt = 0;
+  bool lacks_worker = false;
 
   if (stage->unstarted < stage->unfinished)
-    return; /* tasks of the last attempt have not ended */
+    return false; /* tasks of the last attempt have not ended */
   for (uint32_t i = 0; i < stage->spec->count; i++)
     attempt = MAX (attempt, task_next_attempt (&stage->tasks[i]));
   for (uint32_t i = 0; i < stage->spec->count; i++)
@@ -116,11 +117,11 @@
 
       if (task->done)
         continue;
-      worker = task->not_before_us <= now.us
-                       && !place_awaits_earlier_run (task)
-                       && quota_allows (stage->job, &stage->spec->need)
-                   ? place_find_worker (pool, stage, task, now)
-                   : NULL;
+      if (task->not_before_us > now.us || place_awaits_earlier_run (task)
+          || !quota_allows (stage->job, &stage->spec->need))
+        break;
+      worker = place_find_worker (pool, stage, task, now);
+      lacks_worker = !worker;
       if (!worker)
         break;
       g_ptr_array_add (runs, run_new (sched, task, worker, attempt, now));
@@ -130,10 +131,10 @@
       checkpoint_begin_gang (sched, stage, attempt);
       for (uint32_t i = 0; i < runs->len; i++)
         plan_start (sched, g_ptr_array_index (runs, i));
-      return;
+      return false;
     }
   if (runs->len == 0)
-    return;
+    return lacks_worker;
   while (runs->len > 0)
     run_unplan (sched, g_ptr_array_steal_index (runs, runs->len - 1));
   /* What was found beside these runs doesn't hold without them, and they need
@@ -141,22 +142,16 @@
   sched->next_us = next_us;
   pool->has_unplaceable = had_unplaceable;
   pool->unplaceable = unplaceable;
+  return lacks_worker;
 }
 
 /* Plans tasks of CANDIDATE's stage while workers have capacity and the limit
-   of unanswered starts isn't reached.  */
-static void
-place_stage (sched_t *sched, const candidate_t *candidate, sched_now_t now)
+   of unanswered starts isn't reached; whether the next one lacks a worker.  */
+static bool
+place_tasks (sched_t *sched, const candidate_t *candidate, sched_now_t now)
 {
   stage_t *stage = candidate->stage;
-  pool_t *pool = stage->job->pool;
 
-  if (stage->spec->gang)
-    {
-      place_gang (sched, pool, stage, now);
-      return;
-    }
-  stage->lacks_worker = false;
   for (uint32_t i = 0; i < stage->spec->count && stage->unstarted > 0; i++)
     {
       task_t *task = &stage->tasks[i];
@@ -165,21 +160,35 @@
       if (task->done || task->run || place_awaits_earlier_run (task))
         continue;
       if (starts_are_limited (sched, candidate->rank, 0))
-        return;
+        return false;
       if (task->not_before_us > now.us)
         {
           sched_wake_at (sched, task->not_before_us);
           continue;
         }
       if (!quota_allows (stage->job, &stage->spec->need))
-        return;
-      worker = place_find_worker (pool, stage, task, now);
-      stage->lacks_worker = !worker;
+        return false;
+      worker = place_find_worker (stage->job->pool, stage, task, now);
       if (!worker)
-        return;
+        return true;
       plan_start (
           sched, run_new (sched, task, worker, task_next_attempt (task), now));
     }
+  return false;
+}
+
+static void
+place_stage (sched_t *sched, const candidate_t *candidate, sched_now_t now)
+{
+  stage_t *stage = candidate->stage;
+  bool lacks_worker = stage->spec->gang
+                          ? place_gang (sched, stage->job->pool, stage, now)
+                          : place_tasks (sched, candidate, now);
+
+  if (!lacks_worker)
+    stage->lacks_worker_us = 0;
+  else if (stage->lacks_worker_us == 0)
+    stage->lacks_worker_us = now.us;
 }
 
 /* Logs one line for all tasks of a stage that start in this plan.  */
@@ -215,6 +224,7 @@
           stage->queued = false;
           stage->waits_since_us = 0;
           stage->waiting_us = 0;
+          stage->lacks_worker_us = 0;
           g_ptr_array_remove_index_fast (pool->stages, i);
           continue;
         }
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -1,8 +1,8 @@
 /* schedint - data shared by the modules of the scheduler: sched, build,
    stages, workers, boots, wakeups, holds, runs, inherit, silence, orphans,
    replies, judge, startwindow, startorder, waiting, place, advice, neighbours,
-   pace, stall, hosts, waves, demand, moves, evacuation, evacmoves, learned,
-   expected, admit, fairness and explain.  Private to jobs/.  */
+   pace, stall, hosts, drain, waves, demand, moves, evacuation, evacmoves,
+   learned, expected, admit, fairness and explain.  Private to jobs/.  */
 
 #ifndef CUMINPIN_SCHEDINT_H
 #define CUMINPIN_SCHEDINT_H
@@ -175,7 +175,8 @@
   uint32_t stay_logged;        /* gang: sched->evacuations_begun when it was
                                   logged that it can't move out */
   bool queued;                 /* in pool->stages */
-  bool lacks_worker;           /* no worker could take its next task */
+  int64_t lacks_worker_us;     /* no worker could take its next task in any
+                                  plan since then; 0: that isn't so */
   advice_t *advice;            /* NULL: not requested yet */
   int64_t waiting_us;         /* first plan of this owner in which it had tasks
                                  to start; 0: none */
@@ -741,8 +742,10 @@
                      int64_t now_us);
 void fleet_update_add (sched_t *sched, fleet_update_kind_t kind,
                        uint64_t number, const char *name);
-/* host_cordon - start no more tasks on HOST.  */
+/* host_cordon - start no more tasks on HOST.
+   host_uncordon - HOST is in use again; it isn't moved.  */
 void host_cordon (sched_t *sched, host_t *host, int64_t now_us);
+void host_uncordon (sched_t *sched, host_t *host);
 bool worker_has_long_running (const worker_t *worker);
 /* workers_are_recorded - whether the log says of all runs that WORKERS have
    had that they are over.  A host goes down only then: the next owner would
@@ -757,8 +760,9 @@
 /* waves_mark_workers - mark the workers that incomplete waves will take down.
    It orders nothing.  */
 void waves_mark_workers (sched_t *sched, sched_now_t now);
-/* waves_plan - cordon hosts of incomplete waves, and order the maintenance of
-   those that are drained.  */
+/* waves_plan - cordon hosts of incomplete waves, as far as their long-running
+   tasks have places elsewhere (drain.h), and order the maintenance of those
+   that are drained.  */
 void waves_plan (sched_t *sched, sched_now_t now);
 /* waves_record_begun - ORDER was carried out on HOST.  */
 void waves_record_begun (sched_t *sched, const host_t *host,
--- a/jobs/waves.c
+++ b/jobs/waves.c
@@ -1,3 +1,4 @@
+#include "drain.h"
 #include "hosts.h"
 #include "schedint.h"
 
@@ -24,6 +25,7 @@
   int64_t since_us;
   int64_t duration_us;
   int64_t next_mark_us; /* its workers are marked as due then */
+  int64_t next_log_us;  /* 1509 isn't logged before */
   uint32_t at_once;
   bool complete;
 };
@@ -182,33 +184,48 @@
   return worker ? drain_cost (worker, now_us) : SWITCHED_OFF_COST;
 }
 
-/* The host of WAVE to drain next, or NULL.  EVACUATED_ONLY leaves out hosts
-   that are in use.  */
-static host_t *
-next_host_to_drain (sched_t *sched, const wave_t *wave, bool evacuated_only,
-                    int64_t now_us)
+/* A host that a wave may drain.  */
+typedef struct candidate_host
 {
-  host_t *best = NULL;
-  double best_cost = 0;
+  host_t *host;
+  double cost;
+  uint32_t index; /* in the wave */
+} candidate_host_t;
+
+static int
+compare_hosts (gconstpointer a, gconstpointer b)
+{
+  const candidate_host_t *l = a;
+  const candidate_host_t *r = b;
+
+  if (l->cost != r->cost)
+    return l->cost < r->cost ? -1 : 1;
+  return l->index < r->index ? -1 : l->index > r->index;
+}
+
+/* The hosts of WAVE that may be drained, of candidate_host_t, the cheapest
+   first.  The caller frees the array.  */
+static GArray *
+hosts_to_drain (const sched_t *sched, const wave_t *wave, int64_t now_us)
+{
+  GArray *hosts = g_array_new (FALSE, FALSE, sizeof (candidate_host_t));
 
   for (uint32_t i = 0; i < wave->names->len; i++)
     {
       const char *name = g_ptr_array_index (wave->names, i);
-      host_t *host = g_hash_table_lookup (sched->hosts, name);
-      double cost;
+      candidate_host_t candidate
+          = { .host = g_hash_table_lookup (sched->hosts, name), .index = i };
+      const host_t *host = candidate.host;
 
       if (!host || !host->listed || host->cordoned || host->down
           || host->order_pending || host->state != HOST_STATUS_UP
-          || (evacuated_only && !host_is_evacuated (host))
           || g_hash_table_contains (wave->begun, name))
         continue;
-      cost = host_drain_cost (sched, host, now_us);
-      if (best && cost >= best_cost)
-        continue;
-      best = host;
-      best_cost = cost;
+      candidate.cost = host_drain_cost (sched, host, now_us);
+      g_array_append_val (hosts, candidate);
     }
-  return best;
+  g_array_sort (hosts, compare_hosts);
+  return hosts;
 }
 
 /* Hosts of a wave.  Those in use are not in a withdrawn data centre.  */
@@ -295,10 +312,12 @@
   return (uint32_t)MIN ((int64_t)wave->at_once, MAX (need, 1));
 }
 
-/* Stops one long-running task of WORKER, so that it starts again elsewhere.
-   Two tasks of one step on one host would block its maintenance for good.  */
+/* Stops one long-running task of WORKER, on HOST, that has a place elsewhere,
+   so that it starts again there.  Two tasks of one step on one host would
+   block its maintenance for good.  */
 static void
-stop_one_long_running (sched_t *sched, const worker_t *worker, int64_t now_us)
+stop_one_long_running (sched_t *sched, drain_t *drain, const host_t *host,
+                       const worker_t *worker, int64_t now_us)
 {
   for (uint32_t i = 0; i < worker->runs->len; i++)
     {
@@ -312,7 +331,8 @@
       run_t *run = g_ptr_array_index (worker->runs, i);
 
       if (!run->task->stage->spec->long_running
-          || !run_may_be_interrupted (run, now_us))
+          || !run_may_be_interrupted (run, now_us)
+          || !drain_may_stop (drain, host, run))
         continue;
       task_log_interrupted (run->task, run->attempt, worker, "stop", "wave",
                             now_us);
@@ -323,16 +343,16 @@
 
 /* Logs that HOST does not go down yet, every DRAIN_MAX_US.  */
 static void
-log_waiting (const wave_t *wave, host_t *host, int64_t now_us)
+log_waiting (const wave_t *wave, host_t *host, const char *why, int64_t now_us)
 {
   if (now_us - host->cordoned_us < DRAIN_MAX_US || host->next_log_us > now_us)
     return;
   host->next_log_us = now_us + DRAIN_MAX_US;
   event_log (EV_WAVE_WAITING,
              "wave=%" PRIu64 " host=%s worker=%s emptying_ms=%" PRId64
-             " why=long-running-tasks-unavailable",
+             " why=%s",
              wave->number, host->name, host->worker,
-             (now_us - host->cordoned_us) / 1000);
+             (now_us - host->cordoned_us) / 1000, why);
 }
 
 /* Whether the limits of WAVE allow HOST to go down.  */
@@ -348,7 +368,7 @@
 /* Orders the maintenance of a host of WAVE that is ready for it, or orders it
    again if there was no answer.  */
 static void
-order_maintenance (sched_t *sched, const wave_t *wave,
+order_maintenance (sched_t *sched, drain_t *drain, const wave_t *wave,
                    const wave_count_t *count, sched_now_t now)
 {
   for (uint32_t i = 0; i < wave->names->len; i++)
@@ -364,15 +384,20 @@
           || host->retry_us > now.us
           || g_hash_table_contains (wave->begun, name))
         continue;
+      if (!host->down && drain_is_stuck (drain, host))
+        {
+          log_waiting (wave, host, "no-place", now.us);
+          continue;
+        }
       workers = host_workers (sched, host);
       /* Short tasks had their time before the first order.  */
       since_us = host->down ? 0 : host->cordoned_us;
       if (!may_all_go_down (workers, since_us, now.us))
         {
           for (uint32_t w = 0; !host->down && w < workers->len; w++)
-            stop_one_long_running (sched, g_ptr_array_index (workers, w),
-                                   now.us);
-          log_waiting (wave, host, now.us);
+            stop_one_long_running (sched, drain, host,
+                                   g_ptr_array_index (workers, w), now.us);
+          log_waiting (wave, host, "long-running-tasks-unavailable", now.us);
           continue;
         }
       if (!host->down && !workers_are_recorded (sched, workers))
@@ -406,8 +431,51 @@
     }
 }
 
+/* Logs that WAVE drains fewer hosts than it needs to, as REFUSED have tasks
+   without a place, every DRAIN_MAX_US.  */
+static void
+log_limited (wave_t *wave, uint32_t active, uint32_t wanted, uint32_t refused,
+             int64_t now_us)
+{
+  if (wave->next_log_us > now_us)
+    return;
+  wave->next_log_us = now_us + DRAIN_MAX_US;
+  event_log (EV_WAVE_LIMITED,
+             "wave=%" PRIu64 " active=%u wanted=%u refused=%u", wave->number,
+             active, wanted, refused);
+}
+
+/* Cordons hosts of WAVE until PARALLELISM of them are drained or down, as far
+   as their long-running tasks have places.  */
+static void
+drain_hosts (sched_t *sched, drain_t *drain, wave_t *wave, wave_count_t *count,
+             uint32_t parallelism, sched_now_t now)
+{
+  g_autoptr (GArray) hosts = hosts_to_drain (sched, wave, now.us);
+  uint32_t refused = 0;
+
+  for (uint32_t i = 0; i < hosts->len && count->active < parallelism; i++)
+    {
+      host_t *host = g_array_index (hosts, candidate_host_t, i).host;
+      bool in_use = !host_is_evacuated (host);
+
+      if (in_use && count->active_in_use >= limit_in_use (wave, count))
+        continue;
+      if (!drain_take (drain, host))
+        {
+          refused++;
+          continue;
+        }
+      host_cordon (sched, host, now.us);
+      count->active++;
+      count->active_in_use += in_use;
+    }
+  if (refused > 0 && count->active < parallelism)
+    log_limited (wave, count->active, parallelism, refused, now.us);
+}
+
 static void
-plan_wave (sched_t *sched, wave_t *wave, sched_now_t now)
+plan_wave (sched_t *sched, drain_t *drain, wave_t *wave, sched_now_t now)
 {
   wave_count_t count = count_wave (sched, wave);
   uint32_t parallelism = wave_parallelism (sched, wave, count.left, now.us);
@@ -421,18 +489,9 @@
                  (now.us - wave->since_us) / 1000);
       return;
     }
-  while (count.active < parallelism)
-    {
-      bool evacuated_only = count.active_in_use >= limit_in_use (wave, &count);
-      host_t *host = next_host_to_drain (sched, wave, evacuated_only, now.us);
-
-      if (!host)
-        break;
-      host_cordon (sched, host, now.us);
-      count.active++;
-      count.active_in_use += !host_is_evacuated (host);
-    }
-  order_maintenance (sched, wave, &count, now);
+  if (count.active < parallelism)
+    drain_hosts (sched, drain, wave, &count, parallelism, now);
+  order_maintenance (sched, drain, wave, &count, now);
 }
 
 void
@@ -452,13 +511,19 @@
 void
 waves_plan (sched_t *sched, sched_now_t now)
 {
+  drain_t *drain;
+
+  if (!waves_any_open (sched))
+    return;
+  drain = drain_new (sched, now);
   for (uint32_t i = 0; i < sched->waves->len; i++)
     {
       wave_t *wave = g_ptr_array_index (sched->waves, i);
 
       if (wave_is_open (wave))
-        plan_wave (sched, wave, now);
+        plan_wave (sched, drain, wave, now);
     }
+  drain_free (drain);
 }
 
 void
