--- a/entry/core.c
+++ b/entry/core.c
@@ -79,10 +79,9 @@
   if (core->sched)
     sched_set_rules (core->sched, rules);
   core->rules = rules;
-  readmodel_publish (core->model, rules, NULL, 0);
+  readmodel_publish_rules (core->model, rules);
   event_log (EV_CONFIG_IN_EFFECT, "version=%" PRIu64 " queues=%u",
              rules->version, rules->queues->len);
-  core->housekeeping_due_us = 0;
 }
 
 void
@@ -272,8 +271,9 @@
 core_caught_up (core_t *core, int64_t sent_us, int64_t now_us)
 {
   /* Without all records this daemon can't tell that a job does not exist.  */
-  if (history_is_complete (&core->history))
-    atomic_store (&core->model->log_known_us, sent_us);
+  if (history_is_complete (&core->history)
+      && atomic_exchange (&core->model->log_known_us, sent_us) == 0)
+    core->housekeeping_due_us = 0; /* the first count of pending jobs */
   owner_caught_up (&core->owner, core->tab, now_us);
   if (core->sched)
     sched_confirm_ownership (core->sched, sent_us);
@@ -407,10 +407,8 @@
   return l->queue < r->queue ? -1 : l->queue > r->queue;
 }
 
-/* Counts by queue the accepted jobs of which no task has started; repeating
-   jobs are left out.  */
-static void
-publish_pending (core_t *core)
+void
+core_publish_pending (core_t *core)
 {
   g_autoptr (GHashTable) counts = g_hash_table_new (NULL, NULL);
   GHashTableIter iter;
@@ -419,6 +417,9 @@
   readmodel_pending_t *rows;
   uint32_t count = 0;
 
+  if (!history_is_complete (&core->history)
+      || atomic_load (&core->model->log_known_us) == 0)
+    return;
   g_hash_table_iter_init (&iter, core->tab->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -437,7 +438,7 @@
   while (g_hash_table_iter_next (&iter, &key, &value))
     rows[count++] = (readmodel_pending_t){ key, GPOINTER_TO_UINT (value) };
   qsort (rows, count, sizeof *rows, compare_pending);
-  readmodel_publish (core->model, NULL, rows, count);
+  readmodel_publish_pending (core->model, rows, count);
 }
 
 static void
@@ -494,7 +495,7 @@
   if (core->housekeeping_due_us > now_us)
     return;
   core->housekeeping_due_us = now_us + HOUSEKEEPING_INTERVAL_US;
-  publish_pending (core);
+  core_publish_pending (core);
   centres_expire (core->centres, now_us);
   update_dump (core);
   hub_update_workers (core);
--- a/entry/core.h
+++ b/entry/core.h
@@ -458,7 +458,12 @@
                          fold_result_t fold, size_t bytes, int64_t now_us);
 /* core_caught_up - all records that the log had at SENT_US are folded.  */
 void core_caught_up (core_t *core, int64_t sent_us, int64_t now_us);
+/* core_set_rules - RULES, which are the core's from now on, are in effect.
+   core_publish_pending - count by queue the accepted jobs of which no task has
+   started; jobs that repeat are left out.  The last counts stay while records
+   of the log are missing.  */
 void core_set_rules (core_t *core, rules_t *rules);
+void core_publish_pending (core_t *core);
 /* core_confirm_rules - all operators' records that were stored before SENT_US
    are read.  */
 void core_confirm_rules (core_t *core, int64_t sent_us);
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -129,13 +129,15 @@
   uint32_t jobs;
 } readmodel_pending_t;
 
-/* Rules and pending counts; immutable once published.  */
+/* Rules and pending counts; immutable once published.  A view that replaces
+   one of them holds the other as it was.  */
 typedef struct readmodel_view
 {
   struct rcu_head rcu;
-  rules_t *rules;
-  readmodel_pending_t *pending;
+  rules_t *rules;               /* NULL: none were read */
+  readmodel_pending_t *pending; /* queues that aren't listed have none */
   uint32_t pending_count;
+  bool is_counted; /* the jobs were counted with all records of the log */
 } readmodel_view_t;
 
 typedef struct readmodel
@@ -160,10 +162,13 @@
 void readmodel_put_job (readmodel_t *model, const job_entry_t *entry);
 void readmodel_remove_job (readmodel_t *model, const char *id);
 
-/* readmodel_publish - publish RULES, or the current ones if NULL, and COUNT
-   rows of PENDING.  Takes ownership of both.  Core only.  */
-void readmodel_publish (readmodel_t *model, rules_t *rules,
-                        readmodel_pending_t *pending, uint32_t count);
+/* readmodel_publish_rules - publish RULES with the counts of the view before.
+   readmodel_publish_pending - publish COUNT rows of PENDING, which were
+   counted with all records of the log, with the rules of the view before. Both
+   take ownership, and are for the core only.  */
+void readmodel_publish_rules (readmodel_t *model, rules_t *rules);
+void readmodel_publish_pending (readmodel_t *model,
+                                readmodel_pending_t *pending, uint32_t count);
 
 /* readmodel_view, readmodel_find_job - call under rcu_read_lock; the result is
    valid until rcu_read_unlock.  */
--- a/entry/front.c
+++ b/entry/front.c
@@ -272,6 +272,8 @@
 {
   uint32_t jobs = 0;
 
+  if (!view->is_counted)
+    return refuse (req, RESPONSE_NOT_READY, "-", "jobs are not counted yet");
   for (uint32_t i = 0; i < view->pending_count; i++)
     if (view->pending[i].queue == queue->name)
       jobs = view->pending[i].jobs;
--- a/entry/readmodel.c
+++ b/entry/readmodel.c
@@ -42,19 +42,37 @@
 }
 
 void
-readmodel_publish (readmodel_t *model, rules_t *rules,
-                   readmodel_pending_t *pending, uint32_t count)
+readmodel_publish_rules (readmodel_t *model, rules_t *rules)
 {
   readmodel_view_t *old = model->view;
   readmodel_view_t *view = g_new0 (readmodel_view_t, 1);
 
-  view->rules = rules ? rules : old ? old->rules : NULL;
+  if (old)
+    {
+      *view = *old;
+      view->pending = g_memdup2 (old->pending,
+                                 old->pending_count * sizeof *old->pending);
+    }
+  view->rules = rules;
+  rcu_assign_pointer (model->view, view);
+  if (old)
+    call_rcu (&old->rcu, free_rules_view_by_rcu);
+}
+
+void
+readmodel_publish_pending (readmodel_t *model, readmodel_pending_t *pending,
+                           uint32_t count)
+{
+  readmodel_view_t *old = model->view;
+  readmodel_view_t *view = g_new0 (readmodel_view_t, 1);
+
+  view->rules = old ? old->rules : NULL;
   view->pending = pending;
   view->pending_count = count;
+  view->is_counted = true;
   rcu_assign_pointer (model->view, view);
   if (old)
-    call_rcu (&old->rcu,
-              rules && old->rules ? free_rules_view_by_rcu : free_view_by_rcu);
+    call_rcu (&old->rcu, free_view_by_rcu);
 }
 
 const readmodel_view_t *
--- a/entry/test/front_test.c
+++ b/entry/test/front_test.c
@@ -46,7 +46,7 @@
 
   g_array_append_val (rules->queues, queue);
   g_array_append_val (rules->queues, public_queue);
-  readmodel_publish (&model, rules, NULL, 0);
+  readmodel_publish_rules (&model, rules);
 }
 
 static void
@@ -150,6 +150,23 @@
 }
 END_TEST
 
+/* Guards against a daemon that has not counted the jobs yet and says that none
+   waits (MIXED).  */
+START_TEST (test_pending_is_refused_before_the_first_count)
+{
+  readmodel_pending_t *rows = g_new0 (readmodel_pending_t, 1);
+
+  rows->queue = g_intern_string ("p");
+  rows->jobs = 20;
+  request ("GET", "/p/");
+  ck_assert_ptr_nonnull (strstr (response, "HTTP/1.1 503 "));
+  readmodel_publish_pending (&model, rows, 1);
+  request ("GET", "/p/");
+  ck_assert_ptr_nonnull (strstr (response, "{\"pending\":20}"));
+}
+END_TEST
+
 TEST_PROGRAM_WITH ("entry/front", set_up, tear_down,
                    test_malformed_id_is_not_logged, test_valid_id_is_logged,
-                   test_job_is_at_its_own_queue_only)
+                   test_job_is_at_its_own_queue_only,
+                   test_pending_is_refused_before_the_first_count)
--- a/entry/test/readmodel_test.c
+++ b/entry/test/readmodel_test.c
@@ -67,10 +67,10 @@
 
   first->jobs = 1;
   second->jobs = 2;
-  readmodel_publish (&model, NULL, first, 1);
+  readmodel_publish_pending (&model, first, 1);
   rcu_read_lock ();
   view = readmodel_view (&model);
-  readmodel_publish (&model, NULL, second, 1);
+  readmodel_publish_pending (&model, second, 1);
   ck_assert_uint_eq (view->pending[0].jobs, 1);
   ck_assert_uint_eq (readmodel_view (&model)->pending[0].jobs, 2);
   rcu_read_unlock ();
