--- a/jobs/admitstate.c
+++ b/jobs/admitstate.c
@@ -226,8 +226,8 @@
       = host->worker ? g_hash_table_lookup (sched->workers, host->worker)
                      : NULL;
   const amounts_t *room = worker ? &worker->capacity : &sched->host_room;
-  bool can_move = host->listed && host->state == HOST_STATUS_UP && !host->down
-                  && !host->cordoned
+  bool can_move = host->listed && host->state == HOST_STATUS_UP
+                  && !host_order_is_open (&host->order) && !host->cordoned
                   && (!worker
                       || (worker->runs->len == 0
                           && worker_accepts_tasks (worker, now_us)));
@@ -235,7 +235,7 @@
   gpointer name;
   gpointer value;
 
-  if (host->move_to && (host->down || host->cordoned))
+  if (host->move_to && (host_order_is_open (&host->order) || host->cordoned))
     {
       amounts_add (&admit_pool (sched->admit, host->move_to)->pool.incoming,
                    room);
--- a/jobs/demand.c
+++ b/jobs/demand.c
@@ -222,7 +222,8 @@
       if (host_is_evacuated (host))
         continue;
       demand.incoming
-          += host->move_to == pool->name && (host->down || host->cordoned);
+          += host->move_to == pool->name
+             && (host_order_is_open (&host->order) || host->cordoned);
       demand.listed
           += host->listed && host->pool == pool->name && !host->move_to;
     }
--- a/jobs/drain.c
+++ b/jobs/drain.c
@@ -48,14 +48,6 @@
   return host->listed && host->cordoned && !host->move_to;
 }
 
-/* Whether an order for HOST, which is drained or moves, may be under way.  */
-static bool
-host_is_ordered (const host_t *host)
-{
-  return host->down || host->order_pending || host->order_accepted
-         || host->unanswered;
-}
-
 static bool
 any_host_is_maintained (const sched_t *sched, const pool_t *pool)
 {
@@ -68,7 +60,8 @@
       const host_t *host = value;
 
       if (host->listed && host->pool == pool->name
-          && (host->down || host->state == HOST_STATUS_MAINTENANCE))
+          && (host_order_is_open (&host->order)
+              || host->state == HOST_STATUS_MAINTENANCE))
         return true;
     }
   return false;
@@ -185,8 +178,10 @@
   const host_t *l = *(const host_t *const *)a;
   const host_t *r = *(const host_t *const *)b;
 
-  if (l->down != r->down)
-    return l->down ? -1 : 1;
+  bool l_is_down = host_order_is_open (&l->order);
+
+  if (l_is_down != host_order_is_open (&r->order))
+    return l_is_down ? -1 : 1;
   if (l->cordoned_us != r->cordoned_us)
     return l->cordoned_us < r->cordoned_us ? -1 : 1;
   return strcmp (l->name, r->name);
@@ -262,7 +257,7 @@
     {
       host_t *host = g_ptr_array_index (hosts, i);
 
-      if (host_is_ordered (host))
+      if (host_order_is_open (&host->order))
         vacate_host (drain, host, VACATE_POSSIBLE);
       else if (!vacate_host (drain, host, VACATE_ALL_BUT_ONE))
         {
@@ -374,7 +369,7 @@
     {
       host_t *host = value;
 
-      if (host->cordoned && !host_is_ordered (host)
+      if (host->cordoned && !host_order_is_open (&host->order)
           && (!best || host->cordoned_us > best->cordoned_us)
           && could_start_on (sched, stage, host, now_us))
         best = host;
--- a/jobs/hosts.c
+++ b/jobs/hosts.c
@@ -1,7 +1,6 @@
 #include "hosts.h"
 #include "drain.h"
 #include "schedint.h"
-#include <string.h>
 
 /* Interval of reads of the list of hosts during a wave or a move.  */
 #define LIST_INTERVAL_US 700000
@@ -17,11 +16,7 @@
 void
 host_free (gpointer data)
 {
-  host_t *host = data;
-
-  g_free (host->worker);
-  g_free (host->ordered_worker);
-  g_free (host);
+  g_free (data);
 }
 
 GPtrArray *
@@ -66,7 +61,7 @@
     }
   g_ptr_array_add (workers, worker);
   host = g_hash_table_lookup (sched->hosts, name);
-  if (host && host->cordoned && !host->down)
+  if (host && host->cordoned && !host_order_is_open (&host->order))
     worker->cordoned = true;
 }
 
@@ -102,14 +97,13 @@
    carried out earlier is accepted as well, so its answer proves nothing about
    what runs there now.  */
 static void
-clear_stopped_worker (sched_t *sched, const host_t *host, sched_now_t now)
+clear_stopped_worker (sched_t *sched, const host_t *host,
+                      const host_event_t *list, sched_now_t now)
 {
-  worker_t *worker
-      = g_hash_table_lookup (sched->workers, host->ordered_worker);
+  const char *name = host_order_ended_worker (&host->order, list);
+  worker_t *worker = name ? g_hash_table_lookup (sched->workers, name) : NULL;
 
-  if (!worker || !host->order_accepted
-      || (host->state == HOST_STATUS_UP
-          && strcmp (host->worker, host->ordered_worker) == 0))
+  if (!worker)
     return;
   worker_reset (sched, worker, "host-list", now);
   worker->listed = false;
@@ -117,23 +111,12 @@
   worker_wake_at (sched, worker, now.us);
 }
 
-/* Whether a list that was requested after the last order for HOST, and shows
-   HOST as up, shows that the order is done with: it was accepted, or another
-   worker runs there.  Otherwise it may still be carried out.  */
-static bool
-order_is_settled (const host_t *host)
-{
-  return host->order_accepted
-         || strcmp (host->worker, host->ordered_worker) != 0;
-}
-
 void
 host_uncordon (sched_t *sched, host_t *host)
 {
   g_autoptr (GPtrArray) workers = host_workers (sched, host);
 
   host->cordoned = false;
-  host->order_accepted = false;
   host->move_to = NULL;
   for (uint32_t i = 0; i < workers->len; i++)
     {
@@ -166,12 +149,12 @@
       const host_info_t *info = &g_array_index (infos, host_info_t, i);
       const char *name = g_intern_string (info->host);
       host_t *host = g_hash_table_lookup (sched->hosts, name);
+      host_event_t list = { .kind = HOST_EVENT_LIST };
 
       if (!host)
         {
           host = g_new0 (host_t, 1);
           host->name = name;
-          host->worker = g_strdup ("");
           g_hash_table_insert (sched->hosts, (gpointer)name, host);
         }
       host->listed = true;
@@ -179,22 +162,17 @@
       host->state = info->state;
       host->data_centre
           = info->data_centre ? g_intern_string (info->data_centre) : NULL;
-      if (strcmp (host->worker, info->worker) != 0)
-        {
-          g_free (host->worker);
-          host->worker = g_strdup (info->worker);
-        }
+      host->worker = g_intern_string (info->worker);
       evacuation_update_host (sched, host);
-      if (host->down && sent_us > host->ordered_us)
-        clear_stopped_worker (sched, host, now);
-      if (host->down && !host->order_pending && host->state == HOST_STATUS_UP
-          && sent_us > host->ordered_us && order_is_settled (host))
-        {
-          host->down = host->unanswered = false;
-          host_uncordon (sched, host);
-        }
+      list.u.list.status = host->state;
+      list.u.list.worker = host->worker;
+      list.u.list.sent_us = sent_us;
+      clear_stopped_worker (sched, host, &list, now);
+      if (host_order_apply (&host->order, &list, now.us))
+        host_uncordon (sched, host);
       /* Its next worker is not listed yet.  */
-      sched->hosts_in_transit |= host->down || host->state != HOST_STATUS_UP;
+      sched->hosts_in_transit |= host_order_is_open (&host->order)
+                                 || host->state != HOST_STATUS_UP;
     }
   moves_record_base_sizes (sched);
   sched_wake_at (sched, now.us);
@@ -217,13 +195,14 @@
            const host_order_t *order, int64_t now_us)
 {
   const char *kind = order->kind == HOST_ORDER_MOVE ? "move" : "upkeep";
+  bool repeat = host_order_may_repeat (&host->order);
 
   event_log (EV_HOST_ORDERED,
              "host=%s kind=%s pool=%s wave=%" PRIu64 " token=%" PRIu64
              " worker=%s known=%u repeat=%d list_age_ms=%" PRId64,
              host->name, kind, order->pool ? order->pool : "-", order->wave,
              order->token, host->worker[0] ? host->worker : "-", workers->len,
-             host->down, (now_us - sched->hosts_read_us) / 1000);
+             repeat, (now_us - sched->hosts_read_us) / 1000);
   for (uint32_t i = 0; i < workers->len; i++)
     {
       const worker_t *worker = g_ptr_array_index (workers, i);
@@ -233,7 +212,7 @@
           const run_t *run = g_ptr_array_index (worker->runs, j);
 
           task_log_interrupted (run->task, run->attempt, worker, kind,
-                                host->down ? "repeat" : "order", now_us);
+                                repeat ? "repeat" : "order", now_us);
         }
     }
 }
@@ -250,21 +229,16 @@
                 int64_t now_us)
 {
   g_autoptr (GPtrArray) workers = host_workers (sched, host);
+  host_event_t event = { .kind = HOST_EVENT_SEND };
 
   order.host = host->name;
   order.token = sched->epoch;
   log_order (sched, host, workers, &order, now_us);
-  if (!host->down)
-    {
-      g_free (host->ordered_worker);
-      host->ordered_worker = g_strdup (host->worker);
-    }
+  event.u.send.order = order;
+  event.u.send.worker = host->worker;
+  host_order_apply (&host->order, &event, now_us);
   set_going_down (workers, true);
   sched->hosts_in_transit = true;
-  host->order_pending = true;
-  host->down = true;
-  host->for_maintenance = order.kind == HOST_ORDER_MAINTENANCE;
-  host->ordered_us = now_us;
   g_array_append_val (sched->host_orders, order);
 }
 
@@ -286,7 +260,7 @@
 should_cancel_move (const host_t *host, const GPtrArray *workers,
                     int64_t now_us)
 {
-  if (host->down)
+  if (host_order_is_open (&host->order))
     return false;
   if (host_is_evacuated (host))
     return true;
@@ -327,8 +301,9 @@
       host_t *host = value;
       g_autoptr (GPtrArray) workers = NULL;
 
-      if (!host->listed || !host->move_to || host->order_pending
-          || host->order_accepted || host->retry_us > now.us)
+      if (!host->listed || !host->move_to
+          || host_order_awaits_reply (&host->order)
+          || host_order_is_accepted (&host->order) || host->retry_us > now.us)
         continue;
       workers = host_workers (sched, host);
       if (should_cancel_move (host, workers, now.us))
@@ -380,6 +355,7 @@
              sched_now_t now)
 {
   host_t *host = g_hash_table_lookup (sched->hosts, order->host);
+  host_event_t event = { .kind = HOST_EVENT_REPLY, .u.reply = reply };
   g_autoptr (GPtrArray) workers = NULL;
 
   if (reply == HOST_REPLY_FENCED)
@@ -389,32 +365,18 @@
   event_log (EV_HOST_ANSWERED, "host=%s kind=%s reply=%s token=%" PRIu64,
              host->name, order->kind == HOST_ORDER_MOVE ? "move" : "upkeep",
              reply_name (reply), order->token);
-  host->order_pending = false;
   host->retry_us = now.us + ORDER_RETRY_US;
   sched->next_hosts_plan_us = 0;
   sched_wake_at (sched, now.us);
-  switch (reply)
+  if (host_order_apply (&host->order, &event, now.us))
     {
-    case HOST_REPLY_OK:
-      host->ordered_us = now.us;
-      host->order_accepted = true;
-      host->unanswered = false;
-      sched->hosts_stale = true;
-      waves_record_begun (sched, host, order);
-      return true;
-    case HOST_REPLY_BUSY:
-    case HOST_REPLY_REFUSED:
-      if (host->unanswered)
-        return true; /* an earlier order may be carried out */
-      host->down = false;
       workers = host_workers (sched, host);
       set_going_down (workers, false);
-      return true;
-    case HOST_REPLY_NONE:
-      host->unanswered = true;
-      return true;
-    case HOST_REPLY_FENCED:
-      return true;
+    }
+  if (reply == HOST_REPLY_OK)
+    {
+      sched->hosts_stale = true;
+      waves_record_begun (sched, host, order);
     }
   return true;
 }
--- a/jobs/hosts.h
+++ b/jobs/hosts.h
@@ -79,7 +79,8 @@
                 sched_now_t now);
 
 /* hosts_set_wave - add an operator's wave, first seen at KNOWN_US; frees its
-   array of host names.
+   array of host names.  A newer record of a wave replaces its hosts, time and
+   limit; hosts that have begun their maintenance for it don't begin it again.
    hosts_set_begun - an earlier owner recorded that HOST has begun its
    maintenance in wave NUMBER.  */
 void hosts_set_wave (sched_t *sched, wave_info_t *wave, int64_t known_us,
--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -78,7 +78,7 @@
       double share = 0;
 
       if (!host->listed || host->pool != pool || host->state != HOST_STATUS_UP
-          || host->cordoned || host->down || host->order_pending
+          || host->cordoned || host->order.state != HOST_ORDER_NONE
           || host_is_evacuated (host))
         continue;
       worker = g_hash_table_lookup (sched->workers, host->worker);
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -8,7 +8,7 @@
 #define CUMINPIN_SCHEDINT_H
 
 #include "evacuation.h"
-#include "hosts.h"
+#include "hostorder.h"
 #include "interference.h"
 #include "pacing.h"
 #include "reasons.h"
@@ -329,19 +329,13 @@
   const char *pool;        /* interned */
   const char *data_centre; /* interned; NULL: not listed */
   bool evacuated;          /* that is withdrawn from use */
-  char *worker;
+  const char *worker;      /* interned; "": none */
   host_status_t state;
   bool listed;
   bool cordoned; /* by a wave or a move */
   int64_t cordoned_us;
-  bool order_pending;   /* an order was sent and not answered */
-  bool order_accepted;  /* the last order was accepted */
-  bool unanswered;      /* an order since it was up may be carried out */
-  bool down;            /* ordered, and not listed as up since */
-  bool for_maintenance; /* the order was for maintenance, not a move */
+  host_ordered_t order; /* that may be under way */
   bool maintenance_due; /* a wave will take it down */
-  char *ordered_worker; /* on the host when it was first ordered down */
-  int64_t ordered_us;   /* last order sent or accepted */
   int64_t retry_us;     /* no order before */
   int64_t next_log_us;  /* no log line about it before */
   const char *move_to;  /* interned: destination pool; NULL: none */
@@ -737,7 +731,8 @@
 /* hosts_set_worker - WORKER runs on the host NAME, which is interned; NULL: on
    none.  */
 void hosts_set_worker (sched_t *sched, worker_t *worker, const char *name);
-/* host_order_add - order HOST down; it counts as down from now on.  */
+/* host_order_add - order HOST down; it counts as down from now on.  An order
+   that may be under way for it is repeated.  */
 void host_order_add (sched_t *sched, host_t *host, host_order_t order,
                      int64_t now_us);
 void fleet_update_add (sched_t *sched, fleet_update_kind_t kind,
--- a/jobs/test/waves_test.c
+++ b/jobs/test/waves_test.c
@@ -306,6 +306,121 @@
 }
 END_TEST
 
+static void
+set_wave (uint64_t number, const char *hosts, uint32_t at_once)
+{
+  wave_info_t wave = { .number = number,
+                       .hosts = g_strsplit (hosts, " ", 0),
+                       .duration_s = 10,
+                       .at_once = at_once };
+
+  hosts_set_wave (rig.sched, &wave, rig.now.us, rig.now);
+}
+
+/* Wave 1 has taken both of its hosts down, and both orders were accepted.  */
+static void
+take_two_hosts_down (void)
+{
+  static const char *const ids[] = { "w0", "w1", "w2" };
+  host_order_t order;
+
+  rig_open_sched (1);
+  rig_list_hosts (ids, 3, UINT32_MAX);
+  set_wave (1, "h0 h1", 2);
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      ck_assert (rig_next_order (200, &order));
+      hosts_reply (rig.sched, &order, HOST_REPLY_OK, rig.now);
+    }
+}
+
+/* Guards against a wave that orders hosts beyond its limit, as they still
+   count as down for another one, which they are back from (review/13).  */
+START_TEST (test_host_that_is_down_for_another_wave_is_not_ordered)
+{
+  static const char *const ids[] = { "w0", "w1", "w2" };
+  host_order_t order;
+
+  take_two_hosts_down ();
+  set_wave (2, "h0 h1", 1);
+  for (uint32_t i = 0; i < 10; i++)
+    ck_assert (!rig_next_order (100, &order));
+  rig_list_hosts (ids, 3, UINT32_MAX);
+  ck_assert (rig_next_order (200, &order));
+  ck_assert_uint_eq (order.wave, 2);
+  hosts_reply (rig.sched, &order, HOST_REPLY_OK, rig.now);
+  for (uint32_t i = 0; i < 10; i++)
+    ck_assert (!rig_next_order (100, &order));
+}
+END_TEST
+
+/* Guards against the same where the first wave's order has no answer: it may
+   be carried out late, and only that wave repeats it.  */
+START_TEST (test_unanswered_order_belongs_to_its_wave)
+{
+  static const char *const ids[] = { "w0", "w1" };
+  host_order_t order;
+
+  rig_open_sched (1);
+  rig_list_hosts (ids, 2, UINT32_MAX);
+  set_wave (1, "h0", 1);
+  ck_assert (rig_next_order (200, &order));
+  hosts_reply (rig.sched, &order, HOST_REPLY_NONE, rig.now);
+  set_wave (2, "h0 h1", 1);
+  for (uint32_t i = 0; i < 20; i++)
+    if (rig_next_order (100, &order))
+      {
+        ck_assert_str_eq (order.host, "h0");
+        ck_assert_uint_eq (order.wave, 1);
+        hosts_reply (rig.sched, &order, HOST_REPLY_NONE, rig.now);
+      }
+}
+END_TEST
+
+/* Guards against a wave that goes on with the limit that its first record had:
+   the operators have asked for it again.  */
+START_TEST (test_newer_record_of_a_wave_sets_its_limit)
+{
+  static const char *const ids[] = { "w0", "w1", "w2" };
+  host_order_t order;
+
+  rig_open_sched (1);
+  rig_list_hosts (ids, 3, UINT32_MAX);
+  set_wave (1, "h0 h1 h2", 3);
+  ck_assert (rig_next_order (200, &order));
+  hosts_reply (rig.sched, &order, HOST_REPLY_OK, rig.now);
+  set_wave (1, "h0 h1 h2", 1);
+  for (uint32_t i = 0; i < 10; i++)
+    ck_assert (!rig_next_order (100, &order));
+  rig_list_hosts (ids, 3, UINT32_MAX);
+  ck_assert (rig_next_order (200, &order));
+}
+END_TEST
+
+/* Guards against a host that a newer record adds to a complete wave and that
+   has no maintenance.  */
+START_TEST (test_newer_record_of_a_wave_adds_a_host)
+{
+  static const char *const ids[] = { "w0", "w1" };
+  host_order_t order;
+
+  rig_open_sched (1);
+  rig_list_hosts (ids, 2, UINT32_MAX);
+  set_wave (1, "h0", 1);
+  ck_assert (rig_next_order (200, &order));
+  hosts_reply (rig.sched, &order, HOST_REPLY_OK, rig.now);
+  rig_advance_clock (2500);
+  rig_list_hosts (ids, 2, UINT32_MAX);
+  ck_assert (!rig_next_order (200, &order));
+  ck_assert (has_update (FLEET_UPDATE_WAVE_COMPLETE));
+  g_array_set_size (hosts_updates (rig.sched), 0);
+  set_wave (1, "h0 h1", 1);
+  ck_assert (has_update (FLEET_UPDATE_WAVE_RUNNING));
+  ck_assert (rig_next_order (200, &order));
+  ck_assert_str_eq (order.host, "h1");
+}
+END_TEST
+
 TEST_PROGRAM_WITH ("jobs/waves", rig_reset, rig_tear_down,
                    test_wave_keeps_its_limit,
                    test_wave_is_complete_when_all_have_begun,
@@ -316,4 +431,8 @@
                    test_wave_is_slower_while_work_waits,
                    test_long_running_task_moves_to_a_host_that_is_not_due,
                    test_new_owner_avoids_hosts_that_are_due,
-                   test_complete_wave_leaves_no_host_due)
+                   test_complete_wave_leaves_no_host_due,
+                   test_host_that_is_down_for_another_wave_is_not_ordered,
+                   test_unanswered_order_belongs_to_its_wave,
+                   test_newer_record_of_a_wave_sets_its_limit,
+                   test_newer_record_of_a_wave_adds_a_host)
--- a/jobs/waves.c
+++ b/jobs/waves.c
@@ -1,6 +1,7 @@
 #include "drain.h"
 #include "hosts.h"
 #include "schedint.h"
+#include <string.h>
 
 /* Estimate of the time that a host of a wave is out of use: draining, the
    maintenance itself, which takes 2 s, and being listed again.  */
@@ -12,6 +13,9 @@
 /* Cost of draining a host that is switched off; less than that of any other.
  */
 #define SWITCHED_OFF_COST (-4.0)
+/* The same for a host that counts as down already: while its order isn't
+   settled, it takes the place of another one.  */
+#define COUNTED_COST (-8.0)
 /* Interval at which the workers of a wave's hosts are marked as due.  */
 #define MARK_INTERVAL_US 100000
 /* Time for which a host that is being drained waits for its short tasks.  */
@@ -40,6 +44,17 @@
   g_free (wave);
 }
 
+/* Notes whether a wave will take HOST and its workers down.  */
+static void
+mark_host (const sched_t *sched, host_t *host, bool due)
+{
+  g_autoptr (GPtrArray) workers = host_workers (sched, host);
+
+  host->maintenance_due = due;
+  for (uint32_t i = 0; i < workers->len; i++)
+    ((worker_t *)g_ptr_array_index (workers, i))->maintenance_due = due;
+}
+
 static wave_t *
 find_wave (const sched_t *sched, uint64_t number)
 {
@@ -68,26 +83,73 @@
   return wave;
 }
 
+/* The hosts of INFO, interned.  The caller frees the array.  */
+static GPtrArray *
+intern_names (const wave_info_t *info)
+{
+  GPtrArray *names = g_ptr_array_new ();
+
+  for (uint32_t i = 0; info->hosts[i]; i++)
+    g_ptr_array_add (names, (gpointer)g_intern_string (info->hosts[i]));
+  return names;
+}
+
+static bool
+have_same_hosts (const GPtrArray *a, const GPtrArray *b)
+{
+  return a->len == b->len
+         && (a->len == 0
+             || memcmp (a->pdata, b->pdata, a->len * sizeof *a->pdata) == 0);
+}
+
+/* The hosts in NAMES leave their wave: none of them is due, and those that are
+   drained are in use again until another wave drains them.  */
+static void
+leave_wave (sched_t *sched, const GPtrArray *names)
+{
+  for (uint32_t i = 0; i < names->len; i++)
+    {
+      host_t *host
+          = g_hash_table_lookup (sched->hosts, g_ptr_array_index (names, i));
+
+      if (!host)
+        continue;
+      mark_host (sched, host, false);
+      if (host->cordoned && !host->move_to
+          && !host_order_is_open (&host->order))
+        host_uncordon (sched, host);
+    }
+}
+
 void
 hosts_set_wave (sched_t *sched, wave_info_t *info, int64_t known_us,
                 sched_now_t now)
 {
   wave_t *wave = get_or_add_wave (sched, info->number);
+  GPtrArray *names = intern_names (info);
+  int64_t duration_us = (int64_t)info->duration_s * 1000000;
+  uint32_t at_once = MAX (info->at_once, 1);
 
-  if (wave->names->len == 0)
-    {
-      wave->since_us = known_us;
-      wave->duration_us = (int64_t)info->duration_s * 1000000;
-      wave->at_once = MAX (info->at_once, 1);
-      for (uint32_t i = 0; info->hosts[i]; i++)
-        g_ptr_array_add (wave->names,
-                         (gpointer)g_intern_string (info->hosts[i]));
-      fleet_update_add (sched, FLEET_UPDATE_WAVE_RUNNING, wave->number, NULL);
-      event_log (EV_WAVE_STARTED, "wave=%" PRIu64 " hosts=%u at_once=%u",
-                 wave->number, wave->names->len, wave->at_once);
-    }
   g_strfreev (info->hosts);
   info->hosts = NULL;
+  if (names->len == 0
+      || (have_same_hosts (names, wave->names)
+          && wave->duration_us == duration_us && wave->at_once == at_once))
+    {
+      g_ptr_array_free (names, TRUE);
+      return;
+    }
+  leave_wave (sched, wave->names);
+  g_ptr_array_free (wave->names, TRUE);
+  wave->names = names;
+  wave->since_us = known_us;
+  wave->duration_us = duration_us;
+  wave->at_once = at_once;
+  wave->complete = false;
+  wave->next_mark_us = now.us;
+  fleet_update_add (sched, FLEET_UPDATE_WAVE_RUNNING, wave->number, NULL);
+  event_log (EV_WAVE_STARTED, "wave=%" PRIu64 " hosts=%u at_once=%u",
+             wave->number, wave->names->len, wave->at_once);
   sched_wake_at (sched, now.us);
 }
 
@@ -190,8 +252,19 @@
   host_t *host;
   double cost;
   uint32_t index; /* in the wave */
+  bool counted;   /* as one that may be down */
 } candidate_host_t;
 
+/* Whether an order for HOST that may be under way is one of WAVE, which has to
+   be repeated.  That of another wave is left to that one.  */
+static bool
+may_repeat (const wave_t *wave, const host_t *host)
+{
+  return host_order_may_repeat (&host->order)
+         && host->order.order.kind == HOST_ORDER_MAINTENANCE
+         && host->order.order.wave == wave->number;
+}
+
 static int
 compare_hosts (gconstpointer a, gconstpointer b)
 {
@@ -217,11 +290,15 @@
           = { .host = g_hash_table_lookup (sched->hosts, name), .index = i };
       const host_t *host = candidate.host;
 
-      if (!host || !host->listed || host->cordoned || host->down
-          || host->order_pending || host->state != HOST_STATUS_UP
+      if (!host || !host->listed || host->cordoned
+          || (host->order.state != HOST_ORDER_NONE && !may_repeat (wave, host))
+          || host->state != HOST_STATUS_UP
           || g_hash_table_contains (wave->begun, name))
         continue;
-      candidate.cost = host_drain_cost (sched, host, now_us);
+      candidate.counted = host->order.state == HOST_ORDER_DOUBTED;
+      candidate.cost = candidate.counted
+                           ? COUNTED_COST
+                           : host_drain_cost (sched, host, now_us);
       g_array_append_val (hosts, candidate);
     }
   g_array_sort (hosts, compare_hosts);
@@ -232,9 +309,10 @@
 typedef struct wave_count
 {
   uint32_t listed;
-  uint32_t left;   /* hosts that have not begun maintenance */
-  uint32_t active; /* being drained, or down for maintenance */
-  uint32_t down;   /* down for maintenance */
+  uint32_t left;    /* hosts that have not begun maintenance */
+  uint32_t active;  /* being drained, or down for maintenance */
+  uint32_t down;    /* down for maintenance, or may go down any time */
+  uint32_t doubted; /* of the latter, those that are in use */
   uint32_t listed_in_use;
   uint32_t active_in_use;
   uint32_t down_in_use;
@@ -255,7 +333,7 @@
 
       if (!host || !host->listed)
         continue; /* no longer exists */
-      down = (host->down && host->for_maintenance)
+      down = host_order_counts (&host->order, wave->number)
              || host->state == HOST_STATUS_MAINTENANCE;
       active = (host->cordoned && !host->move_to) || down;
       in_use = !host_is_evacuated (host);
@@ -263,6 +341,7 @@
       count.left += !g_hash_table_contains (wave->begun, name);
       count.active += active;
       count.down += down;
+      count.doubted += down && host->order.state == HOST_ORDER_DOUBTED;
       count.listed_in_use += in_use;
       count.active_in_use += in_use && active;
       count.down_in_use += in_use && down;
@@ -296,10 +375,10 @@
 }
 
 /* The number of hosts that WAVE has to process at a time to finish by its
-   target.  */
+   target, whatever its limit.  */
 static uint32_t
-wave_parallelism (const sched_t *sched, const wave_t *wave, uint32_t left,
-                  int64_t now_us)
+hosts_needed (const sched_t *sched, const wave_t *wave, uint32_t left,
+              int64_t now_us)
 {
   int64_t target_percent = any_pool_is_short (sched)
                                ? WAVE_TARGET_WAITING_PERCENT
@@ -309,7 +388,7 @@
   int64_t need
       = ((int64_t)left * MAINTENANCE_ESTIMATE_US + time_us - 1) / time_us;
 
-  return (uint32_t)MIN ((int64_t)wave->at_once, MAX (need, 1));
+  return (uint32_t)CLAMP (need, 1, (int64_t)wave->names->len);
 }
 
 /* Stops one long-running task of WORKER, on HOST, that has a place elsewhere,
@@ -377,30 +456,36 @@
       host_t *host = g_hash_table_lookup (sched->hosts, name);
       g_autoptr (GPtrArray) workers = NULL;
       int64_t since_us;
+      bool repeat;
+      bool is_down;
 
-      if (!host || !host->listed
-          || (!host->down && !limits_allow_down (wave, count, host))
-          || !host->cordoned || host->move_to || host->order_pending
+      if (!host || !host->listed || !host->cordoned || host->move_to
           || host->retry_us > now.us
           || g_hash_table_contains (wave->begun, name))
         continue;
-      if (!host->down && drain_is_stuck (drain, host))
+      repeat = may_repeat (wave, host);
+      is_down = host_order_is_open (&host->order);
+      if (!repeat
+          && (host->order.state != HOST_ORDER_NONE
+              || !limits_allow_down (wave, count, host)))
+        continue;
+      if (!is_down && drain_is_stuck (drain, host))
         {
           log_waiting (wave, host, "no-place", now.us);
           continue;
         }
       workers = host_workers (sched, host);
       /* Short tasks had their time before the first order.  */
-      since_us = host->down ? 0 : host->cordoned_us;
+      since_us = is_down ? 0 : host->cordoned_us;
       if (!may_all_go_down (workers, since_us, now.us))
         {
-          for (uint32_t w = 0; !host->down && w < workers->len; w++)
+          for (uint32_t w = 0; !is_down && w < workers->len; w++)
             stop_one_long_running (sched, drain, host,
                                    g_ptr_array_index (workers, w), now.us);
           log_waiting (wave, host, "long-running-tasks-unavailable", now.us);
           continue;
         }
-      if (!host->down && !workers_are_recorded (sched, workers))
+      if (!is_down && !workers_are_recorded (sched, workers))
         continue;
       host_order_add (sched, host,
                       (host_order_t){ .kind = HOST_ORDER_MAINTENANCE,
@@ -418,16 +503,10 @@
     {
       const char *name = g_ptr_array_index (wave->names, i);
       host_t *host = g_hash_table_lookup (sched->hosts, name);
-      g_autoptr (GPtrArray) workers = NULL;
 
-      if (!host)
-        continue;
-      host->maintenance_due
-          = host->listed && !g_hash_table_contains (wave->begun, name);
-      workers = host_workers (sched, host);
-      for (uint32_t w = 0; w < workers->len; w++)
-        ((worker_t *)g_ptr_array_index (workers, w))->maintenance_due
-            = host->maintenance_due;
+      if (host)
+        mark_host (sched, host,
+                   host->listed && !g_hash_table_contains (wave->begun, name));
     }
 }
 
@@ -445,21 +524,30 @@
              active, wanted, refused);
 }
 
-/* Cordons hosts of WAVE until PARALLELISM of them are drained or down, as far
-   as their long-running tasks have places.  */
+/* Cordons hosts of WAVE until as many as NEEDED, and as its limit allows, are
+   drained or down, as far as their long-running tasks have places.  */
 static void
 drain_hosts (sched_t *sched, drain_t *drain, wave_t *wave, wave_count_t *count,
-             uint32_t parallelism, sched_now_t now)
+             uint32_t needed, sched_now_t now)
 {
-  g_autoptr (GArray) hosts = hosts_to_drain (sched, wave, now.us);
+  uint32_t parallelism = MIN (needed, wave->at_once);
+  g_autoptr (GArray) hosts = NULL;
   uint32_t refused = 0;
 
-  for (uint32_t i = 0; i < hosts->len && count->active < parallelism; i++)
+  if (count->active >= parallelism && count->doubted == 0)
+    return;
+  hosts = hosts_to_drain (sched, wave, now.us);
+  for (uint32_t i = 0; i < hosts->len; i++)
     {
-      host_t *host = g_array_index (hosts, candidate_host_t, i).host;
+      const candidate_host_t *candidate
+          = &g_array_index (hosts, candidate_host_t, i);
+      host_t *host = candidate->host;
       bool in_use = !host_is_evacuated (host);
 
-      if (in_use && count->active_in_use >= limit_in_use (wave, count))
+      if (!candidate->counted && count->active >= parallelism)
+        break;
+      if (!candidate->counted && in_use
+          && count->active_in_use >= limit_in_use (wave, count))
         continue;
       if (!drain_take (drain, host))
         {
@@ -467,8 +555,8 @@
           continue;
         }
       host_cordon (sched, host, now.us);
-      count->active++;
-      count->active_in_use += in_use;
+      count->active += !candidate->counted;
+      count->active_in_use += in_use && !candidate->counted;
     }
   if (refused > 0 && count->active < parallelism)
     log_limited (wave, count->active, parallelism, refused, now.us);
@@ -478,7 +566,6 @@
 plan_wave (sched_t *sched, drain_t *drain, wave_t *wave, sched_now_t now)
 {
   wave_count_t count = count_wave (sched, wave);
-  uint32_t parallelism = wave_parallelism (sched, wave, count.left, now.us);
 
   if (count.left == 0 && count.down == 0)
     {
@@ -489,8 +576,8 @@
                  (now.us - wave->since_us) / 1000);
       return;
     }
-  if (count.active < parallelism)
-    drain_hosts (sched, drain, wave, &count, parallelism, now);
+  drain_hosts (sched, drain, wave, &count,
+               hosts_needed (sched, wave, count.left, now.us), now);
   order_maintenance (sched, drain, wave, &count, now);
 }
 
@@ -508,11 +595,40 @@
     }
 }
 
+/* Whether WAVE will order HOST, whose last order may still be carried out.  */
+static bool
+wave_settles (const wave_t *wave, const host_t *host)
+{
+  return wave && wave_is_open (wave)
+         && !g_hash_table_contains (wave->begun, host->name)
+         && g_ptr_array_find (wave->names, host->name, NULL);
+}
+
+/* Forgets orders that may still be carried out and whose waves order no host
+   any more: they can't exceed a limit.  */
+static void
+forget_doubts (sched_t *sched)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, sched->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      host_t *host = value;
+
+      if (host->order.state == HOST_ORDER_DOUBTED
+          && !wave_settles (find_wave (sched, host->order.order.wave), host))
+        host_order_forget (&host->order);
+    }
+}
+
 void
 waves_plan (sched_t *sched, sched_now_t now)
 {
   drain_t *drain;
 
+  forget_doubts (sched);
   if (!waves_any_open (sched))
     return;
   drain = drain_new (sched, now);
