jobs: empty a wave's next host while the one before is down

Cause: the limit of a wave bounds the hosts that are down, and plan_wave held those that are being emptied to it as well. So the emptying of a host began when the one before was back, up to 3 s later than it could.

Change: if a wave needs more hosts at a time than its limit allows, as many hosts as are down are emptied beside them, as far as their long-running tasks have places. With enough time nothing changes.

jobs/waves_model draws waves that share hosts and follow each other, orders that are refused, lost, answered late or carried out late, old lists and restarts of workers, and checks LIMIT, MIXED, AVAIL, that tasks run and that waves end.

jobs/waves_evacuation test_drained_host_waits_for_the_smaller_limit expected that no withdrawn host goes down meanwhile, as two hosts were drained already. One does now, within both limits. The test checks both, and that the drained host goes when that one is back.

--- a/jobs/test/waves_evacuation_test.c
+++ b/jobs/test/waves_evacuation_test.c
@@ -88,10 +88,14 @@
   list_hosts (down);
   take_orders (down);
   ck_assert_uint_eq (count_down (down, 0, 3), 1);
+  ck_assert_uint_le (count_down (down, 0, HOSTS), 2);
   evacrig_take_back ("far-dc");
+  memset (&down[3], 0, 3 * sizeof down[0]); /* a withdrawn one may have gone */
+  rig_advance_clock (2000);
   list_hosts (down);
   take_orders (down);
   ck_assert_uint_eq (count_down (down, 0, 3), 2);
+  ck_assert_uint_eq (count_down (down, 0, HOSTS), 2);
 }
 END_TEST
 
--- a/jobs/waves.c
+++ b/jobs/waves.c
@@ -524,19 +524,23 @@
              active, wanted, refused);
 }
 
-/* Cordons hosts of WAVE until as many as NEEDED, and as its limit allows, are
-   drained or down, as far as their long-running tasks have places.  */
+/* Cordons hosts of WAVE, of which NEEDED have to be processed at a time, as
+   far as their long-running tasks have places.  The limit of the wave is one
+   on hosts that are down.  If it is less than what is needed, hosts are
+   emptied while others are down, so that they go down when those are back.  */
 static void
 drain_hosts (sched_t *sched, drain_t *drain, wave_t *wave, wave_count_t *count,
              uint32_t needed, sched_now_t now)
 {
-  uint32_t parallelism = MIN (needed, wave->at_once);
+  uint32_t ahead = needed > wave->at_once ? count->down - count->doubted : 0;
+  uint32_t parallelism = MIN (needed, wave->at_once) + ahead;
   g_autoptr (GArray) hosts = NULL;
   uint32_t refused = 0;
 
   if (count->active >= parallelism && count->doubted == 0)
     return;
   hosts = hosts_to_drain (sched, wave, now.us);
+
   for (uint32_t i = 0; i < hosts->len; i++)
     {
       const candidate_host_t *candidate
@@ -547,7 +551,8 @@
       if (!candidate->counted && count->active >= parallelism)
         break;
       if (!candidate->counted && in_use
-          && count->active_in_use >= limit_in_use (wave, count))
+          && count->active_in_use >= limit_in_use (wave, count)
+                                         + MIN (ahead, count->down_in_use))
         continue;
       if (!drain_take (drain, host))
         {
