cancels/suspended: the test waits until the daemon is suspended

Cause: kill returns before a process that gets SIGSTOP has stopped, so the daemon at times still passed the submission on; the job was accepted then, and 200 is the right answer to its cancelling.

Change: site_signal waits for the stop of all threads (waitid, WSTOPPED). The cases of evacuation that suspend the owner wait as well. No check is changed.

--- a/test/evacuation/site.c
+++ b/test/evacuation/site.c
@@ -192,6 +192,18 @@
                 "the daemon didn't stop in order");
 }
 
+/* Waits until all threads of a daemon are suspended: kill returns before, and
+   a thread that still runs may answer a request.  */
+static void
+await_stop (const site_daemon_t *daemon)
+{
+  siginfo_t info;
+
+  site_require (waitid (P_PID, (id_t)daemon->pid, &info, WSTOPPED | WNOWAIT)
+                    == 0,
+                "the daemon wasn't suspended");
+}
+
 void
 site_signal (site_t *site, uint32_t index, int signal)
 {
@@ -200,6 +212,8 @@
   kill (daemon->pid, signal);
   if (signal == SIGKILL)
     await_exit (daemon);
+  if (signal == SIGSTOP)
+    await_stop (daemon);
 }
 
 void
--- a/test/evacuation/site.h
+++ b/test/evacuation/site.h
@@ -64,7 +64,8 @@
 void site_start (site_t *site, uint32_t index);
 /* site_ready - IP:PORT of a daemon's ready address; the caller frees it.  */
 char *site_ready (const site_t *site, uint32_t index);
-/* site_signal - send SIGNAL to a daemon; with SIGKILL, wait for its end.  */
+/* site_signal - send SIGNAL to a daemon; wait for its end with SIGKILL, and
+   until it is suspended with SIGSTOP.  */
 void site_signal (site_t *site, uint32_t index, int signal);
 
 /* site_stop - send SIGTERM to a daemon, and wait for its end; fails unless it
