entry: the first count of pending jobs leaves the housekeeping where it was

Cause: to count as soon as the log was read, core_caught_up made the whole housekeeping due.

Change: the jobs are counted at once, and the housekeeping keeps its interval.

--- a/entry/core.c
+++ b/entry/core.c
@@ -82,6 +82,7 @@
   readmodel_publish_rules (core->model, rules);
   event_log (EV_CONFIG_IN_EFFECT, "version=%" PRIu64 " queues=%u",
              rules->version, rules->queues->len);
+  core->housekeeping_due_us = 0;
 }
 
 void
@@ -273,7 +274,7 @@
   /* Without all records this daemon can't tell that a job does not exist.  */
   if (history_is_complete (&core->history)
       && atomic_exchange (&core->model->log_known_us, sent_us) == 0)
-    core->housekeeping_due_us = 0; /* the first count of pending jobs */
+    core_publish_pending (core);
   owner_caught_up (&core->owner, core->tab, now_us);
   if (core->sched)
     sched_confirm_ownership (core->sched, sent_us);
--- a/entry/test/core_test.c
+++ b/entry/test/core_test.c
@@ -89,7 +89,6 @@
   ck_assert_int_eq (pending (), -1);
   submit (WAITING);
   core_caught_up (&core, 1, 1);
-  core_publish_pending (&core);
   ck_assert_int_eq (pending (), WAITING);
 }
 END_TEST
