--- a/entry/hostcalls.c
+++ b/entry/hostcalls.c
@@ -65,6 +65,26 @@
 
 /* Records of earlier owners.  */
 
+static void
+apply_fleet_update (sched_t *sched, const fleet_update_t *update)
+{
+  switch (update->kind)
+    {
+    case FLEET_UPDATE_POOL_BASE:
+      hosts_set_base_size (sched, update->name, (uint32_t)update->number);
+      return;
+    case FLEET_UPDATE_HOST_BEGUN:
+      hosts_set_begun (sched, update->number, update->name);
+      return;
+    case FLEET_UPDATE_HOST_ORDERED:
+      hosts_set_ordered (sched, update->number, update->name);
+      return;
+    case FLEET_UPDATE_WAVE_RUNNING:
+    case FLEET_UPDATE_WAVE_COMPLETE:
+      return; /* not stored there */
+    }
+}
+
 static void
 on_fleet_records (void *ctx, const call_result_t *result)
 {
@@ -94,11 +114,7 @@
           || !platform_parse_fleet_record (item->key, item->value, item->len,
                                            &update))
         continue;
-      if (update.kind == FLEET_UPDATE_POOL_BASE)
-        hosts_set_base_size (core->sched, update.name,
-                             (uint32_t)update.number);
-      else
-        hosts_set_begun (core->sched, update.number, update.name);
+      apply_fleet_update (core->sched, &update);
     }
   feed_next_page (feed, items, more, end);
   if (!feed->loaded)
@@ -218,14 +234,20 @@
   core_t *core;
   GBytes *record;
   const char *topic;
+  fleet_update_t update; /* that RECORD holds */
 } fleet_write_t;
 
 static void
 on_fleet_written (void *ctx, const call_result_t *result)
 {
   fleet_write_t *call = ctx;
+  sched_t *sched = call->core->sched;
+  bool stored = platform_append_reply (result->status) == STORE_OK;
 
-  if (platform_append_reply (result->status) == STORE_OK || !call->core->sched)
+  if (stored && sched && call->update.kind == FLEET_UPDATE_HOST_ORDERED)
+    hosts_set_recorded (sched, call->update.number, call->update.name,
+                        core_now ());
+  if (stored || !sched)
     g_bytes_unref (call->record);
   else
     g_array_append_val (call->core->fleet_retries, *call);
@@ -233,14 +255,15 @@
 }
 
 static void
-write_fleet_record (core_t *core, const char *topic, GBytes *record)
+write_fleet_record (core_t *core, const char *topic, GBytes *record,
+                    const fleet_update_t *update)
 {
   g_autoptr (GPtrArray) records = g_ptr_array_new ();
   fleet_write_t *call = g_new0 (fleet_write_t, 1);
   platform_req_t req;
 
   g_ptr_array_add (records, record);
-  *call = (fleet_write_t){ core, record, topic };
+  *call = (fleet_write_t){ core, record, topic, *update };
   req = platform_append_req (topic, records);
   calls_send (core->calls, core->settings->store, &req, CALL_TIMEOUT_MS,
               on_fleet_written, call);
@@ -260,7 +283,7 @@
           const fleet_write_t *call
               = &g_array_index (retries, fleet_write_t, i);
 
-          write_fleet_record (core, call->topic, call->record);
+          write_fleet_record (core, call->topic, call->record, &call->update);
         }
     }
   for (uint32_t i = 0; i < updates->len; i++)
@@ -274,12 +297,14 @@
           write_fleet_record (
               core, PLATFORM_TOPIC_STATUS,
               platform_wave_status_record (
-                  row->number, row->kind == FLEET_UPDATE_WAVE_COMPLETE));
+                  row->number, row->kind == FLEET_UPDATE_WAVE_COMPLETE),
+              row);
           break;
+        case FLEET_UPDATE_HOST_ORDERED:
         case FLEET_UPDATE_HOST_BEGUN:
         case FLEET_UPDATE_POOL_BASE:
           write_fleet_record (core, PLATFORM_TOPIC_FLEET,
-                              platform_fleet_record (row));
+                              platform_fleet_record (row), row);
           break;
         }
     }
--- a/jobs/hostorder.c
+++ b/jobs/hostorder.c
@@ -90,6 +90,17 @@
   return false;
 }
 
+void
+host_order_inherit (host_ordered_t *ordered, host_order_t order,
+                    int64_t now_us)
+{
+  if (ordered->state != HOST_ORDER_NONE)
+    return;
+  ordered->state = HOST_ORDER_DOUBTED;
+  ordered->order = order;
+  ordered->us = now_us;
+}
+
 void
 host_order_forget (host_ordered_t *ordered)
 {
@@ -125,6 +136,12 @@
          || ordered->state == HOST_ORDER_DOUBTED;
 }
 
+bool
+host_order_may_come (const host_ordered_t *ordered)
+{
+  return host_order_awaits_reply (ordered) || host_order_may_repeat (ordered);
+}
+
 bool
 host_order_counts (const host_ordered_t *ordered, uint64_t wave)
 {
--- a/jobs/hostorder.h
+++ b/jobs/hostorder.h
@@ -29,7 +29,8 @@
   HOST_ORDER_REPEATED,   /* sent again after one without an answer */
   HOST_ORDER_ACCEPTED,   /* carried out; not seen in a list yet */
   HOST_ORDER_SEEN,       /* carried out; a list has shown the host as not up */
-  HOST_ORDER_DOUBTED     /* UNANSWERED, and another worker runs on the host */
+  HOST_ORDER_DOUBTED     /* UNANSWERED, and another worker runs on the host, or
+                            an owner before may have sent it */
 } host_order_state_t;
 
 typedef struct host_ordered
@@ -73,6 +74,10 @@
 bool host_order_apply (host_ordered_t *ordered, const host_event_t *event,
                        int64_t now_us);
 
+/* host_order_inherit - an owner before may have sent ORDER.  */
+void host_order_inherit (host_ordered_t *ordered, host_order_t order,
+                         int64_t now_us);
+
 /* host_order_forget - the order in doubt doesn't count any more.  */
 void host_order_forget (host_ordered_t *ordered);
 
@@ -81,12 +86,14 @@
    host_order_awaits_reply - whether the order was sent and has no answer yet.
    host_order_is_accepted - whether it was carried out.
    host_order_may_repeat - whether it has to be sent again.
+   host_order_may_come - whether it may be carried out at any time.
    host_order_counts - whether the host counts as down for the maintenance of
    WAVE.  */
 bool host_order_is_open (const host_ordered_t *ordered);
 bool host_order_awaits_reply (const host_ordered_t *ordered);
 bool host_order_is_accepted (const host_ordered_t *ordered);
 bool host_order_may_repeat (const host_ordered_t *ordered);
+bool host_order_may_come (const host_ordered_t *ordered);
 bool host_order_counts (const host_ordered_t *ordered, uint64_t wave);
 
 /* host_order_ended_worker - the worker that ORDERED has certainly ended,
--- a/jobs/hosts.c
+++ b/jobs/hosts.c
@@ -19,6 +19,20 @@
   g_free (data);
 }
 
+static host_t *
+get_or_add_host (sched_t *sched, const char *name)
+{
+  host_t *host = g_hash_table_lookup (sched->hosts, name);
+
+  if (host)
+    return host;
+  host = g_new0 (host_t, 1);
+  host->name = name;
+  host->worker = g_intern_static_string ("");
+  g_hash_table_insert (sched->hosts, (gpointer)name, host);
+  return host;
+}
+
 GPtrArray *
 host_workers (const sched_t *sched, const host_t *host)
 {
@@ -34,6 +48,13 @@
   return workers;
 }
 
+/* Since when an order for HOST may come; 0: none may.  */
+static int64_t
+doubt_us (const host_t *host)
+{
+  return host_order_may_come (&host->order) ? MAX (host->order.us, 1) : 0;
+}
+
 void
 hosts_set_worker (sched_t *sched, worker_t *worker, const char *name)
 {
@@ -46,7 +67,9 @@
     {
       g_ptr_array_remove_fast (
           g_hash_table_lookup (sched->workers_by_host, worker->host), worker);
-      worker->cordoned = worker->going_down = false; /* with its former host */
+      /* with its former host */
+      worker->cordoned = worker->going_down = false;
+      worker->in_doubt_us = 0;
       worker->maintenance_due = false;
       sched->place_needed = true;
     }
@@ -61,8 +84,21 @@
     }
   g_ptr_array_add (workers, worker);
   host = g_hash_table_lookup (sched->hosts, name);
-  if (host && host->cordoned && !host_order_is_open (&host->order))
+  if (!host)
+    return;
+  if (host->cordoned && !host_order_is_open (&host->order))
     worker->cordoned = true;
+  worker->in_doubt_us = doubt_us (host);
+}
+
+void
+host_mark_doubt (const sched_t *sched, const host_t *host)
+{
+  g_autoptr (GPtrArray) workers = host_workers (sched, host);
+
+  for (uint32_t i = 0; i < workers->len; i++)
+    ((worker_t *)g_ptr_array_index (workers, i))->in_doubt_us
+        = doubt_us (host);
 }
 
 void
@@ -124,6 +160,7 @@
 
       worker->cordoned = worker->going_down = false;
     }
+  host_mark_doubt (sched, host);
   sched->place_needed = true;
 }
 
@@ -147,16 +184,9 @@
   for (uint32_t i = 0; i < infos->len; i++)
     {
       const host_info_t *info = &g_array_index (infos, host_info_t, i);
-      const char *name = g_intern_string (info->host);
-      host_t *host = g_hash_table_lookup (sched->hosts, name);
+      host_t *host = get_or_add_host (sched, g_intern_string (info->host));
       host_event_t list = { .kind = HOST_EVENT_LIST };
 
-      if (!host)
-        {
-          host = g_new0 (host_t, 1);
-          host->name = name;
-          g_hash_table_insert (sched->hosts, (gpointer)name, host);
-        }
       host->listed = true;
       host->pool = g_intern_string (info->pool);
       host->state = info->state;
@@ -372,9 +402,11 @@
     {
       workers = host_workers (sched, host);
       set_going_down (workers, false);
+      host->order_record_us = now.us;
     }
   if (reply == HOST_REPLY_OK)
     {
+      host_mark_doubt (sched, host);
       sched->hosts_stale = true;
       waves_record_begun (sched, host, order);
     }
--- a/jobs/hosts.h
+++ b/jobs/hosts.h
@@ -82,10 +82,16 @@
    array of host names.  A newer record of a wave replaces its hosts, time and
    limit; hosts that have begun their maintenance for it don't begin it again.
    hosts_set_begun - an earlier owner recorded that HOST has begun its
-   maintenance in wave NUMBER.  */
+   maintenance in wave NUMBER.
+   hosts_set_ordered - an earlier owner recorded that it would order HOST down
+   for wave NUMBER: the order may be carried out at any time.
+   hosts_set_recorded - the same record of this owner is stored.  */
 void hosts_set_wave (sched_t *sched, wave_info_t *wave, int64_t known_us,
                      sched_now_t now);
 void hosts_set_begun (sched_t *sched, uint64_t number, const char *host);
+void hosts_set_ordered (sched_t *sched, uint64_t number, const char *host);
+void hosts_set_recorded (sched_t *sched, uint64_t number, const char *host,
+                         sched_now_t now);
 
 /* hosts_set_base_size - an earlier owner recorded that POOL had COUNT hosts
    when they were first listed.  */
@@ -106,6 +112,8 @@
 typedef enum fleet_update_kind
 {
   FLEET_UPDATE_WAVE_RUNNING,  /* a wave has started */
+  FLEET_UPDATE_HOST_ORDERED,  /* a host will be ordered down; the order isn't
+                                 sent before this is stored */
   FLEET_UPDATE_HOST_BEGUN,    /* a host has begun its maintenance */
   FLEET_UPDATE_WAVE_COMPLETE, /* all hosts of a wave have been through it */
   FLEET_UPDATE_POOL_BASE      /* the initial number of hosts of a pool */
@@ -116,7 +124,8 @@
 {
   fleet_update_kind_t kind;
   uint64_t number;  /* of the wave; POOL_BASE: number of hosts */
-  const char *name; /* HOST_BEGUN: host; POOL_BASE: pool; interned */
+  const char *name; /* HOST_ORDERED, HOST_BEGUN: host; POOL_BASE: pool;
+                       interned */
 } fleet_update_t;
 
 /* hosts_updates - the updates since the last call, of fleet_update_t; the
--- a/jobs/runs.c
+++ b/jobs/runs.c
@@ -28,6 +28,27 @@
   return count;
 }
 
+/* Tasks of RUN's step that serve on workers whose hosts may go down any time.
+   Two such hosts don't wait for each other for good.  */
+static uint32_t
+count_in_doubt (const run_t *run, int64_t now_us)
+{
+  const stage_t *stage = run->task->stage;
+  uint32_t count = 0;
+
+  if (run->worker->in_doubt_us != 0
+      && now_us - run->worker->in_doubt_us > DOUBT_WAIT_US)
+    return 0;
+  for (uint32_t i = 0; i < stage->spec->count; i++)
+    {
+      const task_t *other = &stage->tasks[i];
+
+      count += other != run->task && task_is_serving (other, now_us)
+               && other->run->worker->in_doubt_us != 0;
+    }
+  return count;
+}
+
 bool
 run_may_be_interrupted (const run_t *run, int64_t now_us)
 {
@@ -37,6 +58,7 @@
   return !stage->spec->long_running || stage->spec->max_unavailable == 0
          || stage->job->ended || run->worker->state == WORKER_DRAINING
          || stage_unavailable (stage, run->task, now_us)
+                    + count_in_doubt (run, now_us)
                 < stage->spec->max_unavailable;
 }
 
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -40,6 +40,9 @@
 /* Shortest lease for a start.  With a shorter one the task would end with the
    lease before the ownership is confirmed again.  */
 #define START_LEASE_MIN_US 1000000
+/* Time for which orders of owners before are waited for where it can't be told
+   which of them were sent.  It is to be longer than orders are held up.  */
+#define DOUBT_WAIT_US 20000000
 /* Pause of a worker after it lacked capacity or was unhealthy.  */
 #define WORKER_PAUSE_US 250000
 /* A worker that was asked and hasn't answered for this time gets no new tasks.
@@ -247,9 +250,11 @@
   bool listed;
   bool has_reported; /* has answered a hold in this epoch */
   bool has_clock;
-  bool cordoned;   /* gets no new tasks, so that its host can be drained */
-  bool going_down; /* its host has been ordered down */
-  bool granted;    /* this owner has granted it a lease */
+  bool cordoned;       /* gets no new tasks, so that its host can be drained */
+  bool going_down;     /* its host has been ordered down */
+  int64_t in_doubt_us; /* an order that may end it at any time was sent then,
+                          or this owner has learned of it; 0: there is none */
+  bool granted;        /* this owner has granted it a lease */
   bool maintenance_due; /* a wave will take its host down */
   int64_t clock_ms;
   int64_t clock_read_us;
@@ -322,6 +327,14 @@
   shares_t *shares;                /* NULL: use over time does not count */
 };
 
+/* Whether it is stored that a host will be ordered down for a wave.  */
+typedef enum order_record
+{
+  ORDER_UNRECORDED,
+  ORDER_RECORDING,
+  ORDER_RECORDED
+} order_record_t;
+
 /* A host that a worker runs on.  */
 struct host
 {
@@ -335,10 +348,13 @@
   bool cordoned; /* by a wave or a move */
   int64_t cordoned_us;
   host_ordered_t order; /* that may be under way */
-  bool maintenance_due; /* a wave will take it down */
-  int64_t retry_us;     /* no order before */
-  int64_t next_log_us;  /* no log line about it before */
-  const char *move_to;  /* interned: destination pool; NULL: none */
+  order_record_t order_record;
+  uint64_t order_record_wave; /* of the record, unless there is none */
+  int64_t order_record_us;    /* recorded, or the order was refused last */
+  bool maintenance_due;       /* a wave will take it down */
+  int64_t retry_us;           /* no order before */
+  int64_t next_log_us;        /* no log line about it before */
+  const char *move_to;        /* interned: destination pool; NULL: none */
 };
 
 struct workspace
@@ -750,6 +766,8 @@
 
 /* waves.c: maintenance waves */
 void wave_free (gpointer data);
+/* host_mark_doubt - set in_doubt_us of the workers on HOST by its order.  */
+void host_mark_doubt (const sched_t *sched, const host_t *host);
 /* waves_any_open - whether any wave is incomplete.  */
 bool waves_any_open (const sched_t *sched);
 /* waves_mark_workers - mark the workers that incomplete waves will take down.
--- a/jobs/test/fleetrig.c
+++ b/jobs/test/fleetrig.c
@@ -38,6 +38,23 @@
   int64_t at_us;
 } late_order_t;
 
+/* A record, and when it is stored.  */
+typedef struct stored
+{
+  fleet_update_t update;
+  int64_t at_us;
+} stored_t;
+
+static GArray *
+stored (void)
+{
+  static GArray *rows;
+
+  if (!rows)
+    rows = g_array_new (FALSE, FALSE, sizeof (stored_t));
+  return rows;
+}
+
 /* Orders that are carried out later, and those whose calls time out later.  */
 static GArray *
 late_orders (void)
@@ -153,6 +170,7 @@
   g_queue_clear_full (&lists, free_list);
   g_array_set_size (late_orders (), 0);
   g_array_set_size (timeouts (), 0);
+  g_array_set_size (stored (), 0);
   fleet.count = count;
   fleet.cores = cores;
   memset (steps, 0, sizeof steps);
@@ -303,6 +321,9 @@
       = &fleet.hosts[g_ascii_strtoull (order->host + 1, NULL, 10)];
 
   ck_assert_int_eq (order->kind, HOST_ORDER_MAINTENANCE);
+  if (order->token < host->token)
+    return HOST_REPLY_FENCED;
+  host->token = order->token;
   if (host->had & 1U << order->wave)
     return HOST_REPLY_OK;
   if (host->up_us != 0 || host->lost)
@@ -387,8 +408,10 @@
     take_fate (&g_array_index (copy, host_order_t, i));
 }
 
+/* Stores what the owner records, and checks the waves that it says are
+   complete.  */
 static void
-check_complete_waves (void)
+take_updates (void)
 {
   GArray *updates = hosts_updates (rig.sched);
 
@@ -396,7 +419,11 @@
     {
       const fleet_update_t *update
           = &g_array_index (updates, fleet_update_t, i);
+      stored_t row = { .update = *update, .at_us = rig.now.us };
 
+      if (update->kind == FLEET_UPDATE_HOST_ORDERED)
+        row.at_us += fleet.record_ms * 1000;
+      g_array_append_val (stored (), row);
       if (update->kind != FLEET_UPDATE_WAVE_COMPLETE)
         continue;
       fleet.waves[update->number].complete = true;
@@ -405,6 +432,15 @@
                        && !(fleet.hosts[h].had & 1U << update->number);
     }
   g_array_set_size (updates, 0);
+  for (uint32_t i = 0; i < stored ()->len; i++)
+    {
+      const stored_t *row = &g_array_index (stored (), stored_t, i);
+
+      if (row->at_us <= rig.now.us
+          && row->update.kind == FLEET_UPDATE_HOST_ORDERED)
+        hosts_set_recorded (rig.sched, row->update.number, row->update.name,
+                            rig.now);
+    }
 }
 
 /* Notes how long long-running tasks have had no run, and how many hosts are
@@ -445,7 +481,7 @@
   orders = rig_plan (false);
   for (uint32_t i = 0; i < orders->len; i++)
     carry_out (&g_array_index (orders, order_t, i));
-  check_complete_waves ();
+  take_updates ();
   watch ();
 }
 
@@ -473,7 +509,9 @@
                        .duration_s = duration_s,
                        .at_once = at_once };
 
-  fleet.waves[number] = (fleet_wave_t){ .at_once = at_once };
+  fleet.waves[number] = (fleet_wave_t){ .at_once = at_once,
+                                        .duration_s = duration_s,
+                                        .known_us = rig.now.us };
   for (uint32_t i = 0; wave.hosts[i]; i++)
     fleet.waves[number].hosts
         |= 1U << g_ascii_strtoull (wave.hosts[i] + 1, NULL, 10);
@@ -514,3 +552,66 @@
   go_down (&fleet.hosts[index], false);
   come_up (index);
 }
+
+/* The names of the hosts in SET, by bit.  */
+static char **
+names_of (uint32_t set)
+{
+  GPtrArray *names = g_ptr_array_new ();
+
+  for (uint32_t i = 0; i < fleet.count; i++)
+    if (set & 1U << i)
+      g_ptr_array_add (names, g_strdup_printf ("h%u", i));
+  g_ptr_array_add (names, NULL);
+  return (char **)g_ptr_array_free (names, FALSE);
+}
+
+/* The new owner reads what the one before has stored.  */
+static void
+read_stored (void)
+{
+  for (uint32_t i = 0; i < stored ()->len; i++)
+    {
+      const stored_t *row = &g_array_index (stored (), stored_t, i);
+
+      if (row->at_us > rig.now.us)
+        continue;
+      if (row->update.kind == FLEET_UPDATE_HOST_ORDERED)
+        hosts_set_ordered (rig.sched, row->update.number, row->update.name);
+      else if (row->update.kind == FLEET_UPDATE_HOST_BEGUN)
+        hosts_set_begun (rig.sched, row->update.number, row->update.name);
+    }
+}
+
+void
+fleet_change_owner (void)
+{
+  uint64_t epoch = rig.tab->owner.epoch + 1;
+
+  sched_free (rig.sched);
+  g_array_set_size (timeouts (), 0);
+  g_queue_clear_full (&lists, free_list);
+  rig_open_sched (epoch);
+  for (uint32_t i = 0; i < fleet.count; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("h%u", i);
+
+      rig.host = g_intern_string (name);
+      if (fleet.hosts[i].worker[0] != '\0')
+        rig_worker (fleet.hosts[i].worker, fleet.cores, true);
+      rig.host = NULL;
+    }
+  read_stored ();
+  for (uint64_t i = 0; i < FLEET_WAVES_MAX; i++)
+    {
+      const fleet_wave_t *row = &fleet.waves[i];
+      wave_info_t wave = { .number = i,
+                           .duration_s = row->duration_s,
+                           .at_once = row->at_once };
+
+      if (row->hosts == 0)
+        continue;
+      wave.hosts = names_of (row->hosts);
+      hosts_set_wave (rig.sched, &wave, row->known_us, rig.now);
+    }
+}
--- a/jobs/test/fleetrig.h
+++ b/jobs/test/fleetrig.h
@@ -49,6 +49,7 @@
   bool lost;
   bool maintained;
   uint64_t down_for; /* wave of the last maintenance */
+  uint64_t token;    /* highest one of an order */
   uint32_t had;      /* waves that it has begun maintenance for, by bit */
 } fleet_host_t;
 
@@ -56,6 +57,8 @@
 {
   uint32_t hosts; /* by bit */
   uint32_t at_once;
+  uint32_t duration_s;
+  int64_t known_us;
   bool complete;
 } fleet_wave_t;
 
@@ -70,6 +73,7 @@
   fleet_wave_t waves[FLEET_WAVES_MAX];     /* by number */
   fleet_fate_t (*fate) (int64_t *late_ms); /* NULL: all are answered */
   int64_t list_age_ms;                     /* of the lists */
+  int64_t record_ms; /* until a record that an order waits for is stored */
   uint32_t over_limit;
   uint32_t mixed;
   uint32_t over_unavailable;
@@ -94,6 +98,10 @@
 void fleet_lose (uint32_t index);
 void fleet_restart (uint32_t index);
 
+/* fleet_change_owner - another owner decides from now on, with what was
+   stored. Orders that are carried out late still are.  */
+void fleet_change_owner (void);
+
 /* fleet_set_wave - a wave NUMBER, below FLEET_WAVES_MAX, over HOSTS, separated
    by spaces.  */
 void fleet_set_wave (uint64_t number, const char *hosts, uint32_t duration_s,
--- a/jobs/test/rig.c
+++ b/jobs/test/rig.c
@@ -434,6 +434,21 @@
   hosts_set_wave (rig.sched, &wave, rig.now.us, rig.now);
 }
 
+void
+rig_store_updates (void)
+{
+  const GArray *updates = hosts_updates (rig.sched);
+
+  for (uint32_t i = 0; i < updates->len; i++)
+    {
+      const fleet_update_t *update
+          = &g_array_index (updates, fleet_update_t, i);
+
+      if (update->kind == FLEET_UPDATE_HOST_ORDERED)
+        hosts_set_recorded (rig.sched, update->number, update->name, rig.now);
+    }
+}
+
 bool
 rig_next_order (int64_t ms, host_order_t *order)
 {
@@ -441,6 +456,8 @@
   bool found;
 
   rig_advance_clock (ms);
+  hosts_plan (rig.sched, rig.now);
+  rig_store_updates ();
   orders = hosts_plan (rig.sched, rig.now);
   found = orders->len > 0;
   ck_assert_uint_le (orders->len, 1);
--- a/jobs/test/rig.h
+++ b/jobs/test/rig.h
@@ -140,6 +140,10 @@
 /* rig_set_wave - set a wave over HOSTS, separated by spaces.  */
 void rig_set_wave (const char *hosts, uint32_t at_once);
 
+/* rig_store_updates - the records that orders for hosts wait for are stored.
+ */
+void rig_store_updates (void);
+
 /* rig_next_order - advance the clock by MS and set *ORDER to the host order
    sent then; false if there is none.  */
 bool rig_next_order (int64_t ms, host_order_t *order);
--- a/jobs/test/waves_model_test.c
+++ b/jobs/test/waves_model_test.c
@@ -1,4 +1,5 @@
-/* waves_model - drawn waves, orders that are lost or late, and old lists
+/* waves_model - drawn waves, orders that are lost or late, old lists, and
+   changes of the owner
 
    Each seed is a run of the owner's decisions against hosts and a platform of
    its own (fleetrig).  WAVES_MODEL_SEEDS is the number of seeds,
@@ -22,9 +23,11 @@
 /* A step in which something is asked for, or fails, of this many.  */
 #define WAVE_STEPS 60
 #define RESTART_STEPS 300
+#define CHANGE_STEPS 150
 
 static GRand *source;
 static uint32_t fault_percent; /* of the orders */
+static bool owner_dies;        /* with an order that is carried out late */
 
 static fleet_fate_t
 draw_fate (int64_t *late_ms)
@@ -32,10 +35,14 @@
   static const fleet_fate_t fates[]
       = { FATE_REFUSED, FATE_LOST, FATE_UNANSWERED, FATE_LATE };
 
+  fleet_fate_t fate;
+
   *late_ms = g_rand_int_range (source, LATE_MIN_MS, LATE_MAX_MS);
   if ((uint32_t)g_rand_int_range (source, 0, 100) >= fault_percent)
     return FATE_ANSWERED;
-  return fates[g_rand_int_range (source, 0, G_N_ELEMENTS (fates))];
+  fate = fates[g_rand_int_range (source, 0, G_N_ELEMENTS (fates))];
+  owner_dies |= fate == FATE_LATE && g_rand_boolean (source);
+  return fate;
 }
 
 static void
@@ -45,7 +52,11 @@
   uint32_t first = (uint32_t)g_rand_int_range (source, 0, (int)fleet.count);
   uint32_t count
       = (uint32_t)g_rand_int_range (source, 1, (int)fleet.count + 1);
-  uint32_t at_once = (uint32_t)g_rand_int_range (source, 1, (int)count + 1);
+  /* The smallest limit is the one that is exceeded most easily.  */
+  uint32_t at_once
+      = g_rand_boolean (source)
+            ? 1
+            : (uint32_t)g_rand_int_range (source, 1, (int)count + 1);
 
   for (uint32_t i = 0; i < count; i++)
     g_string_append_printf (hosts, "%sh%u", i > 0 ? " " : "",
@@ -73,7 +84,7 @@
   return true;
 }
 
-/* QUIET: no order is lost and no worker restarts.  */
+/* QUIET: no order is lost, no worker restarts and the owner stays.  */
 static void
 check (uint32_t seed, bool quiet)
 {
@@ -93,17 +104,20 @@
   uint64_t waves = 0;
   bool restarts;
   bool quiet;
+  bool changes; /* of the owner */
 
   source = g_rand_new_with_seed (seed);
   fault_percent = g_rand_boolean (source)
                       ? (uint32_t)g_rand_int_range (source, 0, 70)
                       : 0;
   restarts = g_rand_boolean (source);
-  quiet = fault_percent == 0 && !restarts;
   fleet_open ((uint32_t)g_rand_int_range (source, HOSTS_MIN, HOSTS_MAX + 1),
               8);
   fleet.fate = draw_fate;
   fleet.list_age_ms = g_rand_int_range (source, 0, 700);
+  fleet.record_ms = g_rand_int_range (source, 0, 400);
+  changes = g_rand_boolean (source);
+  quiet = fault_percent == 0 && !restarts && !changes;
   for (uint32_t job = 1; job <= 2; job++)
     serve (job);
   for (int64_t ms = 0; ms < FAULTS_MS; ms += FLEET_STEP_MS)
@@ -111,6 +125,10 @@
       if (waves + 1 < FLEET_WAVES_MAX
           && g_rand_int_range (source, 0, WAVE_STEPS) == 0)
         draw_wave (++waves);
+      if (changes
+          && (owner_dies || g_rand_int_range (source, 0, CHANGE_STEPS) == 0))
+        fleet_change_owner ();
+      owner_dies = false;
       if (restarts && g_rand_int_range (source, 0, RESTART_STEPS) == 0)
         {
           uint32_t index
--- a/jobs/waves.c
+++ b/jobs/waves.c
@@ -10,6 +10,9 @@
    the second one while work waits for hosts.  */
 #define WAVE_TARGET_PERCENT 60
 #define WAVE_TARGET_WAITING_PERCENT 85
+/* A host that is about to be ordered keeps the place of another one for this
+   time.  */
+#define RESERVED_MAX_US 2000000
 /* Cost of draining a host that is switched off; less than that of any other.
  */
 #define SWITCHED_OFF_COST (-4.0)
@@ -24,8 +27,9 @@
 struct wave
 {
   uint64_t number;
-  GPtrArray *names;  /* interned */
-  GHashTable *begun; /* names of the hosts that have begun maintenance */
+  GPtrArray *names;    /* interned */
+  GHashTable *begun;   /* names of the hosts that have begun maintenance */
+  GHashTable *ordered; /* names of those that owners before may have ordered */
   int64_t since_us;
   int64_t duration_us;
   int64_t next_mark_us; /* its workers are marked as due then */
@@ -41,6 +45,7 @@
 
   g_ptr_array_free (wave->names, TRUE);
   g_hash_table_destroy (wave->begun);
+  g_hash_table_destroy (wave->ordered);
   g_free (wave);
 }
 
@@ -79,6 +84,7 @@
   wave->number = number;
   wave->names = g_ptr_array_new ();
   wave->begun = g_hash_table_new (NULL, NULL);
+  wave->ordered = g_hash_table_new (NULL, NULL);
   g_ptr_array_add (sched->waves, wave);
   return wave;
 }
@@ -160,6 +166,27 @@
                     (gpointer)g_intern_string (host));
 }
 
+void
+hosts_set_ordered (sched_t *sched, uint64_t number, const char *host)
+{
+  g_hash_table_add (get_or_add_wave (sched, number)->ordered,
+                    (gpointer)g_intern_string (host));
+}
+
+void
+hosts_set_recorded (sched_t *sched, uint64_t number, const char *name,
+                    sched_now_t now)
+{
+  host_t *host = g_hash_table_lookup (sched->hosts, g_intern_string (name));
+
+  if (!host || host->order_record != ORDER_RECORDING
+      || host->order_record_wave != number)
+    return;
+  host->order_record = ORDER_RECORDED;
+  sched->next_hosts_plan_us = 0;
+  sched_wake_at (sched, now.us);
+}
+
 static bool
 wave_is_open (const wave_t *wave)
 {
@@ -305,21 +332,44 @@
   return hosts;
 }
 
+/* Whether HOST is about to be ordered for WAVE: that is being stored, or it is
+   and the order will be sent, or sent again after a refusal, soon.  Another
+   host in its place would leave a later owner with more orders in doubt than
+   the limit allows.  */
+static bool
+is_reserved (const wave_t *wave, const host_t *host, int64_t now_us)
+{
+  return host->order_record != ORDER_UNRECORDED
+         && host->order_record_wave == wave->number
+         && host->order.state == HOST_ORDER_NONE
+         && now_us - host->order_record_us < RESERVED_MAX_US
+         && !g_hash_table_contains (wave->begun, host->name);
+}
+
+static bool
+is_recorded (const wave_t *wave, const host_t *host)
+{
+  return host->order_record == ORDER_RECORDED
+         && host->order_record_wave == wave->number;
+}
+
 /* Hosts of a wave.  Those in use are not in a withdrawn data centre.  */
 typedef struct wave_count
 {
   uint32_t listed;
-  uint32_t left;    /* hosts that have not begun maintenance */
-  uint32_t active;  /* being drained, or down for maintenance */
-  uint32_t down;    /* down for maintenance, or may go down any time */
-  uint32_t doubted; /* of the latter, those that are in use */
+  uint32_t left;     /* hosts that have not begun maintenance */
+  uint32_t active;   /* being drained, or down for maintenance */
+  uint32_t down;     /* down for maintenance, or may go down any time */
+  uint32_t doubted;  /* of the latter, those that are in use */
+  uint32_t reserved; /* about to be ordered down */
+  uint32_t reserved_in_use;
   uint32_t listed_in_use;
   uint32_t active_in_use;
   uint32_t down_in_use;
 } wave_count_t;
 
 static wave_count_t
-count_wave (const sched_t *sched, const wave_t *wave)
+count_wave (const sched_t *sched, const wave_t *wave, int64_t now_us)
 {
   wave_count_t count = { 0 };
 
@@ -330,18 +380,25 @@
       bool down;
       bool active;
       bool in_use;
+      bool reserved;
 
       if (!host || !host->listed)
         continue; /* no longer exists */
       down = host_order_counts (&host->order, wave->number)
-             || host->state == HOST_STATUS_MAINTENANCE;
+             || host->state == HOST_STATUS_MAINTENANCE
+             || (g_hash_table_contains (wave->ordered, name)
+                 && !g_hash_table_contains (wave->begun, name));
       active = (host->cordoned && !host->move_to) || down;
       in_use = !host_is_evacuated (host);
       count.listed++;
       count.left += !g_hash_table_contains (wave->begun, name);
       count.active += active;
       count.down += down;
-      count.doubted += down && host->order.state == HOST_ORDER_DOUBTED;
+      count.doubted += down && !host_order_is_open (&host->order)
+                       && host->state != HOST_STATUS_MAINTENANCE;
+      reserved = is_reserved (wave, host, now_us);
+      count.reserved += reserved;
+      count.reserved_in_use += in_use && reserved;
       count.listed_in_use += in_use;
       count.active_in_use += in_use && active;
       count.down_in_use += in_use && down;
@@ -434,14 +491,87 @@
              (now_us - host->cordoned_us) / 1000, why);
 }
 
-/* Whether the limits of WAVE allow HOST to go down.  */
+/* Whether the limits of WAVE allow HOST to go down.  A host that counts as
+   down already, as its order is in doubt, is held to those that are down for
+   certain.  Owners before may have left more orders in doubt than the limit
+   allows; then it waits until those would have been carried out.  */
 static bool
 limits_allow_down (const wave_t *wave, const wave_count_t *count,
-                   const host_t *host)
+                   const host_t *host, int64_t now_us)
 {
-  return count->down < wave->at_once
+  uint32_t reserved = count->reserved - is_reserved (wave, host, now_us);
+
+  switch (host->order.state)
+    {
+    case HOST_ORDER_UNANSWERED:
+      return true;
+    case HOST_ORDER_DOUBTED:
+      return count->down - count->doubted < wave->at_once
+             && (count->doubted <= wave->at_once
+                 || now_us - host->order.us > DOUBT_WAIT_US);
+    case HOST_ORDER_NONE:
+    case HOST_ORDER_SENT:
+    case HOST_ORDER_REPEATED:
+    case HOST_ORDER_ACCEPTED:
+    case HOST_ORDER_SEEN:
+      break;
+    }
+  return count->down + reserved < wave->at_once
          && (host_is_evacuated (host)
-             || count->down_in_use < limit_in_use (wave, count));
+             || count->down_in_use + MIN (reserved, count->reserved_in_use)
+                    < limit_in_use (wave, count));
+}
+
+/* Whether WAVE may order HOST, which is drained, or has to repeat its order.
+ */
+static bool
+may_order (const wave_t *wave, const wave_count_t *count, const host_t *host,
+           int64_t now_us)
+{
+  return host->listed && host->cordoned && !host->move_to
+         && host->retry_us <= now_us
+         && !g_hash_table_contains (wave->begun, host->name)
+         && (may_repeat (wave, host) || host->order.state == HOST_ORDER_NONE)
+         && limits_allow_down (wave, count, host, now_us);
+}
+
+/* Whether HOST, which WAVE may order, is ready to go down.  If its
+   long-running tasks keep it from that, one of them is stopped.  */
+static bool
+prepare_host (sched_t *sched, drain_t *drain, const wave_t *wave, host_t *host,
+              int64_t now_us)
+{
+  bool is_down = host_order_is_open (&host->order);
+  g_autoptr (GPtrArray) workers = NULL;
+
+  if (!is_down && drain_is_stuck (drain, host))
+    {
+      log_waiting (wave, host, "no-place", now_us);
+      return false;
+    }
+  workers = host_workers (sched, host);
+  /* Short tasks had their time before the first order.  */
+  if (!may_all_go_down (workers, is_down ? 0 : host->cordoned_us, now_us))
+    {
+      for (uint32_t i = 0; !is_down && i < workers->len; i++)
+        stop_one_long_running (sched, drain, host,
+                               g_ptr_array_index (workers, i), now_us);
+      log_waiting (wave, host, "long-running-tasks-unavailable", now_us);
+      return false;
+    }
+  return is_down || workers_are_recorded (sched, workers);
+}
+
+/* Has it stored that HOST will be ordered down for WAVE: an owner after this
+   one has to count the order until it is settled.  */
+static void
+record_order (sched_t *sched, const wave_t *wave, host_t *host, int64_t now_us)
+{
+  host->order_record = ORDER_RECORDING;
+  host->order_record_wave = wave->number;
+  host->order_record_us = now_us;
+  fleet_update_add (sched, FLEET_UPDATE_HOST_ORDERED, wave->number,
+                    host->name);
 }
 
 /* Orders the maintenance of a host of WAVE that is ready for it, or orders it
@@ -450,49 +580,31 @@
 order_maintenance (sched_t *sched, drain_t *drain, const wave_t *wave,
                    const wave_count_t *count, sched_now_t now)
 {
+  host_t *unrecorded = NULL;
+
   for (uint32_t i = 0; i < wave->names->len; i++)
     {
-      const char *name = g_ptr_array_index (wave->names, i);
-      host_t *host = g_hash_table_lookup (sched->hosts, name);
-      g_autoptr (GPtrArray) workers = NULL;
-      int64_t since_us;
-      bool repeat;
-      bool is_down;
+      host_t *host = g_hash_table_lookup (sched->hosts,
+                                          g_ptr_array_index (wave->names, i));
 
-      if (!host || !host->listed || !host->cordoned || host->move_to
-          || host->retry_us > now.us
-          || g_hash_table_contains (wave->begun, name))
+      if (!host || !may_order (wave, count, host, now.us)
+          || !prepare_host (sched, drain, wave, host, now.us))
         continue;
-      repeat = may_repeat (wave, host);
-      is_down = host_order_is_open (&host->order);
-      if (!repeat
-          && (host->order.state != HOST_ORDER_NONE
-              || !limits_allow_down (wave, count, host)))
-        continue;
-      if (!is_down && drain_is_stuck (drain, host))
-        {
-          log_waiting (wave, host, "no-place", now.us);
-          continue;
-        }
-      workers = host_workers (sched, host);
-      /* Short tasks had their time before the first order.  */
-      since_us = is_down ? 0 : host->cordoned_us;
-      if (!may_all_go_down (workers, since_us, now.us))
+      if (!is_recorded (wave, host))
         {
-          for (uint32_t w = 0; !is_down && w < workers->len; w++)
-            stop_one_long_running (sched, drain, host,
-                                   g_ptr_array_index (workers, w), now.us);
-          log_waiting (wave, host, "long-running-tasks-unavailable", now.us);
+          /* Another wave may be about to order it.  */
+          if (!unrecorded && host->order_record != ORDER_RECORDING)
+            unrecorded = host;
           continue;
         }
-      if (!is_down && !workers_are_recorded (sched, workers))
-        continue;
       host_order_add (sched, host,
                       (host_order_t){ .kind = HOST_ORDER_MAINTENANCE,
                                       .wave = wave->number },
                       now.us);
       return; /* each order changes which others are allowed */
     }
+  if (unrecorded)
+    record_order (sched, wave, unrecorded, now.us);
 }
 
 /* Marks the hosts that WAVE will take down, and their workers.  */
@@ -570,7 +682,7 @@
 static void
 plan_wave (sched_t *sched, drain_t *drain, wave_t *wave, sched_now_t now)
 {
-  wave_count_t count = count_wave (sched, wave);
+  wave_count_t count = count_wave (sched, wave, now.us);
 
   if (count.left == 0 && count.down == 0)
     {
@@ -586,6 +698,30 @@
   order_maintenance (sched, drain, wave, &count, now);
 }
 
+/* Orders for hosts of WAVE that owners before may have sent are in doubt.  */
+static void
+inherit_orders (sched_t *sched, const wave_t *wave, int64_t now_us)
+{
+  for (uint32_t i = 0; i < wave->names->len; i++)
+    {
+      const char *name = g_ptr_array_index (wave->names, i);
+      host_t *host = g_hash_table_lookup (sched->hosts, name);
+
+      if (!host || host->order.state != HOST_ORDER_NONE
+          || !g_hash_table_contains (wave->ordered, name)
+          || g_hash_table_contains (wave->begun, name))
+        continue;
+      host_order_inherit (&host->order,
+                          (host_order_t){ .kind = HOST_ORDER_MAINTENANCE,
+                                          .host = name,
+                                          .wave = wave->number },
+                          now_us);
+      host->order_record = ORDER_RECORDED;
+      host->order_record_wave = wave->number;
+      host_mark_doubt (sched, host);
+    }
+}
+
 void
 waves_mark_workers (sched_t *sched, sched_now_t now)
 {
@@ -596,6 +732,8 @@
       if (!wave_is_open (wave) || wave->next_mark_us > now.us)
         continue;
       mark_workers (sched, wave);
+      if (g_hash_table_size (wave->ordered) > 0)
+        inherit_orders (sched, wave, now.us);
       wave->next_mark_us = now.us + MARK_INTERVAL_US;
     }
 }
@@ -624,7 +762,10 @@
 
       if (host->order.state == HOST_ORDER_DOUBTED
           && !wave_settles (find_wave (sched, host->order.order.wave), host))
-        host_order_forget (&host->order);
+        {
+          host_order_forget (&host->order);
+          host_mark_doubt (sched, host);
+        }
     }
 }
 
