--- a/jobs/drain.c
+++ b/jobs/drain.c
@@ -11,7 +11,7 @@
 #define RELEASE_DELAY_US 2000000
 /* A host is drained for this time at least: a trial may fail for a moment.  */
 #define DRAIN_MIN_US 1000000
-/* Workers that are judged for a pool in one plan, which takes some ms.  */
+/* Workers that are judged for a pool in one plan; bounds its time.  */
 #define JUDGED_MAX 200000
 
 /* What is planned for a pool.  */
--- a/jobs/schedint.h
+++ b/jobs/schedint.h
@@ -1,8 +1,9 @@
 /* schedint - data shared by the modules of the scheduler: sched, build,
    stages, workers, boots, wakeups, holds, runs, inherit, silence, orphans,
    replies, judge, startwindow, startorder, waiting, place, advice, neighbours,
-   pace, stall, hosts, drain, waves, demand, moves, evacuation, evacmoves,
-   learned, expected, admit, fairness and explain.  Private to jobs/.  */
+   pace, stall, hostorder, hosts, drain, waves, waveorders, demand, moves,
+   evacuation, evacmoves, learned, expected, admit, fairness and explain.
+   Private to jobs/.  */
 
 #ifndef CUMINPIN_SCHEDINT_H
 #define CUMINPIN_SCHEDINT_H
--- a/jobs/waves.c
+++ b/jobs/waves.c
@@ -1,6 +1,4 @@
-#include "drain.h"
-#include "hosts.h"
-#include "schedint.h"
+#include "waveint.h"
 #include <string.h>
 
 /* Estimate of the time that a host of a wave is out of use: draining, the
@@ -10,9 +8,6 @@
    the second one while work waits for hosts.  */
 #define WAVE_TARGET_PERCENT 60
 #define WAVE_TARGET_WAITING_PERCENT 85
-/* A host that is about to be ordered keeps the place of another one for this
-   time.  */
-#define RESERVED_MAX_US 2000000
 /* Cost of draining a host that is switched off; less than that of any other.
  */
 #define SWITCHED_OFF_COST (-4.0)
@@ -21,22 +16,6 @@
 #define COUNTED_COST (-8.0)
 /* Interval at which the workers of a wave's hosts are marked as due.  */
 #define MARK_INTERVAL_US 100000
-/* Time for which a host that is being drained waits for its short tasks.  */
-#define DRAIN_MAX_US 3000000
-
-struct wave
-{
-  uint64_t number;
-  GPtrArray *names;    /* interned */
-  GHashTable *begun;   /* names of the hosts that have begun maintenance */
-  GHashTable *ordered; /* names of those that owners before may have ordered */
-  int64_t since_us;
-  int64_t duration_us;
-  int64_t next_mark_us; /* its workers are marked as due then */
-  int64_t next_log_us;  /* 1509 isn't logged before */
-  uint32_t at_once;
-  bool complete;
-};
 
 void
 wave_free (gpointer data)
@@ -202,46 +181,6 @@
   return false;
 }
 
-/* Whether WORKER may go down now.  Short tasks are given until DRAIN_MAX_US
-   after SINCE_US.  run_may_be_interrupted judges each run on its own, so two
-   runs of one step that has a limit are refused here.  */
-static bool
-may_take_down (const worker_t *worker, int64_t since_us, int64_t now_us)
-{
-  for (uint32_t i = 0; i < worker->runs->len; i++)
-    {
-      const run_t *run = g_ptr_array_index (worker->runs, i);
-      const stage_t *stage = run->task->stage;
-
-      if (stage->spec->long_running)
-        {
-          if (!run_may_be_interrupted (run, now_us))
-            return false;
-          for (uint32_t j = 0; j < i; j++)
-            {
-              const run_t *other = g_ptr_array_index (worker->runs, j);
-
-              if (other->task->stage == stage
-                  && stage->spec->max_unavailable > 0)
-                return false;
-            }
-        }
-      else if (now_us - since_us < DRAIN_MAX_US)
-        return false;
-    }
-  return true;
-}
-
-/* Whether all WORKERS of a host may go down now.  */
-static bool
-may_all_go_down (const GPtrArray *workers, int64_t since_us, int64_t now_us)
-{
-  for (uint32_t i = 0; i < workers->len; i++)
-    if (!may_take_down (g_ptr_array_index (workers, i), since_us, now_us))
-      return false;
-  return true;
-}
-
 /* The cost of draining the host of WORKER next.  Hosts with long-running tasks
    that may be stopped now come first: those of one step have to go one after
    another, so left for the end they would delay the wave.  */
@@ -282,16 +221,6 @@
   bool counted;   /* as one that may be down */
 } candidate_host_t;
 
-/* Whether an order for HOST that may be under way is one of WAVE, which has to
-   be repeated.  That of another wave is left to that one.  */
-static bool
-may_repeat (const wave_t *wave, const host_t *host)
-{
-  return host_order_may_repeat (&host->order)
-         && host->order.order.kind == HOST_ORDER_MAINTENANCE
-         && host->order.order.wave == wave->number;
-}
-
 static int
 compare_hosts (gconstpointer a, gconstpointer b)
 {
@@ -318,7 +247,8 @@
       const host_t *host = candidate.host;
 
       if (!host || !host->listed || host->cordoned
-          || (host->order.state != HOST_ORDER_NONE && !may_repeat (wave, host))
+          || (host->order.state != HOST_ORDER_NONE
+              && !wave_may_repeat (wave, host))
           || host->state != HOST_STATUS_UP
           || g_hash_table_contains (wave->begun, name))
         continue;
@@ -332,92 +262,6 @@
   return hosts;
 }
 
-/* Whether HOST is about to be ordered for WAVE: that is being stored, or it is
-   and the order will be sent, or sent again after a refusal, soon.  Another
-   host in its place would leave a later owner with more orders in doubt than
-   the limit allows.  */
-static bool
-is_reserved (const wave_t *wave, const host_t *host, int64_t now_us)
-{
-  return host->order_record != ORDER_UNRECORDED
-         && host->order_record_wave == wave->number
-         && host->order.state == HOST_ORDER_NONE
-         && now_us - host->order_record_us < RESERVED_MAX_US
-         && !g_hash_table_contains (wave->begun, host->name);
-}
-
-static bool
-is_recorded (const wave_t *wave, const host_t *host)
-{
-  return host->order_record == ORDER_RECORDED
-         && host->order_record_wave == wave->number;
-}
-
-/* Hosts of a wave.  Those in use are not in a withdrawn data centre.  */
-typedef struct wave_count
-{
-  uint32_t listed;
-  uint32_t left;     /* hosts that have not begun maintenance */
-  uint32_t active;   /* being drained, or down for maintenance */
-  uint32_t down;     /* down for maintenance, or may go down any time */
-  uint32_t doubted;  /* of the latter, those that are in use */
-  uint32_t reserved; /* about to be ordered down */
-  uint32_t reserved_in_use;
-  uint32_t listed_in_use;
-  uint32_t active_in_use;
-  uint32_t down_in_use;
-} wave_count_t;
-
-static wave_count_t
-count_wave (const sched_t *sched, const wave_t *wave, int64_t now_us)
-{
-  wave_count_t count = { 0 };
-
-  for (uint32_t i = 0; i < wave->names->len; i++)
-    {
-      const char *name = g_ptr_array_index (wave->names, i);
-      const host_t *host = g_hash_table_lookup (sched->hosts, name);
-      bool down;
-      bool active;
-      bool in_use;
-      bool reserved;
-
-      if (!host || !host->listed)
-        continue; /* no longer exists */
-      down = host_order_counts (&host->order, wave->number)
-             || host->state == HOST_STATUS_MAINTENANCE
-             || (g_hash_table_contains (wave->ordered, name)
-                 && !g_hash_table_contains (wave->begun, name));
-      active = (host->cordoned && !host->move_to) || down;
-      in_use = !host_is_evacuated (host);
-      count.listed++;
-      count.left += !g_hash_table_contains (wave->begun, name);
-      count.active += active;
-      count.down += down;
-      count.doubted += down && !host_order_is_open (&host->order)
-                       && host->state != HOST_STATUS_MAINTENANCE;
-      reserved = is_reserved (wave, host, now_us);
-      count.reserved += reserved;
-      count.reserved_in_use += in_use && reserved;
-      count.listed_in_use += in_use;
-      count.active_in_use += in_use && active;
-      count.down_in_use += in_use && down;
-    }
-  return count;
-}
-
-/* The number of hosts in use that WAVE may have down at a time: the same part
-   of them as at_once is of all its hosts.  Hosts of withdrawn data centres
-   give no room for the tasks of those that go down.  */
-static uint32_t
-limit_in_use (const wave_t *wave, const wave_count_t *count)
-{
-  if (count->listed_in_use == count->listed)
-    return wave->at_once;
-  return (uint32_t)MAX (
-      (uint64_t)wave->at_once * count->listed_in_use / count->listed, 1);
-}
-
 static bool
 any_pool_is_short (const sched_t *sched)
 {
@@ -448,165 +292,6 @@
   return (uint32_t)CLAMP (need, 1, (int64_t)wave->names->len);
 }
 
-/* Stops one long-running task of WORKER, on HOST, that has a place elsewhere,
-   so that it starts again there.  Two tasks of one step on one host would
-   block its maintenance for good.  */
-static void
-stop_one_long_running (sched_t *sched, drain_t *drain, const host_t *host,
-                       const worker_t *worker, int64_t now_us)
-{
-  for (uint32_t i = 0; i < worker->runs->len; i++)
-    {
-      run_t *run = g_ptr_array_index (worker->runs, i);
-
-      if (run->task->stage->spec->long_running && run->phase == RUN_STOPPING)
-        return;
-    }
-  for (uint32_t i = 0; i < worker->runs->len; i++)
-    {
-      run_t *run = g_ptr_array_index (worker->runs, i);
-
-      if (!run->task->stage->spec->long_running
-          || !run_may_be_interrupted (run, now_us)
-          || !drain_may_stop (drain, host, run))
-        continue;
-      task_log_interrupted (run->task, run->attempt, worker, "stop", "wave",
-                            now_us);
-      run_stop (sched, run);
-      return;
-    }
-}
-
-/* Logs that HOST does not go down yet, every DRAIN_MAX_US.  */
-static void
-log_waiting (const wave_t *wave, host_t *host, const char *why, int64_t now_us)
-{
-  if (now_us - host->cordoned_us < DRAIN_MAX_US || host->next_log_us > now_us)
-    return;
-  host->next_log_us = now_us + DRAIN_MAX_US;
-  event_log (EV_WAVE_WAITING,
-             "wave=%" PRIu64 " host=%s worker=%s emptying_ms=%" PRId64
-             " why=%s",
-             wave->number, host->name, host->worker,
-             (now_us - host->cordoned_us) / 1000, why);
-}
-
-/* Whether the limits of WAVE allow HOST to go down.  A host that counts as
-   down already, as its order is in doubt, is held to those that are down for
-   certain.  Owners before may have left more orders in doubt than the limit
-   allows; then it waits until those would have been carried out.  */
-static bool
-limits_allow_down (const wave_t *wave, const wave_count_t *count,
-                   const host_t *host, int64_t now_us)
-{
-  uint32_t reserved = count->reserved - is_reserved (wave, host, now_us);
-
-  switch (host->order.state)
-    {
-    case HOST_ORDER_UNANSWERED:
-      return true;
-    case HOST_ORDER_DOUBTED:
-      return count->down - count->doubted < wave->at_once
-             && (count->doubted <= wave->at_once
-                 || now_us - host->order.us > DOUBT_WAIT_US);
-    case HOST_ORDER_NONE:
-    case HOST_ORDER_SENT:
-    case HOST_ORDER_REPEATED:
-    case HOST_ORDER_ACCEPTED:
-    case HOST_ORDER_SEEN:
-      break;
-    }
-  return count->down + reserved < wave->at_once
-         && (host_is_evacuated (host)
-             || count->down_in_use + MIN (reserved, count->reserved_in_use)
-                    < limit_in_use (wave, count));
-}
-
-/* Whether WAVE may order HOST, which is drained, or has to repeat its order.
- */
-static bool
-may_order (const wave_t *wave, const wave_count_t *count, const host_t *host,
-           int64_t now_us)
-{
-  return host->listed && host->cordoned && !host->move_to
-         && host->retry_us <= now_us
-         && !g_hash_table_contains (wave->begun, host->name)
-         && (may_repeat (wave, host) || host->order.state == HOST_ORDER_NONE)
-         && limits_allow_down (wave, count, host, now_us);
-}
-
-/* Whether HOST, which WAVE may order, is ready to go down.  If its
-   long-running tasks keep it from that, one of them is stopped.  */
-static bool
-prepare_host (sched_t *sched, drain_t *drain, const wave_t *wave, host_t *host,
-              int64_t now_us)
-{
-  bool is_down = host_order_is_open (&host->order);
-  g_autoptr (GPtrArray) workers = NULL;
-
-  if (!is_down && drain_is_stuck (drain, host))
-    {
-      log_waiting (wave, host, "no-place", now_us);
-      return false;
-    }
-  workers = host_workers (sched, host);
-  /* Short tasks had their time before the first order.  */
-  if (!may_all_go_down (workers, is_down ? 0 : host->cordoned_us, now_us))
-    {
-      for (uint32_t i = 0; !is_down && i < workers->len; i++)
-        stop_one_long_running (sched, drain, host,
-                               g_ptr_array_index (workers, i), now_us);
-      log_waiting (wave, host, "long-running-tasks-unavailable", now_us);
-      return false;
-    }
-  return is_down || workers_are_recorded (sched, workers);
-}
-
-/* Has it stored that HOST will be ordered down for WAVE: an owner after this
-   one has to count the order until it is settled.  */
-static void
-record_order (sched_t *sched, const wave_t *wave, host_t *host, int64_t now_us)
-{
-  host->order_record = ORDER_RECORDING;
-  host->order_record_wave = wave->number;
-  host->order_record_us = now_us;
-  fleet_update_add (sched, FLEET_UPDATE_HOST_ORDERED, wave->number,
-                    host->name);
-}
-
-/* Orders the maintenance of a host of WAVE that is ready for it, or orders it
-   again if there was no answer.  */
-static void
-order_maintenance (sched_t *sched, drain_t *drain, const wave_t *wave,
-                   const wave_count_t *count, sched_now_t now)
-{
-  host_t *unrecorded = NULL;
-
-  for (uint32_t i = 0; i < wave->names->len; i++)
-    {
-      host_t *host = g_hash_table_lookup (sched->hosts,
-                                          g_ptr_array_index (wave->names, i));
-
-      if (!host || !may_order (wave, count, host, now.us)
-          || !prepare_host (sched, drain, wave, host, now.us))
-        continue;
-      if (!is_recorded (wave, host))
-        {
-          /* Another wave may be about to order it.  */
-          if (!unrecorded && host->order_record != ORDER_RECORDING)
-            unrecorded = host;
-          continue;
-        }
-      host_order_add (sched, host,
-                      (host_order_t){ .kind = HOST_ORDER_MAINTENANCE,
-                                      .wave = wave->number },
-                      now.us);
-      return; /* each order changes which others are allowed */
-    }
-  if (unrecorded)
-    record_order (sched, wave, unrecorded, now.us);
-}
-
 /* Marks the hosts that WAVE will take down, and their workers.  */
 static void
 mark_workers (const sched_t *sched, const wave_t *wave)
@@ -652,7 +337,6 @@
   if (count->active >= parallelism && count->doubted == 0)
     return;
   hosts = hosts_to_drain (sched, wave, now.us);
-
   for (uint32_t i = 0; i < hosts->len; i++)
     {
       const candidate_host_t *candidate
@@ -663,7 +347,7 @@
       if (!candidate->counted && count->active >= parallelism)
         break;
       if (!candidate->counted && in_use
-          && count->active_in_use >= limit_in_use (wave, count)
+          && count->active_in_use >= wave_limit_in_use (wave, count)
                                          + MIN (ahead, count->down_in_use))
         continue;
       if (!drain_take (drain, host))
@@ -682,7 +366,7 @@
 static void
 plan_wave (sched_t *sched, drain_t *drain, wave_t *wave, sched_now_t now)
 {
-  wave_count_t count = count_wave (sched, wave, now.us);
+  wave_count_t count = wave_count (sched, wave, now.us);
 
   if (count.left == 0 && count.down == 0)
     {
@@ -695,7 +379,7 @@
     }
   drain_hosts (sched, drain, wave, &count,
                hosts_needed (sched, wave, count.left, now.us), now);
-  order_maintenance (sched, drain, wave, &count, now);
+  wave_order_maintenance (sched, drain, wave, &count, now);
 }
 
 /* Orders for hosts of WAVE that owners before may have sent are in doubt.  */
