peer/transport: the paused peer is paused after both sides were heard

If e2 hasn't sent its own by then, e1 has read nothing since the connection was made, 500 ms before, and takes e2 for gone less than GONE_AFTER_US - HEARTBEAT_INTERVAL_US after the pause: in the log e2 is up at 00.923, silent for 2,002 ms at 02.925 and down at 03.924. The check fails, and tear_down then waits for the thread that is paused.

Change: the test pauses e2 when e1 has heard its second heartbeat, too, and tear_down ends the pause, so that a check that fails is reported. The bound is as before.

--- a/peer/test/transport_test.c
+++ b/peer/test/transport_test.c
@@ -124,6 +124,12 @@
 static void
 tear_down (void)
 {
+  /* A check that fails leaves a thread paused.  */
+  pthread_mutex_lock (&lock);
+  for (int i = 0; i < NODES; i++)
+    nodes[i].blocked = false;
+  pthread_cond_broadcast (&changed);
+  pthread_mutex_unlock (&lock);
   stop_all ();
   rcu_unregister_thread ();
 }
@@ -357,8 +363,10 @@
   start (0, 1, "secret");
   start (1, 1, "secret");
   connect_nodes (2);
-  wait_until (nodes[0].connected_peers == 1
-              && member_of (1, "e1").heard_us > 0);
+  /* The time from the last heartbeat of e2 until it is paused is less than the
+     interval only if e1 has just had one.  */
+  wait_until (nodes[0].connected_peers == 1 && member_of (1, "e1").heard_us > 0
+              && member_of (0, "e2").heard_us > 0);
   nodes[1].blocked = true;
   blocked_us = clock_mono_us ();
   ck_assert (transport_send (nodes[0].transport, "e2", &claim));
