jobs: the manual of hosts says how long an order in doubt counts

Cause: it still said that an order without an answer is over when another worker runs on the host, which have changed. Change: the comment in hosts.h; no code.

--- a/jobs/hosts.h
+++ b/jobs/hosts.h
@@ -13,8 +13,9 @@
 
      A host counts as down from the order until it is listed as up again.  An
      order without an answer may have been carried out, or may be later: it is
-     repeated until it is accepted or another worker runs on the host, and the
-     host counts as down meanwhile.  A repeat is judged like a first order.  */
+     repeated, and judged like a first one.  Until a repeat is accepted it
+     counts for the limit of its wave, also if another worker runs on the host
+     meanwhile (hostorder.h).  */
 
 #ifndef CUMINPIN_HOSTS_H
 #define CUMINPIN_HOSTS_H
